--- /dev/null
+++ b/app/src/main.rs
@@ -0,0 +1,3 @@
+//! Load balancer for expert-parallel model groups.
+
+fn main() {}
--- /dev/null
+++ b/decision/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated declarations, operator orders and currency leases.
--- /dev/null
+++ b/decision/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of upstream, admission, credits, queues and retries.
--- /dev/null
+++ b/dev/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benchmarks of the decision packages and of the whole path.
--- /dev/null
+++ b/dev/rig/src/lib.rs
@@ -0,0 +1,1 @@
+//! Real-process rig: separate processes on loopback, open-loop load, faults.
--- /dev/null
+++ b/dev/scenario/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scenario language for failure tests under virtual time.
--- /dev/null
+++ b/peers/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP interface for callers.
--- /dev/null
+++ b/peers/instance/src/lib.rs
@@ -0,0 +1,1 @@
+//! Protocol between the instances of one deployment.
--- /dev/null
+++ b/peers/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP interface for operators and its client.
--- /dev/null
+++ b/peers/upstream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Protocol spoken with upstream engines and plain services.
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-in engines and plain services for local use and tests.
--- /dev/null
+++ b/support/observe/src/metrics.rs
@@ -0,0 +1,87 @@
+//! Counters, gauges and timings for StatsD.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cadence::{BufferedUdpMetricSink, Counted, Gauged, QueuingMetricSink, StatsdClient, Timed};
+use derive_more::Display;
+
+/// Prefix of every metric.
+const PREFIX: &str = "pimentotide";
+
+/// Why metrics could not start.
+#[derive(Debug, Display)]
+#[display("metrics could not start: {_0}")]
+pub struct MetricsError(String);
+
+impl std::error::Error for MetricsError {}
+
+/// Metrics of one process; cheap to clone.
+#[derive(Clone)]
+pub struct Metrics {
+    client: Option<Arc<StatsdClient>>,
+}
+
+impl Metrics {
+    /// Drops everything, at the cost of one comparison.
+    pub fn none() -> Self {
+        Self { client: None }
+    }
+
+    /// Sends to `address` from a queue, so that no caller waits for the socket.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no local UDP socket can be bound.
+    pub fn open(address: SocketAddr) -> Result<Self, MetricsError> {
+        let local = if address.is_ipv4() {
+            "0.0.0.0:0"
+        } else {
+            "[::]:0"
+        };
+        let socket = UdpSocket::bind(local).map_err(|e| MetricsError(e.to_string()))?;
+        let sink = BufferedUdpMetricSink::from(address, socket)
+            .map_err(|e| MetricsError(e.to_string()))?;
+        let client = StatsdClient::from_sink(PREFIX, QueuingMetricSink::from(sink));
+        Ok(Self {
+            client: Some(Arc::new(client)),
+        })
+    }
+
+    /// Adds to a counter.
+    pub fn count(&self, name: &str, tag: (&str, &str), by: i64) {
+        if let Some(client) = &self.client {
+            client
+                .count_with_tags(name, by)
+                .with_tag(tag.0, tag.1)
+                .send();
+        }
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, name: &str, tag: (&str, &str), value: u64) {
+        if let Some(client) = &self.client {
+            client
+                .gauge_with_tags(name, value)
+                .with_tag(tag.0, tag.1)
+                .send();
+        }
+    }
+
+    /// Records a duration.
+    pub fn time(&self, name: &str, tag: (&str, &str), value: Duration) {
+        if let Some(client) = &self.client {
+            client
+                .time_with_tags(name, value)
+                .with_tag(tag.0, tag.1)
+                .send();
+        }
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::none()
+    }
+}
--- /dev/null
+++ b/support/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable files of a control replica: checksummed log and snapshots.
