Work protocol, upstream protocol and stand-in engines

Cause: an answer that stops early must not look like a whole one, and what ran must be counted by something other than the system under test. Change: work travels as one typed order answered by typed frames, closed by an explicit end; engines announce themselves to their agent; the stand-in engine counts runs, concurrency and bytes in its own ledger, starts cold, resumes streams and fails on demand.

--- /dev/null
+++ b/peers/instance/src/work/client.rs
@@ -0,0 +1,161 @@
+//! Client by which an entry passes work to agents.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::time::Duration;
+
+use awc::error::SendRequestError;
+use awc::http::StatusCode;
+use awc::http::header::AUTHORIZATION;
+use awc::{Client, Connector};
+use bytes::Bytes;
+use derive_more::Display;
+use futures_util::{Stream, StreamExt};
+use pimentotide_model::RequestId;
+
+use super::{CANCEL_PATH, Frame, FrameDecoder, WORK_PATH, WorkOrder};
+use crate::Token;
+
+/// Time allowed for connecting to an agent.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Connections kept to all agents at most.
+const MAX_CONNECTIONS: usize = 8192;
+
+/// Time allowed for an agent to take note of a cancellation.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Why work did not get an answer.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum WorkError {
+    /// No connection: the agent has seen nothing of the request.
+    #[display("no connection to the agent: {_0}")]
+    Unreachable(String),
+    /// The agent refused the request before reading it.
+    #[display("the agent answered with status {_0}")]
+    Rejected(u16),
+    /// The connection failed once the agent may have seen the request.
+    #[display("the agent broke off: {_0}")]
+    Broken(String),
+}
+
+impl std::error::Error for WorkError {}
+
+/// Client of all agents, for use on one thread.
+#[derive(Clone)]
+pub struct WorkClient {
+    client: Client,
+    token: Token,
+}
+
+impl WorkClient {
+    /// Opens a client that connects when it is first needed.
+    pub fn open(token: Token) -> Self {
+        let connector = Connector::new()
+            .timeout(CONNECT_TIMEOUT)
+            .limit(MAX_CONNECTIONS);
+        let client = Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .no_default_headers()
+            .finish();
+        Self { client, token }
+    }
+
+    /// Sends an order; its frames follow as the upstream produces them.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the agent may have seen the request.
+    pub async fn send(
+        &self,
+        agent: SocketAddr,
+        order: &WorkOrder,
+    ) -> Result<FrameStream, WorkError> {
+        let body = order
+            .encode()
+            .map_err(|e| WorkError::Unreachable(e.to_string()))?;
+        let answer = self
+            .client
+            .post(format!("http://{agent}{WORK_PATH}"))
+            .insert_header((AUTHORIZATION, self.token.header()))
+            .send_body(body)
+            .await
+            .map_err(|e| send_error(&e))?;
+        if answer.status() != StatusCode::OK {
+            return Err(WorkError::Rejected(answer.status().as_u16()));
+        }
+        let chunks = answer.map(|c| c.map_err(|e| e.to_string()));
+        Ok(FrameStream::new(chunks.boxed_local()))
+    }
+
+    /// Tells an agent that nobody waits for the answer any more.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the agent does not take note in time.
+    pub async fn cancel(&self, agent: SocketAddr, id: RequestId) -> Result<(), WorkError> {
+        let sent = self
+            .client
+            .post(format!("http://{agent}{CANCEL_PATH}/{id}"))
+            .insert_header((AUTHORIZATION, self.token.header()))
+            .timeout(CANCEL_TIMEOUT)
+            .send()
+            .await;
+        sent.map(drop).map_err(|e| send_error(&e))
+    }
+}
+
+/// Frames of one answer as they arrive.
+pub struct FrameStream {
+    chunks: Pin<Box<dyn Stream<Item = Result<Bytes, String>>>>,
+    decoder: FrameDecoder,
+    ready: VecDeque<Frame>,
+}
+
+impl FrameStream {
+    fn new(chunks: Pin<Box<dyn Stream<Item = Result<Bytes, String>>>>) -> Self {
+        Self {
+            chunks,
+            decoder: FrameDecoder::default(),
+            ready: VecDeque::new(),
+        }
+    }
+
+    /// Waits for the next frame.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks or closes before the answer is closed.
+    pub async fn next_frame(&mut self) -> Result<Frame, WorkError> {
+        let broken = |detail: String| WorkError::Broken(detail);
+        loop {
+            if let Some(frame) = self.ready.pop_front() {
+                return Ok(frame);
+            }
+            let Some(chunk) = self.chunks.next().await else {
+                return Err(broken(
+                    "connection closed before the answer ended".to_owned(),
+                ));
+            };
+            self.decoder.push(&chunk.map_err(broken)?);
+            while let Some(frame) = self
+                .decoder
+                .next_frame()
+                .map_err(|e| broken(e.to_string()))?
+            {
+                self.ready.push_back(frame);
+            }
+        }
+    }
+}
+
+fn send_error(error: &SendRequestError) -> WorkError {
+    match error {
+        SendRequestError::Connect(e) => WorkError::Unreachable(e.to_string()),
+        SendRequestError::Url(e) => WorkError::Unreachable(e.to_string()),
+        other => WorkError::Broken(other.to_string()),
+    }
+}
--- /dev/null
+++ b/peers/instance/src/work/mod.rs
@@ -0,0 +1,20 @@
+//! Work passed from an entry to an agent, and the answer on its way back.
+//!
+//! An entry posts one encoded [`WorkOrder`] to [`WORK_PATH`]. The agent answers
+//! with a sequence of [`Frame`]s, each written as soon as the upstream has
+//! produced it. Only [`Frame::End`] closes an answer that is whole; a sequence
+//! that stops without one is a failure, never a short answer.
+
+mod client;
+mod frame;
+mod order;
+
+pub use client::{FrameStream, WorkClient, WorkError};
+pub use frame::{Frame, FrameDecoder, FrameError, MAX_FRAME_BYTES};
+pub use order::{MAX_ORDER_BYTES, OrderError, WorkOrder};
+
+/// Path to which entries post work.
+pub const WORK_PATH: &str = "/work";
+
+/// Path to which entries post the id of a request that they give up.
+pub const CANCEL_PATH: &str = "/cancel";
--- /dev/null
+++ b/standin/src/control.rs
@@ -0,0 +1,25 @@
+//! Faults that a test or an experiment sets on a stand-in engine.
+
+use serde::{Deserialize, Serialize};
+
+/// How the engine behaves from now on; posted as JSON to `/control`.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Control {
+    /// Restarts cold at once; what runs is broken off.
+    pub restart: bool,
+    /// Accepts work and makes no progress.
+    pub stall: bool,
+    /// Factor on all delays.
+    pub slowness: f64,
+}
+
+impl Default for Control {
+    fn default() -> Self {
+        Self {
+            restart: false,
+            stall: false,
+            slowness: 1.0,
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/engine.rs
@@ -0,0 +1,115 @@
+//! A running stand-in engine.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use actix_rt::task::JoinHandle;
+use actix_web::dev::ServerHandle;
+use actix_web::{App, HttpResponse, HttpServer, web};
+use derive_more::Display;
+use pimentotide_model::ServiceKind;
+
+use crate::core::Core;
+use crate::{Control, EngineOptions, Ledger, announce, answer, plain};
+
+/// Largest request body, in bytes.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+/// Why an engine could not start.
+#[derive(Debug, Display)]
+#[display("stand-in engine on {address}: {source}")]
+pub struct EngineError {
+    /// Address that was asked for.
+    pub address: SocketAddr,
+    source: std::io::Error,
+}
+
+impl std::error::Error for EngineError {}
+
+/// A running stand-in engine.
+pub struct Engine {
+    address: SocketAddr,
+    core: Arc<Core>,
+    server: ServerHandle,
+    announcer: JoinHandle<()>,
+}
+
+impl Engine {
+    /// Starts an engine on the current actix system.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub fn spawn(options: EngineOptions) -> Result<Self, EngineError> {
+        let listen = options.listen;
+        let failed = |source| EngineError {
+            address: listen,
+            source,
+        };
+        let core = Arc::new(Core::new(options));
+        let data = web::Data::from(Arc::clone(&core));
+        let server = HttpServer::new(move || {
+            App::new()
+                .app_data(data.clone())
+                .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
+                .configure(|routes| configure(routes, data.options.kind))
+        })
+        .workers(1)
+        .disable_signals()
+        .bind(listen)
+        .map_err(failed)?;
+        let address = server.addrs().first().copied().unwrap_or(listen);
+        let server = server.run();
+        let handle = server.handle();
+        actix_rt::spawn(server);
+        let announcer = actix_rt::spawn(announce::run(Arc::clone(&core), address));
+        Ok(Self {
+            address,
+            core,
+            server: handle,
+            announcer,
+        })
+    }
+
+    /// Address that takes work.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// What has run so far.
+    pub fn ledger(&self) -> Ledger {
+        self.core.ledger()
+    }
+
+    /// Sets how the engine behaves from now on.
+    pub fn control(&self, control: Control) {
+        self.core.control(control);
+    }
+
+    /// Stops the engine; running requests end first if `graceful`.
+    pub async fn stop(self, graceful: bool) {
+        self.announcer.abort();
+        self.server.stop(graceful).await;
+    }
+}
+
+fn configure(routes: &mut web::ServiceConfig, kind: ServiceKind) {
+    routes
+        .route("/ledger", web::get().to(ledger))
+        .route("/control", web::post().to(control));
+    match kind {
+        ServiceKind::Model => routes
+            .route("/v1/completions", web::post().to(answer::completions))
+            .route("/v1/chat/completions", web::post().to(answer::chat)),
+        ServiceKind::Plain => routes.default_service(web::to(plain::any)),
+    };
+}
+
+async fn ledger(core: web::Data<Core>) -> HttpResponse {
+    HttpResponse::Ok().json(core.ledger())
+}
+
+async fn control(core: web::Data<Core>, body: web::Json<Control>) -> HttpResponse {
+    core.control(body.into_inner());
+    HttpResponse::NoContent().finish()
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,1 +1,20 @@
 //! Stand-in engines and plain services for local use and tests.
+//!
+//! An [`Engine`] speaks the upstream protocol over real sockets: it announces
+//! itself, generates tokens that depend only on the prompt, batches, caches
+//! prefixes, resumes a stream at a position, starts cold and fails on demand.
+//! Its ledger counts what really ran, independently of the system it serves.
+
+mod announce;
+mod answer;
+mod control;
+mod core;
+mod engine;
+mod ledger;
+mod options;
+mod plain;
+
+pub use control::Control;
+pub use engine::{Engine, EngineError};
+pub use ledger::{Ledger, RunRecord};
+pub use options::EngineOptions;
