The thin whole path: entry, agent, stand-in engine, settings, local

Cause: every later decision needs a real request going through real sockets. Change: callers' interface with problem documents; entry that resolves, places, sends, relays and resumes; agent that admits, forwards and frames; settings read whole with all errors at once; command line; 'local' hosts three zones in one process.

--- /dev/null
+++ b/app/src/agent/routes.rs
@@ -0,0 +1,93 @@
+//! Routes of an agent.
+
+use actix_web::http::header::AUTHORIZATION;
+use actix_web::{HttpRequest, HttpResponse, web};
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use pimentotide_instance::work::{CANCEL_PATH, Frame, WORK_PATH, WorkOrder};
+use pimentotide_model::{ErrorKind, Failure, RequestId};
+use pimentotide_upstream::{ANNOUNCE_PATH, EngineState};
+use tokio::sync::mpsc;
+
+use super::core::Core;
+use super::forward::forward;
+
+/// Frames that may wait for the connection to the entry.
+const FRAME_BUFFER: usize = 64;
+
+pub(super) fn for_entries(routes: &mut web::ServiceConfig) {
+    routes
+        .route(WORK_PATH, web::post().to(work))
+        .route(&format!("{CANCEL_PATH}/{{id}}"), web::post().to(cancel));
+}
+
+pub(super) fn for_upstream(routes: &mut web::ServiceConfig) {
+    routes.route(ANNOUNCE_PATH, web::post().to(announce));
+}
+
+async fn work(core: web::Data<Core>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    if !is_member(&core, &request) {
+        return HttpResponse::Forbidden().finish();
+    }
+    let core = core.into_inner();
+    let order = match WorkOrder::decode(&body) {
+        Ok(order) => order,
+        Err(e) => {
+            let failure = Failure::new(ErrorKind::InvalidRequest, e.to_string());
+            return single(&Frame::Refused {
+                failure,
+                report: core.report(),
+            });
+        }
+    };
+    let permit = match core.admit(&order) {
+        Ok(permit) => permit,
+        Err(failure) => {
+            core.metrics()
+                .count("agent.refused", ("kind", &failure.kind.to_string()), 1);
+            return single(&Frame::Refused {
+                failure,
+                report: core.report(),
+            });
+        }
+    };
+    let (sender, receiver) = mpsc::channel(FRAME_BUFFER);
+    actix_rt::spawn(forward(core, order, permit, sender));
+    let frames = stream::unfold(receiver, |mut receiver| async {
+        let frame: Frame = receiver.recv().await?;
+        Some((frame, receiver))
+    });
+    HttpResponse::Ok().streaming(frames.map(|f| f.encode()))
+}
+
+async fn cancel(
+    core: web::Data<Core>,
+    request: HttpRequest,
+    id: web::Path<String>,
+) -> HttpResponse {
+    if !is_member(&core, &request) {
+        return HttpResponse::Forbidden().finish();
+    }
+    match id.parse::<RequestId>() {
+        Ok(id) => core.cancel(id),
+        Err(_) => return HttpResponse::BadRequest().finish(),
+    }
+    HttpResponse::NoContent().finish()
+}
+
+async fn announce(core: web::Data<Core>, state: web::Json<EngineState>) -> HttpResponse {
+    core.engine_announced(state.into_inner());
+    HttpResponse::NoContent().finish()
+}
+
+fn is_member(core: &Core, request: &HttpRequest) -> bool {
+    let header = request.headers().get(AUTHORIZATION);
+    core.token().admits(header.map(|h| h.as_bytes()))
+}
+
+fn single(frame: &Frame) -> HttpResponse {
+    match frame.encode() {
+        Ok(bytes) => HttpResponse::Ok().body(bytes),
+        Err(e) => HttpResponse::InternalServerError().body(e.to_string()),
+    }
+}
--- /dev/null
+++ b/app/src/entry/dispatch.rs
@@ -0,0 +1,90 @@
+//! Runs callers' requests.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::stream;
+use pimentotide_caller::{Answer, AnswerBody, Call, EntryAdvice, PieceStream, Service};
+use pimentotide_instance::work::WorkClient;
+use pimentotide_model::{Failure, ModelName};
+
+use super::core::Core;
+use super::relay::Relay;
+
+/// Runs the requests of one thread.
+#[derive(Clone)]
+pub(super) struct Dispatcher {
+    core: Arc<Core>,
+    client: WorkClient,
+}
+
+impl Dispatcher {
+    pub(super) fn new(core: Arc<Core>, client: WorkClient) -> Self {
+        Self { core, client }
+    }
+
+    async fn run(self, call: Call) -> Result<Answer, Failure> {
+        let (job, running) = self.core.accept(call)?;
+        let service = job.meta.service.clone();
+        let core = Arc::clone(&self.core);
+        let answer = answer(Relay::new(self.core, self.client, job, running)).await;
+        let outcome = match &answer {
+            Ok(_) => "answered".to_owned(),
+            Err(failure) => failure.kind.to_string(),
+        };
+        core.metrics()
+            .count("entry.requests", ("outcome", &outcome), 1);
+        log::debug!("service {service}: {outcome}");
+        answer
+    }
+}
+
+impl Service for Dispatcher {
+    fn call(&self, call: Call) -> impl Future<Output = Result<Answer, Failure>> + 'static {
+        self.clone().run(call)
+    }
+
+    fn entries(&self, zone: Option<&str>) -> EntryAdvice {
+        self.core.advice(zone)
+    }
+
+    fn models(&self) -> Vec<ModelName> {
+        self.core.models()
+    }
+}
+
+async fn answer(mut relay: Relay) -> Result<Answer, Failure> {
+    let head = relay.begin().await?;
+    if relay.is_stream() && is_event_stream(&head.headers) {
+        let (status, headers) = (head.status, head.headers);
+        return Ok(Answer {
+            status,
+            headers,
+            body: AnswerBody::Events(pieces(relay)),
+        });
+    }
+    let body = relay.whole().await?;
+    Ok(Answer {
+        status: head.status,
+        headers: head.headers,
+        body: AnswerBody::Whole(Bytes::from(body)),
+    })
+}
+
+fn pieces(relay: Relay) -> PieceStream {
+    let pieces = stream::unfold(Some(relay), |relay| async {
+        let mut relay = relay?;
+        match relay.next_piece().await {
+            Ok(Some(piece)) => Some((Ok(piece), Some(relay))),
+            Ok(None) => None,
+            Err(failure) => Some((Err(failure), None)),
+        }
+    });
+    Box::pin(pieces)
+}
+
+fn is_event_stream(headers: &[(String, String)]) -> bool {
+    headers
+        .iter()
+        .any(|(name, value)| name == "content-type" && value.starts_with("text/event-stream"))
+}
--- /dev/null
+++ b/app/src/lib.rs
@@ -0,0 +1,9 @@
+//! Load balancer for expert-parallel model groups: roles, settings and commands.
+
+pub mod agent;
+pub mod entry;
+pub mod local;
+pub mod options;
+pub mod run;
+pub mod settings;
+pub mod signal;
--- a/app/src/main.rs
+++ b/app/src/main.rs
@@ -1,3 +1,7 @@
-//! Load balancer for expert-parallel model groups.
+//! Starts the command that the command line names.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    pimentotide::options::main()
+}
--- /dev/null
+++ b/app/src/options/help.rs
@@ -0,0 +1,46 @@
+//! Help texts.
+
+pub(super) const USAGE: &str = "\
+Load balancer for expert-parallel model groups.
+
+Usage: pimentotide COMMAND [OPTION]...
+
+Processes:
+  local        Run a whole small deployment in this process
+  run FILE     Run the roles that a settings file gives
+  check FILE   Check a settings file and say all that is wrong with it
+
+Options:
+  -h, --help     Show help; after a command, show that command's help
+  -V, --version  Show the version";
+
+pub(super) const LOCAL: &str = "\
+Run a whole small deployment in this process: three availability zones with an entry each,
+control, agents and stand-in upstreams, all over loopback sockets.
+
+Usage: pimentotide local [OPTION]...
+
+Options:
+      --caller ADDR    Listener of the first entry [127.0.0.1:8080]
+      --operator ADDR  Listener for operators [127.0.0.1:8081]
+      --data FOLDER    Data folder of the control replica [a temporary folder]
+      --log LEVELS     Log levels [info, actix_server=warn]
+  -h, --help           Show this help
+
+Logs one JSON line with \"event\":\"ready\" once requests are served. Stops gracefully on SIGTERM
+and Ctrl-C.";
+
+pub(super) const RUN: &str = "\
+Run the roles that a settings file gives: entry, replica, agent.
+
+Usage: pimentotide run FILE
+
+Stops gracefully on SIGTERM and Ctrl-C: takes no new work and lets running requests end. Exits
+with 2 if the settings are wrong.";
+
+pub(super) const CHECK: &str = "\
+Check a settings file and say all that is wrong with it.
+
+Usage: pimentotide check FILE
+
+Exits with 0 if the file is right and with 2 if it is not.";
--- /dev/null
+++ b/app/src/options/mod.rs
@@ -0,0 +1,38 @@
+//! The command line.
+
+mod help;
+mod parse;
+
+use std::process::ExitCode;
+
+pub use parse::{Command, LocalOptions, UsageError, parse};
+
+/// Exit code of wrong usage or wrong settings.
+pub const EXIT_USAGE: u8 = 2;
+
+/// Runs the command that the command line names.
+pub fn main() -> ExitCode {
+    match parse(lexopt::Parser::from_env()) {
+        Ok(command) => run(command),
+        Err(e) => {
+            eprintln!("pimentotide: {e}\n\n{}", help::USAGE);
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+fn run(command: Command) -> ExitCode {
+    match command {
+        Command::Help(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Command::Version => {
+            println!("pimentotide {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+        Command::Check(path) => crate::run::check(&path),
+        Command::Run(path) => crate::run::run(&path),
+        Command::Local(options) => crate::local::run(&options),
+    }
+}
--- /dev/null
+++ b/app/src/options/parse.rs
@@ -0,0 +1,123 @@
+//! Parses the command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use derive_more::{Display, From};
+use lexopt::{Arg, Parser, ValueExt};
+
+use super::help;
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Show a help text.
+    Help(&'static str),
+    /// Show the version.
+    Version,
+    /// Check a settings file.
+    Check(PathBuf),
+    /// Run the roles of a settings file.
+    Run(PathBuf),
+    /// Run a whole small deployment.
+    Local(LocalOptions),
+}
+
+/// Options of `local`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LocalOptions {
+    /// Listener of the first entry.
+    pub caller: SocketAddr,
+    /// Listener for operators.
+    pub operator: SocketAddr,
+    /// Data folder; a temporary one if none.
+    pub data: Option<PathBuf>,
+    /// Log levels.
+    pub log: String,
+}
+
+impl Default for LocalOptions {
+    fn default() -> Self {
+        Self {
+            caller: SocketAddr::from(([127, 0, 0, 1], 8080)),
+            operator: SocketAddr::from(([127, 0, 0, 1], 8081)),
+            data: None,
+            log: crate::settings::DEFAULT_LOG.to_owned(),
+        }
+    }
+}
+
+/// Why a command line makes no sense.
+#[derive(Debug, Display, From)]
+pub enum UsageError {
+    /// An option is unknown or its value is wrong.
+    #[display("{_0}")]
+    Option(lexopt::Error),
+    /// No command is given.
+    #[display("expected a command")]
+    NoCommand,
+    /// The command is unknown.
+    #[display("unknown command {_0:?}")]
+    #[from(ignore)]
+    UnknownCommand(String),
+    /// The command needs a file.
+    #[display("expected the path of a settings file")]
+    NoFile,
+}
+
+impl std::error::Error for UsageError {}
+
+/// Parses a command line.
+///
+/// # Errors
+///
+/// Fails at the first word that makes no sense.
+pub fn parse(mut parser: Parser) -> Result<Command, UsageError> {
+    match parser.next()? {
+        None => Err(UsageError::NoCommand),
+        Some(Arg::Short('h') | Arg::Long("help")) => Ok(Command::Help(help::USAGE)),
+        Some(Arg::Short('V') | Arg::Long("version")) => Ok(Command::Version),
+        Some(Arg::Value(word)) => command(&word.string()?, &mut parser),
+        Some(other) => Err(other.unexpected().into()),
+    }
+}
+
+fn command(word: &str, parser: &mut Parser) -> Result<Command, UsageError> {
+    match word {
+        "local" => local(parser),
+        "run" => file(parser, help::RUN, Command::Run),
+        "check" => file(parser, help::CHECK, Command::Check),
+        "help" => Ok(Command::Help(help::USAGE)),
+        other => Err(UsageError::UnknownCommand(other.to_owned())),
+    }
+}
+
+fn local(parser: &mut Parser) -> Result<Command, UsageError> {
+    let mut options = LocalOptions::default();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Command::Help(help::LOCAL)),
+            Arg::Long("caller") => options.caller = parser.value()?.parse()?,
+            Arg::Long("operator") => options.operator = parser.value()?.parse()?,
+            Arg::Long("data") => options.data = Some(parser.value()?.into()),
+            Arg::Long("log") => options.log = parser.value()?.string()?,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Command::Local(options))
+}
+
+fn file<F>(parser: &mut Parser, help: &'static str, build: F) -> Result<Command, UsageError>
+where
+    F: FnOnce(PathBuf) -> Command,
+{
+    let mut path = None;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Command::Help(help)),
+            Arg::Value(value) if path.is_none() => path = Some(PathBuf::from(value)),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    path.map(build).ok_or(UsageError::NoFile)
+}
--- a/support/observe/src/logs.rs
+++ b/support/observe/src/logs.rs
@@ -44,20 +44,22 @@
 where
     T: Serialize,
 {
-    if !log::log_enabled!(log::Level::Info) {
+    if !log::log_enabled!(target: EVENT_TARGET, log::Level::Info) {
         return;
     }
-    let mut line = Map::new();
-    line.insert("event".to_owned(), Value::from(name));
-    match serde_json::to_value(fields) {
-        Ok(Value::Object(fields)) => line.extend(fields),
-        Ok(other) => drop(line.insert("value".to_owned(), other)),
-        Err(e) => drop(line.insert("unserializable".to_owned(), Value::from(e.to_string()))),
-    }
-    log::info!(target: EVENT_TARGET, "{}", Value::Object(line));
+    let fields = match serde_json::to_value(fields) {
+        Ok(Value::Object(fields)) => fields,
+        Ok(Value::Null) => Map::new(),
+        Ok(other) => Map::from_iter([("value".to_owned(), other)]),
+        Err(e) => Map::from_iter([("unserializable".to_owned(), Value::from(e.to_string()))]),
+    };
+    let fields = Value::Object(fields).to_string();
+    let rest = if fields == "{}" { "}" } else { &fields[1..] };
+    let comma = if fields == "{}" { "" } else { "," };
+    log::info!(target: EVENT_TARGET, "\"event\":{}{comma}{rest}", Value::from(name));
 }
 
-/// Target of records whose message is a JSON object already.
+/// Target of records whose message is the rest of a JSON object.
 const EVENT_TARGET: &str = "pimentotide::event";
 
 fn write_line(
