--- a/app/src/settings/mod.rs
+++ b/app/src/settings/mod.rs
@@ -115,15 +115,16 @@
     pub fn open(path: &Path) -> Result<Self, SettingsError> {
         let text = std::fs::read_to_string(path)
             .map_err(|e| SettingsError::Unreadable(path.to_owned(), e))?;
-        Ok(Self::parse(&text)?)
+        let folder = path.parent().unwrap_or(Path::new("."));
+        Ok(Self::parse(&text, folder)?)
     }
 
-    /// Checks the text of a settings file.
+    /// Checks the text of a settings file in `folder`.
     ///
     /// # Errors
     ///
     /// Returns all that is wrong with the text at once.
-    pub fn parse(text: &str) -> Result<Self, Problems> {
-        pimentotide_document::read(text, read::settings)
+    pub fn parse(text: &str, folder: &Path) -> Result<Self, Problems> {
+        pimentotide_document::read(text, |top| read::settings(top, folder))
     }
 }
--- a/app/src/settings/read.rs
+++ b/app/src/settings/read.rs
@@ -1,7 +1,7 @@
 //! Reads settings from a document.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::Path;
 use std::time::Duration;
 
 use pimentotide_document::{Item, Section};
@@ -31,7 +31,8 @@
 const MAX_DRAIN_MILLIS: u64 = 3_600_000;
 const ADDRESS: &str = "an address such as 10.0.0.1:8080";
 
-pub(super) fn settings(top: &mut Section<'_>) -> Settings {
+/// Reads settings; `folder` is where relative paths start.
+pub(super) fn settings(top: &mut Section<'_>, folder: &Path) -> Settings {
     let settings = Settings {
         instance: InstanceName::from(name(top, "instance", InstanceName::is_valid)),
         region: RegionName::from(name(top, "region", RegionName::is_valid)),
@@ -40,11 +41,11 @@
             .optional_text("log")
             .unwrap_or_else(|| DEFAULT_LOG.to_owned()),
         metrics: address_or_none(top, "metrics"),
-        token: token(top),
+        token: token(top, folder),
         control: top.list("control", peer),
         entries: top.list("entries", peer),
         entry: top.section("entry", entry),
-        replica: top.section("replica", replica),
+        replica: top.section("replica", |s| replica(s, folder)),
         agent: top.section("agent", agent),
     };
     check_roles(top, &settings);
@@ -103,12 +104,12 @@
 }
 
 fn workspace(section: &mut Section<'_>) -> Option<WorkspaceName> {
-    section
-        .has("workspace")
-        .then(|| WorkspaceName::from(name(section, "workspace", WorkspaceName::is_valid)))
+    let text = section.optional_text("workspace")?;
+    check_name(section, "workspace", &text, WorkspaceName::is_valid);
+    Some(WorkspaceName::from(text))
 }
 
-fn replica(section: &mut Section<'_>) -> ReplicaSettings {
+fn replica(section: &mut Section<'_>, folder: &Path) -> ReplicaSettings {
     let data = section.text("data");
     if section.has("data") && data.is_empty() {
         section.note("data", "expected the path of the data folder");
@@ -116,7 +117,7 @@
     ReplicaSettings {
         listen: address(section, "listen"),
         operator: address(section, "operator"),
-        data: PathBuf::from(data),
+        data: folder.join(data),
     }
 }
 
@@ -150,11 +151,20 @@
     F: Fn(&str) -> bool,
 {
     let text = section.text(key);
-    if section.has(key) && !is_valid(&text) {
+    if section.has(key) {
+        check_name(section, key, &text, is_valid);
+    }
+    text
+}
+
+fn check_name<F>(section: &Section<'_>, key: &str, text: &str, is_valid: F)
+where
+    F: Fn(&str) -> bool,
+{
+    if !is_valid(text) {
         let expected = "expected a name of letters, digits, '-', '_', '.', '/' and ':'";
         section.note(key, format!("{expected}, found {text:?}"));
     }
-    text
 }
 
 fn address(section: &mut Section<'_>, key: &str) -> SocketAddr {
@@ -167,7 +177,7 @@
 }
 
 /// The secret stands in the settings or in a file that they name.
-fn token(top: &mut Section<'_>) -> Token {
+fn token(top: &mut Section<'_>, folder: &Path) -> Token {
     let direct = top.optional_text("token");
     let file = top.optional_text("token_file");
     let (key, secret) = match (direct, file) {
@@ -176,7 +186,7 @@
             return unset_token();
         }
         (Some(secret), None) => ("token", secret),
-        (None, Some(path)) => match std::fs::read_to_string(&path) {
+        (None, Some(path)) => match std::fs::read_to_string(folder.join(&path)) {
             Ok(secret) => ("token_file", secret),
             Err(e) => {
                 top.note("token_file", format!("{path:?} cannot be read: {e}"));
@@ -197,7 +207,7 @@
     })
 }
 
-/// Stands in for a token with a problem; settings with problems are never returned.
+/// Stands for a token with a problem; settings with problems are never returned.
 fn unset_token() -> Token {
     Token::open("settings-with-problems").expect("a valid constant")
 }
--- /dev/null
+++ b/app/tests/it/main.rs
@@ -0,0 +1,4 @@
+//! Integration tests of the binary's library.
+
+mod options;
+mod settings;
