Server and client between the instances of a deployment

Cause: replicas, entries and agents need one authenticated protocol between themselves, shared by several modules on one port.

PeerClient keeps one connection, opens a new one when a call finds it broken, bounds every call and fails fast for a short pause after a failed connection.

--- /dev/null
+++ b/peers/instance/src/client.rs
@@ -0,0 +1,211 @@
+//! The calling side of the protocol between processes.
+//!
+//! A client keeps one connection to its peer and opens a new one when a call
+//! finds it broken. A peer that could not be reached is left alone for a short
+//! pause, so that callers fail fast instead of queueing for the same timeout.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use jsonrpsee::core::client::{ClientT, Subscription, SubscriptionClientT};
+use jsonrpsee::core::traits::ToRpcParams;
+use jsonrpsee::ws_client::{HeaderMap, HeaderValue, PingConfig, WsClient, WsClientBuilder};
+use pimentotide_model::{ErrorKind, Failure, Ran};
+use serde::de::DeserializeOwned;
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+
+use crate::{Token, failure_of};
+
+/// Largest request or answer, bytes.
+const MAX_MESSAGE_BYTES: u32 = 16 << 20;
+/// Most calls under way on one connection.
+const MAX_CALLS: usize = 4_096;
+
+/// How long a client waits for its peer.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerTimeouts {
+    /// For a connection.
+    pub connect: Duration,
+    /// For the answer to a call.
+    pub call: Duration,
+    /// After a failed connection, before the next attempt.
+    pub pause: Duration,
+    /// Silence after which a connection counts as broken.
+    pub silence: Duration,
+}
+
+impl Default for PeerTimeouts {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(500),
+            call: Duration::from_secs(2),
+            pause: Duration::from_millis(50),
+            silence: Duration::from_secs(3),
+        }
+    }
+}
+
+/// Client of one peer; clones share the connection.
+#[derive(Clone)]
+pub struct PeerClient {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    address: SocketAddr,
+    token: Token,
+    timeouts: PeerTimeouts,
+    link: Mutex<Link>,
+}
+
+#[derive(Default)]
+struct Link {
+    client: Option<Arc<WsClient>>,
+    failed: Option<Instant>,
+}
+
+impl PeerClient {
+    /// Prepares a client with the usual timeouts; connects with the first call.
+    pub fn connect(address: SocketAddr, token: Token) -> Self {
+        Self::with_timeouts(address, token, PeerTimeouts::default())
+    }
+
+    /// Prepares a client with the given timeouts; connects with the first call.
+    pub fn with_timeouts(address: SocketAddr, token: Token, timeouts: PeerTimeouts) -> Self {
+        Self {
+            shared: Arc::new(Shared {
+                address,
+                token,
+                timeouts,
+                link: Mutex::default(),
+            }),
+        }
+    }
+
+    /// Address of the peer.
+    pub fn address(&self) -> SocketAddr {
+        self.shared.address
+    }
+
+    /// Calls `method` and waits for its answer for the usual time.
+    pub async fn call<P, R>(&self, method: &str, params: P) -> Result<R, Failure>
+    where
+        P: ToRpcParams + Send,
+        R: DeserializeOwned,
+    {
+        self.call_within(self.shared.timeouts.call, method, params)
+            .await
+    }
+
+    /// Calls `method` and waits for its answer for at most `limit`.
+    pub async fn call_within<P, R>(
+        &self,
+        limit: Duration,
+        method: &str,
+        params: P,
+    ) -> Result<R, Failure>
+    where
+        P: ToRpcParams + Send,
+        R: DeserializeOwned,
+    {
+        let client = self.client().await?;
+        match timeout(limit, client.request(method, params)).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(e)) => Err(failure_of(&e)),
+            Err(_) => Err(Failure::new(
+                ErrorKind::DeadlineExceeded,
+                format!("{} did not answer {method} in time", self.shared.address),
+            )),
+        }
+    }
+
+    /// Subscribes to `method`; the subscription ends when the connection breaks.
+    pub async fn subscribe<P, N>(
+        &self,
+        method: &str,
+        params: P,
+        end: &str,
+    ) -> Result<Subscription<N>, Failure>
+    where
+        P: ToRpcParams + Send,
+        N: DeserializeOwned,
+    {
+        let client = self.client().await?;
+        let asked = client.subscribe(method, params, end);
+        match timeout(self.shared.timeouts.call, asked).await {
+            Ok(Ok(subscription)) => Ok(subscription),
+            Ok(Err(e)) => Err(failure_of(&e)),
+            Err(_) => Err(Failure::new(
+                ErrorKind::DeadlineExceeded,
+                format!("{} did not answer {method} in time", self.shared.address),
+            )),
+        }
+    }
+
+    async fn client(&self) -> Result<Arc<WsClient>, Failure> {
+        let mut link = self.shared.link.lock().await;
+        if let Some(client) = link.client.as_ref().filter(|c| c.is_connected()) {
+            return Ok(client.clone());
+        }
+        link.client = None;
+        let pause = self.shared.timeouts.pause;
+        if link.failed.is_some_and(|at| at.elapsed() < pause) {
+            return Err(self.unreachable("the last attempt failed"));
+        }
+        match self.open().await {
+            Ok(client) => {
+                let client = Arc::new(client);
+                link.client = Some(client.clone());
+                link.failed = None;
+                Ok(client)
+            }
+            Err(failure) => {
+                link.failed = Some(Instant::now());
+                Err(failure)
+            }
+        }
+    }
+
+    async fn open(&self) -> Result<WsClient, Failure> {
+        let timeouts = self.shared.timeouts;
+        let mut value = HeaderValue::from_str(&self.shared.token.header())
+            .map_err(|e| Failure::new(ErrorKind::Forbidden, format!("unusable token: {e}")))?;
+        value.set_sensitive(true);
+        let mut headers = HeaderMap::new();
+        headers.insert("authorization", value);
+        let ping = PingConfig::new()
+            .ping_interval(timeouts.silence / 3)
+            .inactive_limit(timeouts.silence)
+            .max_failures(1);
+        let connecting = WsClientBuilder::default()
+            .set_headers(headers)
+            .connection_timeout(timeouts.connect)
+            // Each call brings its own limit; this one only bounds forgotten ones.
+            .request_timeout(Duration::from_secs(60))
+            .max_request_size(MAX_MESSAGE_BYTES)
+            .max_response_size(MAX_MESSAGE_BYTES)
+            .max_concurrent_requests(MAX_CALLS)
+            .enable_ws_ping(ping)
+            .build(format!("ws://{}", self.shared.address));
+        // The library's own limit leaves out the handshake.
+        match timeout(timeouts.connect, connecting).await {
+            Ok(Ok(client)) => Ok(client),
+            Ok(Err(e)) => Err(self.unreachable(e)),
+            Err(_) => Err(self.unreachable("no connection in time")),
+        }
+    }
+
+    fn unreachable<D>(&self, detail: D) -> Failure
+    where
+        D: std::fmt::Display,
+    {
+        let address = self.shared.address;
+        Failure::new(
+            ErrorKind::NotCurrent,
+            format!("cannot reach the peer at {address}: {detail}"),
+        )
+        .with_ran(Ran::No)
+    }
+}
--- /dev/null
+++ b/peers/instance/tests/it/link.rs
@@ -0,0 +1,83 @@
+//! Membership check, failures in answers and reconnection of the client.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jsonrpsee::RpcModule;
+use pimentotide_instance::{PeerClient, PeerServer, PeerTimeouts, Token, rpc_error};
+use pimentotide_model::{ErrorKind, Failure, Ran};
+
+const ANY_PORT: &str = "127.0.0.1:0";
+
+fn echo() -> RpcModule<()> {
+    let mut module = RpcModule::new(());
+    module
+        .register_method("echo", |params, (), _| params.one::<String>())
+        .unwrap();
+    module
+}
+
+fn failing() -> RpcModule<()> {
+    let mut module = RpcModule::new(());
+    module
+        .register_method("fail", |_, (), _| {
+            let failure = Failure::new(ErrorKind::NotLeader, "127.0.0.1:9").with_ran(Ran::No);
+            Err::<(), _>(rpc_error(&failure))
+        })
+        .unwrap();
+    module
+}
+
+async fn server(address: &str, token: &str) -> PeerServer {
+    let address: SocketAddr = address.parse().unwrap();
+    PeerServer::bind(address, Token::from(token), [echo(), failing()])
+        .await
+        .unwrap()
+}
+
+#[actix_rt::test]
+async fn a_member_is_answered_by_every_module() {
+    let server = server(ANY_PORT, "secret").await;
+    let client = PeerClient::connect(server.address(), Token::from("secret"));
+    let answer: String = client.call("echo", ["hello"]).await.unwrap();
+    assert_eq!(answer, "hello");
+    let failure = client.call::<_, ()>("fail", [0; 0]).await.unwrap_err();
+    assert_eq!(failure.kind, ErrorKind::NotLeader);
+    assert_eq!(failure.detail, "127.0.0.1:9");
+    server.stop().await;
+}
+
+#[actix_rt::test]
+async fn a_sender_without_the_token_is_refused() {
+    let server = server(ANY_PORT, "secret").await;
+    for wrong in ["", "secre", "secret2"] {
+        let client = PeerClient::connect(server.address(), Token::from(wrong));
+        let failure = client.call::<_, String>("echo", ["x"]).await.unwrap_err();
+        assert_eq!(failure.ran, Ran::No);
+        assert!(failure.detail.contains("403"), "{failure}");
+    }
+    server.stop().await;
+}
+
+#[actix_rt::test]
+async fn a_client_connects_again_after_a_restart() {
+    let first = server(ANY_PORT, "secret").await;
+    let address = first.address();
+    let timeouts = PeerTimeouts {
+        pause: Duration::ZERO,
+        ..PeerTimeouts::default()
+    };
+    let client = PeerClient::with_timeouts(address, Token::from("secret"), timeouts);
+    client.call::<_, String>("echo", ["a"]).await.unwrap();
+    first.stop().await;
+    client.call::<_, String>("echo", ["b"]).await.unwrap_err();
+    let second = server(&address.to_string(), "secret").await;
+    let answer: String = client.call("echo", ["c"]).await.unwrap();
+    assert_eq!(answer, "c");
+    second.stop().await;
+}
+
+#[test]
+fn a_token_is_never_printed() {
+    assert_eq!(format!("{:?}", Token::from("secret")), "Token(..)");
+}
