Replicated log as a pure state machine, and its storage

Cause: declarations have to survive the loss of any replica, and no outside store or ready-made consensus library is used.

Every write has a ticket and every message names the ticket it waits for. A replica is its name together with the random identity of its disk; messages meant for another disk are refused.

--- /dev/null
+++ b/decision/consensus/src/config.rs
@@ -0,0 +1,104 @@
+//! Members of the replicated log and changes to them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use derive_more::Display;
+use pimentotide_model::InstanceName;
+use serde::{Deserialize, Serialize};
+
+use crate::{DiskId, Identity};
+
+/// One member.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[display("{disk} at {address}")]
+pub struct Member {
+    /// Identity of its disk.
+    pub disk: DiskId,
+    /// Address at which the other replicas reach it.
+    pub address: SocketAddr,
+}
+
+/// All members from one entry on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Config {
+    /// Members that vote.
+    pub voters: BTreeMap<InstanceName, Member>,
+    /// Members that receive the log and do not vote yet.
+    pub learners: BTreeMap<InstanceName, Member>,
+}
+
+/// A change to the members.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Change {
+    /// Adds a learner, which votes once it has caught up.
+    #[display("add {_0} ({_1})")]
+    Add(InstanceName, Member),
+    /// Removes a member.
+    #[display("remove {_0}")]
+    Remove(InstanceName),
+}
+
+impl Config {
+    /// Smallest number of voters that is a majority.
+    pub fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Whether `who` votes, under the identity of its disk.
+    pub fn is_voter(&self, who: &Identity) -> bool {
+        self.voters
+            .get(&who.name)
+            .is_some_and(|m| m.disk == who.disk)
+    }
+
+    /// Whether `who` is a member, under the identity of its disk.
+    pub fn is_member(&self, who: &Identity) -> bool {
+        self.member(&who.name).is_some_and(|m| m.disk == who.disk)
+    }
+
+    /// Returns the member called `name`.
+    pub fn member(&self, name: &InstanceName) -> Option<&Member> {
+        self.voters.get(name).or_else(|| self.learners.get(name))
+    }
+
+    /// Iterates over all members, voters first.
+    pub fn members(&self) -> impl Iterator<Item = (&InstanceName, &Member)> {
+        self.voters.iter().chain(self.learners.iter())
+    }
+
+    /// Identities of all members but `me`.
+    pub fn others(&self, me: &Identity) -> Vec<Identity> {
+        self.members()
+            .filter(|(name, _)| **name != me.name)
+            .map(|(name, m)| Identity {
+                name: name.clone(),
+                disk: m.disk,
+            })
+            .collect()
+    }
+
+    /// Members with the learner `name` made a voter.
+    pub fn promoted(&self, name: &InstanceName) -> Self {
+        let mut next = self.clone();
+        if let Some(member) = next.learners.remove(name) {
+            next.voters.insert(name.clone(), member);
+        }
+        next
+    }
+
+    /// Members without `name`.
+    pub fn without(&self, name: &InstanceName) -> Self {
+        let mut next = self.clone();
+        next.voters.remove(name);
+        next.learners.remove(name);
+        next
+    }
+
+    /// Members with `name` as a learner.
+    pub fn with_learner(&self, name: &InstanceName, member: &Member) -> Self {
+        let mut next = self.clone();
+        next.learners.insert(name.clone(), member.clone());
+        next
+    }
+}
--- /dev/null
+++ b/decision/consensus/src/log.rs
@@ -0,0 +1,139 @@
+//! Entries in memory, from the last compaction on.
+
+use std::collections::VecDeque;
+
+use pimentotide_model::{Term, Time};
+
+use crate::{Config, Entry, Index, LogId, Payload, SnapshotMeta};
+
+/// Entries in memory, with the members that they declare.
+#[derive(Clone, Debug)]
+pub(crate) struct Log {
+    base: LogId,
+    stamp: Time,
+    entries: VecDeque<Entry>,
+    configs: Vec<(Index, Config)>,
+}
+
+impl Log {
+    /// Builds the log that follows a snapshot, or the empty log.
+    pub(crate) fn new(snapshot: Option<&SnapshotMeta>) -> Self {
+        match snapshot {
+            Some(meta) => Self {
+                base: meta.last,
+                stamp: meta.time,
+                entries: VecDeque::new(),
+                configs: vec![(meta.last.index, meta.config.clone())],
+            },
+            None => Self {
+                base: LogId::default(),
+                stamp: Time::ZERO,
+                entries: VecDeque::new(),
+                configs: vec![(Index(0), Config::default())],
+            },
+        }
+    }
+
+    /// Last entry, or the base if there is none.
+    pub(crate) fn last(&self) -> LogId {
+        self.entries.back().map_or(self.base, |e| e.id)
+    }
+
+    /// Entry before the first one held.
+    pub(crate) fn base(&self) -> LogId {
+        self.base
+    }
+
+    /// Time of the last entry.
+    pub(crate) fn stamp(&self) -> Time {
+        self.entries.back().map_or(self.stamp, |e| e.time)
+    }
+
+    /// Members in force, committed or not.
+    pub(crate) fn config(&self) -> &Config {
+        &self.configs[self.configs.len() - 1].1
+    }
+
+    /// Position at which the members in force were declared.
+    pub(crate) fn config_index(&self) -> Index {
+        self.configs[self.configs.len() - 1].0
+    }
+
+    /// Members in force at `index`, which must not lie before the base.
+    pub(crate) fn config_at(&self, index: Index) -> &Config {
+        let at = self.configs.partition_point(|(i, _)| *i <= index);
+        &self.configs[at.max(1) - 1].1
+    }
+
+    /// Returns the entry at `index`.
+    pub(crate) fn get(&self, index: Index) -> Option<&Entry> {
+        let offset = index.0.checked_sub(self.base.index.0 + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Term of the entry at `index`, also at the base.
+    pub(crate) fn term_at(&self, index: Index) -> Option<Term> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        self.get(index).map(|e| e.id.term)
+    }
+
+    /// Entries from `from` on, at least one and then up to `bytes`.
+    pub(crate) fn slice(&self, from: Index, bytes: usize) -> Vec<Entry> {
+        let mut taken = Vec::new();
+        let mut size = 0;
+        let mut index = from;
+        while let Some(entry) = self.get(index) {
+            size += entry.size();
+            if !taken.is_empty() && size > bytes {
+                break;
+            }
+            taken.push(entry.clone());
+            index = index.next();
+        }
+        taken
+    }
+
+    /// Appends one entry, which must follow the last.
+    pub(crate) fn push(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.id.index, self.last().index.next());
+        if let Payload::Config(config) = &entry.payload {
+            self.configs.push((entry.id.index, config.clone()));
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Drops all entries from `index` on.
+    pub(crate) fn truncate(&mut self, index: Index) {
+        let kept = index.0.saturating_sub(self.base.index.0 + 1);
+        self.entries
+            .truncate(usize::try_from(kept).unwrap_or(usize::MAX));
+        self.configs
+            .retain(|(i, _)| *i < index || *i <= self.base.index);
+    }
+
+    /// Drops entries up to `index`, which must be held.
+    pub(crate) fn compact(&mut self, index: Index) {
+        let Some(entry) = self.get(index) else {
+            return;
+        };
+        let (id, stamp) = (entry.id, entry.time);
+        let config = self.config_at(index).clone();
+        let dropped = usize::try_from(index.0 - self.base.index.0).unwrap_or(usize::MAX);
+        self.entries.drain(..dropped);
+        self.configs.retain(|(i, _)| *i > index);
+        self.configs.insert(0, (index, config));
+        self.base = id;
+        self.stamp = stamp;
+    }
+
+    /// Highest position at or below `index` whose term does not exceed `term`.
+    pub(crate) fn hint(&self, index: Index, term: Term) -> Index {
+        let mut at = index.min(self.last().index);
+        while at > self.base.index && self.term_at(at).is_some_and(|t| t > term) {
+            at = at.prev();
+        }
+        at
+    }
+}
--- /dev/null
+++ b/decision/consensus/src/node/election.rs
@@ -0,0 +1,174 @@
+//! Pre-vote, election and stepping down.
+
+use std::collections::BTreeSet;
+
+use pimentotide_model::Term;
+
+use super::{Need, Node, Role};
+use crate::{Identity, LogId, Message, Reject};
+
+impl Node {
+    pub(super) fn tick_election(&mut self) {
+        let me = self.hard.identity.clone();
+        if !self.log.config().is_voter(&me) {
+            return;
+        }
+        let alone = self.log.config().voters.len() == 1;
+        if alone && !matches!(self.role, Role::Candidate { .. }) {
+            self.campaign(false);
+        } else if self.at.now >= self.deadline {
+            self.ask_for_pre_votes();
+        }
+    }
+
+    fn ask_for_pre_votes(&mut self) {
+        self.reset_deadline();
+        self.leader = None;
+        self.role = Role::PreCandidate {
+            granted: BTreeSet::from([self.hard.identity.clone()]),
+        };
+        let last = self.log.last();
+        let term = self.hard.term.next();
+        for peer in self.other_voters() {
+            self.send_in(term, &peer, Message::PreVote { last }, Need::Hard);
+        }
+    }
+
+    /// Opens a new term and asks the other voters for their votes.
+    pub(super) fn campaign(&mut self, transfer: bool) {
+        self.reset_deadline();
+        self.leader = None;
+        self.hard.term = self.hard.term.next();
+        self.hard.vote = Some(self.hard.identity.clone());
+        self.save_hard();
+        self.role = Role::Candidate {
+            granted: BTreeSet::new(),
+            // The own vote counts once it is synced.
+            ticket: self.ticket(Need::Hard),
+        };
+        let last = self.log.last();
+        for peer in self.other_voters() {
+            self.send(&peer, Message::Vote { last, transfer }, Need::Hard);
+        }
+    }
+
+    pub(super) fn count_own_vote(&mut self) {
+        let me = self.hard.identity.clone();
+        if let Role::Candidate { granted, ticket } = &mut self.role
+            && *ticket <= self.synced
+        {
+            granted.insert(me);
+            self.count_votes();
+        }
+    }
+
+    pub(super) fn on_pre_vote(&mut self, from: &Identity, term: Term, last: LogId) {
+        let granted = term > self.hard.term && !self.supports_leader() && last >= self.log.last();
+        let answer = if granted { term } else { self.hard.term };
+        self.send_in(answer, from, Message::PreVoteReply { granted }, Need::Hard);
+    }
+
+    pub(super) fn on_pre_vote_reply(&mut self, from: Identity, term: Term, granted: bool) {
+        if !granted {
+            if term > self.hard.term {
+                self.follow(term, None);
+            }
+            return;
+        }
+        let Role::PreCandidate { granted: votes } = &mut self.role else {
+            return;
+        };
+        if term != self.hard.term.next() {
+            return;
+        }
+        votes.insert(from);
+        let votes = votes.clone();
+        if self.is_majority(&votes) {
+            self.campaign(false);
+        }
+    }
+
+    pub(super) fn on_vote(&mut self, from: &Identity, term: Term, last: LogId, transfer: bool) {
+        let bound = self.supports_leader() && !transfer;
+        if bound || term < self.hard.term {
+            self.send(from, Message::VoteReply { granted: false }, Need::Hard);
+            return;
+        }
+        if term > self.hard.term {
+            self.follow(term, None);
+        }
+        let free = self.hard.vote.as_ref().is_none_or(|v| v == from);
+        let granted = free && last >= self.log.last();
+        if granted && self.hard.vote.is_none() {
+            self.hard.vote = Some(from.clone());
+            self.save_hard();
+        }
+        if granted {
+            self.reset_deadline();
+        }
+        self.send(from, Message::VoteReply { granted }, Need::Hard);
+    }
+
+    pub(super) fn on_vote_reply(&mut self, from: Identity, granted: bool) {
+        if let Role::Candidate { granted: votes, .. } = &mut self.role
+            && granted
+        {
+            votes.insert(from);
+            self.count_votes();
+        }
+    }
+
+    fn count_votes(&mut self) {
+        let Role::Candidate { granted, .. } = &self.role else {
+            return;
+        };
+        if self.is_majority(&granted.clone()) {
+            self.lead();
+        }
+    }
+
+    /// Stands at once, as the leader of this term asked for it.
+    pub(super) fn on_timeout_now(&mut self, from: &Identity) {
+        let asked = self.leader.as_ref() == Some(from);
+        if asked && self.log.config().is_voter(&self.hard.identity) {
+            self.campaign(true);
+        }
+    }
+
+    /// Follows in `term`; a leader that hears of a newer term ends here.
+    pub(super) fn follow(&mut self, term: Term, leader: Option<Identity>) {
+        if matches!(self.role, Role::Leader(_)) {
+            self.end_leadership(&Reject::NotLeader(leader.clone()));
+            self.reset_deadline();
+        }
+        if term > self.hard.term {
+            self.hard.term = term;
+            self.hard.vote = None;
+            self.save_hard();
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+    }
+
+    /// Whether this node must not help another candidate: a leader was heard just now.
+    ///
+    /// The leader's lease relies on this refusal.
+    fn supports_leader(&self) -> bool {
+        match &self.role {
+            Role::Leader(_) => self.holds_lease(),
+            _ => self.at.now < self.heard + self.options.election,
+        }
+    }
+
+    pub(super) fn is_majority(&self, votes: &BTreeSet<Identity>) -> bool {
+        let config = self.log.config();
+        votes.iter().filter(|v| config.is_voter(v)).count() >= config.quorum()
+    }
+
+    fn other_voters(&self) -> Vec<Identity> {
+        let config = self.log.config();
+        let mut others = config.others(&self.hard.identity);
+        others.retain(|o| config.is_voter(o));
+        others
+    }
+}
--- /dev/null
+++ b/decision/consensus/src/node/membership.rs
@@ -0,0 +1,117 @@
+//! Changes of members, one at a time.
+
+use pimentotide_model::InstanceName;
+
+use super::{Node, Role};
+use crate::progress::Progress;
+use crate::{Action, Change, Config, Identity, Index, Payload, ProposalId, Reject};
+
+impl Node {
+    pub(super) fn change(&mut self, id: ProposalId, change: &Change) {
+        match self.next_config(change) {
+            Ok(config) => {
+                let index = self.declare(config);
+                let term = self.hard.term;
+                self.actions.push(Action::Accepted(id, index, term));
+                self.replicate();
+            }
+            Err(reason) => self.reject(id, reason),
+        }
+    }
+
+    fn next_config(&self, change: &Change) -> Result<Config, Reject> {
+        if let Some(reason) = self.refuses_proposals() {
+            return Err(reason);
+        }
+        if !self.may_change() {
+            return Err(Reject::ChangePending);
+        }
+        let config = self.log.config();
+        match change {
+            Change::Add(name, _) if config.member(name).is_some() => {
+                Err(Reject::AlreadyMember(name.clone()))
+            }
+            Change::Add(name, member) => Ok(config.with_learner(name, member)),
+            Change::Remove(name) if config.member(name).is_none() => {
+                Err(Reject::NotMember(name.clone()))
+            }
+            Change::Remove(name) => {
+                let next = config.without(name);
+                if self.hears_quorum_of(&next) {
+                    Ok(next)
+                } else {
+                    Err(Reject::WouldLoseQuorum(name.clone()))
+                }
+            }
+        }
+    }
+
+    /// Whether the last change is committed, and an entry of this term.
+    fn may_change(&self) -> bool {
+        self.is_established() && self.log.config_index() <= self.commit
+    }
+
+    /// Whether a quorum of `config` answered within the shortest election time.
+    fn hears_quorum_of(&self, config: &Config) -> bool {
+        let heard = config
+            .voters
+            .keys()
+            .filter(|name| **name == self.hard.identity.name || self.hears(name))
+            .count();
+        !config.voters.is_empty() && heard >= config.quorum()
+    }
+
+    /// Whether the peer answered within the shortest election time.
+    pub(super) fn hears(&self, name: &InstanceName) -> bool {
+        let Role::Leader(state) = &self.role else {
+            return false;
+        };
+        let acked = state.peers.get(name).and_then(|p| p.acked);
+        acked.is_some_and(|at| self.at.now < at + self.options.election)
+    }
+
+    /// Appends new members, which are in force at once, and follows them.
+    fn declare(&mut self, config: Config) -> Index {
+        let index = self.append_own(Payload::Config(config));
+        let others = self.log.config().others(&self.hard.identity);
+        let next = self.log.last().index.next();
+        if let Role::Leader(state) = &mut self.role {
+            state.peers.retain(|_, p| others.contains(&p.identity));
+            for who in others {
+                state
+                    .peers
+                    .entry(who.name.clone())
+                    .or_insert_with(|| Progress::new(who, next));
+            }
+        }
+        index
+    }
+
+    /// Makes a voter of a learner that has caught up.
+    pub(super) fn promote(&mut self) {
+        let Some(who) = self.ready_learner() else {
+            return;
+        };
+        let config = self.log.config().promoted(&who.name);
+        self.declare(config);
+        self.replicate();
+    }
+
+    fn ready_learner(&self) -> Option<Identity> {
+        let Role::Leader(state) = &self.role else {
+            return None;
+        };
+        if !self.may_change() || state.transfer.is_some() {
+            return None;
+        }
+        let last = self.log.last().index.0;
+        let learners = &self.log.config().learners;
+        state
+            .peers
+            .values()
+            .filter(|p| learners.contains_key(&p.identity.name) && !p.lost)
+            .filter(|p| self.hears(&p.identity.name))
+            .find(|p| p.matched >= state.first && p.matched.0 + self.options.lag >= last)
+            .map(|p| p.identity.clone())
+    }
+}
--- /dev/null
+++ b/decision/consensus/src/node/replication.rs
@@ -0,0 +1,194 @@
+//! How a leader brings the log to the other members.
+
+use pimentotide_model::Time;
+
+use super::{Need, Node, Role};
+use crate::progress::{Flow, Progress};
+use crate::{Identity, Index, LogId, Message};
+
+impl Node {
+    /// Progress of the peer, if it is known under this identity.
+    pub(super) fn peer(&mut self, who: &Identity) -> Option<&mut Progress> {
+        let Role::Leader(state) = &mut self.role else {
+            return None;
+        };
+        state
+            .peers
+            .get_mut(&who.name)
+            .filter(|p| p.identity == *who)
+    }
+
+    pub(super) fn peer_identities(&self) -> Vec<Identity> {
+        match &self.role {
+            Role::Leader(state) => state.peers.values().map(|p| p.identity.clone()).collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Sends heartbeats if they are due.
+    pub(super) fn beat(&mut self) {
+        let now = self.at.now;
+        let pause = self.options.heartbeat;
+        let Role::Leader(state) = &mut self.role else {
+            return;
+        };
+        if now < state.beat {
+            return;
+        }
+        state.beat = now + pause;
+        self.send_heartbeats();
+        self.replicate();
+    }
+
+    pub(super) fn send_heartbeats(&mut self) {
+        let sent = self.at.now;
+        let commit = self.commit;
+        for who in self.peer_identities() {
+            let Some(peer) = self.peer(&who) else {
+                continue;
+            };
+            let commit = commit.min(peer.matched);
+            self.send(&who, Message::Heartbeat { commit, sent }, Need::Hard);
+        }
+    }
+
+    /// Sends to every peer what it lacks and may receive now.
+    pub(super) fn replicate(&mut self) {
+        for who in self.peer_identities() {
+            self.feed(&who);
+        }
+    }
+
+    /// Repeats messages that were not answered in time.
+    pub(super) fn resend(&mut self) {
+        let now = self.at.now;
+        let pause = self.options.resend;
+        let late = |sent: Time| now >= sent + pause;
+        let Role::Leader(state) = &mut self.role else {
+            return;
+        };
+        for peer in state.peers.values_mut() {
+            match &mut peer.flow {
+                Flow::Probe { sent } | Flow::Install { sent, .. } => {
+                    *sent = sent.filter(|s| !late(*s));
+                }
+                Flow::Stream { inflight } => {
+                    if inflight.front().is_some_and(|(_, sent)| late(*sent)) {
+                        peer.probe(peer.matched.next());
+                    }
+                }
+            }
+        }
+        self.replicate();
+    }
+
+    /// Sends to one peer what it lacks and may receive now.
+    pub(super) fn feed(&mut self, who: &Identity) {
+        while self.feed_once(who) {}
+    }
+
+    /// Sends one message; returns whether another one may follow.
+    fn feed_once(&mut self, who: &Identity) -> bool {
+        let now = self.at.now;
+        let window = self.options.inflight;
+        let last = self.log.last().index;
+        let base = self.log.base().index;
+        let Some(peer) = self.peer(who) else {
+            return false;
+        };
+        if peer.lost {
+            return false;
+        }
+        let next = peer.next;
+        let compacted = next <= base;
+        match &mut peer.flow {
+            Flow::Probe { sent: Some(_) } => false,
+            Flow::Install { .. } => self.send_chunk(who),
+            Flow::Probe { .. } | Flow::Stream { .. } if compacted => self.start_install(who),
+            Flow::Probe { sent } => {
+                *sent = Some(now);
+                self.send_entries(who, next);
+                false
+            }
+            Flow::Stream { inflight } => {
+                if inflight.len() >= window || next > last {
+                    return false;
+                }
+                let end = self.send_entries(who, next);
+                self.sent_up_to(who, end);
+                true
+            }
+        }
+    }
+
+    fn sent_up_to(&mut self, who: &Identity, end: Index) {
+        let now = self.at.now;
+        if let Some(peer) = self.peer(who)
+            && let Flow::Stream { inflight } = &mut peer.flow
+        {
+            inflight.push_back((end, now));
+            peer.next = end.next();
+        }
+    }
+
+    /// Sends entries from `next` on and returns the position of the last.
+    fn send_entries(&mut self, who: &Identity, next: Index) -> Index {
+        let index = next.prev();
+        let term = self.log.term_at(index).unwrap_or_default();
+        let entries = self.log.slice(next, self.options.batch);
+        let end = entries.last().map_or(index, |e| e.id.index);
+        let body = Message::Append {
+            prev: LogId { term, index },
+            entries,
+            commit: self.commit,
+            sent: self.at.now,
+        };
+        self.send(who, body, Need::Hard);
+        end
+    }
+
+    pub(super) fn on_heartbeat_reply(&mut self, from: &Identity, sent: Time) {
+        if let Some(peer) = self.peer(from) {
+            peer.heard(sent);
+            self.serve_reads();
+        }
+    }
+
+    pub(super) fn on_appended(&mut self, from: &Identity, matched: Index, sent: Time) {
+        let last = self.log.last().index;
+        let Some(peer) = self.peer(from) else {
+            return;
+        };
+        peer.heard(sent);
+        peer.matched(matched.min(last));
+        self.advance_commit();
+        self.serve_reads();
+        self.promote();
+        self.continue_transfer();
+        self.feed(from);
+    }
+
+    pub(super) fn on_mismatch(&mut self, from: &Identity, prev: Index, hint: Index, sent: Time) {
+        let Some(peer) = self.peer(from) else {
+            return;
+        };
+        peer.heard(sent);
+        let stale = match &peer.flow {
+            Flow::Probe { .. } => prev != peer.next.prev(),
+            Flow::Stream { .. } => prev <= peer.matched,
+            Flow::Install { .. } => true,
+        };
+        if !stale {
+            peer.probe(hint.next().min(prev));
+        }
+        self.serve_reads();
+        self.feed(from);
+    }
+
+    pub(super) fn on_refused(&mut self, meant: &Identity) {
+        if let Some(peer) = self.peer(meant) {
+            peer.lost = true;
+            peer.probe(peer.matched.next());
+        }
+    }
+}
--- /dev/null
+++ b/decision/consensus/src/node/report.rs
@@ -0,0 +1,124 @@
+//! What a node reports about itself.
+
+use pimentotide_model::{Term, Time};
+
+use super::{Node, Role};
+use crate::{
+    Config, HardState, Identity, Index, LogId, Moment, PeerStatus, RoleKind, Status, Ticket,
+};
+
+impl Node {
+    /// Reports the node as of `at`.
+    pub fn status(&self, at: Moment) -> Status {
+        Status {
+            identity: self.hard.identity.clone(),
+            cluster: self.hard.cluster,
+            role: self.role_kind(),
+            term: self.hard.term,
+            leader: self.leader.clone(),
+            lease: self.leads_at(at.now),
+            last: self.log.last(),
+            durable: self.durable,
+            commit: self.commit,
+            compacted: self
+                .snapshot
+                .as_ref()
+                .map_or(Index(0), |s| s.meta.last.index),
+            config: self.log.config().clone(),
+            settled: self.log.config_index() <= self.commit,
+            peers: self.peer_status(at.now),
+        }
+    }
+
+    fn role_kind(&self) -> RoleKind {
+        let me = &self.hard.identity;
+        let config = self.log.config();
+        match &self.role {
+            Role::Failed => RoleKind::Failed,
+            Role::Leader(_) => RoleKind::Leader,
+            _ if !config.is_member(me) => RoleKind::Outsider,
+            _ if !config.is_voter(me) => RoleKind::Learner,
+            Role::Follower => RoleKind::Follower,
+            Role::PreCandidate { .. } | Role::Candidate { .. } => RoleKind::Candidate,
+        }
+    }
+
+    fn peer_status(&self, now: Time) -> Vec<PeerStatus> {
+        let Role::Leader(state) = &self.role else {
+            return Vec::new();
+        };
+        let last = self.log.last().index.0;
+        state
+            .peers
+            .values()
+            .map(|p| PeerStatus {
+                name: p.identity.name.clone(),
+                matched: p.matched,
+                lag: last.saturating_sub(p.matched.0),
+                heard: p.acked.is_some_and(|at| now < at + self.options.election),
+                lost: p.lost,
+            })
+            .collect()
+    }
+
+    /// Whether this node leads the current term.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// Whether this node leads under a valid lease at `now`.
+    pub fn leads_at(&self, now: Time) -> bool {
+        self.holds_lease_at(now)
+    }
+
+    /// Leader of the current term, if known.
+    pub fn leader(&self) -> Option<&Identity> {
+        self.leader.as_ref()
+    }
+
+    /// Identity, term and vote.
+    pub fn hard(&self) -> &HardState {
+        &self.hard
+    }
+
+    /// Current term.
+    pub fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// Last committed position known.
+    pub fn commit(&self) -> Index {
+        self.commit
+    }
+
+    /// Last entry.
+    pub fn last(&self) -> LogId {
+        self.log.last()
+    }
+
+    /// Term of the entry at `index`, if it is held.
+    pub fn term_at(&self, index: Index) -> Option<Term> {
+        self.log.term_at(index)
+    }
+
+    /// Entries that a snapshot now would let the disk drop.
+    pub fn compactable(&self) -> u64 {
+        let newest = self.snapshot.as_ref().map_or(0, |s| s.meta.last.index.0);
+        self.applied.0 - newest
+    }
+
+    /// Members in force.
+    pub fn config(&self) -> &Config {
+        self.log.config()
+    }
+
+    /// Last write that is synced.
+    pub fn synced(&self) -> Ticket {
+        self.synced
+    }
+
+    /// Whether the disk failed.
+    pub fn is_failed(&self) -> bool {
+        matches!(self.role, Role::Failed)
+    }
+}
--- /dev/null
+++ b/support/storage/tests/it/main.rs
@@ -0,0 +1,6 @@
+//! Integration tests of the storage.
+
+mod crash;
+mod damage;
+mod folder;
+mod script;
