Replicated declarations, currency leases and the directory of upstreams

The packages that replicate and distribute declarations had no state machine. This adds it, without input or output:

- The document as YAML, read with all errors at once and their lines, and written canonically. pimentotide-document gains `locate`, which finds the line of a key after reading.
- The directory of upstreams: incarnations, expiry, deltas, replicas that have just started.

A departure used to stay in the registry's list when the upstream came back under the same rank, so a follower that missed both dropped a living upstream; the property test of the view found it.

--- /dev/null
+++ b/decision/control/src/currency/grant.rs
@@ -0,0 +1,79 @@
+//! Replica side: answers holders and grants leases.
+
+use pimentotide_model::{ErrorKind, Time};
+
+use super::LEASE;
+use super::message::{Update, WatchAnswer, WatchRequest};
+use crate::directory::Registry;
+use crate::machine::Machine;
+
+/// Proof that a replica's applied state was current.
+///
+/// It may be built only once a quorum has answered a round that began at
+/// `started`, and once all that was committed by then has been applied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Confirmation {
+    /// When the round began, on the replica's clock.
+    pub started: Time,
+}
+
+/// Whether there is something that the holder lacks.
+pub fn news(machine: &Machine, registry: &Registry, request: &WatchRequest, now: Time) -> bool {
+    let configuration = machine.configuration();
+    let same = request.held.is_some_and(|held| {
+        held.revision == configuration.revision && held.digest == configuration.digest()
+    });
+    let upstreams = request.directory && registry.has_news(request.mark, now);
+    !same || upstreams
+}
+
+/// Answers a holder, with a lease counted from the confirmation.
+///
+/// # Errors
+///
+/// Fails with `NotCurrent` if the confirmation is too old, and with
+/// `StaleRevision` if the holder has a newer revision than this replica.
+pub fn grant(
+    machine: &Machine,
+    registry: &Registry,
+    confirmation: Confirmation,
+    request: &WatchRequest,
+    now: Time,
+) -> Result<WatchAnswer, ErrorKind> {
+    let lease = LEASE.saturating_sub(now.since(confirmation.started));
+    if lease.is_zero() {
+        return Err(ErrorKind::NotCurrent);
+    }
+    if request
+        .held
+        .is_some_and(|h| h.revision > machine.revision())
+    {
+        return Err(ErrorKind::StaleRevision);
+    }
+    let floor = request.upstream.as_ref().map(|u| machine.fence_floor(u));
+    let directory = request
+        .directory
+        .then(|| registry.update_since(request.mark, now));
+    Ok(WatchAnswer {
+        revision: machine.revision(),
+        digest: machine.configuration().digest(),
+        update: update_for(machine, request),
+        lease,
+        floor: floor.unwrap_or_default(),
+        directory,
+    })
+}
+
+fn update_for(machine: &Machine, request: &WatchRequest) -> Update {
+    let whole = || Update::Whole(machine.declarations().clone());
+    let Some(held) = request.held else {
+        return whole();
+    };
+    if held.revision == machine.revision() {
+        let same = held.digest == machine.configuration().digest();
+        return if same { Update::Same } else { whole() };
+    }
+    machine
+        .changes_after(held.revision)
+        .map_or_else(whole, Update::Changes)
+}
--- /dev/null
+++ b/decision/control/src/currency/mod.rs
@@ -0,0 +1,37 @@
+//! Currency: who may act on which revision, and for how long.
+//!
+//! An entry or an agent holds a configuration and a lease on its being
+//! current. A replica grants a lease only if a quorum has confirmed that the
+//! replica's applied state is current, and counts it from the start of that
+//! confirmation. The holder counts it from the time at which it sent the
+//! request. Both err on the short side, so whoever holds a lease at a time
+//! `t` has every order that was committed before `t - LEASE`.
+
+mod fence;
+mod grant;
+mod message;
+mod rotation;
+mod watch;
+
+use std::time::Duration;
+
+pub use fence::FenceGate;
+pub use grant::{Confirmation, grant, news};
+pub use message::{Held, Update, WatchAnswer, WatchRequest};
+pub use rotation::Rotation;
+pub use watch::{Taken, Watch};
+
+/// Time for which a confirmed configuration may be acted on.
+pub const LEASE: Duration = Duration::from_secs(3);
+
+/// Longest time for which a replica holds a request that has no news.
+pub const RENEWAL: Duration = Duration::from_millis(500);
+
+/// Age at which a replica confirms anew with a quorum.
+pub const CONFIRMATION_AGE: Duration = Duration::from_millis(250);
+
+/// Time beyond `RENEWAL` after which a holder asks the next replica.
+pub const PATIENCE: Duration = Duration::from_millis(250);
+
+/// Pause after all replicas have failed in turn.
+pub const RETRY_PAUSE: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/decision/control/src/declare/action.rs
@@ -0,0 +1,189 @@
+//! Orders of operators and what each action does to the declarations.
+
+use std::fmt;
+
+use pimentotide_model::{
+    Declarations, Fingerprint, GroupName, OrderId, Revision, Service, ServiceName, Standing,
+    UpstreamName, ZoneName,
+};
+use serde::{Deserialize, Serialize};
+
+use super::check::check;
+use super::document::Document;
+use super::fault::{Fault, Faults};
+
+/// Groups that an action is about.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Scope {
+    /// All groups of the deployment.
+    All,
+    /// One group.
+    Group(GroupName),
+}
+
+/// Change to the declarations.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Action {
+    /// Writes a document over what is in force.
+    Apply {
+        /// Profiles, services and workspaces.
+        document: Document,
+        /// Whether what the document does not name is removed.
+        prune: bool,
+    },
+    /// Takes a zone in or out of service.
+    Zone {
+        /// Zone.
+        zone: ZoneName,
+        /// Whether it takes new work.
+        standing: Standing,
+    },
+    /// Takes an upstream in or out of service, or says whether it checks fencing numbers.
+    Upstream {
+        /// Upstream.
+        upstream: UpstreamName,
+        /// Whether it takes new work; unchanged if none.
+        standing: Option<Standing>,
+        /// Whether its engine refuses old fencing numbers; unchanged if none.
+        fenced: Option<bool>,
+    },
+    /// Adds or replaces a service.
+    SetService(Service),
+    /// Removes a service.
+    RemoveService(ServiceName),
+    /// Pauses rebalancing.
+    Pause(Scope),
+    /// Resumes rebalancing.
+    Resume(Scope),
+}
+
+impl fmt::Display for Action {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Apply { document, prune } => write!(
+                f,
+                "apply {} profiles, {} services, {} workspaces{}",
+                document.profiles.len(),
+                document.services.len(),
+                document.workspaces.len(),
+                if *prune { ", prune" } else { "" },
+            ),
+            Self::Zone { zone, standing } => write!(f, "zone {standing} {zone}"),
+            Self::Upstream {
+                upstream,
+                standing,
+                fenced,
+            } => {
+                write!(f, "upstream {upstream}")?;
+                if let Some(standing) = standing {
+                    write!(f, " {standing}")?;
+                }
+                fenced.map_or(Ok(()), |fenced| write!(f, " fenced={fenced}"))
+            }
+            Self::SetService(service) => {
+                write!(f, "service set {} {}", service.name, service.profile)
+            }
+            Self::RemoveService(name) => write!(f, "service remove {name}"),
+            Self::Pause(scope) => write!(f, "pause {scope}"),
+            Self::Resume(scope) => write!(f, "resume {scope}"),
+        }
+    }
+}
+
+impl fmt::Display for Scope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::All => f.write_str("all"),
+            Self::Group(group) => write!(f, "group {group}"),
+        }
+    }
+}
+
+/// One order of an operator.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Order {
+    /// Identifier, the same when the order is resent.
+    pub id: OrderId,
+    /// Revision that the operator had in view; none takes whatever is current.
+    pub base: Option<Revision>,
+    /// Who gave it.
+    pub actor: String,
+    /// What it changes.
+    pub action: Action,
+}
+
+impl Order {
+    /// Digests all content but the identifier.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let content = (&self.base, &self.actor, &self.action);
+        let bytes = postcard::to_stdvec(&content).unwrap_or_default();
+        Fingerprint::of([bytes.as_slice()])
+    }
+}
+
+/// Returns the declarations that `action` turns `current` into, one revision higher.
+///
+/// # Errors
+///
+/// Returns every fault of the declarations that would be in force.
+pub fn advance(current: &Declarations, action: &Action) -> Result<Declarations, Vec<Fault>> {
+    let mut next = current.clone();
+    let mut faults = Faults::default();
+    change(&mut next, action, &mut faults);
+    next.revision = current.revision.next();
+    let mut found = faults.finish();
+    found.extend(check(&next));
+    if found.is_empty() {
+        Ok(next)
+    } else {
+        Err(found)
+    }
+}
+
+fn change(next: &mut Declarations, action: &Action, faults: &mut Faults) {
+    match action {
+        Action::Apply { document, prune } => document.merge_into(next, *prune),
+        Action::Zone { zone, standing } => {
+            next.zones.insert(zone.clone(), *standing);
+        }
+        Action::Upstream {
+            upstream,
+            standing,
+            fenced,
+        } => {
+            let policy = next.upstreams.entry(upstream.clone()).or_default();
+            policy.standing = standing.unwrap_or(policy.standing);
+            policy.fenced = fenced.unwrap_or(policy.fenced);
+        }
+        Action::SetService(service) => {
+            next.services.insert(service.name.clone(), service.clone());
+        }
+        Action::RemoveService(name) => {
+            if next.services.remove(name).is_none() {
+                faults.add(&["services", name], "this service does not exist");
+            }
+        }
+        Action::Pause(scope) => pause(next, scope),
+        Action::Resume(scope) => resume(next, scope),
+    }
+}
+
+fn pause(next: &mut Declarations, scope: &Scope) {
+    match scope {
+        Scope::All => next.frozen = true,
+        Scope::Group(group) => {
+            if let Err(at) = next.paused.binary_search(group) {
+                next.paused.insert(at, group.clone());
+            }
+        }
+    }
+}
+
+fn resume(next: &mut Declarations, scope: &Scope) {
+    match scope {
+        Scope::All => next.frozen = false,
+        Scope::Group(group) => next.paused.retain(|g| g != group),
+    }
+}
--- /dev/null
+++ b/decision/control/src/directory/announcer.rs
@@ -0,0 +1,151 @@
+//! Agent side of the directory.
+
+use pimentotide_model::{Announcement, Fence, Incarnation, Revision, Time, Warmth};
+
+use super::START_GRACE;
+use super::message::{Beat, Heard, Notice, Report};
+
+/// Whether the agent may go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standby {
+    /// It is the newest incarnation known.
+    Newest,
+    /// Another process has taken over the name; this one takes no new work.
+    Superseded,
+}
+
+/// Announcements of one agent to all replicas.
+#[derive(Clone, Debug)]
+pub struct Announcer {
+    notice: Notice,
+    warmth: Warmth,
+    started: Time,
+    kept: Vec<bool>,
+    superseded: bool,
+}
+
+impl Announcer {
+    /// Starts to announce to `replicas` replicas.
+    ///
+    /// The incarnation of `announcement` should be taken from the wall clock;
+    /// it is raised if a replica knows a higher one.
+    pub fn new(announcement: Announcement, replicas: usize, now: Time) -> Self {
+        Self {
+            notice: Notice {
+                sequence: 0,
+                announcement,
+            },
+            warmth: Warmth::Cold,
+            started: now,
+            kept: vec![false; replicas],
+            superseded: false,
+        }
+    }
+
+    /// Report to send to a replica now.
+    pub fn report(&self, replica: usize) -> Report {
+        if !self.kept.get(replica).copied().unwrap_or(false) {
+            return Report::Whole {
+                notice: self.notice.clone(),
+                warmth: self.warmth,
+            };
+        }
+        let announcement = &self.notice.announcement;
+        Report::Beat(Beat {
+            upstream: announcement.upstream.clone(),
+            incarnation: announcement.incarnation,
+            sequence: self.notice.sequence,
+            revision: announcement.revision,
+            fence: announcement.fence,
+            warmth: self.warmth,
+        })
+    }
+
+    /// Takes the answer of a replica to a report of `rank`.
+    pub fn receive(
+        &mut self,
+        replica: usize,
+        rank: (Incarnation, u64),
+        heard: Heard,
+        now: Time,
+    ) -> Standby {
+        match heard {
+            Heard::Kept if rank == self.notice.rank() => self.set_kept(replica, true),
+            Heard::Kept => {}
+            Heard::Unknown | Heard::Refused => self.set_kept(replica, false),
+            Heard::Outdated { highest } => self.outdated(highest, now),
+        }
+        self.standby()
+    }
+
+    /// Changes the announcement; replicas get it whole again.
+    pub fn update<F>(&mut self, change: F)
+    where
+        F: FnOnce(&mut Announcement),
+    {
+        let before = self.notice.announcement.clone();
+        change(&mut self.notice.announcement);
+        self.notice.announcement.incarnation = before.incarnation;
+        if before != self.notice.announcement {
+            self.notice.sequence += 1;
+            self.kept.fill(false);
+        }
+    }
+
+    /// Notes what goes with each sign of life.
+    pub fn progress(&mut self, revision: Revision, fence: Fence, warmth: Warmth) {
+        self.notice.announcement.revision = revision;
+        self.notice.announcement.fence = fence;
+        self.warmth = warmth;
+    }
+
+    /// Notes that the upstream behind the agent has started anew.
+    pub fn restarted(&mut self, now: Time) {
+        let next = self.notice.announcement.incarnation.next();
+        self.renew(next);
+        self.warmth = Warmth::Cold;
+        self.started = now;
+    }
+
+    /// Rank of the announcement, to be given back with the answer.
+    pub fn rank(&self) -> (Incarnation, u64) {
+        self.notice.rank()
+    }
+
+    /// Incarnation announced.
+    pub fn incarnation(&self) -> Incarnation {
+        self.notice.announcement.incarnation
+    }
+
+    /// Whether the agent may go on.
+    pub fn standby(&self) -> Standby {
+        if self.superseded {
+            Standby::Superseded
+        } else {
+            Standby::Newest
+        }
+    }
+
+    fn outdated(&mut self, highest: Incarnation, now: Time) {
+        if highest <= self.incarnation() {
+            return;
+        }
+        if now.since(self.started) < START_GRACE {
+            self.renew(highest.next());
+        } else {
+            self.superseded = true;
+        }
+    }
+
+    fn renew(&mut self, incarnation: Incarnation) {
+        self.notice.announcement.incarnation = incarnation;
+        self.notice.sequence = 0;
+        self.kept.fill(false);
+    }
+
+    fn set_kept(&mut self, replica: usize, kept: bool) {
+        if let Some(slot) = self.kept.get_mut(replica) {
+            *slot = kept;
+        }
+    }
+}
--- /dev/null
+++ b/decision/control/src/directory/registry.rs
@@ -0,0 +1,264 @@
+//! Replica side of the directory: heartbeats, expiry and versions.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use pimentotide_model::{Incarnation, InstanceName, Time, UpstreamName, Warmth, ZoneName};
+
+use super::message::{Beat, Departure, Heard, Mark, Notice, Presence, RegistryUpdate, Report};
+use super::{EXPIRY, MAX_DEPARTURES, MAX_ENTRIES, MAX_MEMBERS, MAX_NAMES};
+
+/// Longest address of an agent, bytes.
+const MAX_ADDRESS_BYTES: usize = 64;
+
+/// Time between two calls of `expire` from which on the replica counts as stalled.
+const STALL: Duration = Duration::from_secs(1);
+
+/// One upstream in the directory.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// What its agent announced.
+    pub notice: Notice,
+    /// How far it has warmed up.
+    pub warmth: Warmth,
+    heard: Time,
+    version: u64,
+}
+
+/// Directory that one replica keeps in memory.
+#[derive(Clone, Debug)]
+pub struct Registry {
+    epoch: u64,
+    started: Time,
+    ticked: Time,
+    version: u64,
+    members: BTreeMap<UpstreamName, Member>,
+    departures: VecDeque<(u64, Departure)>,
+    forgotten: u64,
+    entries: BTreeMap<InstanceName, (Presence, Time)>,
+}
+
+impl Registry {
+    /// Starts empty; `epoch` differs for each start of any replica.
+    pub fn new(epoch: u64, now: Time) -> Self {
+        Self {
+            epoch,
+            started: now,
+            ticked: now,
+            version: 0,
+            members: BTreeMap::new(),
+            departures: VecDeque::new(),
+            forgotten: 0,
+            entries: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a report.
+    pub fn hear(&mut self, report: Report, now: Time) -> Heard {
+        match report {
+            Report::Whole { notice, warmth } => self.hear_notice(notice, warmth, now),
+            Report::Beat(beat) => self.hear_beat(&beat, now),
+            Report::Entry(presence) => self.hear_entry(presence, now),
+        }
+    }
+
+    /// Drops what has not reported in time; tells whether upstreams were dropped.
+    ///
+    /// A replica that was itself stalled could not hear reports; it drops
+    /// nothing and counts as just started.
+    pub fn expire(&mut self, now: Time) -> bool {
+        let stalled = now.since(self.ticked) >= STALL;
+        self.ticked = now;
+        if stalled {
+            self.start_over(now);
+            return false;
+        }
+        self.entries
+            .retain(|_, (_, heard)| now.since(*heard) < EXPIRY);
+        let late = |member: &Member| now.since(member.heard) >= EXPIRY;
+        let gone: Vec<_> = self
+            .members
+            .iter()
+            .filter(|(_, member)| late(member))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in &gone {
+            self.remove(name);
+        }
+        !gone.is_empty()
+    }
+
+    /// Whether a follower at `mark` lacks something.
+    pub fn has_news(&self, mark: Option<Mark>, now: Time) -> bool {
+        mark != Some(self.mark(now))
+    }
+
+    /// Collects what a follower at `mark` lacks.
+    pub fn update_since(&self, mark: Option<Mark>, now: Time) -> RegistryUpdate {
+        let current = self.mark(now);
+        let known = mark.filter(|m| self.can_follow(*m, current));
+        let after = known.map_or(0, |m| m.version);
+        let present = self.members.values().filter(|m| m.version > after);
+        let departures = self.departures.iter().filter(|(v, _)| *v > after);
+        RegistryUpdate {
+            mark: current,
+            whole: known.is_none(),
+            present: present.map(|m| m.notice.clone()).collect(),
+            gone: if known.is_some() {
+                departures.map(|(_, d)| d.clone()).collect()
+            } else {
+                Vec::new()
+            },
+        }
+    }
+
+    /// Upstreams in the directory.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Entries that report.
+    pub fn entries(&self) -> impl Iterator<Item = &Presence> {
+        self.entries.values().map(|(presence, _)| presence)
+    }
+
+    fn start_over(&mut self, now: Time) {
+        self.started = now;
+        for member in self.members.values_mut() {
+            member.heard = now;
+        }
+        for (_, heard) in self.entries.values_mut() {
+            *heard = now;
+        }
+    }
+
+    fn mark(&self, now: Time) -> Mark {
+        Mark {
+            epoch: self.epoch,
+            version: self.version,
+            settled: now.since(self.started) >= EXPIRY,
+        }
+    }
+
+    fn can_follow(&self, mark: Mark, current: Mark) -> bool {
+        mark.epoch == self.epoch
+            && mark.settled == current.settled
+            && mark.version >= self.forgotten
+            && mark.version <= self.version
+    }
+
+    fn hear_notice(&mut self, notice: Notice, warmth: Warmth, now: Time) -> Heard {
+        if !is_well_formed(&notice) {
+            return Heard::Refused;
+        }
+        let name = notice.announcement.upstream.clone();
+        let known = self.members.get(&name).map(|m| m.notice.rank());
+        let highest = self.highest(&name);
+        if notice.announcement.incarnation < highest {
+            return Heard::Outdated { highest };
+        }
+        if known.is_none() && self.members.len() >= MAX_MEMBERS {
+            return Heard::Refused;
+        }
+        if known.is_some_and(|rank| notice.rank() < rank) {
+            return Heard::Kept;
+        }
+        if known.is_none() {
+            self.departures.retain(|(_, d)| d.upstream != name);
+        }
+        if known != Some(notice.rank()) {
+            self.version += 1;
+        }
+        let version = self.members.get(&name).map(|m| m.version);
+        let unchanged = known == Some(notice.rank());
+        let member = Member {
+            version: version.filter(|_| unchanged).unwrap_or(self.version),
+            notice,
+            warmth,
+            heard: now,
+        };
+        self.members.insert(name, member);
+        Heard::Kept
+    }
+
+    fn hear_beat(&mut self, beat: &Beat, now: Time) -> Heard {
+        let highest = self.highest(&beat.upstream);
+        if beat.incarnation < highest {
+            return Heard::Outdated { highest };
+        }
+        let Some(member) = self.members.get_mut(&beat.upstream) else {
+            return Heard::Unknown;
+        };
+        if member.notice.rank() != (beat.incarnation, beat.sequence) {
+            return Heard::Unknown;
+        }
+        member.heard = now;
+        member.warmth = beat.warmth;
+        member.notice.announcement.revision = beat.revision;
+        member.notice.announcement.fence = beat.fence;
+        Heard::Kept
+    }
+
+    fn hear_entry(&mut self, presence: Presence, now: Time) -> Heard {
+        let full = self.entries.len() >= MAX_ENTRIES;
+        let known = self.entries.contains_key(&presence.instance);
+        let named =
+            InstanceName::is_valid(&presence.instance) && ZoneName::is_valid(&presence.zone);
+        if !named || (full && !known) {
+            return Heard::Refused;
+        }
+        self.entries
+            .insert(presence.instance.clone(), (presence, now));
+        Heard::Kept
+    }
+
+    /// Highest incarnation known of an upstream, also of one that has gone.
+    fn highest(&self, name: &UpstreamName) -> Incarnation {
+        if let Some(member) = self.members.get(name) {
+            return member.notice.announcement.incarnation;
+        }
+        let gone = self.departures.iter().filter(|(_, d)| d.upstream == *name);
+        gone.map(|(_, d)| d.rank.0).max().unwrap_or_default()
+    }
+
+    fn remove(&mut self, name: &UpstreamName) {
+        let Some(member) = self.members.remove(name) else {
+            return;
+        };
+        self.version += 1;
+        let departure = Departure {
+            upstream: name.clone(),
+            rank: member.notice.rank(),
+        };
+        self.departures.push_back((self.version, departure));
+        if self.departures.len() > MAX_DEPARTURES
+            && let Some((version, _)) = self.departures.pop_front()
+        {
+            self.forgotten = version;
+        }
+    }
+}
+
+fn is_well_formed(notice: &Notice) -> bool {
+    let announcement = &notice.announcement;
+    let lists = [
+        announcement.services.len(),
+        announcement.models.len(),
+        announcement.adapters.len(),
+    ];
+    UpstreamName::is_valid(&announcement.upstream)
+        && ZoneName::is_valid(&announcement.zone)
+        && announcement.address.len() <= MAX_ADDRESS_BYTES
+        && lists.iter().all(|n| *n <= MAX_NAMES)
+        && names_of(notice).all(ZoneName::is_valid)
+}
+
+fn names_of(notice: &Notice) -> impl Iterator<Item = &str> {
+    let announcement = &notice.announcement;
+    let services = announcement.services.iter().map(|s| s.as_str());
+    let adapters = announcement.adapters.iter().map(|a| a.as_str());
+    let models = announcement.models.iter();
+    let models = models.flat_map(|(model, version)| [model.as_str(), version.as_str()]);
+    let group = announcement.group.iter().map(|g| g.as_str());
+    services.chain(adapters).chain(models).chain(group)
+}
--- /dev/null
+++ b/decision/control/src/machine/mod.rs
@@ -0,0 +1,12 @@
+//! What the replicated log is applied to: equal on every replica.
+
+mod codec;
+mod fences;
+mod history;
+mod ledger;
+mod state;
+
+pub use codec::{CodecError, MAX_COMMAND_BYTES, MAX_SNAPSHOT_BYTES, decode, encode};
+pub use history::{Change, MAX_CHANGES, MAX_CHANGES_BYTES, MAX_RECORDS, Record};
+pub use ledger::{MAX_ANSWERS, RESEND_WINDOW, Verdict};
+pub use state::{Command, Machine, Response};
--- /dev/null
+++ b/decision/control/tests/it/directory.rs
@@ -0,0 +1,241 @@
+//! Directory of upstreams: incarnations, expiry, deltas and restarted replicas.
+
+use std::time::Duration;
+
+use pimentotide_control::directory::{
+    Announcer, EXPIRY, Event, Heard, Notice, Registry, Report, START_GRACE, Standby, View,
+};
+use pimentotide_model::{Announcement, Fence, Incarnation, Revision, ServiceKind, Time, Warmth};
+use proptest::prelude::*;
+
+const TICK: Duration = Duration::from_millis(500);
+
+fn announcement(upstream: &str, incarnation: u64) -> Announcement {
+    Announcement {
+        upstream: upstream.into(),
+        incarnation: Incarnation(incarnation),
+        zone: "accra-a".into(),
+        address: "127.0.0.1:9000".to_owned(),
+        kind: ServiceKind::Model,
+        services: Vec::new(),
+        models: vec![("roadlaw".into(), "v3".into())],
+        adapters: Vec::new(),
+        capacity: 8,
+        group: None,
+        leaving: false,
+        revision: Revision(1),
+        fence: Fence(0),
+    }
+}
+
+fn whole(upstream: &str, incarnation: u64, sequence: u64) -> Report {
+    let notice = Notice {
+        sequence,
+        announcement: announcement(upstream, incarnation),
+    };
+    Report::Whole {
+        notice,
+        warmth: Warmth::Cold,
+    }
+}
+
+fn follow(view: &mut View, registry: &Registry, now: Time) -> Vec<Event> {
+    view.receive(&registry.update_since(view.mark(), now))
+}
+
+/// Runs a registry's ticks up to `until`.
+fn tick(registry: &mut Registry, from: Time, until: Time) {
+    let mut now = from;
+    while now < until {
+        now += TICK;
+        registry.expire(now);
+    }
+}
+
+#[test]
+fn restart_at_the_same_address_is_a_new_start() {
+    let mut registry = Registry::new(1, Time::ZERO);
+    let mut view = View::default();
+    registry.hear(whole("u", 1, 0), Time::ZERO);
+    assert!(matches!(
+        follow(&mut view, &registry, Time::ZERO)[..],
+        [Event::Started(_)]
+    ));
+    registry.hear(whole("u", 1, 1), Time::ZERO);
+    assert!(matches!(
+        follow(&mut view, &registry, Time::ZERO)[..],
+        [Event::Changed(_)]
+    ));
+    registry.hear(whole("u", 2, 0), Time::ZERO);
+    assert!(matches!(
+        follow(&mut view, &registry, Time::ZERO)[..],
+        [Event::Started(_)]
+    ));
+    let highest = Incarnation(2);
+    assert_eq!(
+        registry.hear(whole("u", 1, 2), Time::ZERO),
+        Heard::Outdated { highest }
+    );
+    assert_eq!(follow(&mut view, &registry, Time::ZERO), vec![]);
+}
+
+#[test]
+fn silent_upstream_expires_and_its_incarnation_is_remembered() {
+    let mut registry = Registry::new(1, Time::ZERO);
+    let mut view = View::default();
+    registry.hear(whole("u", 5, 0), Time::ZERO);
+    follow(&mut view, &registry, Time::ZERO);
+    let last = Time::ZERO + EXPIRY;
+    tick(&mut registry, Time::ZERO, last - TICK);
+    assert_eq!(registry.members().count(), 1);
+    tick(&mut registry, last - TICK, last);
+    assert_eq!(
+        follow(&mut view, &registry, last),
+        vec![Event::Gone("u".into())]
+    );
+    let highest = Incarnation(5);
+    assert_eq!(
+        registry.hear(whole("u", 4, 0), last),
+        Heard::Outdated { highest }
+    );
+    assert_eq!(registry.hear(whole("u", 5, 0), last), Heard::Kept);
+}
+
+#[test]
+fn stalled_replica_drops_nobody() {
+    let mut registry = Registry::new(1, Time::ZERO);
+    registry.hear(whole("u", 1, 0), Time::ZERO);
+    let late = Time::ZERO + EXPIRY * 2;
+    assert!(!registry.expire(late));
+    assert_eq!(registry.members().count(), 1);
+    assert!(!registry.update_since(None, late).mark.settled);
+}
+
+#[test]
+fn replica_that_has_just_started_removes_nobody() {
+    let mut view = View::default();
+    let mut first = Registry::new(1, Time::ZERO);
+    first.hear(whole("u1", 1, 0), Time::ZERO);
+    first.hear(whole("u2", 1, 0), Time::ZERO);
+    follow(&mut view, &first, Time::ZERO);
+    let start = Time::from_millis(60_000);
+    let mut second = Registry::new(2, start);
+    second.hear(whole("u2", 2, 0), start);
+    view.detach();
+    assert!(matches!(
+        follow(&mut view, &second, start)[..],
+        [Event::Started(_)]
+    ));
+    assert_eq!(view.announcements().count(), 2);
+    let settled = start + EXPIRY;
+    assert!(second.has_news(view.mark(), settled));
+    assert_eq!(
+        follow(&mut view, &second, settled),
+        vec![Event::Gone("u1".into())]
+    );
+}
+
+#[test]
+fn beats_suffice_while_nothing_changes() {
+    let mut registry = Registry::new(1, Time::ZERO);
+    let mut agent = Announcer::new(announcement("u", 1), 1, Time::ZERO);
+    let mut send = |agent: &mut Announcer, at: Time| {
+        let report = agent.report(0);
+        let beat = matches!(report, Report::Beat(_));
+        let heard = registry.hear(report, at);
+        agent.receive(0, agent.rank(), heard, at);
+        beat
+    };
+    assert!(!send(&mut agent, Time::ZERO));
+    agent.progress(Revision(7), Fence(3), Warmth::Warm);
+    assert!(send(&mut agent, Time::ZERO));
+    agent.update(|a| a.leaving = true);
+    assert!(!send(&mut agent, Time::ZERO));
+    let member = registry.members().next().unwrap();
+    assert_eq!(member.warmth, Warmth::Warm);
+    assert!(member.notice.announcement.leaving);
+    assert_eq!(member.notice.announcement.revision, Revision(7));
+}
+
+#[test]
+fn agent_with_an_older_clock_raises_its_incarnation_at_the_start_only() {
+    let mut agent = Announcer::new(announcement("u", 3), 1, Time::ZERO);
+    let heard = Heard::Outdated {
+        highest: Incarnation(9),
+    };
+    let soon = Time::ZERO + START_GRACE / 2;
+    assert_eq!(agent.receive(0, agent.rank(), heard, soon), Standby::Newest);
+    assert_eq!(agent.incarnation(), Incarnation(10));
+    let heard = Heard::Outdated {
+        highest: Incarnation(11),
+    };
+    let late = Time::ZERO + START_GRACE;
+    assert_eq!(
+        agent.receive(0, agent.rank(), heard, late),
+        Standby::Superseded
+    );
+    assert_eq!(agent.incarnation(), Incarnation(10));
+}
+
+#[test]
+fn malformed_announcements_are_refused() {
+    let mut registry = Registry::new(1, Time::ZERO);
+    assert_eq!(
+        registry.hear(whole("a b", 1, 0), Time::ZERO),
+        Heard::Refused
+    );
+    let mut long = announcement("u", 1);
+    long.address = "9".repeat(1_000);
+    let notice = Notice {
+        sequence: 0,
+        announcement: long,
+    };
+    let warmth = Warmth::Cold;
+    assert_eq!(
+        registry.hear(Report::Whole { notice, warmth }, Time::ZERO),
+        Heard::Refused
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(128))]
+
+    /// A view that skips updates and changes replicas ends equal to the registry,
+    /// and an upstream it holds never goes back to an older notice.
+    #[test]
+    fn view_follows_and_never_goes_back(
+        steps in prop::collection::vec((0..4_u8, 0..3_u64, 0..4_u64, any::<bool>()), 1..60),
+    ) {
+        let mut now = Time::ZERO;
+        let mut registries = [Registry::new(1, now), Registry::new(2, now)];
+        let mut view = View::default();
+        let mut at = 0;
+        for (kind, name, rank, other) in steps {
+            let before: Vec<_> = view.announcements().cloned().collect();
+            match kind {
+                0 => for registry in &mut registries {
+                    registry.hear(whole(&format!("u{name}"), rank / 2, rank % 2), now);
+                },
+                1 => {
+                    now += TICK;
+                    registries.iter_mut().for_each(|r| { r.expire(now); });
+                }
+                2 if other => {
+                    at = 1 - at;
+                    view.detach();
+                }
+                _ => { follow(&mut view, &registries[at], now); }
+            }
+            for old in before {
+                let held = view.get(&old.upstream);
+                prop_assert!(held.is_none_or(|new| new.incarnation >= old.incarnation));
+            }
+        }
+        tick(&mut registries[at], now, now + EXPIRY - TICK);
+        let end = now + EXPIRY;
+        follow(&mut view, &registries[at], end);
+        let held: Vec<_> = view.announcements().cloned().collect();
+        let members: Vec<_> = registries[at].members().map(|m| m.notice.announcement.clone()).collect();
+        prop_assert_eq!(held, members);
+    }
+}
--- /dev/null
+++ b/decision/control/tests/it/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the replicated declarations, currency leases and the directory.
+
+mod codec;
+mod common;
+mod directory;
+mod document;
+mod order;
+mod size;
+mod watch;
--- a/support/document/src/lib.rs
+++ b/support/document/src/lib.rs
@@ -5,6 +5,7 @@
 //! returns a usable value, so that one pass finds all errors. Keys that no
 //! method asked for are reported when a section is finished.
 
+mod locate;
 mod problem;
 mod section;
 
@@ -14,6 +15,7 @@
 use marked_yaml::types::Node;
 use marked_yaml::{LoadError, LoaderOptions};
 
+pub use locate::locate;
 pub use problem::{Problem, Problems};
 pub use section::{Item, Section};
 
--- a/support/document/src/section.rs
+++ b/support/document/src/section.rs
@@ -315,6 +315,6 @@
     }
 }
 
-fn line_of(node: &Node) -> Option<usize> {
+pub(crate) fn line_of(node: &Node) -> Option<usize> {
     node.span().start().map(|m| m.line())
 }
