Admission gate, placer, fair queue, retry budget, health and entry advice

Cause: the entries and agents need the decisions on admission and placement as pure state machines before their shells can be wired.

Change: decision/routing holds Gate (allowance, slow start, leased credits, refusals that are 'not run'), Placer (sampled candidates, prefix beliefs, stragglers, ejection), FairQueue, RetryBudget, Health and advise.

Checks: 38 tests pass (cargo test -p pimentotide-routing), among them running never above the allowance for any interleaving of nine entries.

Conclusion: the interfaces can be wired; constants are not yet measured.

--- /dev/null
+++ b/decision/routing/src/placer/slot.rs
@@ -0,0 +1,140 @@
+//! One upstream as an entry knows it.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use pimentotide_model::{Announcement, LoadReport, Time};
+
+use crate::health::Health;
+
+/// Changes of the own load that are remembered.
+const MAX_HISTORY: usize = 256;
+/// Age at which a report no longer counts.
+const REPORT_EXPIRY: Duration = Duration::from_secs(15);
+/// Weight of the latest verified hit in the trust in cache beliefs.
+const TRUST_WEIGHT: f64 = 0.1;
+/// Least trust in cache beliefs.
+const LEAST_TRUST: f64 = 0.1;
+
+/// One upstream.
+#[derive(Debug)]
+pub(super) struct Slot {
+    pub(super) announcement: Announcement,
+    pub(super) generation: u32,
+    pub(super) health: Health,
+    pub(super) group: Option<u32>,
+    pub(super) report: LoadReport,
+    pub(super) trust: f64,
+    taken: Option<Time>,
+    inflight: u32,
+    base: u32,
+    history: VecDeque<(Time, u32)>,
+}
+
+impl Slot {
+    /// Builds the slot of an upstream that has not reported yet.
+    pub(super) fn new(announcement: Announcement, generation: u32) -> Self {
+        Self {
+            announcement,
+            generation,
+            health: Health::default(),
+            group: None,
+            report: LoadReport::default(),
+            trust: 1.0,
+            taken: None,
+            inflight: 0,
+            base: 0,
+            history: VecDeque::with_capacity(MAX_HISTORY),
+        }
+    }
+
+    /// Forgets what belonged to an earlier incarnation.
+    pub(super) fn restart(&mut self) {
+        self.report = LoadReport::default();
+        self.taken = None;
+        self.trust = 1.0;
+        self.health.reset();
+    }
+
+    /// Takes a report that describes the upstream at `taken`.
+    pub(super) fn observe(&mut self, report: &LoadReport, taken: Time) -> bool {
+        let newer =
+            report.incarnation > self.report.incarnation || report.sequence > self.report.sequence;
+        let known = report.incarnation >= self.announcement.incarnation;
+        if !known || (self.taken.is_some() && !newer) {
+            return false;
+        }
+        self.report = *report;
+        self.taken = Some(taken);
+        self.base = self.inflight_at(taken);
+        true
+    }
+
+    /// Counts a request of this entry.
+    pub(super) fn begin(&mut self, now: Time) {
+        self.inflight += 1;
+        self.health.sent(now);
+        self.remember(now);
+    }
+
+    /// Counts the end of a request of this entry.
+    pub(super) fn end(&mut self, now: Time) {
+        self.inflight = self.inflight.saturating_sub(1);
+        self.remember(now);
+    }
+
+    /// Requests of this entry that run.
+    pub(super) fn inflight(&self) -> u32 {
+        self.inflight
+    }
+
+    /// Requests that may run at once; one until the first report.
+    pub(super) fn allowance(&self) -> u32 {
+        if self.taken.is_some() {
+            self.report.allowance
+        } else {
+            1
+        }
+    }
+
+    /// Requests that run or wait, with own changes since the report weighed by `echo`.
+    pub(super) fn load(&self, echo: f64, entries: f64, now: Time) -> f64 {
+        let own = f64::from(self.inflight);
+        let fresh = self
+            .taken
+            .is_some_and(|taken| now.since(taken) < REPORT_EXPIRY);
+        if !fresh {
+            return own * entries;
+        }
+        let reported = f64::from(self.report.running) + f64::from(self.report.waiting);
+        let since = own - f64::from(self.base);
+        (reported + since * echo).max(own)
+    }
+
+    /// Compares a believed cache hit with the one reported.
+    pub(super) fn verify(&mut self, believed: u32, cached: u32) {
+        if believed == 0 {
+            return;
+        }
+        let sample = (f64::from(cached) / f64::from(believed)).min(1.0);
+        let trust = self.trust + TRUST_WEIGHT * (sample - self.trust);
+        self.trust = trust.max(LEAST_TRUST);
+    }
+
+    fn remember(&mut self, now: Time) {
+        if self.history.len() == MAX_HISTORY {
+            self.history.pop_front();
+        }
+        self.history.push_back((now, self.inflight));
+    }
+
+    /// Own requests that ran at `time`, and forgets what came before.
+    fn inflight_at(&mut self, time: Time) -> u32 {
+        let later = self.history.partition_point(|(at, _)| *at <= time);
+        if later == 0 {
+            return self.history.front().map_or(self.inflight, |(_, n)| *n);
+        }
+        self.history.drain(..later - 1);
+        self.history.front().map_or(self.inflight, |(_, n)| *n)
+    }
+}
--- /dev/null
+++ b/decision/routing/tests/it/advice.rs
@@ -0,0 +1,64 @@
+//! Entry addresses given to callers.
+
+use std::collections::BTreeMap;
+
+use pimentotide_model::{InstanceName, Standing, ZoneName};
+use pimentotide_routing::{EntryState, advise};
+
+use crate::fixture::{ZONES, at, rng};
+
+fn entries() -> Vec<EntryState> {
+    (0..9)
+        .map(|i| EntryState {
+            instance: InstanceName::from(format!("e{i}")),
+            address: format!("127.0.0.1:{}", 8000 + i),
+            zone: ZoneName::from(ZONES[i % 3]),
+            stopping: false,
+            heard: at(10_000),
+        })
+        .collect()
+}
+
+#[test]
+fn nearest_first_without_those_that_stop_or_are_silent() {
+    let mut entries = entries();
+    entries[0].stopping = true;
+    entries[3].heard = at(1_000);
+    let zone = ZoneName::from(ZONES[0]);
+    let out = |z: &ZoneName| {
+        if z.as_str() == ZONES[1] {
+            Standing::Out
+        } else {
+            Standing::In
+        }
+    };
+    let advice = advise(Some(&zone), &entries, out, at(11_000), &mut rng());
+    assert_eq!(advice.addresses[0], "127.0.0.1:8006");
+    assert_eq!(advice.addresses.len(), 4);
+    let none = advise(
+        Some(&zone),
+        &entries,
+        |_| Standing::Out,
+        at(11_000),
+        &mut rng(),
+    );
+    assert_eq!(none.addresses.len(), 7);
+    let silent = advise(None, &entries, |_| Standing::In, at(99_000), &mut rng());
+    assert_eq!(silent.addresses.len(), 9);
+}
+
+#[test]
+fn first_addresses_spread_evenly() {
+    let entries = entries();
+    let mut rng = rng();
+    let mut firsts: BTreeMap<String, u32> = BTreeMap::new();
+    for _ in 0..9_000 {
+        let advice = advise(None, &entries, |_| Standing::In, at(10_000), &mut rng);
+        assert!((5..=10).contains(&advice.keep.as_secs()));
+        *firsts.entry(advice.addresses[0].clone()).or_default() += 1;
+    }
+    assert!(
+        firsts.values().all(|n| (850..1_150).contains(n)),
+        "{firsts:?}"
+    );
+}
--- /dev/null
+++ b/decision/routing/tests/it/gate.rs
@@ -0,0 +1,209 @@
+//! Admission, slow start, credits and refusals of one gate.
+
+use std::time::Duration;
+
+use pimentotide_model::{ErrorKind, Incarnation, InstanceName, Priority, Revision, Time, Warmth};
+use pimentotide_routing::{Completed, GatePolicy, Outcome, Sign};
+
+use crate::fixture::{
+    admission, announcement, at, declarations, demand, gate, good, profile, warm, zone_out,
+};
+
+fn kind_of(result: Result<pimentotide_routing::Permit, pimentotide_routing::Refusal>) -> ErrorKind {
+    result.expect_err("refused").kind
+}
+
+#[test]
+fn refusals_name_their_kind() {
+    let announced = announcement(0, 8);
+    let ask = admission("e1", "w");
+    let mut kinds = Vec::new();
+
+    let mut lapsed = gate();
+    lapsed.declare(
+        GatePolicy::of(&zone_out(declarations(profile()), "accra-a"), &announced),
+        8,
+        at(1),
+    );
+    kinds.push(("zone out", kind_of(lapsed.admit(&ask, at(2)))));
+
+    let mut leaving = gate();
+    leaving.leave();
+    kinds.push(("leaving", kind_of(leaving.admit(&ask, at(2)))));
+
+    let mut full = gate();
+    let _held = full.admit(&ask, at(2)).expect("admitted");
+    kinds.push(("full", kind_of(full.admit(&ask, at(2)))));
+
+    let mut changed = gate();
+    let mut other = profile();
+    other.concurrency = Some(4);
+    let mut declared = declarations(other);
+    declared.revision = Revision(5);
+    changed.declare(GatePolicy::of(&declared, &announced), 8, at(1));
+    kinds.push(("stale", kind_of(changed.admit(&ask, at(2)))));
+
+    let settings = pimentotide_routing::GateSettings {
+        incarnation: Incarnation(1),
+        capacity: 8,
+        policy: GatePolicy::of(&declarations(profile()), &announced),
+    };
+    let mut cut_off = pimentotide_routing::Gate::open(settings, at(0));
+    kinds.push(("no lease", kind_of(cut_off.admit(&ask, at(2)))));
+    cut_off.renew(at(10));
+    assert!(cut_off.admit(&ask, at(9)).is_ok());
+    kinds.push(("lease lapsed", kind_of(cut_off.admit(&ask, at(11)))));
+    insta::assert_debug_snapshot!(kinds);
+}
+
+#[test]
+fn unrelated_revisions_do_not_refuse() {
+    let mut gate = gate();
+    let announced = announcement(0, 8);
+    let elsewhere = zone_out(declarations(profile()), "tema-c");
+    gate.declare(GatePolicy::of(&elsewhere, &announced), 8, at(1));
+    assert!(gate.admit(&admission("e1", "w"), at(2)).is_ok());
+}
+
+#[test]
+fn allowance_grows_by_completions_and_falls_by_signs() {
+    let mut gate = gate();
+    let mut trace = Vec::new();
+    let mut now = at(0);
+    for _ in 0..12 {
+        now += Duration::from_millis(300);
+        let permits: Vec<_> = (0..gate.allowance())
+            .filter_map(|_| gate.admit(&admission("e1", "w"), now).ok())
+            .collect();
+        for permit in permits {
+            gate.complete(permit, good(), now);
+        }
+        trace.push(format!("{now} good: {}", gate.allowance()));
+    }
+    gate.observe(Sign::Overload, now);
+    trace.push(format!("overload: {}", gate.allowance()));
+    gate.observe(Sign::Cold, now);
+    trace.push(format!(
+        "cold: {} {}",
+        gate.allowance(),
+        gate.report().warmth
+    ));
+    now += Duration::from_secs(60);
+    gate.tick(now);
+    trace.push(format!("a minute idle: {}", gate.allowance()));
+    insta::assert_debug_snapshot!(trace);
+}
+
+#[test]
+fn slow_first_tokens_are_a_sign_of_coldness() {
+    let mut gate = gate();
+    let mut now = warm(&mut gate);
+    assert_eq!(gate.report().warmth, Warmth::Warm);
+    let slow = Completed {
+        first_token: Some(Duration::from_secs(2)),
+        ..good()
+    };
+    let permits: Vec<_> = (0..2)
+        .filter_map(|_| gate.admit(&admission("e1", "w"), now).ok())
+        .collect();
+    now += Duration::from_secs(2);
+    let mut allowances = Vec::new();
+    for permit in permits {
+        gate.complete(permit, slow, now);
+        allowances.push(gate.allowance());
+    }
+    assert_eq!(allowances, [4, 1]);
+}
+
+#[test]
+fn overdue_first_tokens_lower_the_allowance() {
+    let mut gate = gate();
+    let now = warm(&mut gate);
+    let _permits: Vec<_> = (0..3)
+        .filter_map(|_| gate.admit(&admission("e1", "w"), now).ok())
+        .collect();
+    gate.tick(now + Duration::from_secs(1));
+    assert_eq!(gate.allowance(), 4);
+}
+
+#[test]
+fn work_of_an_old_incarnation_counts_until_it_ends() {
+    let mut gate = gate();
+    let now = warm(&mut gate);
+    let old: Vec<_> = (0..3)
+        .filter_map(|_| gate.admit(&admission("e1", "w"), now).ok())
+        .collect();
+    gate.restart(Incarnation(2), now);
+    assert_eq!(
+        kind_of(gate.admit(&admission("e1", "w"), now)),
+        ErrorKind::Overloaded
+    );
+    let failed = Completed {
+        outcome: Outcome::Failed,
+        ..good()
+    };
+    for permit in old {
+        gate.complete(permit, failed, now);
+    }
+    assert!(gate.admit(&admission("e1", "w"), now).is_ok());
+}
+
+#[test]
+fn freed_places_go_by_priority_share_and_deadline() {
+    let mut gate = gate();
+    let now = warm(&mut gate);
+    let permits: Vec<_> = (0..8)
+        .filter_map(|_| gate.admit(&admission("e1", "large"), now).ok())
+        .collect();
+    let soon = Duration::from_secs(1);
+    let late = Duration::from_secs(9);
+    let mut urgent = demand("large", late, 1);
+    urgent.priority = Priority(200);
+    gate.demand(&name("e1"), vec![demand("large", soon, 6)], now);
+    gate.demand(&name("e2"), vec![demand("small", late, 1)], now);
+    gate.demand(&name("e3"), vec![urgent], now);
+    gate.demand(&name("e4"), vec![demand("large", late, 1)], now);
+    let mut order = Vec::new();
+    for permit in permits {
+        for grant in gate.complete(permit, good(), now) {
+            order.push(grant.entry.to_string());
+        }
+    }
+    assert_eq!(order, ["e3", "e2", "e1", "e1", "e1", "e1", "e1", "e1"]);
+}
+
+#[test]
+fn unused_credits_lapse_and_given_back_ones_go_on() {
+    let mut gate = gate();
+    let now = warm(&mut gate);
+    let soon = Duration::from_secs(1);
+    let grants = gate.demand(&name("e1"), vec![demand("w", soon, 8)], now);
+    assert_eq!(grants.len(), 8);
+    gate.demand(&name("e2"), vec![demand("w", soon, 2)], now);
+    let passed = gate.give_back(grants[0].credit, now);
+    assert_eq!(passed[0].entry, name("e2"));
+    let later = now + Duration::from_millis(250);
+    let lapsed = gate.tick(later);
+    assert_eq!(lapsed.len(), 1);
+    assert_eq!(gate.report().running, 1);
+    assert_eq!(gate.next_expiry(), Some(later + Duration::from_millis(200)));
+}
+
+#[test]
+fn drained_after_the_last_completion() {
+    let mut gate = gate();
+    let permit = gate.admit(&admission("e1", "w"), at(0)).expect("admitted");
+    gate.leave();
+    assert!(!gate.drained());
+    gate.complete(permit, good(), at(5));
+    assert!(gate.drained());
+    gate.rejoin();
+    assert!(
+        gate.admit(&admission("e1", "w"), Time::from_millis(6))
+            .is_ok()
+    );
+}
+
+fn name(entry: &str) -> InstanceName {
+    InstanceName::from(entry)
+}
