Outcome: claims, agent ledger, attempt, stream assembly and crash suspicion

Cause: entries and agents need pure state machines for requests that may run once, for streamed answers and for requests that crash what runs them.

--- a/decision/outcome/src/lib.rs
+++ b/decision/outcome/src/lib.rs
@@ -1,31 +1,35 @@
 //! At-most-once claims, recorded outcomes, stream assembly and crash suspicion.
+//!
+//! A non-idempotent request runs only under a claim that a quorum has
+//! committed in the [`Journal`]. The agent beside the upstream runs each claim
+//! at most once and remembers it in an [`AgentLedger`]; the entry drives claim,
+//! send, inquiry and settlement with an [`Attempt`]. Whatever dies, the next
+//! entry that is asked for the key finds the claim and asks the agent about it.
+//!
+//! Streamed answers are put in order by an [`Assembly`], and a stream whose
+//! engine dies is resumed or ended by [`after_break`]. Requests that crash what
+//! runs them are found by content with [`Suspicion`].
 
-use pimentotide_model::Time;
-use serde::{Deserialize, Serialize};
+mod assembly;
+mod attempt;
+mod blob;
+mod cancel;
+mod claim;
+mod journal;
+mod ledger;
+mod resume;
+mod suspicion;
+mod window;
 
-/// Change to the journal of claims, replicated before it takes effect.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Command {
-    /// Drops what is past its window.
-    Expire,
-}
-
-/// Answer to a command.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Reply {
-    /// Nothing to tell.
-    Done,
-}
-
-/// Claims and outcomes of non-idempotent requests, equal on every replica.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Journal {}
-
-impl Journal {
-    /// Applies one committed command; `at` never goes back.
-    pub fn apply(&mut self, command: &Command, _at: Time) -> Reply {
-        match command {
-            Command::Expire => Reply::Done,
-        }
-    }
-}
+pub use assembly::{Assembly, Fault, Piece, Progress};
+pub use attempt::{Action, Answer, Attempt, Event, Intent};
+pub use blob::Blob;
+pub use cancel::{CancelPlan, Work, on_caller_gone};
+pub use claim::{
+    Body, Claim, ClaimRef, LedgerEpoch, MAX_RECORDED_BYTES, Outcome, Place, Ticket, generated_key,
+};
+pub use journal::{Command, Journal, Reply};
+pub use ledger::{AgentLedger, Begin, Conclusion, Finding, LedgerLimits, NotRun};
+pub use resume::{Break, KvSource, ResumePlan, after_break};
+pub use suspicion::{Crash, Suspicion, Verdict, Witness};
+pub use window::Limits;
