--- a/app/src/agent/core.rs
+++ b/app/src/agent/core.rs
@@ -1,23 +1,40 @@
 //! State of an agent, shared by its handlers.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-use pimentotide_instance::work::WorkOrder;
+use pimentotide_instance::work::{
+    BlockEvent, DemandAnswer, DemandOrder, News, NewsOrder, WorkOrder,
+};
 use pimentotide_instance::{Token, View};
 use pimentotide_model::{
-    Announcement, ErrorKind, Failure, Fence, Incarnation, LoadReport, RequestId, Warmth,
+    Announcement, ErrorKind, Failure, Fence, Incarnation, InstanceName, LoadReport, RequestId,
+    Revision, Time,
 };
 use pimentotide_observe::Metrics;
-use pimentotide_upstream::EngineState;
+use pimentotide_routing::{Admission, Completed, Gate, GatePolicy, GateSettings, Grant};
+use pimentotide_upstream::{CacheChange, CacheEvent, EngineState};
 use tokio::sync::{Notify, watch};
 
 use super::AgentOptions;
+use super::permit::Permit;
+use crate::clock::Clock;
+
+/// Cache events kept for entries that have not asked for them yet.
+const MAX_EVENTS: usize = 4096;
+
+/// Longest time for which a demand waits for a grant.
+const DEMAND_WAIT: Duration = Duration::from_millis(500);
+
+/// Entries for which grants are kept at most.
+const MAX_MAILBOXES: usize = 1024;
 
 /// One agent.
 pub(super) struct Core {
     options: AgentOptions,
+    clock: Clock,
     announce: watch::Sender<Option<Announcement>>,
     inner: Mutex<Inner>,
 }
@@ -25,20 +42,25 @@
 #[derive(Default)]
 struct Inner {
     address: Option<SocketAddr>,
-    engine: Option<EngineState>,
-    running: HashMap<RequestId, Arc<Notify>>,
+    slot: Option<Slot>,
+    running: BTreeMap<RequestId, Arc<Notify>>,
+    mailboxes: BTreeMap<InstanceName, Mailbox>,
     leaving: bool,
-    sequence: u64,
 }
 
-/// Right to pass one request on; gives its place back when dropped.
-pub(super) struct Permit {
-    core: Arc<Core>,
-    id: RequestId,
-    /// Address of the upstream.
-    pub(super) engine: SocketAddr,
-    /// Wakes when the entry gives the request up.
-    pub(super) cancel: Arc<Notify>,
+/// The upstream in the agent's slot.
+struct Slot {
+    engine: EngineState,
+    gate: Gate,
+    revision: Revision,
+    events: VecDeque<CacheEvent>,
+}
+
+/// Grants on their way to one entry.
+#[derive(Default)]
+struct Mailbox {
+    grants: Vec<Grant>,
+    ready: Arc<Notify>,
 }
 
 impl Core {
@@ -46,6 +68,7 @@
         let announce = watch::Sender::new(None);
         Self {
             options,
+            clock: Clock::start(),
             announce,
             inner: Mutex::default(),
         }
@@ -59,10 +82,18 @@
         &self.options.metrics
     }
 
+    pub(super) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
     pub(super) fn announcements(&self) -> watch::Receiver<Option<Announcement>> {
         self.announce.subscribe()
     }
 
+    pub(super) fn views(&self) -> watch::Receiver<View> {
+        self.options.view.clone()
+    }
+
     pub(super) fn set_address(&self, address: SocketAddr) {
         self.lock().address = Some(address);
     }
@@ -73,38 +104,131 @@
 
     /// Refuses new work from now on.
     pub(super) fn leave(&self) {
-        self.lock().leaving = true;
+        let mut inner = self.lock();
+        inner.leaving = true;
+        if let Some(slot) = &mut inner.slot {
+            slot.gate.leave();
+        }
+        drop(inner);
         self.publish();
     }
 
     /// Takes in what the upstream says of itself.
     pub(super) fn engine_announced(&self, state: EngineState) {
-        self.lock().engine = Some(state);
+        let now = self.now();
+        let mut inner = self.lock();
+        let leaving = inner.leaving;
+        match &mut inner.slot {
+            Some(slot) => slot.update(state, now),
+            none => {
+                let mut slot = self.open_slot(state, now);
+                if leaving {
+                    slot.gate.leave();
+                }
+                *none = Some(slot);
+            }
+        }
+        drop(inner);
+        self.refresh();
+    }
+
+    /// Puts the latest configuration and lease into force.
+    pub(super) fn refresh(&self) {
+        let view = self.options.view.borrow().clone();
+        let now = self.now();
+        let mut inner = self.lock();
+        let Some(slot) = &mut inner.slot else {
+            return;
+        };
+        slot.gate
+            .renew(view.lease.map_or(Time::MAX, |l| self.clock.at(l)));
+        let mut grants = Vec::new();
+        if slot.revision < view.declarations.revision {
+            let announcement = self.announcement_of(&slot.engine, SocketAddr::from(([0; 4], 0)));
+            let policy = GatePolicy::of(&view.declarations, &announcement);
+            slot.revision = policy.revision;
+            grants = slot.gate.declare(policy, slot.engine.capacity, now);
+        }
+        inner.deliver(grants);
+        drop(inner);
         self.publish();
     }
 
+    /// Expires credits and grants what is free.
+    pub(super) fn tick(&self) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let grants = inner
+            .slot
+            .as_mut()
+            .map(|s| s.gate.tick(now))
+            .unwrap_or_default();
+        inner.deliver(grants);
+    }
+
     /// Admits a request or says why not.
     pub(super) fn admit(self: &Arc<Self>, order: &WorkOrder) -> Result<Permit, Failure> {
-        let view = self.view();
+        let now = self.now();
         let mut inner = self.lock();
-        let engine = check(&inner, order)?;
-        if !view
-            .declarations
-            .admits(&self.options.zone, &self.options.upstream)
-        {
+        if inner.running.contains_key(&order.id) {
             return Err(Failure::new(
-                ErrorKind::OutOfService,
-                "taken out by operators",
+                ErrorKind::StillRunning,
+                "the request runs here already",
             ));
         }
+        let slot = inner.slot.as_mut().ok_or_else(|| {
+            Failure::new(
+                ErrorKind::NoUpstream,
+                "the upstream has not announced itself",
+            )
+        })?;
+        if order.incarnation != Incarnation(slot.engine.started) {
+            return Err(Failure::new(
+                ErrorKind::NoUpstream,
+                "the upstream has restarted",
+            ));
+        }
+        let permit = slot.gate.admit(&admission(order), now).map_err(|refusal| {
+            Failure::new(
+                refusal.kind,
+                format!("refused by the gate: {}", refusal.kind),
+            )
+        })?;
+        let engine = slot.engine.address;
         let cancel = Arc::new(Notify::new());
         inner.running.insert(order.id, Arc::clone(&cancel));
-        Ok(Permit {
-            core: Arc::clone(self),
-            id: order.id,
+        Ok(Permit::new(
+            Arc::clone(self),
+            order.id,
+            permit,
             engine,
             cancel,
-        })
+        ))
+    }
+
+    /// Notes the first token of an admitted request.
+    pub(super) fn first_token(&self, permit: &pimentotide_routing::Permit) {
+        let now = self.now();
+        if let Some(slot) = &mut self.lock().slot {
+            slot.gate.first_token(permit, now);
+        }
+    }
+
+    /// Gives the place of an admitted request back.
+    pub(super) fn complete(
+        &self,
+        id: RequestId,
+        permit: pimentotide_routing::Permit,
+        done: Completed,
+    ) {
+        let now = self.now();
+        let mut inner = self.lock();
+        inner.running.remove(&id);
+        let Some(slot) = &mut inner.slot else {
+            return;
+        };
+        let grants = slot.gate.complete(permit, done, now);
+        inner.deliver(grants);
     }
 
     /// Gives up a running request on behalf of its entry.
@@ -114,25 +238,113 @@
         }
     }
 
+    /// Takes an entry's demand and waits for credits.
+    pub(super) async fn demand(&self, order: DemandOrder) -> DemandAnswer {
+        let entry = order.entry.clone();
+        let waits = !order.demand.is_empty();
+        let Some(ready) = self.state_demand(order) else {
+            return DemandAnswer::default();
+        };
+        if waits {
+            // Without a grant in time the entry states its demand again.
+            let _ = tokio::time::timeout(DEMAND_WAIT, ready.notified()).await;
+        }
+        let mut inner = self.lock();
+        let grants = inner
+            .mailboxes
+            .get_mut(&entry)
+            .map(|m| std::mem::take(&mut m.grants));
+        DemandAnswer {
+            grants: grants.unwrap_or_default(),
+        }
+    }
+
+    /// What entries are told about load and cache.
+    pub(super) fn news(&self, order: &NewsOrder) -> Option<News> {
+        let mut inner = self.lock();
+        let slot = inner.slot.as_mut()?;
+        let known = order.incarnation == Incarnation(slot.engine.started);
+        let since = if known { order.sequence } else { 0 };
+        let events = slot
+            .events
+            .iter()
+            .filter(|e| e.sequence > since)
+            .map(block_event)
+            .collect();
+        Some(News {
+            report: slot.gate.report(),
+            events,
+        })
+    }
+
     /// Load of the upstream as seen here.
     pub(super) fn report(&self) -> LoadReport {
         let mut inner = self.lock();
-        inner.sequence += 1;
-        let engine = inner.engine.as_ref();
-        LoadReport {
-            incarnation: Incarnation(engine.map_or(0, |e| e.started)),
-            sequence: inner.sequence,
-            running: u32::try_from(inner.running.len()).unwrap_or(u32::MAX),
-            waiting: engine.map_or(0, |e| e.waiting),
-            allowance: engine.map_or(0, |e| e.capacity),
-            warmth: Warmth::Warm,
-            first_token: 0,
-            token_gap: 0,
+        inner
+            .slot
+            .as_mut()
+            .map(|s| s.gate.report())
+            .unwrap_or_default()
+    }
+
+    fn state_demand(&self, order: DemandOrder) -> Option<Arc<Notify>> {
+        let now = self.now();
+        let mut inner = self.lock();
+        if !inner.mailboxes.contains_key(&order.entry) {
+            if inner.mailboxes.len() >= MAX_MAILBOXES {
+                inner.mailboxes.pop_first();
+            }
+            inner
+                .mailboxes
+                .insert(order.entry.clone(), Mailbox::default());
+        }
+        let slot = inner.slot.as_mut()?;
+        let mut grants = Vec::new();
+        for credit in order.returned {
+            grants.extend(slot.gate.give_back(credit, now));
+        }
+        grants.extend(slot.gate.demand(&order.entry, order.demand, now));
+        inner.deliver(grants);
+        inner
+            .mailboxes
+            .get(&order.entry)
+            .map(|m| Arc::clone(&m.ready))
+    }
+
+    fn open_slot(&self, engine: EngineState, now: Time) -> Slot {
+        let announcement = self.announcement_of(&engine, SocketAddr::from(([0; 4], 0)));
+        let declarations = Arc::clone(&self.options.view.borrow().declarations);
+        let policy = GatePolicy::of(&declarations, &announcement);
+        let revision = policy.revision;
+        let settings = GateSettings {
+            incarnation: Incarnation(engine.started),
+            capacity: engine.capacity,
+            policy,
+        };
+        let events = engine.cache.iter().copied().collect();
+        Slot {
+            gate: Gate::open(settings, now),
+            engine,
+            revision,
+            events,
         }
     }
 
     fn publish(&self) {
-        let announcement = self.announcement();
+        let inner = self.lock();
+        let announcement = inner
+            .slot
+            .as_ref()
+            .zip(inner.address)
+            .map(|(slot, address)| {
+                let announcement = self.announcement_of(&slot.engine, address);
+                Announcement {
+                    leaving: inner.leaving,
+                    revision: slot.revision,
+                    ..announcement
+                }
+            });
+        drop(inner);
         self.announce.send_if_modified(|current| {
             let changed = *current != announcement;
             *current = announcement;
@@ -140,16 +352,12 @@
         });
     }
 
-    fn announcement(&self) -> Option<Announcement> {
-        let revision = self.view().declarations.revision;
-        let inner = self.lock();
-        let engine = inner.engine.as_ref()?;
-        let address = inner.address?;
+    fn announcement_of(&self, engine: &EngineState, address: SocketAddr) -> Announcement {
         let models = engine
             .models
             .iter()
             .map(|m| (m.name.clone(), m.version.clone()));
-        Some(Announcement {
+        Announcement {
             upstream: self.options.upstream.clone(),
             incarnation: Incarnation(engine.started),
             zone: self.options.zone.clone(),
@@ -160,14 +368,10 @@
             adapters: engine.adapters.clone(),
             capacity: engine.capacity,
             group: engine.group.clone(),
-            leaving: inner.leaving,
-            revision,
+            leaving: false,
+            revision: Revision::default(),
             fence: Fence::default(),
-        })
-    }
-
-    fn view(&self) -> View {
-        self.options.view.borrow().clone()
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -175,39 +379,50 @@
     }
 }
 
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.core.lock().running.remove(&self.id);
+impl Inner {
+    /// Puts grants where the entries that they are for will find them.
+    fn deliver(&mut self, grants: Vec<Grant>) {
+        for grant in grants {
+            if let Some(mailbox) = self.mailboxes.get_mut(&grant.entry) {
+                mailbox.grants.push(grant);
+                mailbox.ready.notify_one();
+            }
+        }
     }
 }
 
-fn check(inner: &Inner, order: &WorkOrder) -> Result<SocketAddr, Failure> {
-    if inner.leaving {
-        return Err(Failure::new(ErrorKind::Stopping, "the agent is stopping"));
-    }
-    let Some(engine) = &inner.engine else {
-        return Err(Failure::new(
-            ErrorKind::NoUpstream,
-            "the upstream has not announced itself",
-        ));
-    };
-    if order.incarnation != Incarnation(engine.started) {
-        return Err(Failure::new(
-            ErrorKind::NoUpstream,
-            "the upstream has restarted",
-        ));
-    }
-    if inner.running.len() >= engine.capacity as usize {
-        return Err(Failure::new(
-            ErrorKind::Overloaded,
-            "the upstream runs all it can bear",
-        ));
-    }
-    if inner.running.contains_key(&order.id) {
-        return Err(Failure::new(
-            ErrorKind::StillRunning,
-            "the request runs here already",
-        ));
-    }
-    Ok(engine.address)
+impl Slot {
+    fn update(&mut self, mut engine: EngineState, now: Time) {
+        let events = std::mem::take(&mut engine.cache);
+        if engine.started > self.engine.started {
+            self.gate.restart(Incarnation(engine.started), now);
+            self.events.clear();
+        }
+        self.gate.observe_waiting(engine.waiting);
+        self.events.extend(events);
+        let excess = self.events.len().saturating_sub(MAX_EVENTS);
+        self.events.drain(..excess);
+        self.engine = engine;
+    }
+}
+
+fn admission(order: &WorkOrder) -> Admission {
+    Admission {
+        entry: order.entry.clone(),
+        request: order.id,
+        service: order.service.clone(),
+        workspace: order.workspace.clone(),
+        priority: order.priority,
+        remaining: order.remaining,
+        revision: order.revision,
+        credit: order.credit,
+    }
+}
+
+fn block_event(event: &CacheEvent) -> BlockEvent {
+    BlockEvent {
+        sequence: event.sequence,
+        stored: event.change == CacheChange::Stored,
+        block: event.block,
+    }
 }
--- a/app/src/agent/forward.rs
+++ b/app/src/agent/forward.rs
@@ -7,13 +7,15 @@
 use futures_util::{Stream, StreamExt, pin_mut};
 use pimentotide_instance::work::{Frame, WorkOrder};
 use pimentotide_model::{ErrorKind, Failure, Ran};
+use pimentotide_routing::Outcome;
 use pimentotide_upstream::{
     EngineAnswer, EngineClient, EngineError, EngineRequest, EventSplitter, KEY_HEADER,
     PRIORITY_HEADER, REQUEST_HEADER, RESUME_HEADER, STREAM_END, is_hop_header,
 };
 use tokio::sync::mpsc;
 
-use super::core::{Core, Permit};
+use super::core::Core;
+use super::permit::Permit;
 
 thread_local! {
     static CLIENT: EngineClient = EngineClient::open();
@@ -27,21 +29,13 @@
 pub(super) async fn forward(
     core: Arc<Core>,
     order: WorkOrder,
-    permit: Permit,
+    mut permit: Permit,
     sender: mpsc::Sender<Frame>,
 ) {
-    let pass = pass(&core, &order, &permit, &sender);
-    pin_mut!(pass);
-    let last = if order.idempotent {
-        tokio::select! {
-            last = &mut pass => last,
-            () = permit.cancel.notified() => Err(gone()),
-            () = sender.closed() => Err(gone()),
-            () = tokio::time::sleep(order.remaining) => Err(late()),
-        }
-    } else {
-        pass.await
-    };
+    let last = run(&core, &order, &mut permit, &sender).await;
+    permit.ended(outcome_of(&last));
+    // The place is free before the entry learns of the end.
+    drop(permit);
     let frame = match last {
         Ok(pieces) => Frame::End {
             pieces,
@@ -57,11 +51,31 @@
     let _ = sender.send(frame).await;
 }
 
+/// Runs the request to its end, or to where it is given up.
+async fn run(
+    core: &Arc<Core>,
+    order: &WorkOrder,
+    permit: &mut Permit,
+    sender: &mpsc::Sender<Frame>,
+) -> Result<u64, Failure> {
+    let cancel = Arc::clone(&permit.cancel);
+    let pass = pass(core, order, permit, sender);
+    if !order.idempotent {
+        return pass.await;
+    }
+    tokio::select! {
+        last = pass => last,
+        () = cancel.notified() => Err(gone()),
+        () = sender.closed() => Err(gone()),
+        () = tokio::time::sleep(order.remaining) => Err(late()),
+    }
+}
+
 /// Sends the head and the pieces; returns the number of pieces of the whole answer.
 async fn pass(
     core: &Arc<Core>,
     order: &WorkOrder,
-    permit: &Permit,
+    permit: &mut Permit,
     sender: &mpsc::Sender<Frame>,
 ) -> Result<u64, Failure> {
     let client = CLIENT.with(Clone::clone);
@@ -83,13 +97,17 @@
     };
     let _ = sender.send(head).await;
     if is_event_stream(&answer) {
-        pass_events(order.resume, answer.body, sender).await
+        pass_events(order.resume, answer.body, permit, sender).await
     } else {
-        pass_chunks(answer.body, sender).await
+        pass_chunks(answer.body, permit, sender).await
     }
 }
 
-async fn pass_chunks<S>(body: S, sender: &mpsc::Sender<Frame>) -> Result<u64, Failure>
+async fn pass_chunks<S>(
+    body: S,
+    permit: &mut Permit,
+    sender: &mpsc::Sender<Frame>,
+) -> Result<u64, Failure>
 where
     S: Stream<Item = Result<Bytes, EngineError>>,
 {
@@ -97,13 +115,19 @@
     let mut position = 0;
     while let Some(chunk) = body.next().await {
         let data = chunk.map_err(|e| engine_failure(&e))?;
+        permit.progress();
         let _ = sender.send(Frame::Piece { position, data }).await;
         position += 1;
     }
     Ok(position)
 }
 
-async fn pass_events<S>(resume: u64, body: S, sender: &mpsc::Sender<Frame>) -> Result<u64, Failure>
+async fn pass_events<S>(
+    resume: u64,
+    body: S,
+    permit: &mut Permit,
+    sender: &mpsc::Sender<Frame>,
+) -> Result<u64, Failure>
 where
     S: Stream<Item = Result<Bytes, EngineError>>,
 {
@@ -114,6 +138,7 @@
         splitter.push(&chunk.map_err(|e| engine_failure(&e))?);
         while let Some(event) = splitter.next_event().map_err(|e| broken(&e.to_string()))? {
             let last = event.data() == Some(STREAM_END);
+            permit.progress();
             let _ = sender
                 .send(Frame::Piece {
                     position,
@@ -161,6 +186,14 @@
     kind.is_some_and(|k| k.starts_with("text/event-stream"))
 }
 
+fn outcome_of(last: &Result<u64, Failure>) -> Outcome {
+    match last {
+        Ok(_) => Outcome::Good,
+        Err(failure) if failure.kind == ErrorKind::Cancelled => Outcome::Cancelled,
+        Err(_) => Outcome::Failed,
+    }
+}
+
 fn engine_failure(error: &EngineError) -> Failure {
     let ran = match error {
         EngineError::Unreachable(_) => Ran::No,
--- a/app/src/agent/mod.rs
+++ b/app/src/agent/mod.rs
@@ -7,12 +7,14 @@
 
 mod core;
 mod forward;
+mod permit;
 mod routes;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix_rt::task::JoinHandle;
 use actix_web::dev::ServerHandle;
 use actix_web::{App, HttpServer, web};
 use derive_more::Display;
@@ -27,6 +29,9 @@
 /// Largest announcement of an upstream, in bytes.
 const MAX_STATE_BYTES: usize = 4 << 20;
 
+/// Time between looks at credits that ran out.
+const TICK: Duration = Duration::from_millis(50);
+
 /// Time between looks at whether all running requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -66,6 +71,7 @@
     work: (SocketAddr, ServerHandle),
     engine: (SocketAddr, ServerHandle),
     drain: Duration,
+    tasks: [JoinHandle<()>; 2],
 }
 
 impl Agent {
@@ -80,11 +86,16 @@
         let work = serve(listen, &core, routes::for_entries)?;
         core.set_address(work.0);
         let engine = serve(engine, &core, routes::for_upstream)?;
+        let tasks = [
+            actix_rt::spawn(follow(Arc::clone(&core))),
+            actix_rt::spawn(tick(Arc::clone(&core))),
+        ];
         Ok(Self {
             core,
             work,
             engine,
             drain,
+            tasks,
         })
     }
 
@@ -117,6 +128,9 @@
                 self.core.running()
             );
         }
+        for task in self.tasks {
+            task.abort();
+        }
         self.work.1.stop(true).await;
         self.engine.1.stop(true).await;
     }
@@ -143,6 +157,7 @@
             .configure(routes.clone())
     })
     .workers(1)
+    .tcp_nodelay(true)
     .disable_signals()
     .shutdown_timeout(1)
     .bind(listen)
@@ -153,3 +168,18 @@
     actix_rt::spawn(server);
     Ok((address, handle))
 }
+
+/// Puts each change of configuration or lease into force.
+async fn follow(core: Arc<Core>) {
+    let mut views = core.views();
+    while views.changed().await.is_ok() {
+        core.refresh();
+    }
+}
+
+async fn tick(core: Arc<Core>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        core.tick();
+    }
+}
--- a/app/src/agent/routes.rs
+++ b/app/src/agent/routes.rs
@@ -4,9 +4,12 @@
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
-use pimentotide_instance::work::{CANCEL_PATH, Frame, WORK_PATH, WorkOrder};
+use pimentotide_instance::work::{
+    CANCEL_PATH, DEMAND_PATH, DemandOrder, Frame, NEWS_PATH, NewsOrder, WORK_PATH, WorkOrder,
+};
 use pimentotide_model::{ErrorKind, Failure, RequestId};
 use pimentotide_upstream::{ANNOUNCE_PATH, EngineState};
+use serde::Serialize;
 use tokio::sync::mpsc;
 
 use super::core::Core;
@@ -18,6 +21,8 @@
 pub(super) fn for_entries(routes: &mut web::ServiceConfig) {
     routes
         .route(WORK_PATH, web::post().to(work))
+        .route(DEMAND_PATH, web::post().to(demand))
+        .route(NEWS_PATH, web::post().to(news))
         .route(&format!("{CANCEL_PATH}/{{id}}"), web::post().to(cancel));
 }
 
@@ -75,6 +80,29 @@
     HttpResponse::NoContent().finish()
 }
 
+async fn demand(core: web::Data<Core>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    if !is_member(&core, &request) {
+        return HttpResponse::Forbidden().finish();
+    }
+    match postcard::from_bytes::<DemandOrder>(&body) {
+        Ok(order) => encoded(&core.demand(order).await),
+        Err(e) => HttpResponse::BadRequest().body(e.to_string()),
+    }
+}
+
+async fn news(core: web::Data<Core>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    if !is_member(&core, &request) {
+        return HttpResponse::Forbidden().finish();
+    }
+    match postcard::from_bytes::<NewsOrder>(&body) {
+        Ok(order) => match core.news(&order) {
+            Some(news) => encoded(&news),
+            None => HttpResponse::ServiceUnavailable().finish(),
+        },
+        Err(e) => HttpResponse::BadRequest().body(e.to_string()),
+    }
+}
+
 async fn announce(core: web::Data<Core>, state: web::Json<EngineState>) -> HttpResponse {
     core.engine_announced(state.into_inner());
     HttpResponse::NoContent().finish()
@@ -91,3 +119,13 @@
         Err(e) => HttpResponse::InternalServerError().body(e.to_string()),
     }
 }
+
+fn encoded<T>(value: &T) -> HttpResponse
+where
+    T: Serialize,
+{
+    match postcard::to_stdvec(value) {
+        Ok(bytes) => HttpResponse::Ok().body(bytes),
+        Err(e) => HttpResponse::InternalServerError().body(e.to_string()),
+    }
+}
--- a/app/src/entry/attempt.rs
+++ b/app/src/entry/attempt.rs
@@ -1,12 +1,20 @@
 //! One attempt of a request at one upstream.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
 use pimentotide_instance::work::{Frame, FrameStream, WorkClient, WorkError, WorkOrder};
-use pimentotide_model::{ErrorKind, Failure, Ran, RequestId};
+use pimentotide_model::{ErrorKind, Failure, LoadReport, Ran, RequestId, UpstreamName};
+use pimentotide_routing::Verdict;
 
-use super::core::{Core, Flight};
-use super::decision::Placed;
+use super::core::Core;
+use super::placing::{Flight, Placed};
 use super::resolve::Job;
 
+/// Silence after which an attempt at an ejected upstream is given up.
+const STALL_SILENCE: Duration = Duration::from_secs(1);
+
 /// Head of an upstream's answer.
 #[derive(Clone, Debug)]
 pub(super) struct Head {
@@ -16,12 +24,13 @@
 
 /// An attempt whose answer has begun; cancels itself when dropped unfinished.
 pub(super) struct Attempt {
-    frames: FrameStream,
+    frames: Option<FrameStream>,
     client: WorkClient,
-    agent: std::net::SocketAddr,
+    upstream: UpstreamName,
+    agent: SocketAddr,
     id: RequestId,
-    finished: bool,
-    _flight: Flight,
+    idempotent: bool,
+    flight: Option<Flight>,
 }
 
 /// What an attempt yields next.
@@ -35,28 +44,24 @@
 impl Attempt {
     /// Sends the request and waits for the head of its answer.
     pub(super) async fn begin(
-        core: &std::sync::Arc<Core>,
+        core: &Arc<Core>,
         client: &WorkClient,
         job: &Job,
-        placed: &Placed,
+        placed: Placed,
         number: u32,
         resume: u64,
     ) -> Result<(Head, Self), Failure> {
-        let flight = core.fly(&placed.upstream);
-        let order = order(core, job, placed, number, resume);
-        let frames = client
-            .send(placed.agent, &order)
-            .await
-            .map_err(|e| work_failure(&e))?;
+        let order = order(core, job, &placed, number, resume);
         let mut attempt = Self {
-            frames,
+            frames: None,
             client: client.clone(),
+            upstream: placed.upstream,
             agent: placed.agent,
             id: job.meta.id,
-            finished: false,
-            _flight: flight,
+            idempotent: job.meta.idempotent,
+            flight: Some(placed.flight),
         };
-        match attempt.next_frame().await? {
+        match attempt.send(&order).await? {
             Frame::Head {
                 status, headers, ..
             } => Ok((Head { status, headers }, attempt)),
@@ -66,47 +71,106 @@
 
     /// Waits for the next piece or the end.
     pub(super) async fn next(&mut self) -> Result<Step, Failure> {
-        match self.next_frame().await? {
-            Frame::Piece { position, data } => Ok(Step::Piece(position, data)),
+        match self.watched_frame().await? {
+            Frame::Piece { position, data } => {
+                if let Some(flight) = &mut self.flight {
+                    flight.progress();
+                }
+                Ok(Step::Piece(position, data))
+            }
             Frame::End { pieces, .. } => {
-                self.finished = true;
+                self.finish(Verdict::Good);
                 Ok(Step::End(pieces))
             }
             _ => Err(self.out_of_order()),
         }
     }
 
+    async fn send(&mut self, order: &WorkOrder) -> Result<Frame, Failure> {
+        let client = self.client.clone();
+        match client.send(self.agent, order).await {
+            Ok(frames) => self.frames = Some(frames),
+            Err(e) => {
+                self.finish(Verdict::Failed);
+                return Err(work_failure(&e));
+            }
+        }
+        self.watched_frame().await
+    }
+
+    /// Waits for a frame, unless the upstream is ejected and nothing comes.
+    async fn watched_frame(&mut self) -> Result<Frame, Failure> {
+        let Some(stalled) = self.flight.as_ref().map(|f| Arc::clone(&f.stalled)) else {
+            return Err(self.out_of_order());
+        };
+        loop {
+            tokio::select! {
+                frame = self.next_frame() => return frame,
+                () = stalled.notified() => {}
+            }
+            if self.is_silent() {
+                self.finish(Verdict::Cancelled);
+                return Err(Failure::new(ErrorKind::UpstreamFailed, "no progress"));
+            }
+        }
+    }
+
+    /// Whether nothing has come for long of a request that may run elsewhere.
+    fn is_silent(&self) -> bool {
+        let silence = self.flight.as_ref().map(Flight::silence);
+        self.idempotent && silence.is_some_and(|s| s >= STALL_SILENCE)
+    }
+
     /// Refusals and failures of the agent come back as errors.
     async fn next_frame(&mut self) -> Result<Frame, Failure> {
-        let frame = self
-            .frames
-            .next_frame()
-            .await
-            .map_err(|e| work_failure(&e))?;
+        let Some(frames) = &mut self.frames else {
+            return Err(Failure::new(ErrorKind::Internal, "no answer is under way"));
+        };
+        let frame = match frames.next_frame().await {
+            Ok(frame) => frame,
+            Err(e) => {
+                self.finish(Verdict::Failed);
+                return Err(work_failure(&e));
+            }
+        };
         match frame {
-            Frame::Refused { failure, .. } => {
-                self.finished = true;
+            Frame::Refused { failure, report } => {
+                self.finish(Verdict::Refused(Some(report)));
                 Err(failure.with_ran(Ran::No))
             }
             Frame::Failed { failure } => {
-                self.finished = true;
+                self.finish(Verdict::Failed);
                 Err(failure)
             }
-            frame => Ok(frame),
+            Frame::Head { report, .. } | Frame::End { report, .. } => {
+                self.report(&report);
+                Ok(frame)
+            }
+            frame @ Frame::Piece { .. } => Ok(frame),
+        }
+    }
+
+    fn report(&self, report: &LoadReport) {
+        if let Some(flight) = &self.flight {
+            flight.report(&self.upstream, report);
+        }
+    }
+
+    fn finish(&mut self, verdict: Verdict) {
+        if let Some(flight) = self.flight.take() {
+            flight.finish(verdict);
         }
     }
 
     fn out_of_order(&self) -> Failure {
-        Failure::new(
-            ErrorKind::UpstreamFailed,
-            "the agent sent a frame out of order",
-        )
+        let detail = format!("the agent of {} sent a frame out of order", self.upstream);
+        Failure::new(ErrorKind::UpstreamFailed, detail)
     }
 }
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        if self.finished {
+        if self.flight.is_none() {
             return;
         }
         let (client, agent, id) = (self.client.clone(), self.agent, self.id);
@@ -133,6 +197,7 @@
         idempotent: meta.idempotent,
         key: meta.key.clone(),
         claim: None,
+        credit: placed.credit,
         attempt: number,
         resume,
         method: job.call.method.clone(),
--- a/app/src/entry/core.rs
+++ b/app/src/entry/core.rs
@@ -1,30 +1,45 @@
 //! Placement state of an entry, shared by its threads.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::Duration;
 
 use pimentotide_caller::{Call, EntryAdvice};
 use pimentotide_instance::View;
 use pimentotide_model::{
-    Announcement, ErrorKind, Failure, InstanceName, ModelName, RequestMeta, Time, UpstreamName,
+    Announcement, ErrorKind, Failure, InstanceName, LoadReport, ModelName, RequestMeta,
+    RetryPolicy, ServiceName, Standing, Time, UpstreamName, ZoneName,
 };
 use pimentotide_observe::Metrics;
+use pimentotide_routing::{
+    EntryState, Failed, FairQueue, Finished, Placer, PlacerSettings, Retry, RetryBudget, Ticket,
+    advise,
+};
+use tokio::sync::{Notify, watch};
 
 use super::EntryOptions;
-use super::decision::Placed;
 use super::resolve::{Job, resolve};
+use super::waiting::Waiting;
+use crate::clock::Clock;
 
 /// One entry.
 pub(super) struct Core {
     options: EntryOptions,
-    start: Instant,
+    clock: Clock,
     inner: Mutex<Inner>,
 }
 
-#[derive(Default)]
-struct Inner {
-    flying: BTreeMap<UpstreamName, u32>,
+/// What the threads of an entry share.
+pub(super) struct Inner {
+    pub(super) placer: Placer,
+    pub(super) budget: RetryBudget,
+    pub(super) queues: BTreeMap<ServiceName, FairQueue<Waiting>>,
+    /// Services for which each upstream's agent is being asked for credits.
+    pub(super) asked: BTreeMap<UpstreamName, BTreeSet<ServiceName>>,
+    /// Wakes the attempts at an upstream that has been ejected.
+    pub(super) stalls: BTreeMap<UpstreamName, Arc<Notify>>,
+    pub(super) entries: Vec<EntryState>,
+    known: Arc<BTreeMap<UpstreamName, Announcement>>,
     running: usize,
     leaving: bool,
 }
@@ -32,18 +47,34 @@
 /// Counts a request as running until it is dropped.
 pub(super) struct Running(Arc<Core>);
 
-/// Counts an attempt against its upstream until it is dropped.
-pub(super) struct Flight {
-    core: Arc<Core>,
-    upstream: UpstreamName,
-}
-
 impl Core {
     pub(super) fn new(options: EntryOptions) -> Self {
+        let entries = u32::try_from(options.entries.len())
+            .unwrap_or(u32::MAX)
+            .max(1);
+        let settings = PlacerSettings::new(options.instance.clone(), options.zone.clone(), entries);
+        let states = options.entries.iter().map(|peer| EntryState {
+            instance: peer.name.clone(),
+            address: peer.address.to_string(),
+            zone: peer.zone.clone(),
+            stopping: false,
+            heard: Time::ZERO,
+        });
+        let inner = Inner {
+            placer: Placer::open(settings),
+            budget: RetryBudget::default(),
+            queues: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            stalls: BTreeMap::new(),
+            entries: states.collect(),
+            known: Arc::default(),
+            running: 0,
+            leaving: false,
+        };
         Self {
             options,
-            start: Instant::now(),
-            inner: Mutex::default(),
+            clock: Clock::start(),
+            inner: Mutex::new(inner),
         }
     }
 
@@ -57,18 +88,25 @@
 
     /// Time since the entry started.
     pub(super) fn now(&self) -> Time {
-        let micros = self.start.elapsed().as_micros();
-        Time::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+        self.clock.now()
     }
 
     pub(super) fn view(&self) -> View {
         self.options.view.borrow().clone()
     }
 
+    pub(super) fn views(&self) -> watch::Receiver<View> {
+        self.options.view.clone()
+    }
+
     pub(super) fn running(&self) -> usize {
         self.lock().running
     }
 
+    pub(super) fn is_leaving(&self) -> bool {
+        self.lock().leaving
+    }
+
     /// Refuses new requests from now on.
     pub(super) fn leave(&self) {
         self.lock().leaving = true;
@@ -87,64 +125,106 @@
         Ok((job, Running(Arc::clone(self))))
     }
 
-    /// Chooses an upstream other than those in `tried`.
-    pub(super) fn place(
-        &self,
-        meta: &RequestMeta,
-        tried: &[UpstreamName],
-    ) -> Result<Placed, Failure> {
+    /// Puts the latest configuration and membership into force.
+    pub(super) fn refresh(&self) {
         let view = self.view();
-        let inner = self.lock();
-        let fits = |a: &&Announcement| {
-            serves(a, meta)
-                && !a.leaving
-                && !tried.contains(&a.upstream)
-                && view.declarations.admits(&a.zone, &a.upstream)
-        };
-        let candidates: Vec<_> = view.upstreams.values().filter(fits).collect();
-        let load = |a: &Announcement| {
-            let flying = inner.flying.get(&a.upstream).copied().unwrap_or(0);
-            (
-                flying * 1_000 / a.capacity.max(1),
-                a.zone != self.options.zone,
-            )
+        let mut inner = self.lock();
+        if inner.placer.revision() < view.declarations.revision {
+            inner.placer.declare((*view.declarations).clone());
+            for (service, queue) in &mut inner.queues {
+                if let Some(profile) = view.declarations.profile_of(service) {
+                    queue.declare(profile.queue.clone(), profile.shares.clone());
+                }
+            }
+        }
+        let known = Arc::clone(&inner.known);
+        for (name, announcement) in view.upstreams.iter() {
+            if known.get(name) != Some(announcement) {
+                inner.placer.announce(announcement.clone());
+            }
+        }
+        for name in known.keys().filter(|n| !view.upstreams.contains_key(*n)) {
+            inner.placer.forget(name);
+            inner.stalls.remove(name);
+        }
+        inner.known = Arc::clone(&view.upstreams);
+    }
+
+    /// Takes the load that an agent reported.
+    pub(super) fn observe_report(&self, upstream: &UpstreamName, report: &LoadReport) {
+        let now = self.now();
+        self.lock().placer.observe_report(upstream, report, now);
+    }
+
+    /// Gives a booking back.
+    pub(super) fn finish(&self, ticket: Ticket, meta: &RequestMeta, done: &Finished) {
+        let now = self.now();
+        let mut inner = self.lock();
+        inner.placer.finish(ticket, meta, done, now);
+        if let Some(queue) = inner.queues.get_mut(&meta.service) {
+            queue.observe_answer(done.total);
+        }
+    }
+
+    /// Notes an answer in full, which earns a part of a retry.
+    pub(super) fn succeeded(&self, meta: &RequestMeta, policy: &RetryPolicy) {
+        let now = self.now();
+        self.lock()
+            .budget
+            .success(&meta.service, &meta.workspace, policy, now);
+    }
+
+    /// Pause before another attempt; none if there may be no other.
+    pub(super) fn may_retry(&self, job: &Job, attempt: u32) -> Option<Duration> {
+        let failed = Failed {
+            service: &job.meta.service,
+            workspace: &job.meta.workspace,
+            policy: &job.profile.retry,
+            attempt,
+            idempotent: job.meta.idempotent,
+            deadline: job.meta.deadline,
         };
-        let chosen = candidates.iter().min_by_key(|a| load(a)).ok_or_else(|| {
-            Failure::new(ErrorKind::NoUpstream, "no upstream in service offers this")
-        })?;
-        let agent = chosen.address.parse().map_err(|_| {
-            Failure::new(ErrorKind::NoUpstream, "the agent announced a bad address")
-        })?;
-        Ok(Placed {
-            upstream: chosen.upstream.clone(),
-            incarnation: chosen.incarnation,
-            agent,
-            considered: candidates.iter().map(|a| a.upstream.clone()).collect(),
-            reason: "least requests in flight",
-            revision: view.declarations.revision,
-        })
-    }
-
-    /// Counts an attempt against its upstream.
-    pub(super) fn fly(self: &Arc<Self>, upstream: &UpstreamName) -> Flight {
-        *self.lock().flying.entry(upstream.clone()).or_default() += 1;
-        Flight {
-            core: Arc::clone(self),
-            upstream: upstream.clone(),
+        match self
+            .lock()
+            .budget
+            .decide(&failed, self.now(), &mut rand::rng())
+        {
+            Retry::After(pause) => Some(pause),
+            Retry::Denied(_) => None,
         }
     }
 
     /// Names the entries that a caller in `zone` should use.
     pub(super) fn advice(&self, zone: Option<&str>) -> EntryAdvice {
-        let near = zone.unwrap_or(&self.options.zone);
-        let mut entries: Vec<_> = self.options.entries.iter().collect();
-        entries.sort_by_key(|e| (e.zone.as_str() != near, &e.name));
+        let near = zone.map_or_else(|| self.options.zone.clone(), ZoneName::from);
+        let view = self.view();
+        let now = self.now();
+        let inner = self.lock();
+        let mut entries = inner.entries.clone();
+        // This entry answers, so it is alive.
+        for own in entries
+            .iter_mut()
+            .filter(|e| e.instance == self.options.instance)
+        {
+            own.heard = now;
+            own.stopping = inner.leaving;
+        }
+        let standing = |zone: &ZoneName| {
+            view.declarations
+                .zones
+                .get(zone)
+                .copied()
+                .unwrap_or(Standing::In)
+        };
+        let advice = advise(Some(&near), &entries, standing, now, &mut rand::rng());
+        let addresses = advice.addresses.iter().filter_map(|address| {
+            let entry = entries.iter().find(|e| e.address == *address)?;
+            Some((address.parse().ok()?, entry.zone.clone()))
+        });
+        let keep = advice.keep.min(self.options.settings.keep);
         EntryAdvice {
-            addresses: entries
-                .iter()
-                .map(|e| (e.address, e.zone.clone()))
-                .collect(),
-            keep: self.options.settings.keep,
+            addresses: addresses.collect(),
+            keep,
         }
     }
 
@@ -153,36 +233,24 @@
         let view = self.view();
         let declared = view.declarations.services.keys();
         let profiles = declared.filter_map(|s| view.declarations.profile_of(s));
-        let mut models: Vec<_> = profiles.filter_map(|p| p.model.clone()).collect();
-        models.sort();
-        models.dedup();
-        models
+        let models: BTreeSet<_> = profiles.filter_map(|p| p.model.clone()).collect();
+        models.into_iter().collect()
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.0.lock().running -= 1;
+impl Inner {
+    /// Wakes when the upstream has been ejected.
+    pub(super) fn stall_of(&mut self, upstream: &UpstreamName) -> Arc<Notify> {
+        Arc::clone(self.stalls.entry(upstream.clone()).or_default())
     }
 }
 
-impl Drop for Flight {
+impl Drop for Running {
     fn drop(&mut self) {
-        if let Some(flying) = self.core.lock().flying.get_mut(&self.upstream) {
-            *flying -= 1;
-        }
-    }
-}
-
-fn serves(announcement: &Announcement, meta: &RequestMeta) -> bool {
-    match &meta.model {
-        Some(model) => announcement.models.iter().any(|(name, version)| {
-            name == model && meta.version.as_ref().is_none_or(|v| v == version)
-        }),
-        None => announcement.services.contains(&meta.service),
+        self.0.lock().running -= 1;
     }
 }
--- a/app/src/entry/decision.rs
+++ b/app/src/entry/decision.rs
@@ -1,24 +1,9 @@
 //! One log line for each routing decision.
 
-use pimentotide_model::{Incarnation, RequestMeta, Revision, UpstreamName};
+use pimentotide_model::{RequestMeta, Revision};
 use serde::Serialize;
 
-/// Where a request goes, and why.
-#[derive(Clone, Debug)]
-pub(super) struct Placed {
-    /// Upstream that was chosen.
-    pub(super) upstream: UpstreamName,
-    /// Start of the upstream.
-    pub(super) incarnation: Incarnation,
-    /// Address of its agent.
-    pub(super) agent: std::net::SocketAddr,
-    /// Upstreams that were considered.
-    pub(super) considered: Vec<UpstreamName>,
-    /// Why this one.
-    pub(super) reason: &'static str,
-    /// Configuration in force.
-    pub(super) revision: Revision,
-}
+use super::placing::Placed;
 
 #[derive(Serialize)]
 struct Line<'a> {
@@ -26,29 +11,42 @@
     workspace: &'a str,
     service: &'a str,
     profile: &'a str,
+    priority: u8,
     attempt: u32,
-    considered: &'a [UpstreamName],
+    considered: Vec<Considered<'a>>,
     choice: Option<&'a str>,
-    reason: &'a str,
+    reason: String,
+    waited_ms: u128,
     revision: Revision,
 }
 
+#[derive(Serialize)]
+struct Considered<'a> {
+    upstream: &'a str,
+    score_us: u64,
+    load: u64,
+    allowance: u32,
+    cached_blocks: u32,
+}
+
 /// Logs where a request goes.
 pub(super) fn log_placed(meta: &RequestMeta, profile: &str, attempt: u32, placed: &Placed) {
-    pimentotide_observe::event(
-        "route",
-        &Line {
-            request: meta.id.to_string(),
-            workspace: &meta.workspace,
-            service: &meta.service,
-            profile,
-            attempt,
-            considered: &placed.considered,
-            choice: Some(&placed.upstream),
-            reason: placed.reason,
-            revision: placed.revision,
-        },
-    );
+    let considered = placed.candidates.iter().map(|c| Considered {
+        upstream: &c.upstream,
+        score_us: c.score as u64,
+        load: c.load as u64,
+        allowance: c.allowance,
+        cached_blocks: c.hit,
+    });
+    let line = Line {
+        considered: considered.collect(),
+        choice: Some(&placed.upstream),
+        reason: placed.reason.to_string(),
+        waited_ms: placed.waited.as_millis(),
+        revision: placed.revision,
+        ..line(meta, profile, attempt)
+    };
+    pimentotide_observe::event("route", &line);
 }
 
 /// Logs that a request goes nowhere.
@@ -59,18 +57,26 @@
     reason: &str,
     revision: Revision,
 ) {
-    pimentotide_observe::event(
-        "route",
-        &Line {
-            request: meta.id.to_string(),
-            workspace: &meta.workspace,
-            service: &meta.service,
-            profile,
-            attempt,
-            considered: &[],
-            choice: None,
-            reason,
-            revision,
-        },
-    );
+    let refused = Line {
+        reason: reason.to_owned(),
+        revision,
+        ..line(meta, profile, attempt)
+    };
+    pimentotide_observe::event("route", &refused);
+}
+
+fn line<'a>(meta: &'a RequestMeta, profile: &'a str, attempt: u32) -> Line<'a> {
+    Line {
+        request: meta.id.to_string(),
+        workspace: &meta.workspace,
+        service: &meta.service,
+        profile,
+        priority: meta.priority.0,
+        attempt,
+        considered: Vec::new(),
+        choice: None,
+        reason: String::new(),
+        waited_ms: 0,
+        revision: Revision::default(),
+    }
 }
--- a/app/src/entry/dispatch.rs
+++ b/app/src/entry/dispatch.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::stream;
-use pimentotide_caller::{Answer, AnswerBody, Call, EntryAdvice, PieceStream, Service};
+use pimentotide_caller::{Answer, AnswerBody, Call, EntryAdvice, Health, PieceStream, Service};
 use pimentotide_instance::work::WorkClient;
 use pimentotide_model::{Failure, ModelName};
 
@@ -48,6 +48,13 @@
         self.core.advice(zone)
     }
 
+    fn health(&self) -> Health {
+        Health {
+            instance: self.core.name().clone(),
+            stopping: self.core.is_leaving(),
+        }
+    }
+
     fn models(&self) -> Vec<ModelName> {
         self.core.models()
     }
--- a/app/src/entry/mod.rs
+++ b/app/src/entry/mod.rs
@@ -8,13 +8,17 @@
 mod core;
 mod decision;
 mod dispatch;
+mod placing;
 mod relay;
 mod resolve;
+mod tasks;
+mod waiting;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix_rt::task::JoinHandle;
 use pimentotide_caller::{CallerError, CallerOptions, CallerServer};
 use pimentotide_instance::work::WorkClient;
 use pimentotide_instance::{Token, View};
@@ -52,6 +56,7 @@
     core: Arc<Core>,
     server: CallerServer,
     drain: Duration,
+    tasks: Vec<JoinHandle<()>>,
 }
 
 impl Entry {
@@ -64,6 +69,8 @@
         let settings = options.settings.clone();
         let token = options.token.clone();
         let core = Arc::new(Core::new(options));
+        core.refresh();
+        let tasks = tasks::spawn(&core, &WorkClient::open(token.clone()));
         let shared = Arc::clone(&core);
         let server = CallerServer::bind(
             &CallerOptions {
@@ -78,6 +85,7 @@
             core,
             server,
             drain: settings.drain,
+            tasks,
         })
     }
 
@@ -101,5 +109,8 @@
             );
         }
         self.server.stop().await;
+        for task in self.tasks {
+            task.abort();
+        }
     }
 }
--- a/app/src/entry/relay.rs
+++ b/app/src/entry/relay.rs
@@ -6,14 +6,16 @@
 use bytes::Bytes;
 use pimentotide_instance::work::WorkClient;
 use pimentotide_model::{ErrorKind, Failure, Ran, UpstreamName};
+use pimentotide_routing::RetryBudget;
 
 use super::attempt::{Attempt, Head, Step};
 use super::core::{Core, Running};
 use super::decision::{log_placed, log_refused};
+use super::placing::{self, Placed};
 use super::resolve::Job;
 
 /// Refusals by agents after which a request is given up.
-const MAX_REFUSALS: u32 = 8;
+const MAX_REFUSALS: u32 = 16;
 
 /// One answer on its way to the caller.
 pub(super) struct Relay {
@@ -24,6 +26,7 @@
     tried: Vec<UpstreamName>,
     attempts: u32,
     refusals: u32,
+    last: Option<Failure>,
     position: u64,
     _running: Running,
 }
@@ -38,6 +41,7 @@
             tried: Vec::new(),
             attempts: 0,
             refusals: 0,
+            last: None,
             position: 0,
             _running: running,
         }
@@ -51,9 +55,10 @@
     /// Places the request until an upstream begins to answer.
     pub(super) async fn begin(&mut self) -> Result<Head, Failure> {
         loop {
-            match self.try_once().await {
+            let placed = self.place().await?;
+            match self.send(placed).await {
                 Ok(head) => return Ok(head),
-                Err(failure) => self.may_retry(failure)?,
+                Err(failure) => self.may_retry(failure).await?,
             }
         }
     }
@@ -93,7 +98,7 @@
                 Ok(Step::Piece(_, data)) => return Ok(Some(data)),
                 Ok(Step::End(_)) => return Ok(None),
                 Err(failure) => {
-                    self.may_retry(failure)?;
+                    self.may_retry(failure).await?;
                     body.clear();
                     self.begin().await?;
                 }
@@ -106,39 +111,27 @@
         let Some(attempt) = &mut self.current else {
             return Err(Failure::new(ErrorKind::Internal, "no attempt is running"));
         };
-        tokio::time::timeout(left, attempt.next())
+        let step = tokio::time::timeout(left, attempt.next())
             .await
-            .unwrap_or_else(|_| Err(late()))
+            .unwrap_or_else(|_| Err(late()));
+        if matches!(step, Ok(Step::End(_))) {
+            self.core.succeeded(&self.job.meta, &self.job.profile.retry);
+        }
+        step
     }
 
-    async fn try_once(&mut self) -> Result<Head, Failure> {
+    async fn send(&mut self, placed: Placed) -> Result<Head, Failure> {
+        log_placed(
+            &self.job.meta,
+            &self.job.profile.name,
+            self.attempts + 1,
+            &placed,
+        );
         self.attempts += 1;
-        let profile = self.job.profile.name.clone();
-        let placed = match self.core.place(&self.job.meta, &self.tried) {
-            Ok(placed) => placed,
-            Err(failure) => {
-                let revision = self.core.view().declarations.revision;
-                log_refused(
-                    &self.job.meta,
-                    &profile,
-                    self.attempts,
-                    &failure.detail,
-                    revision,
-                );
-                return Err(failure);
-            }
-        };
-        log_placed(&self.job.meta, &profile, self.attempts, &placed);
         self.tried.push(placed.upstream.clone());
+        let (number, resume) = (self.attempts, self.position);
         let left = self.time_left();
-        let begin = Attempt::begin(
-            &self.core,
-            &self.client,
-            &self.job,
-            &placed,
-            self.attempts,
-            self.position,
-        );
+        let begin = Attempt::begin(&self.core, &self.client, &self.job, placed, number, resume);
         let begun = tokio::time::timeout(left, begin)
             .await
             .unwrap_or_else(|_| Err(late()));
@@ -147,33 +140,71 @@
         Ok(head)
     }
 
+    async fn place(&mut self) -> Result<Placed, Failure> {
+        let left = self.time_left();
+        let place = placing::place(&self.core, &self.client, &self.job, &self.tried);
+        let placed = match tokio::time::timeout(left, place).await {
+            Ok(placed) => placed,
+            Err(_) => Err(late().with_ran(Ran::No)),
+        };
+        placed.map_err(|failure| {
+            let revision = self.core.view().declarations.revision;
+            let profile = &self.job.profile.name;
+            log_refused(
+                &self.job.meta,
+                profile,
+                self.attempts + 1,
+                &failure.detail,
+                revision,
+            );
+            self.unplaced(failure)
+        })
+    }
+
+    /// Tells what became of the request, not only of its last placement.
+    fn unplaced(&mut self, failure: Failure) -> Failure {
+        match self.last.take() {
+            Some(last) if last.ran != Ran::No => last,
+            _ => Failure {
+                ran: Ran::No,
+                ..failure
+            },
+        }
+    }
+
     /// Goes on elsewhere after `failure`, from the piece that comes next.
     async fn resume(&mut self, failure: Failure) -> Result<(), Failure> {
-        self.may_retry(failure).map_err(|f| Failure {
+        let broken = |f| Failure {
             kind: ErrorKind::StreamBroken,
             ran: Ran::Yes,
             ..f
-        })?;
-        self.begin().await.map(drop)
+        };
+        self.may_retry(failure).await.map_err(broken)?;
+        self.begin().await.map(drop).map_err(broken)
     }
 
     /// Passes `failure` on unless another attempt is allowed.
-    fn may_retry(&mut self, failure: Failure) -> Result<(), Failure> {
+    async fn may_retry(&mut self, failure: Failure) -> Result<(), Failure> {
         self.current = None;
-        if failure.kind == ErrorKind::NoUpstream && self.tried.is_empty() {
+        if is_final(failure.kind) {
             return Err(failure);
         }
-        let harmless = failure.ran == Ran::No;
-        if harmless {
+        if failure.ran == Ran::No {
             self.refusals += 1;
+            if !RetryBudget::may_replace(self.refusals) {
+                // The agents that refused may be asked for credits.
+                self.tried.clear();
+            }
+            let hopeless = self.refusals >= MAX_REFUSALS || self.time_left().is_zero();
+            return if hopeless { Err(failure) } else { Ok(()) };
         }
-        let left = self.attempts < self.job.profile.retry.attempts + self.refusals;
-        let allowed = left && self.refusals <= MAX_REFUSALS && !self.time_left().is_zero();
-        let placed_all = failure.kind == ErrorKind::NoUpstream;
-        if allowed && !placed_all && (harmless || self.job.meta.idempotent) {
-            return Ok(());
-        }
-        Err(failure)
+        let ran = self.attempts - self.refusals.min(self.attempts - 1);
+        let Some(pause) = self.core.may_retry(&self.job, ran) else {
+            return Err(failure);
+        };
+        self.last = Some(failure);
+        tokio::time::sleep(pause).await;
+        Ok(())
     }
 
     fn time_left(&self) -> Duration {
@@ -181,6 +212,18 @@
     }
 }
 
+/// Whether no other upstream would answer differently.
+fn is_final(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::InvalidRequest
+            | ErrorKind::DeadlineExceeded
+            | ErrorKind::Cancelled
+            | ErrorKind::CrashingRequest
+            | ErrorKind::Internal
+    )
+}
+
 fn late() -> Failure {
     Failure::new(ErrorKind::DeadlineExceeded, "the deadline passed")
 }
--- /dev/null
+++ b/app/src/entry/tasks.rs
@@ -0,0 +1,156 @@
+//! What an entry does in the background.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_rt::task::JoinHandle;
+use pimentotide_caller::Health;
+use pimentotide_instance::work::{News, NewsOrder, WorkClient};
+use pimentotide_model::{Incarnation, InstanceName, UpstreamName};
+use pimentotide_routing::{CacheChange, CacheEvent};
+
+use super::core::Core;
+use super::waiting;
+
+/// Time between looks at the queues.
+const QUEUE_TICK: Duration = Duration::from_millis(20);
+
+/// Time between two requests for news to one agent.
+const NEWS_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time between two looks at another entry.
+const PEER_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time allowed for another entry to say how it is.
+const PEER_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Other entries that one entry looks at.
+const MAX_PEERS: usize = 16;
+
+/// Starts the background tasks of an entry.
+pub(super) fn spawn(core: &Arc<Core>, client: &WorkClient) -> Vec<JoinHandle<()>> {
+    let mut tasks = vec![
+        actix_rt::spawn(follow(Arc::clone(core))),
+        actix_rt::spawn(tick(Arc::clone(core), client.clone())),
+        actix_rt::spawn(gather_news(Arc::clone(core), client.clone())),
+    ];
+    let others: Vec<_> = core
+        .lock()
+        .entries
+        .iter()
+        .map(|e| e.instance.clone())
+        .collect();
+    for other in others
+        .into_iter()
+        .filter(|o| o != core.name())
+        .take(MAX_PEERS)
+    {
+        tasks.push(actix_rt::spawn(look_at(Arc::clone(core), other)));
+    }
+    tasks
+}
+
+/// Puts each change of configuration or membership into force.
+async fn follow(core: Arc<Core>) {
+    let mut views = core.views();
+    core.refresh();
+    while views.changed().await.is_ok() {
+        core.refresh();
+    }
+}
+
+async fn tick(core: Arc<Core>, client: WorkClient) {
+    loop {
+        tokio::time::sleep(QUEUE_TICK).await;
+        waiting::tick(&core, &client);
+    }
+}
+
+/// Asks each agent in turn for its load and its cache events.
+async fn gather_news(core: Arc<Core>, client: WorkClient) {
+    let mut known = std::collections::BTreeMap::<UpstreamName, NewsOrder>::new();
+    loop {
+        let upstreams = Arc::clone(&core.view().upstreams);
+        known.retain(|name, _| upstreams.contains_key(name));
+        let pause = NEWS_PAUSE / u32::try_from(upstreams.len().max(1)).unwrap_or(u32::MAX);
+        for (name, announcement) in upstreams.iter() {
+            tokio::time::sleep(pause).await;
+            let Ok(agent) = announcement.address.parse::<SocketAddr>() else {
+                continue;
+            };
+            let order = known
+                .get(name)
+                .filter(|o| o.incarnation == announcement.incarnation)
+                .copied()
+                .unwrap_or(NewsOrder {
+                    incarnation: announcement.incarnation,
+                    sequence: 0,
+                });
+            match client.news(agent, &order).await {
+                Ok(news) => drop(known.insert(name.clone(), take_news(&core, name, order, &news))),
+                Err(e) => log::debug!("asking the agent of {name} for news failed: {e}"),
+            }
+        }
+        if upstreams.is_empty() {
+            tokio::time::sleep(NEWS_PAUSE).await;
+        }
+    }
+}
+
+/// Takes in what an agent said; returns what to ask next.
+fn take_news(core: &Core, upstream: &UpstreamName, order: NewsOrder, news: &News) -> NewsOrder {
+    core.observe_report(upstream, &news.report);
+    let incarnation: Incarnation = news.report.incarnation;
+    let now = core.now();
+    let mut inner = core.lock();
+    for event in &news.events {
+        let blocks = vec![event.block];
+        let change = if event.stored {
+            CacheChange::Stored(blocks)
+        } else {
+            CacheChange::Evicted(blocks)
+        };
+        let event = CacheEvent {
+            incarnation,
+            sequence: event.sequence,
+            change,
+        };
+        inner.placer.observe_cache(upstream, event, now);
+    }
+    let sequence = news.events.last().map_or(order.sequence, |e| e.sequence);
+    NewsOrder {
+        incarnation,
+        sequence,
+    }
+}
+
+/// Keeps up with whether another entry serves callers.
+async fn look_at(core: Arc<Core>, other: InstanceName) {
+    let client = awc::Client::default();
+    loop {
+        let address = core
+            .lock()
+            .entries
+            .iter()
+            .find(|e| e.instance == other)
+            .map(|e| e.address.clone());
+        if let Some(address) = address
+            && let Some(health) = health_of(&client, &address).await
+        {
+            let now = core.now();
+            let mut inner = core.lock();
+            for entry in inner.entries.iter_mut().filter(|e| e.instance == other) {
+                entry.heard = now;
+                entry.stopping = health.stopping;
+            }
+        }
+        tokio::time::sleep(PEER_PAUSE).await;
+    }
+}
+
+async fn health_of(client: &awc::Client, address: &str) -> Option<Health> {
+    let url = format!("http://{address}/v1/health");
+    let mut answer = client.get(url).timeout(PEER_TIMEOUT).send().await.ok()?;
+    answer.json().await.ok()
+}
--- a/app/src/lib.rs
+++ b/app/src/lib.rs
@@ -1,6 +1,7 @@
 //! Load balancer for expert-parallel model groups: roles, settings and commands.
 
 pub mod agent;
+pub mod clock;
 pub mod entry;
 pub mod local;
 pub mod options;
--- a/app/src/local/deployment.rs
+++ b/app/src/local/deployment.rs
@@ -58,7 +58,6 @@
         let token = new_token();
         let view = watch::Sender::new(View {
             declarations: Arc::new(declarations()),
-            current: true,
             ..View::default()
         });
         let mut deployment = Self {
--- a/peers/caller/src/call.rs
+++ b/peers/caller/src/call.rs
@@ -8,9 +8,10 @@
 use bytes::Bytes;
 use futures_util::Stream;
 use pimentotide_model::{
-    AdapterName, Failure, IdemKey, ModelName, Priority, RequestId, ServiceName, VersionName,
-    WorkspaceName, ZoneName,
+    AdapterName, Failure, IdemKey, InstanceName, ModelName, Priority, RequestId, ServiceName,
+    VersionName, WorkspaceName, ZoneName,
 };
+use serde::{Deserialize, Serialize};
 
 /// One request of a caller.
 #[derive(Clone, Debug, PartialEq)]
@@ -79,6 +80,15 @@
     pub keep: Duration,
 }
 
+/// Whether an entry serves callers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Health {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Whether it takes no new requests.
+    pub stopping: bool,
+}
+
 /// Whatever places requests and runs them.
 pub trait Service: Clone + 'static {
     /// Runs one request. Dropping the future gives the request up.
@@ -87,6 +97,9 @@
     /// Names the entries that a caller in `zone` should use.
     fn entries(&self, zone: Option<&str>) -> EntryAdvice;
 
+    /// Tells whether this entry serves callers.
+    fn health(&self) -> Health;
+
     /// Names the models in service.
     fn models(&self) -> Vec<ModelName>;
 }
--- a/peers/caller/src/routes.rs
+++ b/peers/caller/src/routes.rs
@@ -31,6 +31,7 @@
 {
     routes
         .service(resource("/v1/entries", web::get().to(entries::<S>)))
+        .service(resource("/v1/health", web::get().to(health::<S>)))
         .service(resource("/v1/models", web::get().to(models::<S>)))
         .service(resource(
             "/v1/completions",
@@ -61,6 +62,13 @@
     }))
 }
 
+async fn health<S>(service: web::ThinData<S>) -> HttpResponse
+where
+    S: Service,
+{
+    HttpResponse::Ok().json(service.0.health())
+}
+
 async fn models<S>(service: web::ThinData<S>) -> HttpResponse
 where
     S: Service,
--- a/peers/caller/src/server.rs
+++ b/peers/caller/src/server.rs
@@ -72,6 +72,7 @@
                 .configure(configure::<S>)
         })
         .workers(options.threads)
+        .tcp_nodelay(true)
         .client_request_timeout(HEAD_TIMEOUT)
         .keep_alive(KEEP_ALIVE)
         .shutdown_timeout(seconds)
--- a/peers/instance/src/view.rs
+++ b/peers/instance/src/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Instant;
 
 use pimentotide_model::{Announcement, Declarations, UpstreamName};
 
@@ -12,6 +13,6 @@
     pub declarations: Arc<Declarations>,
     /// Upstreams that announce themselves.
     pub upstreams: Arc<BTreeMap<UpstreamName, Announcement>>,
-    /// Whether the lease on being current runs.
-    pub current: bool,
+    /// When the lease on being current runs out; never in a deployment without control.
+    pub lease: Option<Instant>,
 }
--- a/peers/instance/src/work/client.rs
+++ b/peers/instance/src/work/client.rs
@@ -13,8 +13,13 @@
 use derive_more::Display;
 use futures_util::{Stream, StreamExt};
 use pimentotide_model::RequestId;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
-use super::{CANCEL_PATH, Frame, FrameDecoder, WORK_PATH, WorkOrder};
+use super::{
+    CANCEL_PATH, DEMAND_PATH, DemandAnswer, DemandOrder, Frame, FrameDecoder, MAX_FRAME_BYTES,
+    NEWS_PATH, News, NewsOrder, WORK_PATH, WorkOrder,
+};
 use crate::Token;
 
 /// Time allowed for connecting to an agent.
@@ -26,6 +31,9 @@
 /// Time allowed for an agent to take note of a cancellation.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time allowed for an agent to answer a demand or a request for news.
+const ASK_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Why work did not get an answer.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum WorkError {
@@ -108,6 +116,53 @@
     }
 }
 
+impl WorkClient {
+    /// States what waits here; answered when credits are granted or after a while.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the agent does not answer in time.
+    pub async fn demand(
+        &self,
+        agent: SocketAddr,
+        order: &DemandOrder,
+    ) -> Result<DemandAnswer, WorkError> {
+        self.ask(agent, DEMAND_PATH, order).await
+    }
+
+    /// Asks what the agent knows of its upstream.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the agent does not answer in time.
+    pub async fn news(&self, agent: SocketAddr, order: &NewsOrder) -> Result<News, WorkError> {
+        self.ask(agent, NEWS_PATH, order).await
+    }
+
+    async fn ask<Q, A>(&self, agent: SocketAddr, path: &str, order: &Q) -> Result<A, WorkError>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+    {
+        let malformed = |e: postcard::Error| WorkError::Broken(e.to_string());
+        let body = postcard::to_stdvec(order).map_err(malformed)?;
+        let mut answer = self
+            .client
+            .post(format!("http://{agent}{path}"))
+            .insert_header((AUTHORIZATION, self.token.header()))
+            .timeout(ASK_TIMEOUT)
+            .send_body(body)
+            .await
+            .map_err(|e| send_error(&e))?;
+        if answer.status() != StatusCode::OK {
+            return Err(WorkError::Rejected(answer.status().as_u16()));
+        }
+        let body = answer.body().limit(MAX_FRAME_BYTES).await;
+        let body = body.map_err(|e| WorkError::Broken(e.to_string()))?;
+        postcard::from_bytes(&body).map_err(malformed)
+    }
+}
+
 /// Frames of one answer as they arrive.
 pub struct FrameStream {
     chunks: Pin<Box<dyn Stream<Item = Result<Bytes, String>>>>,
--- a/peers/instance/src/work/mod.rs
+++ b/peers/instance/src/work/mod.rs
@@ -6,10 +6,12 @@
 //! that stops without one is a failure, never a short answer.
 
 mod client;
+mod demand;
 mod frame;
 mod order;
 
 pub use client::{FrameStream, WorkClient, WorkError};
+pub use demand::{BlockEvent, DemandAnswer, DemandOrder, News, NewsOrder};
 pub use frame::{Frame, FrameDecoder, FrameError, MAX_FRAME_BYTES};
 pub use order::{MAX_ORDER_BYTES, OrderError, WorkOrder};
 
@@ -18,3 +20,9 @@
 
 /// Path to which entries post the id of a request that they give up.
 pub const CANCEL_PATH: &str = "/cancel";
+
+/// Path to which entries post their demand; answered when credits are granted.
+pub const DEMAND_PATH: &str = "/demand";
+
+/// Path to which entries post requests for load and cache events.
+pub const NEWS_PATH: &str = "/news";
--- a/peers/instance/src/work/order.rs
+++ b/peers/instance/src/work/order.rs
@@ -7,6 +7,7 @@
     ClaimId, IdemKey, Incarnation, InstanceName, Priority, RequestId, Revision, ServiceName,
     WorkspaceName,
 };
+use pimentotide_routing::CreditId;
 use serde::{Deserialize, Serialize};
 
 /// Largest encoded order, in bytes.
@@ -37,6 +38,8 @@
     pub key: Option<IdemKey>,
     /// Right to run it; set for non-idempotent requests.
     pub claim: Option<ClaimId>,
+    /// Credit to use.
+    pub credit: Option<CreditId>,
     /// Number of the attempt, from 1.
     pub attempt: u32,
     /// Pieces of the answer that the entry has already.
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -55,6 +55,7 @@
                 .configure(|routes| configure(routes, data.options.kind))
         })
         .workers(1)
+        .tcp_nodelay(true)
         .disable_signals()
         .bind(listen)
         .map_err(failed)?;
