Outcome: exhaustive crash exploration and properties of the pure machines

Cause: the promises of at most one run, whole streams and at most two crashes need a check that does not trust the machines' own counters.

--- a/decision/model/src/error.rs
+++ b/decision/model/src/error.rs
@@ -125,7 +125,7 @@
 }
 
 /// One failure: its kind, whether the request ran, and what exactly happened.
-#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[display("{kind}: {detail}")]
 pub struct Failure {
     /// Kind of error.
--- a/decision/outcome/src/assembly.rs
+++ b/decision/outcome/src/assembly.rs
@@ -17,7 +17,7 @@
 const MAX_GAP: Duration = Duration::from_secs(2);
 
 /// One piece of a streamed answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Piece<T> {
     /// One token.
     Token {
@@ -42,7 +42,7 @@
 }
 
 /// Why an answer cannot become whole.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
 pub enum Fault {
     /// A piece did not come while later ones did.
     #[display("token {_0} is missing")]
@@ -59,7 +59,7 @@
 }
 
 /// How far an answer has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Progress {
     /// More is to come.
     Open,
@@ -70,7 +70,7 @@
 }
 
 /// Answer to one request while it arrives.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub struct Assembly<T> {
     request: RequestId,
     attempt: u32,
--- a/decision/outcome/src/attempt.rs
+++ b/decision/outcome/src/attempt.rs
@@ -28,7 +28,7 @@
 /// Inquiries about a claim of another entry before its agent counts as silent.
 const MAX_FOREIGN: u32 = 5;
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum State {
     Choosing,
     Claiming(Place),
@@ -42,7 +42,7 @@
 }
 
 /// Claim that is asked about.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Subject {
     held: ClaimRef,
     place: Place,
@@ -50,7 +50,7 @@
 }
 
 /// Progress of one non-idempotent request at its entry.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub struct Attempt {
     intent: Intent,
     state: State,
--- a/decision/outcome/src/attempt/message.rs
+++ b/decision/outcome/src/attempt/message.rs
@@ -10,7 +10,7 @@
 use crate::{ClaimRef, Command, Finding, NotRun, Outcome, Place, Reply};
 
 /// What a caller wants done once.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Intent {
     /// Identifier of the request, unique in the deployment.
     pub request: RequestId,
@@ -31,7 +31,7 @@
 }
 
 /// What the shell tells the attempt.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Event {
     /// An upstream was chosen.
     Chosen(Place),
@@ -60,7 +60,7 @@
 }
 
 /// What the shell carries out.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Action {
     /// Choose an upstream for this attempt.
     Choose {
@@ -99,7 +99,7 @@
 }
 
 /// What the caller is told.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Answer {
     /// The answer of the one run.
     Outcome(Arc<Outcome>),
--- a/decision/outcome/src/blob.rs
+++ b/decision/outcome/src/blob.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 /// Immutable bytes, cheap to clone.
-#[derive(Clone, Debug, Default, Deref, From, Into, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, Deref, From, Into, PartialEq, Eq, Hash)]
 #[deref(forward)]
 pub struct Blob(pub Bytes);
 
--- a/decision/outcome/src/cancel.rs
+++ b/decision/outcome/src/cancel.rs
@@ -1,7 +1,7 @@
 //! What becomes of the work when its caller goes away.
 
 /// What is known of the work whose caller went away.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Work {
     /// Whether it may run more than once.
     pub idempotent: bool,
@@ -12,7 +12,7 @@
 }
 
 /// What to do with the work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum CancelPlan {
     /// Take it out of the queue: it has not run.
     Drop,
--- a/decision/outcome/src/claim.rs
+++ b/decision/outcome/src/claim.rs
@@ -34,7 +34,7 @@
 pub struct LedgerEpoch(pub u64);
 
 /// Where a claim may run: one start of an upstream, one memory of its agent.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Place {
     /// Upstream.
     pub upstream: UpstreamName,
@@ -45,7 +45,9 @@
 }
 
 /// Identifies a proposal, the same when it is proposed again.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Ticket {
     /// Request at the entry.
     pub request: RequestId,
@@ -54,7 +56,7 @@
 }
 
 /// Asks for the right to run one non-idempotent request in one place.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Claim {
     /// Identifies this proposal.
     pub ticket: Ticket,
@@ -75,7 +77,7 @@
 }
 
 /// A granted claim together with the key that it stands for.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ClaimRef {
     /// Workspace of the key.
     pub workspace: WorkspaceName,
@@ -86,7 +88,7 @@
 }
 
 /// Body of a recorded answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Body {
     /// All of it.
     Whole(Blob),
@@ -100,7 +102,7 @@
 }
 
 /// Answer of a request that ran to its end.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Outcome {
     /// HTTP status.
     pub status: u16,
--- a/decision/outcome/src/journal.rs
+++ b/decision/outcome/src/journal.rs
@@ -15,7 +15,7 @@
 use crate::{Claim, ClaimRef, Crash, Limits, Outcome, Place, Suspicion, Ticket, Verdict, Witness};
 
 /// Change to the journal of claims, replicated before it takes effect.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Command {
     /// Asks for the right to run a request, or for what its key stands for.
     Claim(Claim),
@@ -69,7 +69,7 @@
 }
 
 /// Answer to a command.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Reply {
     /// Nothing to tell.
     Done,
@@ -108,7 +108,7 @@
 }
 
 /// Claims and outcomes of non-idempotent requests, equal on every replica.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Journal {
     limits: Limits,
     last: ClaimId,
--- a/decision/outcome/src/ledger.rs
+++ b/decision/outcome/src/ledger.rs
@@ -15,7 +15,7 @@
 use crate::{LedgerEpoch, Outcome, Place};
 
 /// Bounds of an agent's memory.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct LedgerLimits {
     /// Closed claims remembered.
     pub closed: usize,
@@ -36,7 +36,7 @@
 }
 
 /// Why a claim did not run and never will.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum NotRun {
     /// Another entry asked about it first.
     Barred,
@@ -49,7 +49,7 @@
 }
 
 /// What to do with a claim that arrives to be run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Begin {
     /// Run it now.
     Run,
@@ -64,7 +64,7 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Conclusion {
     /// With an answer.
     Finished(Arc<Outcome>),
@@ -77,7 +77,7 @@
 }
 
 /// Answer to an inquiry about a claim.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Finding {
     /// It is running.
     Running,
@@ -91,7 +91,7 @@
     Lost,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Mark {
     Running,
     Finished(Arc<Outcome>),
@@ -101,7 +101,7 @@
 }
 
 /// Claims that one agent process has seen.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub struct AgentLedger {
     epoch: LedgerEpoch,
     incarnation: Incarnation,
--- a/decision/outcome/src/resume.rs
+++ b/decision/outcome/src/resume.rs
@@ -6,7 +6,7 @@
 use crate::Verdict;
 
 /// State of a request whose stream broke off.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Break {
     /// Whether the request may run more than once.
     pub idempotent: bool,
@@ -25,7 +25,7 @@
 }
 
 /// Where the next engine gets the KV cache from.
-#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, Hash)]
 pub enum KvSource {
     /// Exported by this upstream.
     #[display("import from {_0}")]
@@ -36,7 +36,7 @@
 }
 
 /// What happens to the request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum ResumePlan {
     /// Go on elsewhere at token `from`.
     Continue {
--- a/decision/outcome/src/suspicion.rs
+++ b/decision/outcome/src/suspicion.rs
@@ -39,7 +39,7 @@
 const MAX_REFUSED: usize = 1_024;
 
 /// Who saw an upstream die.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Witness {
     /// An entry that lost the whole instance.
     Entry,
@@ -48,7 +48,7 @@
 }
 
 /// Death of one start of an upstream with what was running on it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Crash {
     /// Upstream that died.
     pub upstream: UpstreamName,
@@ -63,7 +63,7 @@
 }
 
 /// How a content may run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Verdict {
     /// Like any other.
     Free,
@@ -75,7 +75,7 @@
     Refused(Duration),
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 struct Event {
     upstream: UpstreamName,
     incarnation: Incarnation,
@@ -87,14 +87,14 @@
     excused: BTreeSet<Fingerprint>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 struct Trial {
     ticket: Ticket,
     until: Time,
 }
 
 /// Contents under suspicion, equal on every replica.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Suspicion {
     events: VecDeque<Event>,
     trials: BTreeMap<Fingerprint, Trial>,
--- a/decision/outcome/src/window.rs
+++ b/decision/outcome/src/window.rs
@@ -17,7 +17,7 @@
 use crate::{Outcome, Place, Ticket};
 
 /// Bounds of what the journal keeps, the same on every replica.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Limits {
     /// Workspaces with any key.
     pub workspaces: usize,
@@ -56,7 +56,7 @@
 }
 
 /// How far a claim has come.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) enum Phase {
     /// Granted and not closed.
     Running,
@@ -67,7 +67,7 @@
 }
 
 /// What a key stands for.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct Record {
     pub(crate) claim: ClaimId,
     pub(crate) ticket: Ticket,
@@ -80,7 +80,7 @@
 }
 
 /// What stays of a closed record without its answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct Tombstone {
     pub(crate) finished: bool,
     content: u64,
@@ -108,7 +108,7 @@
 }
 
 /// Keys of one workspace.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct Window {
     records: BTreeMap<IdemKey, Record>,
     running: BTreeMap<ClaimId, IdemKey>,
--- /dev/null
+++ b/decision/outcome/tests/it/decisions.rs
@@ -0,0 +1,132 @@
+//! Tables of the decisions about broken streams and about callers that go away.
+
+use std::time::Duration;
+
+use pimentotide_model::{Time, UpstreamName};
+use pimentotide_outcome::{Break, ResumePlan, Verdict, Work, after_break, on_caller_gone};
+
+const DEADLINE: Time = Time::from_millis(10_000);
+
+fn base() -> Break {
+    Break {
+        idempotent: true,
+        delivered: 12,
+        resumable: true,
+        attempts: 1,
+        deadline: DEADLINE,
+        exporter: None,
+        verdict: Verdict::Free,
+    }
+}
+
+fn told(plan: &ResumePlan) -> String {
+    match plan {
+        ResumePlan::Fail(failure) => format!("fail {failure} (ran: {})", failure.ran),
+        plan => format!("{plan:?}"),
+    }
+}
+
+#[test]
+fn broken_streams() {
+    let exporter = Some(UpstreamName::from("draft-2"));
+    let wait = |seconds| Verdict::Wait(Duration::from_secs(seconds));
+    let cases = [
+        ("resume", base()),
+        ("resume from export", Break { exporter, ..base() }),
+        (
+            "nothing delivered",
+            Break {
+                delivered: 0,
+                resumable: false,
+                ..base()
+            },
+        ),
+        (
+            "not resumable",
+            Break {
+                resumable: false,
+                ..base()
+            },
+        ),
+        (
+            "not idempotent",
+            Break {
+                idempotent: false,
+                ..base()
+            },
+        ),
+        (
+            "no attempts",
+            Break {
+                attempts: 0,
+                ..base()
+            },
+        ),
+        (
+            "past the deadline",
+            Break {
+                deadline: Time::ZERO,
+                ..base()
+            },
+        ),
+        (
+            "suspected",
+            Break {
+                verdict: Verdict::Alone,
+                ..base()
+            },
+        ),
+        (
+            "suspected, nothing delivered",
+            Break {
+                verdict: Verdict::Alone,
+                delivered: 0,
+                ..base()
+            },
+        ),
+        (
+            "quiet",
+            Break {
+                verdict: wait(3),
+                ..base()
+            },
+        ),
+        (
+            "quiet past the deadline",
+            Break {
+                verdict: wait(30),
+                ..base()
+            },
+        ),
+        (
+            "refused",
+            Break {
+                verdict: Verdict::Refused(DEADLINE.since(Time::ZERO)),
+                ..base()
+            },
+        ),
+    ];
+    let lines: Vec<String> = cases
+        .iter()
+        .map(|(name, state)| format!("{name}: {}", told(&after_break(state, Time::ZERO))))
+        .collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn callers_that_go_away() {
+    let mut lines = Vec::new();
+    for idempotent in [true, false] {
+        for sent in [false, true] {
+            for waiting in [0, 1] {
+                let work = Work {
+                    idempotent,
+                    sent,
+                    waiting,
+                };
+                lines.push(format!("{work:?}: {:?}", on_caller_gone(work)));
+            }
+        }
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- /dev/null
+++ b/decision/outcome/tests/it/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the outcome package.
+
+mod assembly;
+mod at_most_once;
+mod decisions;
+mod journal;
+mod ledger;
+mod suspicion;
+mod world;
--- /dev/null
+++ b/decision/outcome/tests/it/suspicion.rs
@@ -0,0 +1,288 @@
+//! A request that crashes what runs it is found after two crashes, and only that one.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use pimentotide_model::{Fingerprint, Incarnation, RequestId, Time, UpstreamName, ZoneName};
+use pimentotide_outcome::{Crash, Suspicion, Ticket, Verdict, Witness};
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+const ENTRIES: usize = 9;
+const UPSTREAMS: usize = 6;
+const INNOCENTS: usize = 12;
+const STEP: Duration = Duration::from_millis(100);
+/// Time after which a caller that was answered has asked again everywhere.
+const RESEND: Duration = Duration::from_secs(3);
+const MAX_STEPS: usize = 3_000;
+
+fn content(i: usize) -> Fingerprint {
+    Fingerprint::of([i.to_string().as_bytes()])
+}
+
+fn zone(i: usize) -> ZoneName {
+    ZoneName::from(["accra-a", "accra-b", "tema-c"][i % 3])
+}
+
+fn crash(upstream: usize, incarnation: u64, suspects: &[usize], witness: Witness) -> Crash {
+    Crash {
+        upstream: UpstreamName::from(format!("draft-{upstream}")),
+        incarnation: Incarnation(incarnation),
+        zone: Some(zone(upstream)),
+        witness,
+        suspects: suspects.iter().map(|i| content(*i)).collect(),
+    }
+}
+
+fn ticket(request: usize) -> Ticket {
+    Ticket {
+        request: RequestId(request as u128),
+        attempt: 1,
+    }
+}
+
+/// One copy of a content at an entry; content 0 crashes what runs it.
+#[derive(Clone, Debug)]
+struct Copy {
+    content: usize,
+    request: usize,
+    due: Time,
+    alone: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Upstream {
+    incarnation: u64,
+    running: Vec<Copy>,
+}
+
+/// Nine entries with views that lag, upstreams and the committed suspicion.
+struct Fleet {
+    now: Time,
+    suspicion: Suspicion,
+    history: Vec<BTreeSet<Fingerprint>>,
+    lag: usize,
+    queue: Vec<Copy>,
+    upstreams: Vec<Upstream>,
+    crashes: usize,
+    refused: BTreeSet<usize>,
+    done: BTreeSet<usize>,
+    resent: bool,
+    dice: Vec<u32>,
+    drawn: usize,
+}
+
+impl Fleet {
+    fn new(lag: usize, dice: Vec<u32>) -> Self {
+        let queue = (0..=INNOCENTS).map(|content| Copy {
+            content,
+            request: content,
+            due: Time::ZERO,
+            alone: false,
+        });
+        Self {
+            now: Time::ZERO,
+            suspicion: Suspicion::default(),
+            history: Vec::new(),
+            lag,
+            queue: queue.collect(),
+            upstreams: vec![Upstream::default(); UPSTREAMS],
+            crashes: 0,
+            refused: BTreeSet::new(),
+            done: BTreeSet::new(),
+            resent: false,
+            dice,
+            drawn: 0,
+        }
+    }
+
+    fn draw(&mut self, sides: usize) -> usize {
+        self.drawn += 1;
+        let die = self.dice[self.drawn % self.dice.len()] as usize;
+        die.wrapping_mul(self.drawn.wrapping_mul(2_654_435_761) | 1) / 7 % sides
+    }
+
+    fn run(&mut self) {
+        for _ in 0..MAX_STEPS {
+            self.history.push(self.suspicion.contents());
+            let due: Vec<Copy> = self.queue.extract_if(.., |c| c.due <= self.now).collect();
+            due.into_iter().for_each(|copy| self.place(copy));
+            (0..UPSTREAMS).for_each(|i| self.work(i));
+            self.now += STEP;
+        }
+    }
+
+    fn place(&mut self, mut copy: Copy) {
+        let seen = self.history.len().saturating_sub(1 + self.lag);
+        if !self.history[seen].contains(&content(copy.content)) {
+            return self.start(copy);
+        }
+        let allowed = Duration::from_secs(60);
+        let (print, ticket) = (content(copy.content), ticket(copy.request));
+        match self.suspicion.admit(print, ticket, allowed, self.now) {
+            Verdict::Free => self.start(copy),
+            Verdict::Alone => {
+                copy.alone = true;
+                self.start(copy);
+            }
+            Verdict::Wait(pause) => {
+                copy.due = self.now + pause;
+                self.queue.push(copy);
+            }
+            Verdict::Refused(_) => {
+                self.refused.insert(copy.content);
+            }
+        }
+    }
+
+    fn start(&mut self, mut copy: Copy) {
+        let first = self.draw(UPSTREAMS);
+        let fits = |u: &Upstream| match u.running.first() {
+            None => true,
+            Some(other) => !copy.alone && !other.alone,
+        };
+        let order = (0..UPSTREAMS).map(|i| (first + i) % UPSTREAMS);
+        match order.into_iter().find(|i| fits(&self.upstreams[*i])) {
+            Some(i) => {
+                copy.due = self.now + STEP * (1 + u32::try_from(self.draw(20)).unwrap());
+                self.upstreams[i].running.push(copy);
+            }
+            None => {
+                self.suspicion
+                    .release(content(copy.content), ticket(copy.request));
+                copy.alone = false;
+                copy.due = self.now + STEP;
+                self.queue.push(copy);
+            }
+        }
+    }
+
+    fn work(&mut self, i: usize) {
+        let now = self.now;
+        let ready = |c: &mut Copy| c.due <= now;
+        if self.upstreams[i]
+            .running
+            .iter()
+            .any(|c| c.content == 0 && c.due <= now)
+        {
+            return self.crash(i);
+        }
+        for copy in self.upstreams[i]
+            .running
+            .extract_if(.., ready)
+            .collect::<Vec<_>>()
+        {
+            self.suspicion.clear(content(copy.content));
+            self.done.insert(copy.content);
+        }
+    }
+
+    fn crash(&mut self, i: usize) {
+        self.crashes += 1;
+        let running = std::mem::take(&mut self.upstreams[i].running);
+        let suspects: Vec<usize> = running.iter().map(|c| c.content).collect();
+        let report = crash(i, self.upstreams[i].incarnation, &suspects, Witness::Agent);
+        self.suspicion.report(&report, self.now);
+        self.suspicion.report(&report, self.now);
+        self.upstreams[i].incarnation += 1;
+        for mut copy in running {
+            copy.due = self.now + STEP * u32::try_from(self.lag + 1).unwrap();
+            copy.alone = false;
+            self.queue.push(copy);
+        }
+        self.resend_everywhere();
+    }
+
+    /// The caller of content 0 sends it again through all entries at once.
+    fn resend_everywhere(&mut self) {
+        if std::mem::replace(&mut self.resent, true) {
+            return;
+        }
+        let wait = if self.lag == 0 { STEP } else { RESEND };
+        for entry in 0..ENTRIES {
+            self.queue.push(Copy {
+                content: 0,
+                request: 1_000 + entry,
+                due: self.now + wait,
+                alone: false,
+            });
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    #[test]
+    fn two_crashes_at_most_and_no_innocent_refused(
+        lag in 0..20usize,
+        dice in vec(any::<u32>(), 16..64),
+    ) {
+        let mut fleet = Fleet::new(lag, dice);
+        fleet.run();
+        prop_assert!(fleet.crashes <= 2, "{} crashes", fleet.crashes);
+        prop_assert_eq!(fleet.refused, BTreeSet::from([0]));
+        prop_assert_eq!(fleet.done, (1..=INNOCENTS).collect::<BTreeSet<_>>());
+    }
+}
+
+fn verdicts(suspicion: &Suspicion, seconds: u64) -> String {
+    let at = Time::ZERO + Duration::from_secs(seconds);
+    let told = (0..6).map(|i| {
+        let verdict = suspicion.verdict(content(i), ticket(i), at);
+        format!("{i}: {verdict:?}")
+    });
+    format!("after {seconds} s: {}", told.collect::<Vec<_>>().join(", "))
+}
+
+#[test]
+fn the_death_of_a_zone_is_no_evidence_against_requests() {
+    let mut suspicion = Suspicion::default();
+    let at = Time::from_millis;
+    let mut lines = Vec::new();
+    suspicion.report(&crash(0, 1, &[0, 1, 5], Witness::Agent), at(0));
+    suspicion.report(&crash(3, 1, &[2, 5], Witness::Agent), at(300));
+    lines.push(verdicts(&suspicion, 1));
+    suspicion.report(&crash(6, 1, &[3, 4], Witness::Agent), at(1_900));
+    lines.push(verdicts(&suspicion, 2));
+    lines.push(verdicts(&suspicion, 10));
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn one_content_that_crashes_three_upstreams_of_a_zone_is_not_excused() {
+    let mut suspicion = Suspicion::default();
+    for (i, upstream) in [0, 3, 6].into_iter().enumerate() {
+        suspicion.report(&crash(upstream, 1, &[0, i + 1], Witness::Agent), Time::ZERO);
+    }
+    insta::assert_snapshot!(verdicts(&suspicion, 5));
+}
+
+#[test]
+fn a_lost_instance_counts_only_when_it_happens_again() {
+    let mut suspicion = Suspicion::default();
+    let mut lines = Vec::new();
+    suspicion.report(&crash(0, 1, &[0, 1], Witness::Entry), Time::ZERO);
+    lines.push(verdicts(&suspicion, 5));
+    suspicion.report(&crash(1, 1, &[0, 2], Witness::Entry), Time::ZERO);
+    lines.push(verdicts(&suspicion, 5));
+    suspicion.report(&crash(0, 1, &[3], Witness::Agent), Time::ZERO);
+    lines.push(verdicts(&suspicion, 5));
+    lines.push(verdicts(&suspicion, 599));
+    suspicion.expire(Time::ZERO + Duration::from_secs(600));
+    lines.push(verdicts(&suspicion, 600));
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn memory_of_crashes_is_bounded() {
+    let mut suspicion = Suspicion::default();
+    let many: Vec<usize> = (0..700).collect();
+    for i in 0..400 {
+        suspicion.report(
+            &crash(i, 1, &many, Witness::Agent),
+            Time::from_millis(i as u64 * 10_000),
+        );
+    }
+    assert!(suspicion.contents().len() <= 1_024 + 512);
+}
