Outcome: suspects wait for copies of their content in flight

Cause: with the committed suspicion alone, a copy of a crashing content that was sent before its entry heard of the first crash could be the third crash.

Change: a claim or a trial of a suspected content waits while another claim of the same content runs; entries stop other copies in flight (on_suspicion); the model of nine entries now has a stray copy, entries whose views lag by up to 2 s and runs of up to 6 s.

Conclusion: holds in the model, given that entries stop copies and that views lag by less than the quiet time.

--- a/decision/outcome/src/cancel.rs
+++ b/decision/outcome/src/cancel.rs
@@ -1,4 +1,4 @@
-//! What becomes of the work when its caller goes away.
+//! What becomes of work whose caller goes away or whose content is suspected.
 
 /// What is known of the work whose caller went away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -36,3 +36,14 @@
         CancelPlan::Finish
     }
 }
+
+/// Decides about work in flight whose content has come under suspicion.
+///
+/// A copy that was not admitted after the crash is stopped, so that it does
+/// not crash another upstream, and asks for admission before it runs again.
+pub fn on_suspicion(work: Work, admitted: bool) -> CancelPlan {
+    if admitted {
+        return CancelPlan::Finish;
+    }
+    on_caller_gone(Work { waiting: 0, ..work })
+}
--- a/decision/outcome/src/journal.rs
+++ b/decision/outcome/src/journal.rs
@@ -14,6 +14,9 @@
 use crate::window::{Held, Phase, Record, Window};
 use crate::{Claim, ClaimRef, Crash, Limits, Outcome, Place, Suspicion, Ticket, Verdict, Witness};
 
+/// Pause of a suspected content while a claim of the same content runs.
+const TWIN_PAUSE: Duration = Duration::from_secs(1);
+
 /// Change to the journal of claims, replicated before it takes effect.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Command {
@@ -145,7 +148,7 @@
                 content,
                 ticket,
                 allowed,
-            } => Reply::Verdict(self.suspicion.admit(*content, *ticket, *allowed, at)),
+            } => Reply::Verdict(self.admit(*content, *ticket, *allowed, at)),
             Command::EndTrial { content, ticket } => {
                 self.suspicion.release(*content, *ticket);
                 Reply::Done
@@ -204,7 +207,7 @@
             return Reply::Full;
         }
         let (content, ticket) = (claim.fingerprint, claim.ticket);
-        let verdict = self.suspicion.admit(content, ticket, claim.allowed, at);
+        let verdict = self.admit(content, ticket, claim.allowed, at);
         let alone = match verdict {
             Verdict::Free => false,
             Verdict::Alone => true,
@@ -220,6 +223,21 @@
         }
     }
 
+    /// Admits a content; a suspect waits for running claims of the same content.
+    fn admit(
+        &mut self,
+        content: Fingerprint,
+        ticket: Ticket,
+        allowed: Duration,
+        at: Time,
+    ) -> Verdict {
+        let verdict = self.suspicion.verdict(content, ticket, at);
+        if verdict == Verdict::Alone && self.windows.values().any(|w| w.runs(content, ticket)) {
+            return Verdict::Wait(TWIN_PAUSE);
+        }
+        self.suspicion.admit(content, ticket, allowed, at)
+    }
+
     fn record(&self, claim: &Claim, at: Time) -> Record {
         Record {
             claim: self.last,
--- a/decision/outcome/src/lib.rs
+++ b/decision/outcome/src/lib.rs
@@ -24,7 +24,7 @@
 pub use assembly::{Assembly, Fault, Piece, Progress};
 pub use attempt::{Action, Answer, Attempt, Event, Intent};
 pub use blob::Blob;
-pub use cancel::{CancelPlan, Work, on_caller_gone};
+pub use cancel::{CancelPlan, Work, on_caller_gone, on_suspicion};
 pub use claim::{
     Body, Claim, ClaimRef, LedgerEpoch, MAX_RECORDED_BYTES, Outcome, Place, Ticket, generated_key,
 };
--- a/decision/outcome/src/window.rs
+++ b/decision/outcome/src/window.rs
@@ -137,6 +137,12 @@
             .map_or(Held::Nothing, |t| Held::Tombstone(*t))
     }
 
+    /// Whether another attempt runs this content.
+    pub(crate) fn runs(&self, content: Fingerprint, except: Ticket) -> bool {
+        let mut running = self.running.values().map(|key| &self.records[key]);
+        running.any(|r| r.fingerprint == content && r.ticket != except)
+    }
+
     /// Makes room for one more key; false if there is none.
     pub(crate) fn make_room(&mut self, limits: &Limits, at: Time) -> bool {
         self.prune(limits, at);
--- a/decision/outcome/tests/it/decisions.rs
+++ b/decision/outcome/tests/it/decisions.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use pimentotide_model::{Time, UpstreamName};
-use pimentotide_outcome::{Break, ResumePlan, Verdict, Work, after_break, on_caller_gone};
+use pimentotide_outcome::{
+    Break, ResumePlan, Verdict, Work, after_break, on_caller_gone, on_suspicion,
+};
 
 const DEADLINE: Time = Time::from_millis(10_000);
 
@@ -114,7 +116,7 @@
 }
 
 #[test]
-fn callers_that_go_away() {
+fn callers_that_go_away_and_contents_that_are_suspected() {
     let mut lines = Vec::new();
     for idempotent in [true, false] {
         for sent in [false, true] {
@@ -124,7 +126,9 @@
                     sent,
                     waiting,
                 };
-                lines.push(format!("{work:?}: {:?}", on_caller_gone(work)));
+                let gone = on_caller_gone(work);
+                let suspected = [false, true].map(|admitted| on_suspicion(work, admitted));
+                lines.push(format!("{work:?}: {gone:?}, suspected {suspected:?}"));
             }
         }
     }
--- a/decision/outcome/tests/it/journal.rs
+++ b/decision/outcome/tests/it/journal.rs
@@ -44,7 +44,7 @@
         fingerprint: Fingerprint::of([content.as_bytes()]),
         place: Place {
             upstream: UpstreamName::from("register-1"),
-            incarnation: Incarnation(1),
+            incarnation: Incarnation(u64::try_from(request).unwrap()),
             epoch: LedgerEpoch(1),
         },
         allowed: 30 * SECOND,
@@ -198,6 +198,39 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+/// Keys a to d ask for one content; the upstream dies while it runs a, then c.
+#[test]
+fn claims_of_a_suspected_content() {
+    let mut journal = Journal::default();
+    let lost = |key, claim| Command::Lose {
+        held: held("kumasi", key, claim),
+        crashed: true,
+    };
+    let script = [
+        (0, "a", claim("kumasi", "a", "x", 1)),
+        (0, "b", claim("kumasi", "b", "x", 2)),
+        (1, "a dies", lost("a", 1)),
+        (2, "c in the quiet time", claim("kumasi", "c", "x", 3)),
+        (4, "c while b runs", claim("kumasi", "c", "x", 3)),
+        (5, "b did not run", Command::Release(held("kumasi", "b", 2))),
+        (5, "c", claim("kumasi", "c", "x", 3)),
+        (5, "d while c runs", claim("kumasi", "d", "x", 4)),
+        (5, "other content", claim("kumasi", "e", "y", 5)),
+        (6, "c dies", lost("c", 3)),
+        (6, "d", claim("kumasi", "d", "x", 4)),
+        (605, "d", claim("kumasi", "d", "x", 4)),
+        (606, "d", claim("kumasi", "d", "x", 4)),
+    ];
+    let lines: Vec<String> = script
+        .iter()
+        .map(|(seconds, name, command)| {
+            let reply = journal.apply(command, Time::ZERO + SECOND * *seconds);
+            format!("{name} at {seconds} s: {}", told(&reply))
+        })
+        .collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
 #[test]
 fn an_answer_too_large_to_repeat_leaves_its_digest() {
     let largest = usize::try_from(MAX_RECORDED_BYTES).unwrap() - "etag7".len();
--- a/decision/outcome/tests/it/suspicion.rs
+++ b/decision/outcome/tests/it/suspicion.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use pimentotide_model::{Fingerprint, Incarnation, RequestId, Time, UpstreamName, ZoneName};
-use pimentotide_outcome::{Crash, Suspicion, Ticket, Verdict, Witness};
+use pimentotide_outcome::{
+    CancelPlan, Crash, Suspicion, Ticket, Verdict, Witness, Work, on_suspicion,
+};
 use proptest::collection::vec;
 use proptest::prelude::*;
 
@@ -48,6 +50,10 @@
     request: usize,
     due: Time,
     alone: bool,
+    /// Whether its entry has seen it crash.
+    known: bool,
+    /// Whether it was admitted after it came under suspicion.
+    admitted: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -79,6 +85,8 @@
             request: content,
             due: Time::ZERO,
             alone: false,
+            known: false,
+            admitted: false,
         });
         Self {
             now: Time::ZERO,
@@ -105,6 +113,7 @@
     fn run(&mut self) {
         for _ in 0..MAX_STEPS {
             self.history.push(self.suspicion.contents());
+            self.stop_suspects();
             let due: Vec<Copy> = self.queue.extract_if(.., |c| c.due <= self.now).collect();
             due.into_iter().for_each(|copy| self.place(copy));
             (0..UPSTREAMS).for_each(|i| self.work(i));
@@ -112,11 +121,34 @@
         }
     }
 
+    /// What the entries have heard of so far.
+    fn view(&self) -> &BTreeSet<Fingerprint> {
+        &self.history[self.history.len().saturating_sub(1 + self.lag)]
+    }
+
+    /// Stops the copies in flight that were started before the suspicion was heard of.
+    fn stop_suspects(&mut self) {
+        let view = self.view().clone();
+        for upstream in &mut self.upstreams {
+            let stopped = upstream.running.extract_if(.., |copy| {
+                let work = Work {
+                    idempotent: true,
+                    sent: true,
+                    waiting: 0,
+                };
+                let suspected = view.contains(&content(copy.content));
+                suspected && on_suspicion(work, copy.admitted) == CancelPlan::Stop
+            });
+            self.queue.extend(stopped);
+        }
+    }
+
     fn place(&mut self, mut copy: Copy) {
-        let seen = self.history.len().saturating_sub(1 + self.lag);
-        if !self.history[seen].contains(&content(copy.content)) {
+        copy.admitted = false;
+        if !copy.known && !self.view().contains(&content(copy.content)) {
             return self.start(copy);
         }
+        copy.admitted = true;
         let allowed = Duration::from_secs(60);
         let (print, ticket) = (content(copy.content), ticket(copy.request));
         match self.suspicion.admit(print, ticket, allowed, self.now) {
@@ -144,7 +176,7 @@
         let order = (0..UPSTREAMS).map(|i| (first + i) % UPSTREAMS);
         match order.into_iter().find(|i| fits(&self.upstreams[*i])) {
             Some(i) => {
-                copy.due = self.now + STEP * (1 + u32::try_from(self.draw(20)).unwrap());
+                copy.due = self.now + STEP * (1 + u32::try_from(self.draw(60)).unwrap());
                 self.upstreams[i].running.push(copy);
             }
             None => {
@@ -186,25 +218,38 @@
         self.suspicion.report(&report, self.now);
         self.upstreams[i].incarnation += 1;
         for mut copy in running {
-            copy.due = self.now + STEP * u32::try_from(self.lag + 1).unwrap();
+            copy.due = self.now;
             copy.alone = false;
+            copy.known = true;
             self.queue.push(copy);
         }
         self.resend_everywhere();
     }
 
-    /// The caller of content 0 sends it again through all entries at once.
+    /// The caller of content 0 sends it again through all entries at once, and
+    /// once through an entry that has not heard of the crash.
     fn resend_everywhere(&mut self) {
         if std::mem::replace(&mut self.resent, true) {
             return;
         }
         let wait = if self.lag == 0 { STEP } else { RESEND };
+        let stray = Copy {
+            content: 0,
+            request: 2_000,
+            due: self.now,
+            alone: false,
+            known: false,
+            admitted: false,
+        };
+        self.queue.push(stray);
         for entry in 0..ENTRIES {
             self.queue.push(Copy {
                 content: 0,
                 request: 1_000 + entry,
                 due: self.now + wait,
                 alone: false,
+                known: false,
+                admitted: false,
             });
         }
     }
