--- a/decision/outcome/src/attempt.rs
+++ b/decision/outcome/src/attempt.rs
@@ -246,10 +246,7 @@
     }
 
     fn settle(&mut self, held: ClaimRef, outcome: Arc<Outcome>) -> Vec<Action> {
-        let command = Command::Settle {
-            held: held.clone(),
-            outcome: Arc::new(outcome.bounded()),
-        };
+        let command = self.settle_command(&held, &outcome);
         self.enter(State::Settling(held, outcome));
         vec![propose(command, Duration::ZERO)]
     }
@@ -310,10 +307,7 @@
             return self.finish();
         }
         let command = match &self.state {
-            State::Settling(held, outcome) => Command::Settle {
-                held: held.clone(),
-                outcome: Arc::new(outcome.bounded()),
-            },
+            State::Settling(held, outcome) => self.settle_command(held, outcome),
             State::Releasing(held, _) => Command::Release(held.clone()),
             State::Losing(held, crashed) => Command::Lose {
                 held: held.clone(),
@@ -354,16 +348,7 @@
     /// Tells the caller what its key stands for.
     fn tell(&mut self, reply: &Reply) -> Vec<Action> {
         match reply {
-            Reply::Recorded(outcome) => match &outcome.body {
-                Body::Whole(_) => self.answer_outcome(Arc::clone(outcome)),
-                Body::Digest { bytes, .. } => {
-                    let detail = format!(
-                        "it ran with status {}; its answer of {bytes} bytes is too large to repeat",
-                        outcome.status
-                    );
-                    self.fail(unrepeatable(&detail))
-                }
-            },
+            Reply::Recorded(outcome) => self.repeat(outcome),
             Reply::Spent => self.fail(unrepeatable("it ran; its answer is no longer kept")),
             Reply::Unknown => {
                 let detail = "nobody can tell whether the request ran; it will not run again";
@@ -381,6 +366,19 @@
         }
     }
 
+    /// Repeats a recorded answer, if all of it was recorded.
+    fn repeat(&mut self, outcome: &Arc<Outcome>) -> Vec<Action> {
+        let status = outcome.status;
+        let detail = match &outcome.body {
+            Body::Whole(_) => return self.answer_outcome(Arc::clone(outcome)),
+            Body::Digest { bytes, .. } => {
+                format!("it ran with status {status}; {bytes} bytes are too many to repeat")
+            }
+            Body::Omitted => format!("it ran with status {status}; its answer is not kept"),
+        };
+        self.fail(unrepeatable(&detail))
+    }
+
     fn still_running(&mut self) -> Vec<Action> {
         let detail = "a request with this key is still running";
         self.fail(Failure::new(ErrorKind::StillRunning, detail))
@@ -464,6 +462,18 @@
         })
     }
 
+    fn settle_command(&self, held: &ClaimRef, outcome: &Outcome) -> Command {
+        let recorded = if self.intent.generated {
+            outcome.omitted()
+        } else {
+            outcome.bounded()
+        };
+        Command::Settle {
+            held: held.clone(),
+            outcome: Arc::new(recorded),
+        }
+    }
+
     fn look_command(&self) -> Command {
         Command::Look {
             workspace: self.intent.workspace.clone(),
--- a/decision/outcome/src/claim.rs
+++ b/decision/outcome/src/claim.rs
@@ -11,7 +11,10 @@
 use crate::Blob;
 
 /// Largest answer, headers and body together, that is recorded whole.
-pub const MAX_RECORDED_BYTES: u64 = 256 << 10;
+pub const MAX_RECORDED_BYTES: u64 = 128 << 10;
+
+/// Longest key of a request, bytes.
+pub const MAX_KEY_BYTES: usize = 128;
 
 /// Start of an agent's memory of claims: two memories never share a number.
 #[derive(
@@ -99,6 +102,8 @@
         /// BLAKE3 digest of the body.
         digest: [u8; 32],
     },
+    /// Left out, since nobody can ask for it again.
+    Omitted,
 }
 
 /// Answer of a request that ran to its end.
@@ -118,7 +123,7 @@
         let headers: usize = self.headers.iter().map(|(n, v)| n.len() + v.len()).sum();
         let body = match &self.body {
             Body::Whole(blob) => blob.len(),
-            Body::Digest { .. } => size_of::<Body>(),
+            Body::Digest { .. } | Body::Omitted => size_of::<Body>(),
         };
         (headers + body) as u64
     }
@@ -134,7 +139,7 @@
                 bytes: blob.len() as u64,
                 digest: *blake3::hash(blob).as_bytes(),
             },
-            digest @ Body::Digest { .. } => digest.clone(),
+            short @ (Body::Digest { .. } | Body::Omitted) => short.clone(),
         };
         Self {
             status: self.status,
@@ -142,6 +147,16 @@
             body,
         }
     }
+
+    /// Returns what is recorded of it under a key that an entry made up.
+    #[must_use]
+    pub fn omitted(&self) -> Self {
+        Self {
+            status: self.status,
+            headers: Vec::new(),
+            body: Body::Omitted,
+        }
+    }
 }
 
 /// Makes up the key of a request that came without one.
--- a/decision/outcome/src/journal.rs
+++ b/decision/outcome/src/journal.rs
@@ -12,7 +12,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::window::{Held, Phase, Record, Window};
-use crate::{Claim, ClaimRef, Crash, Limits, Outcome, Place, Suspicion, Ticket, Verdict, Witness};
+use crate::{
+    Claim, ClaimRef, Crash, Limits, MAX_KEY_BYTES, Outcome, Place, Suspicion, Ticket, Verdict,
+    Witness,
+};
 
 /// Pause of a suspected content while a claim of the same content runs.
 const TWIN_PAUSE: Duration = Duration::from_secs(1);
@@ -252,6 +255,9 @@
     }
 
     fn has_room(&mut self, claim: &Claim, at: Time) -> bool {
+        if claim.key.len() > MAX_KEY_BYTES {
+            return false;
+        }
         let room = self.windows.len() < self.limits.workspaces;
         match self.windows.get_mut(&claim.workspace) {
             Some(window) => window.make_room(&self.limits, at),
@@ -343,7 +349,7 @@
 
     fn close(&mut self, held: &ClaimRef, phase: Phase, at: Time) {
         if let Some(window) = self.windows.get_mut(&held.workspace) {
-            window.close(&held.key, phase, at);
+            window.close(&held.key, phase, &self.limits, at);
         }
     }
 
--- a/decision/outcome/src/lib.rs
+++ b/decision/outcome/src/lib.rs
@@ -26,7 +26,8 @@
 pub use blob::Blob;
 pub use cancel::{CancelPlan, Work, on_caller_gone, on_suspicion};
 pub use claim::{
-    Body, Claim, ClaimRef, LedgerEpoch, MAX_RECORDED_BYTES, Outcome, Place, Ticket, generated_key,
+    Body, Claim, ClaimRef, LedgerEpoch, MAX_KEY_BYTES, MAX_RECORDED_BYTES, Outcome, Place, Ticket,
+    generated_key,
 };
 pub use journal::{Command, Journal, Reply};
 pub use ledger::{AgentLedger, Begin, Conclusion, Finding, LedgerLimits, NotRun};
--- a/decision/outcome/src/window.rs
+++ b/decision/outcome/src/window.rs
@@ -17,6 +17,8 @@
 use crate::{Outcome, Place, Ticket};
 
 /// Bounds of what the journal keeps, the same on every replica.
+///
+/// With the defaults a full journal fits into a snapshot of 256 MiB.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Limits {
     /// Workspaces with any key.
@@ -42,11 +44,11 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            workspaces: 64,
-            running: 4_096,
-            records: 8_192,
-            bytes: 4 << 20,
-            keys: 200_000,
+            workspaces: 48,
+            running: 512,
+            records: 2_048,
+            bytes: 1 << 20,
+            keys: 32_768,
             answers: Duration::from_secs(3_600),
             longest: Duration::from_secs(24 * 3_600),
             shortest: Duration::from_secs(3_600),
@@ -170,7 +172,12 @@
     }
 
     /// Ends a running claim, or puts an answer in place of an unknown outcome.
-    pub(crate) fn close(&mut self, key: &IdemKey, phase: Phase, at: Time) {
+    pub(crate) fn close(&mut self, key: &IdemKey, phase: Phase, limits: &Limits, at: Time) {
+        self.end(key, phase, at);
+        self.prune(limits, at);
+    }
+
+    fn end(&mut self, key: &IdemKey, phase: Phase, at: Time) {
         let Some(record) = self.records.get_mut(key) else {
             return;
         };
@@ -212,7 +219,7 @@
             .cloned()
             .collect();
         for key in overdue {
-            self.close(&key, Phase::Unknown, at);
+            self.end(&key, Phase::Unknown, at);
         }
     }
 
--- a/decision/outcome/tests/it/journal.rs
+++ b/decision/outcome/tests/it/journal.rs
@@ -9,12 +9,14 @@
     WorkspaceName,
 };
 use pimentotide_outcome::{
-    Blob, Body, Claim, ClaimRef, Command, Journal, LedgerEpoch, Limits, MAX_RECORDED_BYTES,
-    Outcome, Place, Reply, Ticket,
+    Blob, Body, Claim, ClaimRef, Command, Journal, LedgerEpoch, Limits, MAX_KEY_BYTES,
+    MAX_RECORDED_BYTES, Outcome, Place, Reply, Ticket,
 };
 use proptest::collection::vec;
 use proptest::prelude::*;
 
+/// Longest snapshot of all replicated state.
+const MAX_SNAPSHOT_BYTES: usize = 256 << 20;
 const SECOND: Duration = Duration::from_secs(1);
 
 fn limits() -> Limits {
@@ -44,7 +46,7 @@
         fingerprint: Fingerprint::of([content.as_bytes()]),
         place: Place {
             upstream: UpstreamName::from("register-1"),
-            incarnation: Incarnation(u64::try_from(request).unwrap()),
+            incarnation: Incarnation(u64::try_from(request).unwrap_or(u64::MAX)),
             epoch: LedgerEpoch(1),
         },
         allowed: 30 * SECOND,
@@ -240,6 +242,42 @@
     assert!(bounded.size() < 100);
 }
 
+/// Fills a workspace with the longest names, keys and answers that are kept.
+fn fill_workspace(journal: &mut Journal, limits: &Limits) {
+    let workspace = "w".repeat(128);
+    for i in 0..limits.keys + limits.running {
+        let key = format!("{i:0>width$}", width = MAX_KEY_BYTES);
+        let Command::Claim(mut claim) = claim(&workspace, &key, "x", u128::MAX - i as u128) else {
+            unreachable!("claim() builds a claim");
+        };
+        claim.place.upstream = UpstreamName::from("u".repeat(128));
+        let reply = journal.apply(&Command::Claim(claim), Time::from_micros(u64::MAX / 2));
+        let Reply::Granted { claim, .. } = reply else {
+            return;
+        };
+        if i < limits.keys - limits.running {
+            let bytes = usize::try_from(limits.bytes).unwrap() / limits.records;
+            let settled = settle(held(&workspace, &key, claim.0), bytes - "etag7".len());
+            journal.apply(&settled, Time::from_micros(u64::MAX / 2));
+        }
+    }
+}
+
+#[test]
+fn a_full_journal_fits_into_a_snapshot() {
+    let limits = Limits::default();
+    let mut journal = Journal::default();
+    fill_workspace(&mut journal, &limits);
+    assert_eq!(journal.len(), limits.keys);
+    let bytes = postcard::to_stdvec(&journal).unwrap();
+    assert!(
+        bytes.len() * limits.workspaces < MAX_SNAPSHOT_BYTES,
+        "{} bytes",
+        bytes.len()
+    );
+    assert_eq!(postcard::from_bytes::<Journal>(&bytes).unwrap(), journal);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(500))]
 
