--- a/decision/outcome/src/claim.rs
+++ b/decision/outcome/src/claim.rs
@@ -11,7 +11,10 @@
 use crate::Blob;
 
 /// Largest answer, headers and body together, that is recorded whole.
-pub const MAX_RECORDED_BYTES: u64 = 256 << 10;
+pub const MAX_RECORDED_BYTES: u64 = 128 << 10;
+
+/// Longest key of a request, bytes.
+pub const MAX_KEY_BYTES: usize = 128;
 
 /// Start of an agent's memory of claims: two memories never share a number.
 #[derive(
@@ -34,7 +37,7 @@
 pub struct LedgerEpoch(pub u64);
 
 /// Where a claim may run: one start of an upstream, one memory of its agent.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Place {
     /// Upstream.
     pub upstream: UpstreamName,
@@ -45,7 +48,9 @@
 }
 
 /// Identifies a proposal, the same when it is proposed again.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Ticket {
     /// Request at the entry.
     pub request: RequestId,
@@ -54,7 +59,7 @@
 }
 
 /// Asks for the right to run one non-idempotent request in one place.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Claim {
     /// Identifies this proposal.
     pub ticket: Ticket,
@@ -75,7 +80,7 @@
 }
 
 /// A granted claim together with the key that it stands for.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ClaimRef {
     /// Workspace of the key.
     pub workspace: WorkspaceName,
@@ -86,7 +91,7 @@
 }
 
 /// Body of a recorded answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Body {
     /// All of it.
     Whole(Blob),
@@ -97,10 +102,12 @@
         /// BLAKE3 digest of the body.
         digest: [u8; 32],
     },
+    /// Left out, since nobody can ask for it again.
+    Omitted,
 }
 
 /// Answer of a request that ran to its end.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Outcome {
     /// HTTP status.
     pub status: u16,
@@ -116,7 +123,7 @@
         let headers: usize = self.headers.iter().map(|(n, v)| n.len() + v.len()).sum();
         let body = match &self.body {
             Body::Whole(blob) => blob.len(),
-            Body::Digest { .. } => size_of::<Body>(),
+            Body::Digest { .. } | Body::Omitted => size_of::<Body>(),
         };
         (headers + body) as u64
     }
@@ -132,7 +139,7 @@
                 bytes: blob.len() as u64,
                 digest: *blake3::hash(blob).as_bytes(),
             },
-            digest @ Body::Digest { .. } => digest.clone(),
+            short @ (Body::Digest { .. } | Body::Omitted) => short.clone(),
         };
         Self {
             status: self.status,
@@ -140,6 +147,16 @@
             body,
         }
     }
+
+    /// Returns what is recorded of it under a key that an entry made up.
+    #[must_use]
+    pub fn omitted(&self) -> Self {
+        Self {
+            status: self.status,
+            headers: Vec::new(),
+            body: Body::Omitted,
+        }
+    }
 }
 
 /// Makes up the key of a request that came without one.
--- a/decision/outcome/src/journal.rs
+++ b/decision/outcome/src/journal.rs
@@ -12,10 +12,16 @@
 use serde::{Deserialize, Serialize};
 
 use crate::window::{Held, Phase, Record, Window};
-use crate::{Claim, ClaimRef, Crash, Limits, Outcome, Place, Suspicion, Ticket, Verdict, Witness};
+use crate::{
+    Claim, ClaimRef, Crash, Limits, MAX_KEY_BYTES, Outcome, Place, Suspicion, Ticket, Verdict,
+    Witness,
+};
+
+/// Pause of a suspected content while a claim of the same content runs.
+const TWIN_PAUSE: Duration = Duration::from_secs(1);
 
 /// Change to the journal of claims, replicated before it takes effect.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Command {
     /// Asks for the right to run a request, or for what its key stands for.
     Claim(Claim),
@@ -69,7 +75,7 @@
 }
 
 /// Answer to a command.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Reply {
     /// Nothing to tell.
     Done,
@@ -108,7 +114,7 @@
 }
 
 /// Claims and outcomes of non-idempotent requests, equal on every replica.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Journal {
     limits: Limits,
     last: ClaimId,
@@ -145,7 +151,7 @@
                 content,
                 ticket,
                 allowed,
-            } => Reply::Verdict(self.suspicion.admit(*content, *ticket, *allowed, at)),
+            } => Reply::Verdict(self.admit(*content, *ticket, *allowed, at)),
             Command::EndTrial { content, ticket } => {
                 self.suspicion.release(*content, *ticket);
                 Reply::Done
@@ -204,7 +210,7 @@
             return Reply::Full;
         }
         let (content, ticket) = (claim.fingerprint, claim.ticket);
-        let verdict = self.suspicion.admit(content, ticket, claim.allowed, at);
+        let verdict = self.admit(content, ticket, claim.allowed, at);
         let alone = match verdict {
             Verdict::Free => false,
             Verdict::Alone => true,
@@ -220,6 +226,21 @@
         }
     }
 
+    /// Admits a content; a suspect waits for running claims of the same content.
+    fn admit(
+        &mut self,
+        content: Fingerprint,
+        ticket: Ticket,
+        allowed: Duration,
+        at: Time,
+    ) -> Verdict {
+        let verdict = self.suspicion.verdict(content, ticket, at);
+        if verdict == Verdict::Alone && self.windows.values().any(|w| w.runs(content, ticket)) {
+            return Verdict::Wait(TWIN_PAUSE);
+        }
+        self.suspicion.admit(content, ticket, allowed, at)
+    }
+
     fn record(&self, claim: &Claim, at: Time) -> Record {
         Record {
             claim: self.last,
@@ -234,6 +255,9 @@
     }
 
     fn has_room(&mut self, claim: &Claim, at: Time) -> bool {
+        if claim.key.len() > MAX_KEY_BYTES {
+            return false;
+        }
         let room = self.windows.len() < self.limits.workspaces;
         match self.windows.get_mut(&claim.workspace) {
             Some(window) => window.make_room(&self.limits, at),
@@ -325,7 +349,7 @@
 
     fn close(&mut self, held: &ClaimRef, phase: Phase, at: Time) {
         if let Some(window) = self.windows.get_mut(&held.workspace) {
-            window.close(&held.key, phase, at);
+            window.close(&held.key, phase, &self.limits, at);
         }
     }
 
--- a/decision/outcome/src/window.rs
+++ b/decision/outcome/src/window.rs
@@ -17,7 +17,9 @@
 use crate::{Outcome, Place, Ticket};
 
 /// Bounds of what the journal keeps, the same on every replica.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// With the defaults a full journal fits into a snapshot of 256 MiB.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Limits {
     /// Workspaces with any key.
     pub workspaces: usize,
@@ -42,11 +44,11 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            workspaces: 64,
-            running: 4_096,
-            records: 8_192,
-            bytes: 4 << 20,
-            keys: 200_000,
+            workspaces: 48,
+            running: 512,
+            records: 2_048,
+            bytes: 1 << 20,
+            keys: 32_768,
             answers: Duration::from_secs(3_600),
             longest: Duration::from_secs(24 * 3_600),
             shortest: Duration::from_secs(3_600),
@@ -56,7 +58,7 @@
 }
 
 /// How far a claim has come.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) enum Phase {
     /// Granted and not closed.
     Running,
@@ -67,7 +69,7 @@
 }
 
 /// What a key stands for.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct Record {
     pub(crate) claim: ClaimId,
     pub(crate) ticket: Ticket,
@@ -80,7 +82,7 @@
 }
 
 /// What stays of a closed record without its answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct Tombstone {
     pub(crate) finished: bool,
     content: u64,
@@ -108,7 +110,7 @@
 }
 
 /// Keys of one workspace.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct Window {
     records: BTreeMap<IdemKey, Record>,
     running: BTreeMap<ClaimId, IdemKey>,
@@ -137,6 +139,12 @@
             .map_or(Held::Nothing, |t| Held::Tombstone(*t))
     }
 
+    /// Whether another attempt runs this content.
+    pub(crate) fn runs(&self, content: Fingerprint, except: Ticket) -> bool {
+        let mut running = self.running.values().map(|key| &self.records[key]);
+        running.any(|r| r.fingerprint == content && r.ticket != except)
+    }
+
     /// Makes room for one more key; false if there is none.
     pub(crate) fn make_room(&mut self, limits: &Limits, at: Time) -> bool {
         self.prune(limits, at);
@@ -164,7 +172,12 @@
     }
 
     /// Ends a running claim, or puts an answer in place of an unknown outcome.
-    pub(crate) fn close(&mut self, key: &IdemKey, phase: Phase, at: Time) {
+    pub(crate) fn close(&mut self, key: &IdemKey, phase: Phase, limits: &Limits, at: Time) {
+        self.end(key, phase, at);
+        self.prune(limits, at);
+    }
+
+    fn end(&mut self, key: &IdemKey, phase: Phase, at: Time) {
         let Some(record) = self.records.get_mut(key) else {
             return;
         };
@@ -206,7 +219,7 @@
             .cloned()
             .collect();
         for key in overdue {
-            self.close(&key, Phase::Unknown, at);
+            self.end(&key, Phase::Unknown, at);
         }
     }
 
