--- a/decision/control/src/declare/text.rs
+++ b/decision/control/src/declare/text.rs
@@ -47,8 +47,17 @@
     Err(Problems(problems))
 }
 
+/// Reads a document without regard to what is in force.
+///
+/// # Errors
+///
+/// Returns every problem of the text itself.
+pub fn parse_document(text: &str) -> Result<Document, ReadError> {
+    read(text, read_top)
+}
+
 /// Adds to each fault the line of its nearest key in `text`.
-fn place(text: &str, faults: Vec<Fault>) -> Vec<Problem> {
+pub fn place(text: &str, faults: Vec<Fault>) -> Vec<Problem> {
     if faults.is_empty() {
         return Vec::new();
     }
@@ -111,7 +120,7 @@
         version: section.optional_text("version").map(Into::into),
         adapters: section.list("adapters", |item| item.text().map(Into::into)),
         zones: section.section("zones", read_zones).unwrap_or_default(),
-        priority: Priority(whole(section, "priority", base.priority.0)),
+        priority: Priority(section.number("priority", 0..=u8::MAX, base.priority.0)),
         deadline: millis(section, "deadline_ms", base.deadline),
         queue: section
             .section("queue", |s| read_queue(s, &base.queue))
--- a/decision/control/src/machine/state.rs
+++ b/decision/control/src/machine/state.rs
@@ -190,15 +190,22 @@
 /// Checks what surrounds the action; such an order is not kept in the ledger.
 fn envelope_faults(order: &Order) -> Vec<Fault> {
     let checks = [
-        ("id", order.id.len(), MAX_ORDER_ID_BYTES),
-        ("actor", order.actor.len(), MAX_ACTOR_BYTES),
+        ("id", &*order.id, MAX_ORDER_ID_BYTES),
+        ("actor", order.actor.as_str(), MAX_ACTOR_BYTES),
     ];
     let wrong = checks
         .into_iter()
-        .filter(|(_, bytes, most)| *bytes == 0 || bytes > most);
-    let faults = wrong.map(|(key, bytes, most)| Fault {
+        .filter(|(_, text, most)| text.is_empty() || text.len() > *most || has_control(text));
+    let faults = wrong.map(|(key, text, most)| Fault {
         path: vec![key.to_owned()],
-        message: format!("expected 1 to {most} bytes, found {bytes}"),
+        message: format!(
+            "expected 1 to {most} bytes without control characters, found {} bytes",
+            text.len()
+        ),
     });
     faults.collect()
 }
+
+fn has_control(text: &str) -> bool {
+    text.chars().any(char::is_control)
+}
--- /dev/null
+++ b/peers/operator/src/server/order.rs
@@ -0,0 +1,190 @@
+//! Orders and changes of membership.
+
+use std::collections::BTreeSet;
+
+use actix_web::HttpResponse;
+use actix_web::web::{Data, Payload};
+use pimentotide_control::declare::{parse_document, place, read_document};
+use pimentotide_control::directory::Registry;
+use pimentotide_control::{Action, Command, Document, Order, Response, Verdict};
+use pimentotide_document::{Problem, Problems};
+use pimentotide_model::{ErrorKind, Failure, OrderId, Revision};
+
+use super::reply::{answer, body, refuse};
+use crate::control::{Control, MemberChange};
+use crate::message::{Accepted, ActionRequest, OrderRequest, ProblemBody};
+
+/// Takes an order and answers once it is committed.
+pub(super) async fn submit<C>(control: Data<C>, payload: Payload) -> HttpResponse
+where
+    C: Control,
+{
+    let request = match body::<OrderRequest>(payload).await {
+        Ok(request) => request,
+        Err(failure) => return refuse(failure),
+    };
+    match decide(&**control, request).await {
+        Ok(accepted) => answer(&accepted),
+        Err(problem) => refuse(*problem),
+    }
+}
+
+/// Changes the membership of the control replicas.
+pub(super) async fn change<C>(control: Data<C>, payload: Payload) -> HttpResponse
+where
+    C: Control,
+{
+    let request = match body::<MemberChange>(payload).await {
+        Ok(request) => request,
+        Err(failure) => return refuse(failure),
+    };
+    log::info!("operator asks for a change of replicas: {request:?}");
+    match control.change(request).await {
+        Ok(cluster) => answer(&cluster),
+        Err(failure) => refuse(failure),
+    }
+}
+
+async fn decide<C>(control: &C, request: OrderRequest) -> Result<Accepted, Box<ProblemBody>>
+where
+    C: Control,
+{
+    let text = match &request.action {
+        ActionRequest::Apply { text, .. } => text.clone(),
+        _ => String::new(),
+    };
+    let order = build(control, request)?;
+    let id = order.id.clone();
+    log::info!("order {id} of {}: {}", order.actor, order.action);
+    let warnings = control.read(|_, registry| warnings(&order.action, registry));
+    let response = control.propose(Command::Declare(order)).await;
+    match response.map_err(boxed)? {
+        Response::Declare(verdict) => judge(id, verdict, &text, warnings),
+        _ => Err(boxed(Failure::new(
+            ErrorKind::Internal,
+            "the log answered with something else",
+        ))),
+    }
+}
+
+/// Builds the replicated order; wrong text is refused before it is proposed.
+fn build<C>(control: &C, request: OrderRequest) -> Result<Order, Box<ProblemBody>>
+where
+    C: Control,
+{
+    let action = match request.action {
+        ActionRequest::Apply { text, prune } => parse(control, &text, prune)?,
+        other => other.into_action().ok_or_else(|| {
+            boxed(Failure::new(
+                ErrorKind::Internal,
+                "the action has no replicated form",
+            ))
+        })?,
+    };
+    Ok(Order {
+        id: request.id,
+        base: request.base,
+        actor: request.actor,
+        action,
+    })
+}
+
+/// Reads a document. Faults against what is in force are left to the log,
+/// so that a resent order gets its first answer whatever came since.
+fn parse<C>(control: &C, text: &str, prune: bool) -> Result<Action, Box<ProblemBody>>
+where
+    C: Control,
+{
+    if let Ok(document) = parse_document(text) {
+        return Ok(Action::Apply { document, prune });
+    }
+    let outcome = control.read(|machine, _| read_document(text, machine.declarations(), prune));
+    let problems = match outcome {
+        Ok(_) => Problems::default(),
+        Err(problems) => problems,
+    };
+    Err(invalid(problems.0))
+}
+
+fn judge(
+    id: OrderId,
+    verdict: Verdict,
+    text: &str,
+    warnings: Vec<String>,
+) -> Result<Accepted, Box<ProblemBody>> {
+    match verdict {
+        Verdict::Accepted { revision } => {
+            log::info!("order {id} is in force at revision {revision}");
+            Ok(Accepted {
+                id,
+                revision,
+                warnings,
+            })
+        }
+        Verdict::Invalid { faults } => Err(invalid(place(text, faults))),
+        Verdict::Mismatch { id } => Err(boxed(Failure::new(
+            ErrorKind::KeyMismatch,
+            format!("order {id} was given before with other content"),
+        ))),
+        Verdict::Conflict {
+            base,
+            current,
+            winner,
+        } => {
+            let detail = match &winner {
+                Some(winner) => format!(
+                    "revision {base} was followed by order {} of {}: {}",
+                    winner.id, winner.actor, winner.summary
+                ),
+                None => unknown_winner(base, current),
+            };
+            let mut problem = boxed(Failure::new(ErrorKind::RevisionConflict, detail));
+            problem.current = Some(current);
+            problem.winner = winner;
+            Err(problem)
+        }
+    }
+}
+
+fn unknown_winner(base: Revision, current: Revision) -> String {
+    format!("the order was made against revision {base}, and revision {current} is in force")
+}
+
+fn invalid(problems: Vec<Problem>) -> Box<ProblemBody> {
+    let detail = format!("{} problems; nothing was changed", problems.len());
+    let failure = Failure::new(ErrorKind::InvalidDeclaration, detail);
+    Box::new(ProblemBody::from(failure).with_problems(problems))
+}
+
+fn boxed(failure: Failure) -> Box<ProblemBody> {
+    Box::new(ProblemBody::from(failure))
+}
+
+/// Names the models of a document that no upstream announces.
+fn warnings(action: &Action, registry: &Registry) -> Vec<String> {
+    let Action::Apply { document, .. } = action else {
+        return Vec::new();
+    };
+    let announced: BTreeSet<_> = registry
+        .members()
+        .flat_map(|m| &m.notice.announcement.models)
+        .map(|(model, _)| model)
+        .collect();
+    let missing = models(document).filter(|(_, model)| !announced.contains(model));
+    let warnings = missing.map(|(profile, model)| {
+        format!("profile {profile}: no upstream announces model {model} now")
+    });
+    warnings.collect()
+}
+
+fn models(
+    document: &Document,
+) -> impl Iterator<
+    Item = (
+        &pimentotide_model::ProfileName,
+        &pimentotide_model::ModelName,
+    ),
+> {
+    let profiles = document.profiles.values();
+    profiles.filter_map(|p| p.model.as_ref().map(|model| (&p.name, model)))
+}
--- /dev/null
+++ b/peers/operator/src/status.rs
@@ -0,0 +1,171 @@
+//! What operators are told about the deployment.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pimentotide_control::Machine;
+use pimentotide_control::directory::{Member as Upstream, Presence, Registry};
+use pimentotide_model::{
+    GroupName, Incarnation, Revision, Standing, UpstreamName, UpstreamPolicy, Warmth, ZoneName,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::control::Cluster;
+
+/// Status of the whole deployment, as one replica knows it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Revision in force.
+    pub revision: Revision,
+    /// Whether a quorum has confirmed that this is current.
+    pub current: bool,
+    /// Control replicas.
+    pub cluster: Cluster,
+    /// Zones, declared or announced.
+    pub zones: Vec<ZoneStatus>,
+    /// Upstreams, declared or announced.
+    pub upstreams: Vec<UpstreamStatus>,
+    /// Entries that report.
+    pub entries: Vec<Presence>,
+    /// Expert-parallel groups.
+    pub groups: Vec<serde_json::Value>,
+    /// Groups whose rebalancing is paused.
+    pub paused: Vec<GroupName>,
+    /// Whether all rebalancing is paused.
+    pub frozen: bool,
+}
+
+/// Status of one zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneStatus {
+    /// Name of the zone.
+    pub name: ZoneName,
+    /// Whether operators have it in service.
+    pub standing: Standing,
+    /// Warm if all its upstreams are, cold if none has begun to warm up; none without upstreams.
+    pub warmth: Option<Warmth>,
+    /// Upstreams announced in it.
+    pub upstreams: usize,
+    /// Lowest revision of an agent in it.
+    pub revision: Option<Revision>,
+}
+
+/// Status of one upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamStatus {
+    /// Name of the upstream.
+    pub name: UpstreamName,
+    /// Whether operators have it in service.
+    pub standing: Standing,
+    /// Whether its engine refuses old fencing numbers.
+    pub fenced: bool,
+    /// What its agent announces; none if it is silent.
+    pub announced: Option<AgentStatus>,
+}
+
+/// What the agent of an upstream announces.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentStatus {
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Address of the agent.
+    pub address: String,
+    /// Start of the upstream.
+    pub incarnation: Incarnation,
+    /// How far it has warmed up.
+    pub warmth: Warmth,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Revision that the agent has in force.
+    pub revision: Revision,
+}
+
+/// Collects the status.
+pub fn status(
+    machine: &Machine,
+    registry: &Registry,
+    cluster: Cluster,
+    groups: Vec<serde_json::Value>,
+    current: bool,
+) -> Status {
+    let declarations = machine.declarations();
+    Status {
+        revision: declarations.revision,
+        current,
+        cluster,
+        zones: zones(machine, registry),
+        upstreams: upstreams(machine, registry),
+        entries: registry.entries().cloned().collect(),
+        groups,
+        paused: declarations.paused.clone(),
+        frozen: declarations.frozen,
+    }
+}
+
+/// Collects the status of every zone.
+pub fn zones(machine: &Machine, registry: &Registry) -> Vec<ZoneStatus> {
+    let declared = &machine.declarations().zones;
+    let mut members: BTreeMap<&ZoneName, Vec<&Upstream>> = BTreeMap::new();
+    for name in declared.keys() {
+        members.entry(name).or_default();
+    }
+    for presence in registry.entries() {
+        members.entry(&presence.zone).or_default();
+    }
+    for upstream in registry.members() {
+        let zone = &upstream.notice.announcement.zone;
+        members.entry(zone).or_default().push(upstream);
+    }
+    let statuses = members.into_iter().map(|(name, members)| ZoneStatus {
+        name: name.clone(),
+        standing: declared.get(name).copied().unwrap_or_default(),
+        warmth: warmth_of(&members),
+        upstreams: members.len(),
+        revision: members.iter().map(|m| m.notice.announcement.revision).min(),
+    });
+    statuses.collect()
+}
+
+/// Collects the status of every upstream.
+pub fn upstreams(machine: &Machine, registry: &Registry) -> Vec<UpstreamStatus> {
+    let declared = &machine.declarations().upstreams;
+    let members: BTreeMap<_, _> = registry
+        .members()
+        .map(|m| (&m.notice.announcement.upstream, m))
+        .collect();
+    let names: BTreeSet<_> = declared.keys().chain(members.keys().copied()).collect();
+    let statuses = names.into_iter().map(|name| {
+        let policy = declared.get(name).cloned().unwrap_or_default();
+        upstream_status(name, &policy, members.get(name).copied())
+    });
+    statuses.collect()
+}
+
+fn upstream_status(
+    name: &UpstreamName,
+    policy: &UpstreamPolicy,
+    member: Option<&Upstream>,
+) -> UpstreamStatus {
+    let announced = member.map(|member| {
+        let announcement = &member.notice.announcement;
+        AgentStatus {
+            zone: announcement.zone.clone(),
+            address: announcement.address.clone(),
+            incarnation: announcement.incarnation,
+            warmth: member.warmth,
+            leaving: announcement.leaving,
+            revision: announcement.revision,
+        }
+    });
+    UpstreamStatus {
+        name: name.clone(),
+        standing: policy.standing,
+        fenced: policy.fenced,
+        announced,
+    }
+}
+
+fn warmth_of(members: &[&Upstream]) -> Option<Warmth> {
+    let first = members.first()?.warmth;
+    let alike = members.iter().all(|m| m.warmth == first);
+    Some(if alike { first } else { Warmth::Warming })
+}
--- /dev/null
+++ b/peers/operator/tests/it/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the operators' interface over loopback.
+
+mod command;
+mod common;
+mod hostile;
+mod server;
