--- a/app/src/lib.rs
+++ b/app/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod agent;
 pub mod entry;
 pub mod local;
+pub mod operator;
 pub mod options;
 pub mod run;
 pub mod settings;
--- a/app/src/operator/arguments.rs
+++ b/app/src/operator/arguments.rs
@@ -64,7 +64,9 @@
         };
         while let Some(argument) = parser.next().map_err(|e| wrong(&e))? {
             match argument {
-                Value(word) => arguments.words.push_back(word.string().map_err(|e| wrong(&e))?),
+                Value(word) => arguments
+                    .words
+                    .push_back(word.string().map_err(|e| wrong(&e))?),
                 Short('h') => arguments.help = true,
                 Long(name) => {
                     let name = name.to_owned();
@@ -194,7 +196,7 @@
 {
     let text = text(parser)?;
     let wrong = |_| UsageError(format!("--{name}: expected {expected}, found {text:?}"));
-    text.parse().map_err(|e| wrong(&e))
+    text.parse().map_err(wrong)
 }
 
 fn required(name: &str, value: Option<String>) -> Result<String, UsageError> {
--- a/app/src/operator/mod.rs
+++ b/app/src/operator/mod.rs
@@ -16,12 +16,12 @@
 use arguments::{Arguments, UsageError};
 
 /// Subcommands that [`run`] carries out.
-pub(crate) const SUBCOMMANDS: &[&str] = &[
+pub const SUBCOMMANDS: &[&str] = &[
     "profile", "service", "zone", "upstream", "replica", "group", "status",
 ];
 
 /// Carries out one subcommand of an operator; `parser` stands after its name.
-pub(crate) fn run(subcommand: &str, parser: lexopt::Parser) -> ExitCode {
+pub fn run(subcommand: &str, parser: lexopt::Parser) -> ExitCode {
     let output = match Arguments::read(parser) {
         Ok(arguments) if arguments.help => Output {
             text: help::of(subcommand),
--- a/app/src/options/help.rs
+++ b/app/src/options/help.rs
@@ -10,6 +10,15 @@
   run FILE     Run the roles that a settings file gives
   check FILE   Check a settings file and say all that is wrong with it
 
+Operators:
+  profile      Apply, compare, show and list profiles
+  service      Set, list and remove services
+  zone         Take an availability zone in or out of service
+  upstream     Take an upstream in or out of service
+  replica      Add, list and remove control replicas
+  group        Show groups of ranks, pause and resume rebalancing
+  status       Show what is in force and where
+
 Options:
   -h, --help     Show help; after a command, show that command's help
   -V, --version  Show the version";
--- a/app/src/options/parse.rs
+++ b/app/src/options/parse.rs
@@ -1,5 +1,6 @@
 //! Parses the command line.
 
+use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -7,6 +8,7 @@
 use lexopt::{Arg, Parser, ValueExt};
 
 use super::help;
+use crate::operator;
 
 /// What the command line asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,6 +23,8 @@
     Run(PathBuf),
     /// Run a whole small deployment.
     Local(LocalOptions),
+    /// Carry out a command of an operator.
+    Operate(String, Vec<OsString>),
 }
 
 /// Options of `local`.
@@ -87,6 +91,10 @@
         "local" => local(parser),
         "run" => file(parser, help::RUN, Command::Run),
         "check" => file(parser, help::CHECK, Command::Check),
+        name if operator::SUBCOMMANDS.contains(&name) => Ok(Command::Operate(
+            name.to_owned(),
+            parser.raw_args()?.collect(),
+        )),
         "help" => Ok(Command::Help(help::USAGE)),
         other => Err(UsageError::UnknownCommand(other.to_owned())),
     }
--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -1,4 +1,5 @@
 //! Integration tests of the binary's library.
 
+mod operator;
 mod options;
 mod settings;
--- a/decision/control/src/machine/mod.rs
+++ b/decision/control/src/machine/mod.rs
@@ -4,6 +4,7 @@
 mod fences;
 mod history;
 mod ledger;
+mod replicated;
 mod state;
 
 pub use codec::{CodecError, MAX_COMMAND_BYTES, MAX_SNAPSHOT_BYTES, decode, encode};
--- /dev/null
+++ b/decision/control/src/machine/replicated.rs
@@ -0,0 +1,23 @@
+//! The state as the machine of the replicated log.
+
+use pimentotide_consensus::{Index, Machine as Replicated, RestoreError};
+use pimentotide_model::Time;
+
+use super::state::Machine;
+
+impl Replicated for Machine {
+    fn apply(&mut self, _index: Index, time: Time, command: &[u8]) -> Vec<u8> {
+        self.apply_bytes(time, command)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        // Going on without a snapshot would compact the log and lose the state.
+        Machine::snapshot(self).expect("every type of the state can be encoded")
+    }
+
+    fn restore(&mut self, state: &[u8]) -> Result<(), RestoreError> {
+        Machine::restore(self, state).map_err(|e| RestoreError {
+            detail: e.to_string(),
+        })
+    }
+}
--- a/decision/control/tests/it/codec.rs
+++ b/decision/control/tests/it/codec.rs
@@ -39,6 +39,23 @@
     assert_eq!(machine, Machine::default());
 }
 
+#[test]
+fn restore_replaces_all_or_nothing() {
+    use pimentotide_consensus::{Index, Machine as Replicated};
+    let mut machine = Machine::default();
+    let command = encode(&Command::Allot("u".into())).unwrap();
+    let response = Replicated::apply(&mut machine, Index(1), Time::ZERO, &command);
+    let response = decode::<Response>(&response, MAX_COMMAND_BYTES);
+    assert_eq!(response, Ok(Response::Allot(1.into())));
+    let before = machine.clone();
+    let state = Replicated::snapshot(&machine);
+    assert!(Replicated::restore(&mut machine, &state[1..]).is_err());
+    assert_eq!(machine, before);
+    let mut other = Machine::default();
+    Replicated::restore(&mut other, &state).unwrap();
+    assert_eq!(other, before);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(128))]
 
--- a/peers/operator/src/control.rs
+++ b/peers/operator/src/control.rs
@@ -27,6 +27,9 @@
     fn cluster(&self) -> Cluster;
 
     /// Changes the membership of the control replicas by one.
+    ///
+    /// The client may ask twice: adding a member that stands there with the same
+    /// address, and removing one that is gone, succeed.
     fn change(&self, change: MemberChange) -> impl Future<Output = Result<Cluster, Failure>>;
 
     /// Expert-parallel groups, one object each with at least a `name`.
