Watch, leases and announcements over JSON-RPC

Entries and agents had no way to learn declarations or to announce themselves. `instance::directory` adds it:

- `Directory`, on a control replica: answers holders by push, on a confirmation that all holders of 250 ms share and that a quorum has 200 ms to give; hears reports.
- `Follower`, in entries and agents: one replica at a time, the next at once when it fails or lags, and then without waiting for news.
- `AgentReporter` and `EntryReporter`, to every replica.
- `View` gains the expiry of the lease and reads the clock when asked, so that a process that was stalled does not act on a lease that ran out.

A first version of the lapse test ordered a zone out right after the quorum was lost and expected it not to be taken; a replica may still answer on a confirmation up to 3 s old, and the order was in its state. The test now orders after the lapse and checks that nothing is taken.

--- a/decision/control/src/currency/message.rs
+++ b/decision/control/src/currency/message.rs
@@ -30,6 +30,8 @@
     pub mark: Option<Mark>,
     /// Whether the directory of upstreams is asked for.
     pub directory: bool,
+    /// Whether the answer is wanted at once, news or not.
+    pub eager: bool,
 }
 
 /// What the holder lacks of the configuration in force.
--- a/decision/control/src/currency/mod.rs
+++ b/decision/control/src/currency/mod.rs
@@ -19,7 +19,7 @@
 pub use grant::{Confirmation, grant, news};
 pub use message::{Held, Update, WatchAnswer, WatchRequest};
 pub use rotation::Rotation;
-pub use watch::{Taken, Watch};
+pub use watch::{Taken, Watch, admit};
 
 /// Time for which a confirmed configuration may be acted on.
 pub const LEASE: Duration = Duration::from_secs(3);
@@ -31,7 +31,7 @@
 pub const CONFIRMATION_AGE: Duration = Duration::from_millis(250);
 
 /// Time beyond `RENEWAL` after which a holder asks the next replica.
-pub const PATIENCE: Duration = Duration::from_millis(250);
+pub const PATIENCE: Duration = Duration::from_millis(300);
 
 /// Pause after all replicas have failed in turn.
 pub const RETRY_PAUSE: Duration = Duration::from_millis(100);
--- a/decision/control/src/currency/watch.rs
+++ b/decision/control/src/currency/watch.rs
@@ -54,11 +54,16 @@
     }
 
     /// Notes a revision that came with a message of another process.
-    pub fn hear(&mut self, revision: Revision) {
+    ///
+    /// Tells whether it is newer than all that is known, so that waiting for a
+    /// push is wrong.
+    pub fn hear(&mut self, revision: Revision) -> bool {
+        let newer = revision > self.heard.max(self.revision());
         self.heard = self.heard.max(revision);
+        newer
     }
 
-    /// Whether another process has a newer revision, so that waiting for a push is wrong.
+    /// Whether another process has a newer revision.
     pub fn is_behind(&self) -> bool {
         self.heard > self.revision()
     }
@@ -96,9 +101,7 @@
     ///
     /// # Errors
     ///
-    /// Fails with `OutOfService` if operators have taken the zone or the
-    /// upstream out, and with `NotCurrent` if the lease has run out and the
-    /// service's profile does not say to serve on.
+    /// Fails as [`admit`] does, and with `NotCurrent` before the first answer.
     pub fn admit(
         &self,
         service: &ServiceName,
@@ -107,14 +110,7 @@
         now: Time,
     ) -> Result<(), ErrorKind> {
         let declarations = self.declarations().ok_or(ErrorKind::NotCurrent)?;
-        if !declarations.admits(zone, upstream) {
-            return Err(ErrorKind::OutOfService);
-        }
-        let policy = declarations.profile_of(service).map(|p| p.lapse);
-        if self.is_current(now) || policy == Some(LapsePolicy::Serve) {
-            return Ok(());
-        }
-        Err(ErrorKind::NotCurrent)
+        admit(declarations, self.is_current(now), service, zone, upstream)
     }
 
     /// Builds the configuration of an answer; none if it does not match its digest.
@@ -144,3 +140,27 @@
         Some(Configuration::from(declarations))
     }
 }
+
+/// Whether `upstream` in `zone` may take new work of `service`.
+///
+/// # Errors
+///
+/// Fails with `OutOfService` if operators have taken the zone or the upstream
+/// out, and with `NotCurrent` if the lease has run out and the service's
+/// profile does not say to serve on.
+pub fn admit(
+    declarations: &Declarations,
+    current: bool,
+    service: &ServiceName,
+    zone: &ZoneName,
+    upstream: &UpstreamName,
+) -> Result<(), ErrorKind> {
+    if !declarations.admits(zone, upstream) {
+        return Err(ErrorKind::OutOfService);
+    }
+    let policy = declarations.profile_of(service).map(|p| p.lapse);
+    if current || policy == Some(LapsePolicy::Serve) {
+        return Ok(());
+    }
+    Err(ErrorKind::NotCurrent)
+}
--- a/decision/control/src/directory/announcer.rs
+++ b/decision/control/src/directory/announcer.rs
@@ -18,6 +18,7 @@
 #[derive(Clone, Debug)]
 pub struct Announcer {
     notice: Notice,
+    given: Incarnation,
     warmth: Warmth,
     started: Time,
     kept: Vec<bool>,
@@ -27,10 +28,11 @@
 impl Announcer {
     /// Starts to announce to `replicas` replicas.
     ///
-    /// The incarnation of `announcement` should be taken from the wall clock;
-    /// it is raised if a replica knows a higher one.
+    /// The incarnation of `announcement` should be taken from the wall clock at
+    /// the start of the upstream; it is raised if a replica knows a higher one.
     pub fn new(announcement: Announcement, replicas: usize, now: Time) -> Self {
         Self {
+            given: announcement.incarnation,
             notice: Notice {
                 sequence: 0,
                 announcement,
@@ -78,15 +80,22 @@
         self.standby()
     }
 
-    /// Changes the announcement; replicas get it whole again.
-    pub fn update<F>(&mut self, change: F)
-    where
-        F: FnOnce(&mut Announcement),
-    {
-        let before = self.notice.announcement.clone();
-        change(&mut self.notice.announcement);
-        self.notice.announcement.incarnation = before.incarnation;
-        if before != self.notice.announcement {
+    /// Takes what the agent says now; replicas get a changed announcement whole.
+    ///
+    /// Another incarnation than before, be it higher or lower, is a new start.
+    pub fn follow(&mut self, mut announcement: Announcement, now: Time) {
+        if announcement.incarnation != self.given {
+            self.given = announcement.incarnation;
+            self.renew(self.given.max(self.incarnation().next()));
+            self.warmth = Warmth::Cold;
+            self.started = now;
+        }
+        let known = &self.notice.announcement;
+        announcement.incarnation = known.incarnation;
+        announcement.revision = known.revision;
+        announcement.fence = known.fence;
+        if announcement != *known {
+            self.notice.announcement = announcement;
             self.notice.sequence += 1;
             self.kept.fill(false);
         }
@@ -99,14 +108,6 @@
         self.warmth = warmth;
     }
 
-    /// Notes that the upstream behind the agent has started anew.
-    pub fn restarted(&mut self, now: Time) {
-        let next = self.notice.announcement.incarnation.next();
-        self.renew(next);
-        self.warmth = Warmth::Cold;
-        self.started = now;
-    }
-
     /// Rank of the announcement, to be given back with the answer.
     pub fn rank(&self) -> (Incarnation, u64) {
         self.notice.rank()
--- a/decision/control/src/directory/registry.rs
+++ b/decision/control/src/directory/registry.rs
@@ -88,6 +88,11 @@
         !gone.is_empty()
     }
 
+    /// Rises with each change of what followers are told.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Whether a follower at `mark` lacks something.
     pub fn has_news(&self, mark: Option<Mark>, now: Time) -> bool {
         mark != Some(self.mark(now))
--- a/decision/control/src/machine/codec.rs
+++ b/decision/control/src/machine/codec.rs
@@ -11,7 +11,7 @@
 pub const MAX_COMMAND_BYTES: usize = 8 << 20;
 
 /// Longest encoded snapshot, bytes.
-pub const MAX_SNAPSHOT_BYTES: usize = 256 << 20;
+pub const MAX_SNAPSHOT_BYTES: usize = 2 << 30;
 
 /// Why bytes could not be decoded.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
--- a/decision/control/tests/it/size.rs
+++ b/decision/control/tests/it/size.rs
@@ -74,6 +74,7 @@
         }),
         mark: Some(mark),
         directory: true,
+        eager: false,
     };
     let rows = [
         row("report, whole", &whole),
--- /dev/null
+++ b/peers/instance/src/directory/confirm.rs
@@ -0,0 +1,75 @@
+//! Confirmations shared by all holders that ask one replica.
+
+use std::time::Duration;
+
+use pimentotide_control::currency::{CONFIRMATION_AGE, Confirmation};
+use pimentotide_model::{ErrorKind, Failure, Time};
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+
+use super::Source;
+use super::clock::Clock;
+
+/// Time that a quorum has to confirm; less than a holder's patience.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Latest outcome, with the time at which it was asked for.
+#[derive(Debug, Default)]
+struct Latest {
+    confirmed: Option<Confirmation>,
+    failed: Option<(Time, Failure)>,
+}
+
+/// Confirmations of one replica, one quorum round at a time.
+#[derive(Debug)]
+pub(super) struct Confirmations {
+    clock: Clock,
+    latest: Mutex<Latest>,
+}
+
+impl Confirmations {
+    pub(super) fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            latest: Mutex::default(),
+        }
+    }
+
+    /// Returns a recent confirmation, or asks the quorum for one.
+    pub(super) async fn get<S>(&self, source: &S) -> Result<Confirmation, Failure>
+    where
+        S: Source,
+    {
+        let arrived = self.clock.now();
+        let mut latest = self.latest.lock().await;
+        let started = self.clock.now();
+        if let Some(confirmation) = latest.confirmed
+            && started.since(confirmation.started) < CONFIRMATION_AGE
+        {
+            return Ok(confirmation);
+        }
+        // A round that failed after this request arrived speaks for it as well.
+        if let Some((at, failure)) = &latest.failed
+            && *at >= arrived
+        {
+            return Err(failure.clone());
+        }
+        match timeout(CONFIRM_TIMEOUT, source.confirm()).await {
+            Ok(Ok(())) => {
+                let confirmation = Confirmation { started };
+                latest.confirmed = Some(confirmation);
+                Ok(confirmation)
+            }
+            Ok(Err(failure)) => Err(self.fail(&mut latest, failure)),
+            Err(_) => {
+                let failure = Failure::new(ErrorKind::NoQuorum, "no quorum confirmed in time");
+                Err(self.fail(&mut latest, failure))
+            }
+        }
+    }
+
+    fn fail(&self, latest: &mut Latest, failure: Failure) -> Failure {
+        latest.failed = Some((self.clock.now(), failure.clone()));
+        failure
+    }
+}
--- /dev/null
+++ b/peers/instance/tests/it/directory.rs
@@ -0,0 +1,288 @@
+//! Declarations, leases and the directory over loopback.
+
+use std::future::Future;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use pimentotide_control::directory::Standby;
+use pimentotide_control::{Action, Command, Machine, Order, Response};
+use pimentotide_instance::directory::{
+    AgentOptions, AgentReporter, Directory, EntryOptions, EntryReporter, FollowOptions, Follower,
+    Source,
+};
+use pimentotide_instance::{PeerClient, PeerServer, Token, View};
+use pimentotide_model::{
+    Announcement, ErrorKind, Failure, Fence, Incarnation, Revision, ServiceKind, Standing, Time,
+    UpstreamName, Warmth,
+};
+use tokio::sync::watch;
+
+/// Time after which a test gives up.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Replicated state in memory; replicas of it share the machine.
+#[derive(Clone)]
+struct State {
+    machine: Arc<Mutex<Machine>>,
+    changed: watch::Sender<u64>,
+    entitled: Arc<AtomicBool>,
+}
+
+impl State {
+    fn new() -> Self {
+        Self {
+            machine: Arc::default(),
+            changed: watch::Sender::new(0),
+            entitled: Arc::new(AtomicBool::new(true)),
+        }
+    }
+
+    /// Replica of the same state that no quorum confirms.
+    fn cut_off(&self) -> Self {
+        Self {
+            entitled: Arc::new(AtomicBool::new(false)),
+            ..self.clone()
+        }
+    }
+
+    fn apply(&self, command: &Command) -> Response {
+        let response = self.machine.lock().unwrap().apply(Time::ZERO, command);
+        self.changed.send_modify(|count| *count += 1);
+        response
+    }
+
+    fn zone(&self, id: &str, standing: Standing) {
+        let order = Order {
+            id: id.into(),
+            base: None,
+            actor: "ama".to_owned(),
+            action: Action::Zone {
+                zone: "accra-a".into(),
+                standing,
+            },
+        };
+        self.apply(&Command::Declare(order));
+    }
+}
+
+impl Source for State {
+    async fn confirm(&self) -> Result<(), Failure> {
+        if self.entitled.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        Err(Failure::new(ErrorKind::NoQuorum, "cut off"))
+    }
+
+    fn read<T, F>(&self, read: F) -> T
+    where
+        F: FnOnce(&Machine) -> T,
+    {
+        read(&self.machine.lock().unwrap())
+    }
+
+    fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+}
+
+struct Replica {
+    server: PeerServer,
+    directory: Directory<State>,
+}
+
+impl Replica {
+    async fn start(state: &State, epoch: u64) -> Self {
+        let directory = Directory::spawn(state.clone(), epoch);
+        let module = directory.module().unwrap();
+        let address = "127.0.0.1:0".parse().unwrap();
+        let server = PeerServer::bind(address, token(), [module]).await.unwrap();
+        Self { server, directory }
+    }
+
+    fn client(&self) -> PeerClient {
+        PeerClient::connect(self.server.address(), token())
+    }
+}
+
+fn token() -> Token {
+    Token::open("a-secret-of-enough-bytes").unwrap()
+}
+
+fn follow(replicas: Vec<PeerClient>, upstream: Option<&str>) -> Follower {
+    Follower::spawn(FollowOptions {
+        instance: "entry-1".into(),
+        upstream: upstream.map(UpstreamName::from),
+        directory: upstream.is_none(),
+        replicas,
+    })
+}
+
+async fn soon<F>(what: &str, future: F) -> F::Output
+where
+    F: Future,
+{
+    let outcome = tokio::time::timeout(LIMIT, future).await;
+    outcome.unwrap_or_else(|_| panic!("{what} did not happen"))
+}
+
+async fn until<F>(what: &str, view: &mut watch::Receiver<View>, test: F) -> View
+where
+    F: FnMut(&View) -> bool,
+{
+    soon(what, view.wait_for(test)).await.unwrap().clone()
+}
+
+fn announcement(incarnation: u64) -> Announcement {
+    Announcement {
+        upstream: "u1".into(),
+        incarnation: Incarnation(incarnation),
+        zone: "accra-a".into(),
+        address: "127.0.0.1:9000".to_owned(),
+        kind: ServiceKind::Plain,
+        services: vec!["lodge".into()],
+        models: Vec::new(),
+        adapters: Vec::new(),
+        capacity: 8,
+        group: None,
+        leaving: false,
+        revision: Revision(0),
+        fence: Fence(0),
+    }
+}
+
+#[actix_rt::test]
+async fn orders_are_pushed_and_a_restart_takes_one_exchange() {
+    let state = State::new();
+    let replica = Replica::start(&state, 1).await;
+    let follower = follow(vec![replica.client()], None);
+    let mut view = follower.view();
+    let first = until("first answer", &mut view, View::is_current).await;
+    assert_eq!(
+        first.admit(&"s".into(), &"accra-a".into(), &"u1".into()),
+        Ok(())
+    );
+    for i in 0..300 {
+        state.zone(&format!("o{i}"), Standing::Out);
+    }
+    let last = until("push", &mut view, |v| {
+        v.declarations.revision == Revision(300)
+    })
+    .await;
+    let refused = last.admit(&"s".into(), &"accra-a".into(), &"u1".into());
+    assert_eq!(refused, Err(ErrorKind::OutOfService));
+    let restarted = follow(vec![replica.client()], None);
+    let view = until("restart", &mut restarted.view(), View::is_current).await;
+    assert_eq!(view.declarations, last.declarations);
+}
+
+#[actix_rt::test]
+async fn loss_of_a_replica_is_not_felt() {
+    let state = State::new();
+    let first = Replica::start(&state, 1).await;
+    let second = Replica::start(&state, 2).await;
+    let clients = vec![first.client(), second.client()];
+    let followers = [follow(clients.clone(), None), follow(clients, Some("u1"))];
+    let mut views = followers.each_ref().map(Follower::view);
+    for view in &mut views {
+        until("first answer", view, View::is_current).await;
+    }
+    first.server.stop().await;
+    state.zone("o1", Standing::Out);
+    for view in &mut views {
+        assert!(view.borrow().is_current());
+        let view = until("order", view, |v| v.declarations.revision == Revision(1)).await;
+        assert!(view.is_current());
+    }
+}
+
+#[actix_rt::test]
+async fn lease_runs_out_when_no_replica_is_entitled() {
+    let state = State::new();
+    let sound = Replica::start(&state, 1).await;
+    let alone = Replica::start(&state.cut_off(), 2).await;
+    let follower = follow(vec![sound.client(), alone.client()], None);
+    let mut view = follower.view();
+    until("first answer", &mut view, View::is_current).await;
+    state.entitled.store(false, Ordering::Relaxed);
+    let lapse = async {
+        while view.borrow().is_current() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    soon("lapse", lapse).await;
+    state.zone("o1", Standing::Out);
+    let mut later = view.clone();
+    let taken = later.wait_for(|v| v.declarations.revision > Revision(0));
+    let taken = tokio::time::timeout(Duration::from_secs(1), taken).await;
+    assert!(taken.is_err(), "an answer without a confirmation was taken");
+    let lapsed = view.borrow().clone();
+    assert_eq!(lapsed.declarations.revision, Revision(0));
+    let refused = lapsed.admit(&"s".into(), &"accra-a".into(), &"u1".into());
+    assert_eq!(refused, Err(ErrorKind::NotCurrent));
+    state.entitled.store(true, Ordering::Relaxed);
+    until("order", &mut view, |v| {
+        v.declarations.revision == Revision(1)
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn upstreams_and_entries_are_announced_to_all() {
+    let state = State::new();
+    let first = Replica::start(&state, 1).await;
+    let second = Replica::start(&state, 2).await;
+    let clients = vec![first.client(), second.client()];
+    let follower = follow(clients.clone(), None);
+    let (announced, announcement_rx) = watch::channel(Some(announcement(5)));
+    let agent = AgentReporter::spawn(AgentOptions {
+        replicas: clients.clone(),
+        announcement: announcement_rx,
+        warmth: watch::channel(Warmth::Warm).1,
+        fence: watch::channel(Fence(3)).1,
+        view: follower.view(),
+    });
+    let _entry = EntryReporter::spawn(&EntryOptions {
+        instance: "entry-1".into(),
+        zone: "accra-a".into(),
+        replicas: clients,
+        view: follower.view(),
+    });
+    let mut view = follower.view();
+    until("announcement", &mut view, |v| {
+        v.upstreams.contains_key("u1")
+    })
+    .await;
+    announced.send_replace(Some(announcement(4)));
+    let started = |v: &View| v.upstreams["u1"].incarnation == Incarnation(6);
+    until("new start", &mut view, started).await;
+    assert_eq!(*agent.incarnation().borrow(), Incarnation(6));
+    assert_eq!(*agent.standby().borrow(), Standby::Newest);
+    for replica in [&first, &second] {
+        let all = async {
+            let known = |r: &pimentotide_control::directory::Registry| {
+                let upstreams: Vec<_> = r.members().map(|m| m.notice.rank().0).collect();
+                upstreams == [Incarnation(6)] && r.entries().count() == 1
+            };
+            while !replica.directory.read(known) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        soon("report", all).await;
+    }
+}
+
+#[actix_rt::test]
+async fn restarted_agent_learns_the_floor_of_its_fencing_numbers() {
+    let state = State::new();
+    for _ in 0..3 {
+        state.apply(&Command::Allot("u1".into()));
+    }
+    let replica = Replica::start(&state, 1).await;
+    let follower = follow(vec![replica.client()], Some("u1"));
+    assert_eq!(follower.accept(Fence(9)), Err(ErrorKind::NotCurrent));
+    until("first answer", &mut follower.view(), View::is_current).await;
+    assert_eq!(follower.accept(Fence(2)), Err(ErrorKind::Fenced));
+    assert_eq!(follower.accept(Fence(4)), Ok(()));
+    assert_eq!(follower.accept(Fence(3)), Err(ErrorKind::Fenced));
+}
--- a/peers/instance/tests/it/main.rs
+++ b/peers/instance/tests/it/main.rs
@@ -1,3 +1,4 @@
 //! Integration tests of the protocol between processes.
 
+mod directory;
 mod link;
