Operators are warned of names that nobody announces

A misspelt zone or upstream was taken out without a word. Answers now carry a warning, as for models that no upstream announces. The history shows the time of each order, which leaders set by their wall clock; `time`, in the lock file already, turns it into a date.

--- a/decision/control/src/declare/fault.rs
+++ b/decision/control/src/declare/fault.rs
@@ -22,6 +22,13 @@
     }
 }
 
+/// Longest message or key in a fault, characters.
+const MAX_CHARS: usize = 256;
+
+fn shorten(text: &str) -> String {
+    text.chars().take(MAX_CHARS).collect()
+}
+
 /// Faults collected in one pass, bounded in number.
 #[derive(Debug, Default)]
 pub(crate) struct Faults {
@@ -40,8 +47,8 @@
             return;
         }
         self.found.push(Fault {
-            path: path.iter().map(|p| (*p).to_owned()).collect(),
-            message: message.into(),
+            path: path.iter().map(|p| shorten(p)).collect(),
+            message: shorten(&message.into()),
         });
     }
 
--- a/peers/operator/src/command/render.rs
+++ b/peers/operator/src/command/render.rs
@@ -1,7 +1,8 @@
 //! Answers as text for people.
 
 use pimentotide_control::machine::Record;
-use pimentotide_model::{Service, Warmth};
+use pimentotide_model::{Service, Time, Warmth};
+use time::OffsetDateTime;
 
 use crate::control::Cluster;
 use crate::message::{Accepted, Listing, ProfileSummary};
@@ -45,10 +46,17 @@
 }
 
 pub(super) fn history(list: &Listing<Record>) -> String {
-    let mut rows = vec![row(["REVISION", "ACTOR", "ORDER", "ACTION"])];
+    let mut rows = vec![row(["REVISION", "TIME", "ACTOR", "ORDER", "ACTION"])];
     for record in &list.items {
         let revision = record.revision.to_string();
-        rows.push(row([&revision, &record.actor, &record.id, &record.summary]));
+        let at = date(record.at);
+        rows.push(row([
+            &revision,
+            &at,
+            &record.actor,
+            &record.id,
+            &record.summary,
+        ]));
     }
     table(&rows)
 }
@@ -172,6 +180,16 @@
     text.to_owned()
 }
 
+/// Time of the log as a date; leaders set it by their wall clock.
+fn date(at: Time) -> String {
+    let seconds = i64::try_from(at.as_millis() / 1_000).unwrap_or(i64::MAX);
+    let Ok(date) = OffsetDateTime::from_unix_timestamp(seconds) else {
+        return NONE.to_owned();
+    };
+    let (hour, minute, second) = date.to_hms();
+    format!("{}T{hour:02}:{minute:02}:{second:02}Z", date.date())
+}
+
 /// Single values of an object, as `key=value`.
 fn scalars(value: &serde_json::Value) -> String {
     let fields = value.as_object().into_iter().flatten();
--- a/peers/operator/src/server/mod.rs
+++ b/peers/operator/src/server/mod.rs
@@ -3,6 +3,7 @@
 mod order;
 mod read;
 mod reply;
+mod warn;
 
 use std::io;
 use std::net::SocketAddr;
--- a/peers/operator/src/server/order.rs
+++ b/peers/operator/src/server/order.rs
@@ -1,16 +1,14 @@
 //! Orders and changes of membership.
 
-use std::collections::BTreeSet;
-
 use actix_web::HttpResponse;
 use actix_web::web::{Data, Payload};
 use pimentotide_control::declare::{parse_document, place, read_document};
-use pimentotide_control::directory::Registry;
-use pimentotide_control::{Action, Command, Document, Order, Response, Verdict};
+use pimentotide_control::{Action, Command, Order, Response, Verdict};
 use pimentotide_document::{Problem, Problems};
 use pimentotide_model::{ErrorKind, Failure, OrderId, Revision};
 
 use super::reply::{answer, body, refuse};
+use super::warn::warnings;
 use crate::control::{Control, MemberChange};
 use crate::message::{Accepted, ActionRequest, OrderRequest, ProblemBody};
 
@@ -159,32 +157,3 @@
 fn boxed(failure: Failure) -> Box<ProblemBody> {
     Box::new(ProblemBody::from(failure))
 }
-
-/// Names the models of a document that no upstream announces.
-fn warnings(action: &Action, registry: &Registry) -> Vec<String> {
-    let Action::Apply { document, .. } = action else {
-        return Vec::new();
-    };
-    let announced: BTreeSet<_> = registry
-        .members()
-        .flat_map(|m| &m.notice.announcement.models)
-        .map(|(model, _)| model)
-        .collect();
-    let missing = models(document).filter(|(_, model)| !announced.contains(model));
-    let warnings = missing.map(|(profile, model)| {
-        format!("profile {profile}: no upstream announces model {model} now")
-    });
-    warnings.collect()
-}
-
-fn models(
-    document: &Document,
-) -> impl Iterator<
-    Item = (
-        &pimentotide_model::ProfileName,
-        &pimentotide_model::ModelName,
-    ),
-> {
-    let profiles = document.profiles.values();
-    profiles.filter_map(|p| p.model.as_ref().map(|model| (&p.name, model)))
-}
--- a/peers/operator/tests/it/command.rs
+++ b/peers/operator/tests/it/command.rs
@@ -42,6 +42,7 @@
 #[actix_rt::test]
 async fn lost_answer_is_asked_for_elsewhere_and_applies_once() {
     let replica = Replica::new();
+    replica.announce("u1", Warmth::Warm);
     let loses = replica.with(Mode::Loses).serve();
     let silent = replica.with(Mode::Silent).serve();
     let sound = replica.serve();
@@ -55,6 +56,13 @@
     assert_eq!(replica.revision(), Revision(1));
 }
 
+#[actix_rt::test]
+async fn names_that_nobody_announces_are_warned_of() {
+    let at = [Replica::new().serve()];
+    let output = run(&at, "o1", zone_out("acra-a")).await;
+    insta::assert_snapshot!(shown(&output));
+}
+
 #[actix_rt::test]
 async fn no_answer_says_how_to_ask_again() {
     let cut_off = Replica::new().with(Mode::CutOff).serve();
