--- a/app/src/agent/core.rs
+++ b/app/src/agent/core.rs
@@ -140,8 +140,10 @@
         let Some(slot) = &mut inner.slot else {
             return;
         };
-        slot.gate
-            .renew(view.lease.map_or(Time::MAX, |l| self.clock.at(l)));
+        if view.current {
+            slot.gate
+                .renew(view.expiry.map_or(Time::MAX, |e| self.clock.at(e)));
+        }
         let mut grants = Vec::new();
         if slot.revision < view.declarations.revision {
             let announcement = self.announcement_of(&slot.engine, SocketAddr::from(([0; 4], 0)));
--- a/app/src/lib.rs
+++ b/app/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod entry;
 pub mod local;
+pub mod operator;
 pub mod options;
 pub mod run;
 pub mod settings;
--- a/dev/bench/src/bin/proxy_cost.rs
+++ b/dev/bench/src/bin/proxy_cost.rs
@@ -135,6 +135,7 @@
     let token = Token::open("bench-secret-0123456789").expect("a valid secret");
     let view = watch::Sender::new(View {
         declarations: Arc::new(declarations()),
+        current: true,
         ..View::default()
     });
     let agent = Agent::spawn(AgentOptions {
