Expert maps: planner, and a switch with one map in each step

Cause: expert popularity drifts and one slow rank holds back its group; a group must change its map without any step running under two.

Change: the planner estimates popularity (two decays, late and lost reports) and rank speeds (median over buckets), computes a lower bound for each layer, places from nothing, and improves the map in force by the changes that save most for each expert moved. The switch stages a map on every rank, decides it once in the replicated log, and has the leader of the steps grant steps in ranges that carry the map's identity. A new epoch opens when a rank or the leader restarts; ranks close older epochs first.

--- /dev/null
+++ b/decision/experts/src/decisions.rs
@@ -0,0 +1,444 @@
+//! Decided maps and fencing numbers, equal on every replica of the log.
+//!
+//! A map is staged, then decided or abandoned, once: the log orders the
+//! commands of rival coordinators, and a command under an old fencing number
+//! changes nothing. A map's content is in the log before any rank loads it, so
+//! whoever takes over can finish or abandon the switch.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use derive_more::Display;
+use pimentotide_model::{Fence, GroupName, Incarnation, InstanceName, Time};
+use serde::{Deserialize, Serialize};
+
+use crate::{ExpertMap, Layout, MapError, MapId};
+
+/// Groups that are kept at most.
+const MAX_GROUPS: usize = 64;
+
+/// Change to the decided maps, replicated before it takes effect.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// Brings a group into being with its first map.
+    Form {
+        /// Group.
+        group: GroupName,
+        /// Shape of the group.
+        layout: Layout,
+        /// First map.
+        map: Arc<ExpertMap>,
+    },
+    /// Makes one instance the coordinator of a group.
+    Take {
+        /// Group.
+        group: GroupName,
+        /// Instance that coordinates from now on.
+        holder: InstanceName,
+        /// Number that is the same when the command is resent.
+        nonce: u64,
+    },
+    /// Opens a new term of the rank that leads the steps.
+    Lead {
+        /// Group.
+        group: GroupName,
+        /// Start of the leading rank's agent.
+        incarnation: Incarnation,
+    },
+    /// Tells a rank that has started the floor of fencing numbers.
+    Admit {
+        /// Group.
+        group: GroupName,
+        /// Fencing number of the coordinator.
+        fence: Fence,
+        /// Rank.
+        rank: u16,
+        /// Start of the rank's agent.
+        incarnation: Incarnation,
+    },
+    /// Gives a map an identity, so that ranks may load it.
+    Stage {
+        /// Group.
+        group: GroupName,
+        /// Fencing number of the coordinator.
+        fence: Fence,
+        /// Map.
+        map: Arc<ExpertMap>,
+    },
+    /// Decides that a staged map follows the one in force.
+    Decide {
+        /// Group.
+        group: GroupName,
+        /// Fencing number of the coordinator.
+        fence: Fence,
+        /// Map.
+        id: MapId,
+        /// First step that may run under the map.
+        step: u64,
+    },
+    /// Gives up a staged map.
+    Abandon {
+        /// Group.
+        group: GroupName,
+        /// Fencing number of the coordinator.
+        fence: Fence,
+        /// Map.
+        id: MapId,
+    },
+    /// Records that all ranks run under the decided map.
+    Settle {
+        /// Group.
+        group: GroupName,
+        /// Fencing number of the coordinator.
+        fence: Fence,
+        /// Map.
+        id: MapId,
+        /// Step that all ranks have run under it.
+        step: u64,
+    },
+    /// Drops what is past its window.
+    Expire,
+}
+
+/// Why a command changed nothing.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Refusal {
+    /// The command carries an old fencing number.
+    #[display("old fencing number")]
+    Fenced,
+    /// The group does not exist.
+    #[display("unknown group")]
+    UnknownGroup,
+    /// The group exists with another shape.
+    #[display("the group exists")]
+    Exists,
+    /// No further group fits.
+    #[display("no room")]
+    Full,
+    /// Another switch has not ended.
+    #[display("a switch is in flight")]
+    InFlight,
+    /// The map is neither staged nor decided.
+    #[display("the map is not staged")]
+    NotStaged,
+    /// The map does not fit the group.
+    #[display("the map does not fit: {_0}")]
+    BadMap(MapError),
+}
+
+/// Answer to a command.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// Nothing to tell.
+    Done,
+    /// The sender coordinates the group under this fencing number.
+    Taken {
+        /// Fencing number.
+        fence: Fence,
+        /// Group as it stands.
+        group: Box<GroupState>,
+    },
+    /// The sender leads the steps under this number.
+    Leading {
+        /// Fencing number of the term.
+        fence: Fence,
+        /// Map decided last.
+        decided: DecidedMap,
+    },
+    /// The rank belongs to the group.
+    Admitted {
+        /// Rank.
+        rank: u16,
+        /// Start of the rank's agent.
+        incarnation: Incarnation,
+        /// Fencing numbers below this one are refused.
+        floor: Fence,
+        /// Map decided last.
+        decided: DecidedMap,
+    },
+    /// The map has this identity.
+    Staged(MapId),
+    /// The map is decided.
+    Decided(DecidedMap),
+    /// The map is abandoned.
+    Abandoned(MapId),
+    /// The switch has ended.
+    Settled(MapId),
+    /// The command changed nothing.
+    Refused(Refusal),
+}
+
+/// Map that ranks run under from a step on.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct DecidedMap {
+    /// Identity.
+    pub id: MapId,
+    /// Content.
+    pub map: Arc<ExpertMap>,
+    /// First step that may run under it.
+    pub step: u64,
+    /// Whether all ranks have run a step under it.
+    pub settled: bool,
+}
+
+/// Map that ranks load.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StagedMap {
+    /// Identity.
+    pub id: MapId,
+    /// Content.
+    pub map: Arc<ExpertMap>,
+    /// When it was staged.
+    pub at: Time,
+}
+
+/// Coordinator of a group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Holder {
+    name: InstanceName,
+    nonce: u64,
+    fence: Fence,
+}
+
+/// One group as the log has decided it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GroupState {
+    /// Shape of the group.
+    pub layout: Layout,
+    /// Map decided last.
+    pub decided: DecidedMap,
+    /// Map that follows it, if one is being loaded.
+    pub staged: Option<StagedMap>,
+    /// Map that preceded the decided one, until that is settled.
+    pub previous: Option<MapId>,
+    last: MapId,
+    holder: Option<Holder>,
+    leader: Option<(Incarnation, Fence)>,
+}
+
+/// Decided maps and fencing numbers of all groups, equal on every replica.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Decisions {
+    fence: Fence,
+    groups: BTreeMap<GroupName, GroupState>,
+}
+
+impl Decisions {
+    /// Applies one committed command; `at` never goes back.
+    pub fn apply(&mut self, command: &Command, at: Time) -> Reply {
+        match command {
+            Command::Form { group, layout, map } => self.form(group, layout, map),
+            Command::Take {
+                group,
+                holder,
+                nonce,
+            } => self.take(group, holder, *nonce),
+            Command::Lead { group, incarnation } => self.lead(group, *incarnation),
+            Command::Admit {
+                group,
+                fence,
+                rank,
+                incarnation,
+            } => self.fenced(group, *fence, |g| g.admit(*rank, *incarnation, *fence)),
+            Command::Stage { group, fence, map } => {
+                self.fenced(group, *fence, |g| g.stage(map, at))
+            }
+            Command::Decide {
+                group,
+                fence,
+                id,
+                step,
+            } => self.fenced(group, *fence, |g| g.decide(*id, *step)),
+            Command::Abandon { group, fence, id } => self.fenced(group, *fence, |g| g.abandon(*id)),
+            Command::Settle {
+                group, fence, id, ..
+            } => self.fenced(group, *fence, |g| g.settle(*id)),
+            Command::Expire => Reply::Done,
+        }
+    }
+
+    /// Looks up a group.
+    pub fn group(&self, name: &GroupName) -> Option<&GroupState> {
+        self.groups.get(name)
+    }
+
+    /// All groups by name.
+    pub fn groups(&self) -> &BTreeMap<GroupName, GroupState> {
+        &self.groups
+    }
+
+    /// Highest fencing number given out.
+    pub fn fence(&self) -> Fence {
+        self.fence
+    }
+
+    fn form(&mut self, name: &GroupName, layout: &Layout, map: &Arc<ExpertMap>) -> Reply {
+        if let Some(group) = self.groups.get(name) {
+            return match group.layout == *layout {
+                true => Reply::Done,
+                false => Reply::Refused(Refusal::Exists),
+            };
+        }
+        if self.groups.len() >= MAX_GROUPS {
+            return Reply::Refused(Refusal::Full);
+        }
+        if let Err(error) = map.check(layout) {
+            return Reply::Refused(Refusal::BadMap(error));
+        }
+        self.groups
+            .insert(name.clone(), GroupState::new(layout, map));
+        Reply::Done
+    }
+
+    fn take(&mut self, name: &GroupName, holder: &InstanceName, nonce: u64) -> Reply {
+        let Some(group) = self.groups.get_mut(name) else {
+            return Reply::Refused(Refusal::UnknownGroup);
+        };
+        let resent = |h: &&Holder| h.name == *holder && h.nonce == nonce;
+        let fence = match group.holder.as_ref().filter(resent) {
+            Some(known) => known.fence,
+            None => {
+                self.fence = self.fence.next();
+                group.holder = Some(Holder {
+                    name: holder.clone(),
+                    nonce,
+                    fence: self.fence,
+                });
+                self.fence
+            }
+        };
+        Reply::Taken {
+            fence,
+            group: Box::new(group.clone()),
+        }
+    }
+
+    fn lead(&mut self, name: &GroupName, incarnation: Incarnation) -> Reply {
+        let Some(group) = self.groups.get_mut(name) else {
+            return Reply::Refused(Refusal::UnknownGroup);
+        };
+        let fence = match group.leader {
+            Some((known, _)) if known > incarnation => return Reply::Refused(Refusal::Fenced),
+            Some((known, fence)) if known == incarnation => fence,
+            _ => {
+                self.fence = self.fence.next();
+                group.leader = Some((incarnation, self.fence));
+                self.fence
+            }
+        };
+        Reply::Leading {
+            fence,
+            decided: group.decided.clone(),
+        }
+    }
+
+    fn fenced<F>(&mut self, name: &GroupName, fence: Fence, change: F) -> Reply
+    where
+        F: FnOnce(&mut GroupState) -> Reply,
+    {
+        match self.groups.get_mut(name) {
+            None => Reply::Refused(Refusal::UnknownGroup),
+            Some(group) if group.holds(fence) => change(group),
+            Some(_) => Reply::Refused(Refusal::Fenced),
+        }
+    }
+}
+
+impl GroupState {
+    fn new(layout: &Layout, map: &Arc<ExpertMap>) -> Self {
+        let first = MapId(1);
+        Self {
+            layout: layout.clone(),
+            decided: DecidedMap {
+                id: first,
+                map: Arc::clone(map),
+                step: 0,
+                settled: true,
+            },
+            staged: None,
+            previous: None,
+            last: first,
+            holder: None,
+            leader: None,
+        }
+    }
+
+    /// Whether a rank may still need the map.
+    pub fn needs(&self, id: MapId) -> bool {
+        let staged = self.staged.as_ref().map(|s| s.id);
+        id == self.decided.id || Some(id) == staged || Some(id) == self.previous || id > self.last
+    }
+
+    /// Takes over what the log has replied to a staged map.
+    pub(crate) fn note_staged(&mut self, staged: StagedMap) {
+        self.last = self.last.max(staged.id);
+        self.staged = Some(staged);
+    }
+
+    fn holds(&self, fence: Fence) -> bool {
+        self.holder.as_ref().is_some_and(|h| h.fence == fence)
+    }
+
+    fn admit(&self, rank: u16, incarnation: Incarnation, floor: Fence) -> Reply {
+        Reply::Admitted {
+            rank,
+            incarnation,
+            floor,
+            decided: self.decided.clone(),
+        }
+    }
+
+    fn stage(&mut self, map: &Arc<ExpertMap>, at: Time) -> Reply {
+        match &self.staged {
+            Some(staged) if staged.map == *map => return Reply::Staged(staged.id),
+            Some(_) => return Reply::Refused(Refusal::InFlight),
+            None if !self.decided.settled => return Reply::Refused(Refusal::InFlight),
+            None => {}
+        }
+        if let Err(error) = map.check(&self.layout) {
+            return Reply::Refused(Refusal::BadMap(error));
+        }
+        self.last = MapId(self.last.0 + 1);
+        self.staged = Some(StagedMap {
+            id: self.last,
+            map: Arc::clone(map),
+            at,
+        });
+        Reply::Staged(self.last)
+    }
+
+    fn decide(&mut self, id: MapId, step: u64) -> Reply {
+        if self.decided.id == id {
+            return Reply::Decided(self.decided.clone());
+        }
+        let Some(staged) = self.staged.take_if(|s| s.id == id) else {
+            return Reply::Refused(Refusal::NotStaged);
+        };
+        self.previous = Some(self.decided.id);
+        self.decided = DecidedMap {
+            id,
+            map: staged.map,
+            step,
+            settled: false,
+        };
+        Reply::Decided(self.decided.clone())
+    }
+
+    fn abandon(&mut self, id: MapId) -> Reply {
+        if self.decided.id == id {
+            return Reply::Decided(self.decided.clone());
+        }
+        self.staged.take_if(|s| s.id == id);
+        Reply::Abandoned(id)
+    }
+
+    fn settle(&mut self, id: MapId) -> Reply {
+        if self.decided.id != id {
+            return Reply::Refused(Refusal::NotStaged);
+        }
+        self.decided.settled = true;
+        self.previous = None;
+        Reply::Settled(id)
+    }
+}
--- a/decision/experts/src/lib.rs
+++ b/decision/experts/src/lib.rs
@@ -1,31 +1,23 @@
 //! Expert maps: planning, switching and rebalancing cost.
+//!
+//! The planner decides whether a group of ranks should leave its expert map and
+//! for which one. The switch brings all ranks from one map to the next so that
+//! each step runs under one map. The decisions that must survive are commands
+//! in the replicated log. Nothing here performs input or output.
 
-use pimentotide_model::Time;
-use serde::{Deserialize, Serialize};
+mod decisions;
+mod map;
+mod plan;
+mod switch;
 
-/// Change to the decided maps, replicated before it takes effect.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Command {
-    /// Drops what is past its window.
-    Expire,
-}
-
-/// Answer to a command.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Reply {
-    /// Nothing to tell.
-    Done,
-}
-
-/// Decided maps and fencing numbers of all groups, equal on every replica.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Decisions {}
-
-impl Decisions {
-    /// Applies one committed command; `at` never goes back.
-    pub fn apply(&mut self, command: &Command, _at: Time) -> Reply {
-        match command {
-            Command::Expire => Reply::Done,
-        }
-    }
-}
+pub use decisions::{Command, DecidedMap, Decisions, GroupState, Refusal, Reply, StagedMap};
+pub use map::{ExpertMap, Layout, MAX_MAP_SLOTS, MapError, MapId, RankShape, Slot};
+pub use plan::{
+    Bounds, Conditions, Declined, Demand, Forecast, Limits, Load, Plan, PlanPolicy, Planner,
+    Popularity, Source, Speeds, StepSample, TokenCounts, Verdict, cold_loads, improve_map,
+    pack_greedily, place, sources,
+};
+pub use switch::{
+    AbandonCause, Action, Coordinator, Ending, Epoch, Grant, LEADING_RANK, Leader, MapOrder,
+    Message, Peer, Phase, RankAgent, RankStatus, SwitchPolicy,
+};
--- /dev/null
+++ b/decision/experts/src/switch/agent.rs
@@ -0,0 +1,292 @@
+//! Agent of one rank: runs only steps that the leader has granted.
+//!
+//! An agent never picks a map. It holds the step until a grant of the newest
+//! epoch covers it and the weights of the granted map are in place. After a
+//! restart it knows no grants and no floor, so it holds steps and refuses
+//! orders until it has been told both.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use pimentotide_model::{ErrorKind, Failure, Fence, Incarnation};
+
+use super::message::{Action, Epoch, Grant, MapOrder, Message, Peer, RankStatus};
+use crate::{DecidedMap, ExpertMap, Load, MapId};
+
+/// Freed maps that late orders are recognised for.
+const MAX_FREED: usize = 16;
+
+/// State of the weights of one map.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Weights {
+    Loading,
+    Ready,
+}
+
+/// Agent of one rank.
+#[derive(Clone, Debug)]
+pub struct RankAgent {
+    rank: u16,
+    incarnation: Incarnation,
+    floor: Option<Fence>,
+    epoch: Epoch,
+    grants: Vec<Grant>,
+    next: Option<u64>,
+    step: u64,
+    active: Option<MapId>,
+    running: bool,
+    maps: BTreeMap<MapId, Weights>,
+    freed: Vec<MapId>,
+    doomed: Vec<MapId>,
+    failed: Option<MapId>,
+}
+
+impl RankAgent {
+    /// Starts an agent that has been told nothing yet.
+    pub fn new(rank: u16, incarnation: Incarnation) -> Self {
+        Self {
+            rank,
+            incarnation,
+            floor: None,
+            epoch: Epoch::default(),
+            grants: Vec::new(),
+            next: None,
+            step: 0,
+            active: None,
+            running: false,
+            maps: BTreeMap::new(),
+            freed: Vec::new(),
+            doomed: Vec::new(),
+            failed: None,
+        }
+    }
+
+    /// What the agent knows of itself.
+    pub fn status(&self) -> RankStatus {
+        let of = |state| {
+            let maps = self.maps.iter().filter(move |(_, w)| **w == state);
+            maps.map(|(id, _)| *id).collect()
+        };
+        RankStatus {
+            rank: self.rank,
+            incarnation: self.incarnation,
+            epoch: self.epoch,
+            step: self.step,
+            active: self.active,
+            ready: of(Weights::Ready),
+            loading: of(Weights::Loading),
+            failed: self.failed,
+            floor: self.floor,
+        }
+    }
+
+    /// Reports to coordinator and leader; called on a period.
+    pub fn tick(&self) -> Vec<Action> {
+        let status = Message::Status(self.status());
+        vec![
+            Action::Send(Peer::Coordinator, status.clone()),
+            Action::Send(Peer::Leader, status),
+        ]
+    }
+
+    /// Takes in a message; an order that is refused changes nothing.
+    pub fn receive(&mut self, message: Message) -> Result<Vec<Action>, Failure> {
+        match message {
+            Message::Order { fence, order } => self.order(fence, order),
+            Message::Welcome { incarnation, floor } => {
+                self.welcome(incarnation, floor);
+                Ok(Vec::new())
+            }
+            Message::Open { epoch, decided } => Ok(self.open(epoch, decided)),
+            Message::Grants { epoch, grants } => Ok(self.take_grants(epoch, &grants)),
+            Message::Status(_) => Ok(Vec::new()),
+        }
+    }
+
+    /// Weights of a map are in place.
+    pub fn loaded(&mut self, id: MapId) -> Vec<Action> {
+        let Some(weights) = self.maps.get_mut(&id) else {
+            return vec![Action::Free(id)];
+        };
+        *weights = Weights::Ready;
+        let mut actions = self.tick();
+        actions.extend(self.run_next());
+        actions
+    }
+
+    /// Weights of a map could not be loaded.
+    pub fn load_failed(&mut self, id: MapId) -> Vec<Action> {
+        self.maps.remove(&id);
+        self.failed = Some(id);
+        self.tick()
+    }
+
+    /// The engine has finished a step of `epoch`.
+    pub fn finished(&mut self, epoch: Epoch, step: u64) -> Vec<Action> {
+        if epoch != self.epoch || !self.running || step != self.step {
+            return Vec::new();
+        }
+        self.running = false;
+        let mut actions = self.run_next();
+        let status = Message::Status(self.status());
+        actions.push(Action::Send(Peer::Leader, status));
+        actions.extend(self.free_doomed());
+        actions
+    }
+
+    /// Whether the agent holds the next step because it has not been told its map.
+    pub fn is_holding(&self) -> bool {
+        !self.running
+    }
+
+    /// Lowest fencing number that the agent accepts, once it has learnt it.
+    pub fn floor(&self) -> Option<Fence> {
+        self.floor
+    }
+
+    fn welcome(&mut self, incarnation: Incarnation, floor: Fence) {
+        if incarnation == self.incarnation {
+            self.floor = self.floor.max(Some(floor));
+        }
+    }
+
+    fn order(&mut self, fence: Fence, order: MapOrder) -> Result<Vec<Action>, Failure> {
+        let Some(floor) = self.floor else {
+            return Err(Failure::new(
+                ErrorKind::NotCurrent,
+                "the agent has not learnt the floor of fencing numbers",
+            ));
+        };
+        if fence < floor {
+            let detail = format!("fencing number {fence} is below {floor}");
+            return Err(Failure::new(ErrorKind::Fenced, detail));
+        }
+        self.floor = Some(fence);
+        Ok(match order {
+            MapOrder::Stage { id, map, loads } => self.stage(id, map, Some(loads)),
+            MapOrder::Discard { id } => self.discard(id),
+            MapOrder::Decided(_) => Vec::new(),
+        })
+    }
+
+    fn stage(&mut self, id: MapId, map: Arc<ExpertMap>, loads: Option<Vec<Load>>) -> Vec<Action> {
+        if self.maps.contains_key(&id) || self.freed.contains(&id) {
+            return self.tick();
+        }
+        self.maps.insert(id, Weights::Loading);
+        vec![Action::Load { id, map, loads }]
+    }
+
+    /// Frees a map once no grant names it any more.
+    fn discard(&mut self, id: MapId) -> Vec<Action> {
+        if !self.maps.contains_key(&id) {
+            self.note_freed(id);
+            return self.tick();
+        }
+        if !self.doomed.contains(&id) {
+            self.doomed.push(id);
+        }
+        self.free_doomed()
+    }
+
+    /// Identities are never used again, so a late order to stage one is refused.
+    fn note_freed(&mut self, id: MapId) {
+        if !self.freed.contains(&id) {
+            self.freed.push(id);
+        }
+        if self.freed.len() > MAX_FREED {
+            self.freed.remove(0);
+        }
+    }
+
+    fn free_doomed(&mut self) -> Vec<Action> {
+        let running = self.running.then_some(self.active).flatten();
+        let used = |id: &MapId| running == Some(*id) || self.grants.iter().any(|g| g.map == *id);
+        let (keep, free): (Vec<MapId>, Vec<MapId>) = self.doomed.drain(..).partition(used);
+        self.doomed = keep;
+        if free.is_empty() {
+            return Vec::new();
+        }
+        for id in &free {
+            self.maps.remove(id);
+            self.note_freed(*id);
+        }
+        let mut actions: Vec<Action> = free.into_iter().map(Action::Free).collect();
+        actions.extend(self.tick());
+        actions
+    }
+
+    fn open(&mut self, epoch: Epoch, decided: DecidedMap) -> Vec<Action> {
+        if epoch < self.epoch {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        if epoch > self.epoch {
+            self.epoch = epoch;
+            self.grants.clear();
+            self.next = None;
+            if std::mem::take(&mut self.running) {
+                actions.push(Action::Abort(self.step));
+            }
+        }
+        if !self.maps.contains_key(&decided.id) && !self.freed.contains(&decided.id) {
+            self.maps.insert(decided.id, Weights::Loading);
+            actions.push(Action::Load {
+                id: decided.id,
+                map: decided.map,
+                loads: None,
+            });
+        }
+        actions.push(Action::Send(Peer::Leader, Message::Status(self.status())));
+        actions
+    }
+
+    fn take_grants(&mut self, epoch: Epoch, grants: &[Grant]) -> Vec<Action> {
+        if epoch != self.epoch {
+            return Vec::new();
+        }
+        for grant in grants {
+            self.take_grant(grant);
+        }
+        self.run_next()
+    }
+
+    /// Appends what a grant adds to those known; never changes a granted step.
+    fn take_grant(&mut self, grant: &Grant) {
+        let end = match self.grants.last() {
+            Some(last) => last.end,
+            None => self.next.unwrap_or(grant.first),
+        };
+        if grant.end <= end || grant.first > end {
+            return;
+        }
+        self.next.get_or_insert(grant.first);
+        self.grants.push(Grant {
+            first: end,
+            ..*grant
+        });
+    }
+
+    fn run_next(&mut self) -> Vec<Action> {
+        let Some(step) = self.next.filter(|_| !self.running) else {
+            return Vec::new();
+        };
+        self.grants.retain(|g| g.end > step);
+        let Some(grant) = self.grants.first().copied() else {
+            return Vec::new();
+        };
+        if self.maps.get(&grant.map) != Some(&Weights::Ready) {
+            return Vec::new();
+        }
+        self.next = Some(step + 1);
+        self.grants.retain(|g| g.end > step + 1);
+        self.step = step;
+        self.active = Some(grant.map);
+        self.running = true;
+        vec![Action::Run {
+            epoch: self.epoch,
+            step,
+            map: grant.map,
+        }]
+    }
+}
--- /dev/null
+++ b/decision/experts/src/switch/coordinator.rs
@@ -0,0 +1,447 @@
+//! Coordinator of the switches of one group.
+//!
+//! The coordinator has a map staged on every rank, has it decided in the log,
+//! tells the leader of the steps and waits until every rank runs under it. It
+//! keeps nothing that the log does not hold: whoever takes over reads the group
+//! and goes on with what is staged or decided there.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pimentotide_model::{Fence, GroupName, InstanceName, Time};
+use serde::{Deserialize, Serialize};
+
+use super::message::{Action, MapOrder, Message, Peer, RankStatus};
+use crate::{
+    Command, DecidedMap, ExpertMap, GroupState, MapId, Refusal, Reply, StagedMap, cold_loads,
+    sources,
+};
+
+/// Times and distances of a switch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SwitchPolicy {
+    /// Time that ranks have to load a map before it is abandoned.
+    pub staging: Duration,
+    /// Steps between the newest known step and the one that a decision names.
+    pub lead: u64,
+}
+
+/// Where a switch stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// The coordinator has no fencing number yet.
+    Taking,
+    /// No switch is in flight.
+    Idle,
+    /// A map waits for its identity.
+    Proposing,
+    /// Ranks load a map.
+    Staging(MapId),
+    /// The log is asked to decide.
+    Deciding(MapId),
+    /// The log is asked to abandon.
+    Abandoning(MapId),
+    /// Ranks begin to run under the decided map.
+    Activating(MapId),
+    /// The log is asked to record that all ranks run under it.
+    Settling(MapId),
+    /// Another instance coordinates the group.
+    Deposed,
+}
+
+/// How the last switch ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ending {
+    /// All ranks run under the map.
+    Settled(MapId),
+    /// The map was given up.
+    Abandoned(MapId, AbandonCause),
+}
+
+/// Why a map was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AbandonCause {
+    /// A rank did not load it in time.
+    Late,
+    /// A rank could not load it.
+    Failed,
+    /// An operator paused rebalancing, or the plan was withdrawn.
+    Withdrawn,
+}
+
+/// Coordinator of one group.
+#[derive(Clone, Debug)]
+pub struct Coordinator {
+    name: GroupName,
+    holder: InstanceName,
+    nonce: u64,
+    policy: SwitchPolicy,
+    phase: Phase,
+    since: Time,
+    fence: Fence,
+    group: Option<GroupState>,
+    proposed: Option<Arc<ExpertMap>>,
+    cause: AbandonCause,
+    ending: Option<Ending>,
+    ranks: Vec<Option<RankStatus>>,
+}
+
+impl Default for SwitchPolicy {
+    fn default() -> Self {
+        Self {
+            staging: Duration::from_secs(60),
+            lead: 8,
+        }
+    }
+}
+
+impl Coordinator {
+    /// Starts a coordinator that has no fencing number yet.
+    ///
+    /// `nonce` differs at each start of `holder`.
+    pub fn new(name: GroupName, holder: InstanceName, nonce: u64, policy: SwitchPolicy) -> Self {
+        Self {
+            name,
+            holder,
+            nonce,
+            policy,
+            phase: Phase::Taking,
+            since: Time::ZERO,
+            fence: Fence(0),
+            group: None,
+            proposed: None,
+            cause: AbandonCause::Late,
+            ending: None,
+            ranks: Vec::new(),
+        }
+    }
+
+    /// Where the switch stands.
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// How the last switch ended, if this coordinator saw one end.
+    pub fn ending(&self) -> Option<Ending> {
+        self.ending
+    }
+
+    /// Group as last read from the log.
+    pub fn group(&self) -> Option<&GroupState> {
+        self.group.as_ref()
+    }
+
+    /// Newest status of each rank.
+    pub fn ranks(&self) -> &[Option<RankStatus>] {
+        &self.ranks
+    }
+
+    /// Proposes a map; false if a switch is in flight.
+    pub fn propose(&mut self, map: ExpertMap, now: Time) -> (bool, Vec<Action>) {
+        if self.phase != Phase::Idle {
+            return (false, Vec::new());
+        }
+        self.proposed = Some(Arc::new(map));
+        self.enter(Phase::Proposing, now);
+        (true, self.tick(now))
+    }
+
+    /// Gives up the switch in flight unless it is decided already.
+    pub fn withdraw(&mut self, now: Time) -> Vec<Action> {
+        match self.phase {
+            Phase::Staging(id) => self.abandon(id, AbandonCause::Withdrawn, now),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Sends again what has not been answered; called on a period.
+    pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = match self.phase {
+            Phase::Taking => vec![self.take()],
+            Phase::Idle | Phase::Deposed => Vec::new(),
+            Phase::Proposing => self.submit_stage(),
+            Phase::Staging(id) => self.stage(id, now),
+            Phase::Deciding(id) => self.submit_decide(id),
+            Phase::Abandoning(id) => self.submit_abandon(id),
+            Phase::Activating(id) => self.activate(id),
+            Phase::Settling(id) => self.submit_settle(id),
+        };
+        if !matches!(self.phase, Phase::Taking | Phase::Deposed) {
+            actions.extend(self.discard_dead());
+        }
+        actions
+    }
+
+    /// Takes in a rank's status.
+    pub fn receive(&mut self, message: Message, now: Time) -> Vec<Action> {
+        let Message::Status(status) = message else {
+            return Vec::new();
+        };
+        let rank = usize::from(status.rank);
+        let Some(known) = self.ranks.get(rank) else {
+            return Vec::new();
+        };
+        let age = |s: &RankStatus| (s.incarnation, s.epoch, s.step);
+        if known.as_ref().is_some_and(|k| age(k) > age(&status)) {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        if status.floor.is_none() {
+            actions.push(self.admit(&status));
+        }
+        self.ranks[rank] = Some(status);
+        actions.extend(self.progress(now));
+        actions
+    }
+
+    /// Takes in the reply of the log to a command of this coordinator.
+    pub fn replied(&mut self, reply: Reply, now: Time) -> Vec<Action> {
+        match (reply, self.phase) {
+            (Reply::Refused(Refusal::Fenced), Phase::Taking | Phase::Deposed) => Vec::new(),
+            (Reply::Refused(Refusal::Fenced), _) => {
+                self.enter(Phase::Deposed, now);
+                Vec::new()
+            }
+            (Reply::Taken { fence, group }, Phase::Taking) => self.adopt(fence, *group, now),
+            (
+                Reply::Admitted {
+                    rank,
+                    incarnation,
+                    floor,
+                    ..
+                },
+                _,
+            ) => {
+                let welcome = Message::Welcome { incarnation, floor };
+                vec![Action::Send(Peer::Rank(rank), welcome)]
+            }
+            (Reply::Staged(id), Phase::Proposing) => self.staged(id, now),
+            (Reply::Refused(_), Phase::Proposing) => {
+                self.proposed = None;
+                self.enter(Phase::Taking, now);
+                vec![self.take()]
+            }
+            (Reply::Decided(decided), Phase::Deciding(_) | Phase::Abandoning(_)) => {
+                self.decided(decided, now)
+            }
+            (Reply::Abandoned(id), Phase::Abandoning(current)) if id == current => {
+                self.abandoned(id, now)
+            }
+            (Reply::Settled(id), Phase::Settling(current)) if id == current => {
+                self.settled(id, now)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn enter(&mut self, phase: Phase, now: Time) {
+        self.phase = phase;
+        self.since = now;
+    }
+
+    fn take(&self) -> Action {
+        Action::Submit(Command::Take {
+            group: self.name.clone(),
+            holder: self.holder.clone(),
+            nonce: self.nonce,
+        })
+    }
+
+    fn admit(&self, status: &RankStatus) -> Action {
+        Action::Submit(Command::Admit {
+            group: self.name.clone(),
+            fence: self.fence,
+            rank: status.rank,
+            incarnation: status.incarnation,
+        })
+    }
+
+    fn adopt(&mut self, fence: Fence, group: GroupState, now: Time) -> Vec<Action> {
+        self.fence = fence;
+        self.ranks.resize(group.layout.ranks.len(), None);
+        let phase = match (&group.staged, group.decided.settled) {
+            (Some(staged), _) => Phase::Staging(staged.id),
+            (None, false) => Phase::Activating(group.decided.id),
+            (None, true) => Phase::Idle,
+        };
+        self.group = Some(group);
+        self.enter(phase, now);
+        self.tick(now)
+    }
+
+    fn submit_stage(&self) -> Vec<Action> {
+        let stage = |map: &Arc<ExpertMap>| {
+            Action::Submit(Command::Stage {
+                group: self.name.clone(),
+                fence: self.fence,
+                map: Arc::clone(map),
+            })
+        };
+        self.proposed.iter().map(stage).collect()
+    }
+
+    fn staged(&mut self, id: MapId, now: Time) -> Vec<Action> {
+        if let (Some(group), Some(map)) = (&mut self.group, self.proposed.take()) {
+            group.note_staged(StagedMap { id, map, at: now });
+        }
+        self.enter(Phase::Staging(id), now);
+        self.tick(now)
+    }
+
+    /// Orders ranks that are not ready to load the staged map.
+    fn stage(&mut self, id: MapId, now: Time) -> Vec<Action> {
+        if now.since(self.since) > self.policy.staging {
+            return self.abandon(id, AbandonCause::Late, now);
+        }
+        let Some(group) = &self.group else {
+            return Vec::new();
+        };
+        let Some(staged) = &group.staged else {
+            return Vec::new();
+        };
+        let speeds = vec![1.0; group.layout.ranks.len()];
+        let loads = sources(&group.layout, &group.decided.map, &staged.map, &speeds);
+        let order = |rank: u16| MapOrder::Stage {
+            id,
+            map: Arc::clone(&staged.map),
+            loads: loads.iter().filter(|l| l.rank == rank).copied().collect(),
+        };
+        let waiting = self.waiting(|s| s.ready.contains(&id) || s.loading.contains(&id));
+        let orders = waiting.into_iter().map(|r| self.send(r, order(r)));
+        orders.collect()
+    }
+
+    fn progress(&mut self, now: Time) -> Vec<Action> {
+        match self.phase {
+            Phase::Staging(id) if self.failed(id) => self.abandon(id, AbandonCause::Failed, now),
+            Phase::Staging(id) if self.waiting(|s| s.ready.contains(&id)).is_empty() => {
+                self.enter(Phase::Deciding(id), now);
+                self.submit_decide(id)
+            }
+            Phase::Activating(id) if self.waiting(|s| s.active == Some(id)).is_empty() => {
+                self.enter(Phase::Settling(id), now);
+                self.submit_settle(id)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn failed(&self, id: MapId) -> bool {
+        self.ranks.iter().flatten().any(|s| s.failed == Some(id))
+    }
+
+    /// Ranks that are not known to pass `test`.
+    fn waiting<F>(&self, test: F) -> Vec<u16>
+    where
+        F: Fn(&RankStatus) -> bool,
+    {
+        let fails = |status: &&Option<RankStatus>| !status.as_ref().is_some_and(&test);
+        let ranks = (0..).zip(&self.ranks);
+        let waiting = ranks.filter(|(_, status)| fails(status));
+        waiting.map(|(rank, _)| rank).collect()
+    }
+
+    fn send(&self, rank: u16, order: MapOrder) -> Action {
+        let fence = self.fence;
+        Action::Send(Peer::Rank(rank), Message::Order { fence, order })
+    }
+
+    fn submit_decide(&self, id: MapId) -> Vec<Action> {
+        let steps = self.ranks.iter().flatten().map(|s| s.step);
+        vec![Action::Submit(Command::Decide {
+            group: self.name.clone(),
+            fence: self.fence,
+            id,
+            step: steps.max().unwrap_or(0) + self.policy.lead,
+        })]
+    }
+
+    fn decided(&mut self, decided: DecidedMap, now: Time) -> Vec<Action> {
+        let id = decided.id;
+        if let Some(group) = &mut self.group {
+            group.previous = Some(group.decided.id);
+            group.staged = None;
+            group.decided = decided;
+        }
+        self.enter(Phase::Activating(id), now);
+        self.tick(now)
+    }
+
+    /// Tells the leader of the steps, and has ranks that restarted load the map.
+    fn activate(&self, id: MapId) -> Vec<Action> {
+        let Some(group) = &self.group else {
+            return Vec::new();
+        };
+        let order = MapOrder::Decided(group.decided.clone());
+        let fence = self.fence;
+        let mut actions = vec![Action::Send(Peer::Leader, Message::Order { fence, order })];
+        let waiting = self.waiting(|s| s.ready.contains(&id) || s.loading.contains(&id));
+        for rank in waiting {
+            let map = Arc::clone(&group.decided.map);
+            let loads = cold_loads(&group.layout, &map, rank, &[]);
+            actions.push(self.send(rank, MapOrder::Stage { id, map, loads }));
+        }
+        actions
+    }
+
+    fn submit_settle(&self, id: MapId) -> Vec<Action> {
+        let steps = self.ranks.iter().flatten().map(|s| s.step);
+        vec![Action::Submit(Command::Settle {
+            group: self.name.clone(),
+            fence: self.fence,
+            id,
+            step: steps.min().unwrap_or(0),
+        })]
+    }
+
+    fn settled(&mut self, id: MapId, now: Time) -> Vec<Action> {
+        if let Some(group) = &mut self.group {
+            group.decided.settled = true;
+            group.previous = None;
+        }
+        self.ending = Some(Ending::Settled(id));
+        self.enter(Phase::Idle, now);
+        self.discard_dead()
+    }
+
+    fn abandon(&mut self, id: MapId, cause: AbandonCause, now: Time) -> Vec<Action> {
+        self.cause = cause;
+        self.enter(Phase::Abandoning(id), now);
+        self.submit_abandon(id)
+    }
+
+    fn submit_abandon(&self, id: MapId) -> Vec<Action> {
+        vec![Action::Submit(Command::Abandon {
+            group: self.name.clone(),
+            fence: self.fence,
+            id,
+        })]
+    }
+
+    fn abandoned(&mut self, id: MapId, now: Time) -> Vec<Action> {
+        if let Some(group) = &mut self.group {
+            group.staged = None;
+        }
+        self.ending = Some(Ending::Abandoned(id, self.cause));
+        self.enter(Phase::Idle, now);
+        self.discard_dead()
+    }
+
+    /// Orders ranks to free maps that will not be used any more.
+    fn discard_dead(&self) -> Vec<Action> {
+        let Some(group) = &self.group else {
+            return Vec::new();
+        };
+        let mut actions = Vec::new();
+        for status in self.ranks.iter().flatten() {
+            let held = status.ready.iter().chain(&status.loading);
+            let dead = held.filter(|id| !group.needs(**id));
+            let orders = dead.map(|id| self.send(status.rank, MapOrder::Discard { id: *id }));
+            actions.extend(orders);
+        }
+        actions
+    }
+}
--- /dev/null
+++ b/decision/experts/tests/it/network.rs
@@ -0,0 +1,120 @@
+//! Faults on chosen messages, and random loss, delay and duplication.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::group::Process;
+
+/// Time that a message takes.
+const DELAY: Duration = Duration::from_millis(1);
+
+/// Time that a late message takes.
+const LATE: Duration = Duration::from_millis(700);
+
+/// What goes wrong when one message is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    Lose,
+    Twice,
+    Late,
+    KillSender,
+    KillReceiver,
+    KillControl,
+    KillLeader,
+}
+
+impl Fault {
+    pub(crate) const ALL: [Self; 7] = [
+        Self::Lose,
+        Self::Twice,
+        Self::Late,
+        Self::KillSender,
+        Self::KillReceiver,
+        Self::KillControl,
+        Self::KillLeader,
+    ];
+}
+
+/// When a message arrives, and what else happens.
+pub(crate) struct Passage {
+    pub(crate) delays: Vec<Duration>,
+    pub(crate) fault: Option<Fault>,
+}
+
+/// Line between all processes.
+pub(crate) struct Line {
+    count: u64,
+    faults: BTreeMap<u64, Fault>,
+    loss: f64,
+    rng: ChaCha8Rng,
+}
+
+impl Line {
+    /// A line that fails at the messages of these numbers.
+    pub(crate) fn with_faults<I>(faults: I) -> Self
+    where
+        I: IntoIterator<Item = (u64, Fault)>,
+    {
+        Self {
+            count: 0,
+            faults: faults.into_iter().collect(),
+            loss: 0.0,
+            rng: ChaCha8Rng::seed_from_u64(0),
+        }
+    }
+
+    /// A line that loses, delays and doubles each message with this chance.
+    pub(crate) fn with_loss(loss: f64, seed: u64) -> Self {
+        Self {
+            count: 0,
+            faults: BTreeMap::new(),
+            loss,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Messages sent.
+    pub(crate) fn count(&self) -> u64 {
+        self.count
+    }
+
+    /// Ends random faults.
+    pub(crate) fn heal(&mut self) {
+        self.loss = 0.0;
+    }
+
+    /// Passes one message on.
+    pub(crate) fn pass(&mut self, from: Process, to: Process) -> Passage {
+        if from == to {
+            // Machines in one process call each other.
+            let delays = vec![Duration::ZERO];
+            return Passage {
+                delays,
+                fault: None,
+            };
+        }
+        self.count += 1;
+        let fault = self
+            .faults
+            .get(&self.count)
+            .copied()
+            .or_else(|| self.draw());
+        let delays = match fault {
+            Some(Fault::Lose | Fault::KillReceiver) => Vec::new(),
+            Some(Fault::Twice) => vec![DELAY, LATE],
+            Some(Fault::Late) => vec![LATE],
+            _ => vec![DELAY],
+        };
+        Passage { delays, fault }
+    }
+
+    fn draw(&mut self) -> Option<Fault> {
+        if self.loss == 0.0 || !self.rng.random_bool(self.loss) {
+            return None;
+        }
+        Some([Fault::Lose, Fault::Twice, Fault::Late][self.rng.random_range(0..3)])
+    }
+}
