--- a/app/src/agent/core.rs
+++ b/app/src/agent/core.rs
@@ -5,18 +5,25 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use pimentotide_control::Command;
 use pimentotide_instance::work::{
-    BlockEvent, DemandAnswer, DemandOrder, News, NewsOrder, WorkOrder,
+    BlockEvent, DemandAnswer, DemandOrder, HeldClaim, News, NewsOrder, WorkOrder,
 };
 use pimentotide_instance::{Token, View};
 use pimentotide_model::{
-    Announcement, ErrorKind, Failure, Fence, Incarnation, InstanceName, LoadReport, RequestId,
-    Revision, Time,
+    Announcement, ErrorKind, Failure, Fence, Fingerprint, Incarnation, InstanceName, LoadReport,
+    RequestId, Revision, Time,
 };
 use pimentotide_observe::Metrics;
-use pimentotide_routing::{Admission, Completed, Gate, GatePolicy, GateSettings, Grant};
+use pimentotide_outcome::{
+    AgentLedger, Begin, Conclusion, Crash, Finding, LedgerEpoch, LedgerLimits, Outcome, Witness,
+};
+use pimentotide_routing::{
+    Admission, Completed, Gate, GatePolicy, GateSettings, Grant, Permit as GatePermit,
+};
 use pimentotide_upstream::{CacheChange, CacheEvent, EngineState};
-use tokio::sync::{Notify, watch};
+use rand::RngExt;
+use tokio::sync::{Notify, OnceCell, watch};
 
 use super::AgentOptions;
 use super::permit::Permit;
@@ -28,6 +35,12 @@
 /// Longest time for which a demand waits for a grant.
 const DEMAND_WAIT: Duration = Duration::from_millis(500);
 
+/// Time after which an upstream that says nothing counts as dead.
+const SIGN_OF_LIFE: Duration = Duration::from_secs(1);
+
+/// Time allowed for recording a crash.
+const CRASH_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Entries for which grants are kept at most.
 const MAX_MAILBOXES: usize = 1024;
 
@@ -35,6 +48,9 @@
 pub(super) struct Core {
     options: AgentOptions,
     clock: Clock,
+    epoch: LedgerEpoch,
+    /// Start that the upstream announced last.
+    starts: watch::Sender<u64>,
     announce: watch::Sender<Option<Announcement>>,
     inner: Mutex<Inner>,
 }
@@ -43,17 +59,42 @@
 struct Inner {
     address: Option<SocketAddr>,
     slot: Option<Slot>,
-    running: BTreeMap<RequestId, Arc<Notify>>,
+    running: BTreeMap<RequestId, RunningWork>,
+    /// Request that runs alone, or waits to.
+    alone: Option<RequestId>,
     mailboxes: BTreeMap<InstanceName, Mailbox>,
     leaving: bool,
 }
 
+/// A request that has been passed on.
+struct RunningWork {
+    cancel: Arc<Notify>,
+    fingerprint: Fingerprint,
+}
+
+/// What becomes of a request that arrives.
+pub(super) enum Arrival {
+    /// It is passed on.
+    Admitted(Permit),
+    /// It ran before; its answer is given again.
+    Ran(Arc<Outcome>),
+    /// It did not run, and will not.
+    Refused(Failure),
+    /// It may have run.
+    Failed(Failure),
+    /// It has to run alone and waits until nothing else runs.
+    Waiting,
+}
+
 /// The upstream in the agent's slot.
 struct Slot {
+    ledger: AgentLedger,
     engine: EngineState,
     gate: Gate,
     revision: Revision,
     events: VecDeque<CacheEvent>,
+    /// Latest suspected death: the start, whether it was reported, and what ran.
+    crash: (Incarnation, Arc<OnceCell<()>>, Vec<Fingerprint>),
 }
 
 /// Grants on their way to one entry.
@@ -69,6 +110,8 @@
         Self {
             options,
             clock: Clock::start(),
+            epoch: LedgerEpoch(rand::rng().random()),
+            starts: watch::Sender::new(0),
             announce,
             inner: Mutex::default(),
         }
@@ -118,6 +161,7 @@
         let now = self.now();
         let mut inner = self.lock();
         let leaving = inner.leaving;
+        self.starts.send_replace(state.started);
         match &mut inner.slot {
             Some(slot) => slot.update(state, now),
             none => {
@@ -168,38 +212,45 @@
         inner.deliver(grants);
     }
 
-    /// Admits a request or says why not.
-    pub(super) fn admit(self: &Arc<Self>, order: &WorkOrder) -> Result<Permit, Failure> {
+    /// Decides what becomes of a request.
+    pub(super) fn arrive(self: &Arc<Self>, order: &WorkOrder) -> Arrival {
         let now = self.now();
         let mut inner = self.lock();
         if inner.running.contains_key(&order.id) {
-            return Err(Failure::new(
-                ErrorKind::StillRunning,
-                "the request runs here already",
-            ));
+            return Arrival::Failed(running_already());
         }
-        let slot = inner.slot.as_mut().ok_or_else(|| {
-            Failure::new(
-                ErrorKind::NoUpstream,
-                "the upstream has not announced itself",
-            )
-        })?;
-        if order.incarnation != Incarnation(slot.engine.started) {
-            return Err(Failure::new(
-                ErrorKind::NoUpstream,
-                "the upstream has restarted",
-            ));
+        if inner.alone.is_some_and(|id| id != order.id) {
+            let detail = "the upstream runs a suspected request alone";
+            return Arrival::Refused(Failure::new(ErrorKind::Overloaded, detail));
         }
-        let permit = slot.gate.admit(&admission(order), now).map_err(|refusal| {
-            Failure::new(
-                refusal.kind,
-                format!("refused by the gate: {}", refusal.kind),
-            )
-        })?;
+        if order.alone {
+            inner.alone = Some(order.id);
+            if !inner.running.is_empty() {
+                return Arrival::Waiting;
+            }
+        }
+        let Some(slot) = inner.slot.as_mut() else {
+            let detail = "the upstream has not announced itself";
+            return Arrival::Refused(Failure::new(ErrorKind::NoUpstream, detail));
+        };
+        if let Some(arrival) = slot.begin_claim(order, now) {
+            return arrival;
+        }
+        let permit = match slot.admit(order, now) {
+            Ok(permit) => permit,
+            Err(failure) => {
+                slot.finish_claim(order, Conclusion::Refused, now);
+                return Arrival::Refused(failure);
+            }
+        };
         let engine = slot.engine.address;
         let cancel = Arc::new(Notify::new());
-        inner.running.insert(order.id, Arc::clone(&cancel));
-        Ok(Permit::new(
+        let work = RunningWork {
+            cancel: Arc::clone(&cancel),
+            fingerprint: order.fingerprint,
+        };
+        inner.running.insert(order.id, work);
+        Arrival::Admitted(Permit::new(
             Arc::clone(self),
             order.id,
             permit,
@@ -208,8 +259,90 @@
         ))
     }
 
+    /// Tells the death of the upstream from the failure of one request.
+    ///
+    /// A death is committed before the failure is told, so that nothing that ran
+    /// on the upstream is tried again unobserved.
+    pub(super) async fn explain(&self, order: &WorkOrder, failure: Failure) -> Failure {
+        let Some((crash, once)) = self.crash_at(order.incarnation) else {
+            return failure;
+        };
+        if !self.has_died(order.incarnation).await {
+            return failure;
+        }
+        once.get_or_init(|| self.report_crash(crash)).await;
+        failure
+    }
+
+    /// Crash that a broken connection may mean, and whether it has been reported.
+    fn crash_at(&self, incarnation: Incarnation) -> Option<(Crash, Arc<OnceCell<()>>)> {
+        let mut inner = self.lock();
+        let suspects = inner.running.values().map(|w| w.fingerprint);
+        let mut suspects: Vec<_> = suspects.collect();
+        suspects.sort_unstable();
+        suspects.dedup();
+        let slot = inner.slot.as_mut()?;
+        let reported = slot.crash.1.initialized();
+        if slot.crash.0 < incarnation || !reported && slot.crash.0 == incarnation {
+            let once = if reported {
+                Arc::default()
+            } else {
+                Arc::clone(&slot.crash.1)
+            };
+            slot.crash = (incarnation, once, suspects);
+        }
+        let crash = Crash {
+            upstream: self.options.upstream.clone(),
+            incarnation,
+            zone: Some(self.options.zone.clone()),
+            witness: Witness::Agent,
+            suspects: slot.crash.2.clone(),
+        };
+        Some((crash, Arc::clone(&slot.crash.1)))
+    }
+
+    /// Whether the upstream has died, judged by its next sign of life.
+    async fn has_died(&self, incarnation: Incarnation) -> bool {
+        let mut starts = self.starts.subscribe();
+        starts.mark_unchanged();
+        let next = tokio::time::timeout(SIGN_OF_LIFE, starts.changed()).await;
+        let started = Incarnation(*starts.borrow());
+        next.is_err() || started > incarnation
+    }
+
+    async fn report_crash(&self, crash: Crash) {
+        log::warn!(
+            "upstream {} died while it ran {} contents",
+            crash.upstream,
+            crash.suspects.len()
+        );
+        let Some(control) = &self.options.control else {
+            return;
+        };
+        let command = Command::Outcome(pimentotide_outcome::Command::Crash(crash));
+        if let Err(e) = control.submit(&command, CRASH_TIMEOUT).await {
+            log::error!("the crash of the upstream was not recorded: {e}");
+        }
+    }
+
+    /// Records how a claimed request ended.
+    pub(super) fn finish_claim(&self, order: &WorkOrder, end: Conclusion) {
+        let now = self.now();
+        if let Some(slot) = &mut self.lock().slot {
+            slot.finish_claim(order, end, now);
+        }
+    }
+
+    /// Tells what became of a claim; one that never arrived is barred for good.
+    pub(super) fn inquire(&self, held: &HeldClaim) -> Option<Finding> {
+        let now = self.now();
+        let mut inner = self.lock();
+        let slot = inner.slot.as_mut()?;
+        Some(slot.ledger.inquire(held.claim, &held.place, now))
+    }
+
     /// Notes the first token of an admitted request.
-    pub(super) fn first_token(&self, permit: &pimentotide_routing::Permit) {
+    pub(super) fn first_token(&self, permit: &GatePermit) {
         let now = self.now();
         if let Some(slot) = &mut self.lock().slot {
             slot.gate.first_token(permit, now);
@@ -217,15 +350,11 @@
     }
 
     /// Gives the place of an admitted request back.
-    pub(super) fn complete(
-        &self,
-        id: RequestId,
-        permit: pimentotide_routing::Permit,
-        done: Completed,
-    ) {
+    pub(super) fn complete(&self, id: RequestId, permit: GatePermit, done: Completed) {
         let now = self.now();
         let mut inner = self.lock();
         inner.running.remove(&id);
+        inner.end_alone(id);
         let Some(slot) = &mut inner.slot else {
             return;
         };
@@ -233,10 +362,15 @@
         inner.deliver(grants);
     }
 
+    /// Gives up waiting to run a request alone.
+    pub(super) fn end_alone(&self, id: RequestId) {
+        self.lock().end_alone(id);
+    }
+
     /// Gives up a running request on behalf of its entry.
     pub(super) fn cancel(&self, id: RequestId) {
-        if let Some(cancel) = self.lock().running.get(&id) {
-            cancel.notify_one();
+        if let Some(work) = self.lock().running.get(&id) {
+            work.cancel.notify_one();
         }
     }
 
@@ -274,6 +408,7 @@
             .map(block_event)
             .collect();
         Some(News {
+            epoch: slot.ledger.epoch(),
             report: slot.gate.report(),
             events,
         })
@@ -324,11 +459,18 @@
             policy,
         };
         let events = engine.cache.iter().copied().collect();
+        let ledger = AgentLedger::open(
+            self.epoch,
+            Incarnation(engine.started),
+            LedgerLimits::default(),
+        );
         Slot {
+            ledger,
             gate: Gate::open(settings, now),
             engine,
             revision,
             events,
+            crash: (Incarnation(0), Arc::default(), Vec::new()),
         }
     }
 
@@ -382,6 +524,12 @@
 }
 
 impl Inner {
+    fn end_alone(&mut self, id: RequestId) {
+        if self.alone == Some(id) && !self.running.contains_key(&id) {
+            self.alone = None;
+        }
+    }
+
     /// Puts grants where the entries that they are for will find them.
     fn deliver(&mut self, grants: Vec<Grant>) {
         for grant in grants {
@@ -397,7 +545,10 @@
     fn update(&mut self, mut engine: EngineState, now: Time) {
         let events = std::mem::take(&mut engine.cache);
         if engine.started > self.engine.started {
-            self.gate.restart(Incarnation(engine.started), now);
+            let incarnation = Incarnation(engine.started);
+            self.gate.restart(incarnation, now);
+            self.ledger.upstream_died(now);
+            self.ledger.upstream_started(incarnation);
             self.events.clear();
         }
         self.gate.observe_waiting(engine.waiting);
@@ -408,6 +559,66 @@
     }
 }
 
+impl Slot {
+    /// Enters a claim into the ledger; none if the request is to run.
+    fn begin_claim(&mut self, order: &WorkOrder, now: Time) -> Option<Arrival> {
+        if order.idempotent {
+            return None;
+        }
+        let Some(held) = &order.claim else {
+            let detail = "a request that may run only once needs a claim";
+            return Some(Arrival::Refused(Failure::new(
+                ErrorKind::InvalidRequest,
+                detail,
+            )));
+        };
+        match self.ledger.begin(held.claim, &held.place, now) {
+            Begin::Run => None,
+            Begin::NotRun(reason) => {
+                let detail = format!("the claim will not run here: {reason:?}");
+                Some(Arrival::Refused(Failure::new(
+                    ErrorKind::NoUpstream,
+                    detail,
+                )))
+            }
+            Begin::Running => Some(Arrival::Failed(running_already())),
+            Begin::Finished(outcome) => Some(Arrival::Ran(outcome)),
+            Begin::Lost => {
+                let detail = "the claim may have run here";
+                Some(Arrival::Failed(Failure::new(
+                    ErrorKind::OutcomeUnknown,
+                    detail,
+                )))
+            }
+        }
+    }
+
+    fn finish_claim(&mut self, order: &WorkOrder, end: Conclusion, now: Time) {
+        if let Some(held) = &order.claim {
+            self.ledger.finish(held.claim, end, now);
+        }
+    }
+
+    fn admit(&mut self, order: &WorkOrder, now: Time) -> Result<GatePermit, Failure> {
+        if order.incarnation != Incarnation(self.engine.started) {
+            return Err(Failure::new(
+                ErrorKind::NoUpstream,
+                "the upstream has restarted",
+            ));
+        }
+        self.gate.admit(&admission(order), now).map_err(|refusal| {
+            Failure::new(
+                refusal.kind,
+                format!("refused by the gate: {}", refusal.kind),
+            )
+        })
+    }
+}
+
+fn running_already() -> Failure {
+    Failure::new(ErrorKind::StillRunning, "the request runs here already")
+}
+
 fn admission(order: &WorkOrder) -> Admission {
     Admission {
         entry: order.entry.clone(),
--- a/app/src/agent/forward.rs
+++ b/app/src/agent/forward.rs
@@ -6,8 +6,9 @@
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt, pin_mut};
 use pimentotide_instance::work::{Frame, WorkOrder};
-use pimentotide_model::{ErrorKind, Failure, Ran};
-use pimentotide_routing::Outcome;
+use pimentotide_model::{ErrorKind, Failure, LoadReport, Ran};
+use pimentotide_outcome::{Blob, Body, Conclusion, Outcome};
+use pimentotide_routing::Outcome as Verdict;
 use pimentotide_upstream::{
     EngineAnswer, EngineClient, EngineError, EngineRequest, EventSplitter, KEY_HEADER,
     PRIORITY_HEADER, REQUEST_HEADER, RESUME_HEADER, STREAM_END, is_hop_header,
@@ -21,21 +22,47 @@
     static CLIENT: EngineClient = EngineClient::open();
 }
 
+/// One request on its way through the agent.
+struct Passage {
+    permit: Permit,
+    sender: mpsc::Sender<Frame>,
+    /// Answer so far, kept for requests that run only once.
+    record: Option<Recording>,
+}
+
+#[derive(Default)]
+struct Recording {
+    status: u16,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
 /// Passes `order` on; its frames go to `sender`.
 ///
 /// An idempotent request ends when the entry gives it up or its deadline
 /// passes. Any other request runs to its end, since its effect cannot be taken
-/// back.
+/// back, and its answer is kept in the agent's ledger.
 pub(super) async fn forward(
     core: Arc<Core>,
     order: WorkOrder,
-    mut permit: Permit,
+    permit: Permit,
     sender: mpsc::Sender<Frame>,
 ) {
-    let last = run(&core, &order, &mut permit, &sender).await;
-    permit.ended(outcome_of(&last));
+    let record = (!order.idempotent).then(Recording::default);
+    let mut passage = Passage {
+        permit,
+        sender: sender.clone(),
+        record,
+    };
+    let last = run(&core, &order, &mut passage).await;
+    let last = match last {
+        Err(failure) if may_be_crash(&failure) => Err(core.explain(&order, failure).await),
+        last => last,
+    };
+    core.finish_claim(&order, conclusion(&last, passage.record.take()));
+    passage.permit.ended(verdict_of(&last));
     // The place is free before the entry learns of the end.
-    drop(permit);
+    drop(passage);
     let frame = match last {
         Ok(pieces) => Frame::End {
             pieces,
@@ -51,15 +78,32 @@
     let _ = sender.send(frame).await;
 }
 
+/// Frames of an answer that was recorded before.
+pub(super) fn again(outcome: &Outcome, report: LoadReport) -> Vec<Frame> {
+    let Body::Whole(body) = &outcome.body else {
+        let detail = "the request ran; its answer is too large to be repeated";
+        let failure = Failure::new(ErrorKind::OutcomeUnknown, detail).with_ran(Ran::Yes);
+        return vec![Frame::Failed { failure }];
+    };
+    vec![
+        Frame::Head {
+            status: outcome.status,
+            headers: outcome.headers.clone(),
+            report,
+        },
+        Frame::Piece {
+            position: 0,
+            data: body.0.clone(),
+        },
+        Frame::End { pieces: 1, report },
+    ]
+}
+
 /// Runs the request to its end, or to where it is given up.
-async fn run(
-    core: &Arc<Core>,
-    order: &WorkOrder,
-    permit: &mut Permit,
-    sender: &mpsc::Sender<Frame>,
-) -> Result<u64, Failure> {
-    let cancel = Arc::clone(&permit.cancel);
-    let pass = pass(core, order, permit, sender);
+async fn run(core: &Core, order: &WorkOrder, passage: &mut Passage) -> Result<u64, Failure> {
+    let cancel = Arc::clone(&passage.permit.cancel);
+    let sender = passage.sender.clone();
+    let pass = passage.pass(core, order);
     if !order.idempotent {
         return pass.await;
     }
@@ -71,87 +115,89 @@
     }
 }
 
-/// Sends the head and the pieces; returns the number of pieces of the whole answer.
-async fn pass(
-    core: &Arc<Core>,
-    order: &WorkOrder,
-    permit: &mut Permit,
-    sender: &mpsc::Sender<Frame>,
-) -> Result<u64, Failure> {
-    let client = CLIENT.with(Clone::clone);
-    let request = engine_request(order)?;
-    let answer = client
-        .send(permit.engine, &request)
-        .await
-        .map_err(|e| engine_failure(&e))?;
-    let headers = answer
-        .headers
-        .iter()
-        .filter(|(name, _)| !is_hop_header(name));
-    let headers = headers
-        .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_owned())));
-    let head = Frame::Head {
-        status: answer.status.as_u16(),
-        headers: headers.collect(),
-        report: core.report(),
-    };
-    let _ = sender.send(head).await;
-    if is_event_stream(&answer) {
-        pass_events(order.resume, answer.body, permit, sender).await
-    } else {
-        pass_chunks(answer.body, permit, sender).await
+impl Passage {
+    /// Sends the head and the pieces; returns the number of pieces of the whole answer.
+    async fn pass(&mut self, core: &Core, order: &WorkOrder) -> Result<u64, Failure> {
+        let client = CLIENT.with(Clone::clone);
+        let request = engine_request(order)?;
+        let answer = client.send(self.permit.engine, &request).await;
+        let answer = answer.map_err(|e| engine_failure(&e))?;
+        self.head(&answer, core.report()).await;
+        if is_event_stream(&answer) {
+            self.events(order.resume, answer.body).await
+        } else {
+            self.chunks(answer.body).await
+        }
     }
-}
 
-async fn pass_chunks<S>(
-    body: S,
-    permit: &mut Permit,
-    sender: &mpsc::Sender<Frame>,
-) -> Result<u64, Failure>
-where
-    S: Stream<Item = Result<Bytes, EngineError>>,
-{
-    pin_mut!(body);
-    let mut position = 0;
-    while let Some(chunk) = body.next().await {
-        let data = chunk.map_err(|e| engine_failure(&e))?;
-        permit.progress();
-        let _ = sender.send(Frame::Piece { position, data }).await;
-        position += 1;
+    async fn head<S>(&mut self, answer: &EngineAnswer<S>, report: LoadReport) {
+        let status = answer.status.as_u16();
+        let kept = answer
+            .headers
+            .iter()
+            .filter(|(name, _)| !is_hop_header(name));
+        let headers: Vec<_> = kept
+            .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_owned())))
+            .collect();
+        if let Some(record) = &mut self.record {
+            record.status = status;
+            record.headers.clone_from(&headers);
+        }
+        self.send(Frame::Head {
+            status,
+            headers,
+            report,
+        })
+        .await;
     }
-    Ok(position)
-}
-
-async fn pass_events<S>(
-    resume: u64,
-    body: S,
-    permit: &mut Permit,
-    sender: &mpsc::Sender<Frame>,
-) -> Result<u64, Failure>
-where
-    S: Stream<Item = Result<Bytes, EngineError>>,
-{
-    pin_mut!(body);
-    let mut splitter = EventSplitter::default();
-    let mut position = resume;
-    while let Some(chunk) = body.next().await {
-        splitter.push(&chunk.map_err(|e| engine_failure(&e))?);
-        while let Some(event) = splitter.next_event().map_err(|e| broken(&e.to_string()))? {
-            let last = event.data() == Some(STREAM_END);
-            permit.progress();
-            let _ = sender
-                .send(Frame::Piece {
-                    position,
-                    data: event.0,
-                })
+
+    async fn chunks<S>(&mut self, body: S) -> Result<u64, Failure>
+    where
+        S: Stream<Item = Result<Bytes, EngineError>>,
+    {
+        pin_mut!(body);
+        let mut position = 0;
+        while let Some(chunk) = body.next().await {
+            self.piece(position, chunk.map_err(|e| engine_failure(&e))?)
                 .await;
             position += 1;
-            if last {
-                return Ok(position);
+        }
+        Ok(position)
+    }
+
+    async fn events<S>(&mut self, resume: u64, body: S) -> Result<u64, Failure>
+    where
+        S: Stream<Item = Result<Bytes, EngineError>>,
+    {
+        pin_mut!(body);
+        let mut splitter = EventSplitter::default();
+        let mut position = resume;
+        while let Some(chunk) = body.next().await {
+            splitter.push(&chunk.map_err(|e| engine_failure(&e))?);
+            while let Some(event) = splitter.next_event().map_err(|e| broken(&e.to_string()))? {
+                let last = event.data() == Some(STREAM_END);
+                self.piece(position, event.0).await;
+                position += 1;
+                if last {
+                    return Ok(position);
+                }
             }
         }
+        Err(broken("the stream stopped before its end"))
+    }
+
+    async fn piece(&mut self, position: u64, data: Bytes) {
+        self.permit.progress();
+        if let Some(record) = &mut self.record {
+            record.body.extend_from_slice(&data);
+        }
+        self.send(Frame::Piece { position, data }).await;
+    }
+
+    /// A request that runs only once goes on when the entry has gone away.
+    async fn send(&self, frame: Frame) {
+        let _ = self.sender.send(frame).await;
     }
-    Err(broken("the stream stopped before its end"))
 }
 
 fn engine_request(order: &WorkOrder) -> Result<EngineRequest, Failure> {
@@ -186,14 +232,34 @@
     kind.is_some_and(|k| k.starts_with("text/event-stream"))
 }
 
-fn outcome_of(last: &Result<u64, Failure>) -> Outcome {
+fn conclusion(last: &Result<u64, Failure>, record: Option<Recording>) -> Conclusion {
+    match last {
+        Ok(_) => {
+            let record = record.unwrap_or_default();
+            Conclusion::Finished(Arc::new(Outcome {
+                status: record.status,
+                headers: record.headers,
+                body: Body::Whole(Blob(Bytes::from(record.body))),
+            }))
+        }
+        Err(failure) if failure.ran == Ran::No => Conclusion::Refused,
+        Err(_) => Conclusion::Lost,
+    }
+}
+
+fn verdict_of(last: &Result<u64, Failure>) -> Verdict {
     match last {
-        Ok(_) => Outcome::Good,
-        Err(failure) if failure.kind == ErrorKind::Cancelled => Outcome::Cancelled,
-        Err(_) => Outcome::Failed,
+        Ok(_) => Verdict::Good,
+        Err(failure) if failure.kind == ErrorKind::Cancelled => Verdict::Cancelled,
+        Err(_) => Verdict::Failed,
     }
 }
 
+/// Whether the upstream may have died under the request.
+fn may_be_crash(failure: &Failure) -> bool {
+    failure.kind == ErrorKind::UpstreamFailed && failure.ran != Ran::No
+}
+
 fn engine_failure(error: &EngineError) -> Failure {
     let ran = match error {
         EngineError::Unreachable(_) => Ran::No,
--- a/app/src/agent/mod.rs
+++ b/app/src/agent/mod.rs
@@ -19,7 +19,7 @@
 use actix_web::{App, HttpServer, web};
 use derive_more::Display;
 use pimentotide_instance::work::MAX_ORDER_BYTES;
-use pimentotide_instance::{Token, View};
+use pimentotide_instance::{Submitter, Token, View};
 use pimentotide_model::{Announcement, UpstreamName, ZoneName};
 use pimentotide_observe::Metrics;
 use tokio::sync::watch;
@@ -49,6 +49,8 @@
     pub token: Token,
     /// Configuration and membership as this process learns them.
     pub view: watch::Receiver<View>,
+    /// Control replicas, told of crashes; none in a deployment without control.
+    pub control: Option<Submitter>,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// Longest time a planned stop waits for running requests.
--- a/app/src/agent/routes.rs
+++ b/app/src/agent/routes.rs
@@ -1,19 +1,29 @@
 //! Routes of an agent.
 
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
 use actix_web::http::header::AUTHORIZATION;
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use pimentotide_instance::work::{
-    CANCEL_PATH, DEMAND_PATH, DemandOrder, Frame, NEWS_PATH, NewsOrder, WORK_PATH, WorkOrder,
+    CANCEL_PATH, DEMAND_PATH, DemandOrder, Frame, HeldClaim, INQUIRY_PATH, NEWS_PATH, NewsOrder,
+    WORK_PATH, WorkOrder,
 };
 use pimentotide_model::{ErrorKind, Failure, RequestId};
 use pimentotide_upstream::{ANNOUNCE_PATH, EngineState};
 use serde::Serialize;
 use tokio::sync::mpsc;
 
-use super::core::Core;
-use super::forward::forward;
+use super::core::{Arrival, Core};
+use super::forward::{again, forward};
+
+/// Longest time for which a request waits to run alone.
+const ALONE_WAIT: Duration = Duration::from_secs(10);
+
+/// Time between looks at whether the upstream is idle.
+const ALONE_POLL: Duration = Duration::from_millis(10);
 
 /// Frames that may wait for the connection to the entry.
 const FRAME_BUFFER: usize = 64;
@@ -22,6 +32,7 @@
     routes
         .route(WORK_PATH, web::post().to(work))
         .route(DEMAND_PATH, web::post().to(demand))
+        .route(INQUIRY_PATH, web::post().to(inquiry))
         .route(NEWS_PATH, web::post().to(news))
         .route(&format!("{CANCEL_PATH}/{{id}}"), web::post().to(cancel));
 }
@@ -45,9 +56,14 @@
             });
         }
     };
-    let permit = match core.admit(&order) {
-        Ok(permit) => permit,
-        Err(failure) => {
+    let arrival = arrive(&core, &order).await;
+    if !matches!(arrival, Arrival::Admitted(_)) {
+        core.end_alone(order.id);
+    }
+    let permit = match arrival {
+        Arrival::Admitted(permit) => permit,
+        Arrival::Ran(outcome) => return frames(&again(&outcome, core.report())),
+        Arrival::Refused(failure) => {
             core.metrics()
                 .count("agent.refused", ("kind", &failure.kind.to_string()), 1);
             return single(&Frame::Refused {
@@ -55,6 +71,14 @@
                 report: core.report(),
             });
         }
+        Arrival::Failed(failure) => return single(&Frame::Failed { failure }),
+        Arrival::Waiting => {
+            let failure = Failure::new(ErrorKind::Overloaded, "the upstream did not become idle");
+            return single(&Frame::Refused {
+                failure,
+                report: core.report(),
+            });
+        }
     };
     let (sender, receiver) = mpsc::channel(FRAME_BUFFER);
     actix_rt::spawn(forward(core, order, permit, sender));
@@ -65,6 +89,18 @@
     HttpResponse::Ok().streaming(frames.map(|f| f.encode()))
 }
 
+/// Waits with a request that has to run alone until nothing else runs.
+async fn arrive(core: &Arc<Core>, order: &WorkOrder) -> Arrival {
+    let end = Instant::now() + order.remaining.min(ALONE_WAIT);
+    loop {
+        let arrival = core.arrive(order);
+        if !matches!(arrival, Arrival::Waiting) || Instant::now() >= end {
+            return arrival;
+        }
+        tokio::time::sleep(ALONE_POLL).await;
+    }
+}
+
 async fn cancel(
     core: web::Data<Core>,
     request: HttpRequest,
@@ -80,6 +116,19 @@
     HttpResponse::NoContent().finish()
 }
 
+async fn inquiry(core: web::Data<Core>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    if !is_member(&core, &request) {
+        return HttpResponse::Forbidden().finish();
+    }
+    match postcard::from_bytes::<HeldClaim>(&body) {
+        Ok(held) => match core.inquire(&held) {
+            Some(finding) => encoded(&finding),
+            None => HttpResponse::ServiceUnavailable().finish(),
+        },
+        Err(e) => HttpResponse::BadRequest().body(e.to_string()),
+    }
+}
+
 async fn demand(core: web::Data<Core>, request: HttpRequest, body: Bytes) -> HttpResponse {
     if !is_member(&core, &request) {
         return HttpResponse::Forbidden().finish();
@@ -114,8 +163,13 @@
 }
 
 fn single(frame: &Frame) -> HttpResponse {
-    match frame.encode() {
-        Ok(bytes) => HttpResponse::Ok().body(bytes),
+    frames(std::slice::from_ref(frame))
+}
+
+fn frames(frames: &[Frame]) -> HttpResponse {
+    let encoded: Result<Vec<_>, _> = frames.iter().map(Frame::encode).collect();
+    match encoded {
+        Ok(parts) => HttpResponse::Ok().body(parts.concat()),
         Err(e) => HttpResponse::InternalServerError().body(e.to_string()),
     }
 }
--- a/app/src/entry/attempt.rs
+++ b/app/src/entry/attempt.rs
@@ -183,7 +183,13 @@
     }
 }
 
-fn order(core: &Core, job: &Job, placed: &Placed, number: u32, resume: u64) -> WorkOrder {
+pub(super) fn order(
+    core: &Core,
+    job: &Job,
+    placed: &Placed,
+    number: u32,
+    resume: u64,
+) -> WorkOrder {
     let meta = &job.meta;
     WorkOrder {
         id: meta.id,
@@ -197,6 +203,8 @@
         idempotent: meta.idempotent,
         key: meta.key.clone(),
         claim: None,
+        fingerprint: meta.fingerprint,
+        alone: false,
         credit: placed.credit,
         attempt: number,
         resume,
--- a/app/src/entry/core.rs
+++ b/app/src/entry/core.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use pimentotide_caller::{Call, EntryAdvice};
-use pimentotide_instance::View;
+use pimentotide_instance::{Submitter, View};
 use pimentotide_model::{
     Announcement, ErrorKind, Failure, InstanceName, LoadReport, ModelName, RequestMeta,
     RetryPolicy, ServiceName, Standing, Time, UpstreamName, ZoneName,
 };
 use pimentotide_observe::Metrics;
+use pimentotide_outcome::LedgerEpoch;
 use pimentotide_routing::{
     EntryState, Failed, FairQueue, Finished, Placer, PlacerSettings, Retry, RetryBudget, Ticket,
     advise,
@@ -39,6 +40,8 @@
     /// Wakes the attempts at an upstream that has been ejected.
     pub(super) stalls: BTreeMap<UpstreamName, Arc<Notify>>,
     pub(super) entries: Vec<EntryState>,
+    /// Memory of claims that each agent said it has.
+    pub(super) epochs: BTreeMap<UpstreamName, LedgerEpoch>,
     known: Arc<BTreeMap<UpstreamName, Announcement>>,
     running: usize,
     leaving: bool,
@@ -67,6 +70,7 @@
             asked: BTreeMap::new(),
             stalls: BTreeMap::new(),
             entries: states.collect(),
+            epochs: BTreeMap::new(),
             known: Arc::default(),
             running: 0,
             leaving: false,
@@ -82,6 +86,10 @@
         &self.options.instance
     }
 
+    pub(super) fn control(&self) -> Option<&Submitter> {
+        self.options.control.as_ref()
+    }
+
     pub(super) fn metrics(&self) -> &Metrics {
         &self.options.metrics
     }
@@ -146,6 +154,7 @@
         for name in known.keys().filter(|n| !view.upstreams.contains_key(*n)) {
             inner.placer.forget(name);
             inner.stalls.remove(name);
+            inner.epochs.remove(name);
         }
         inner.known = Arc::clone(&view.upstreams);
     }
--- a/app/src/entry/dispatch.rs
+++ b/app/src/entry/dispatch.rs
@@ -9,6 +9,7 @@
 use pimentotide_model::{Failure, ModelName};
 
 use super::core::Core;
+use super::once;
 use super::relay::Relay;
 
 /// Runs the requests of one thread.
@@ -27,7 +28,11 @@
         let (job, running) = self.core.accept(call)?;
         let service = job.meta.service.clone();
         let core = Arc::clone(&self.core);
-        let answer = answer(Relay::new(self.core, self.client, job, running)).await;
+        let answer = if job.meta.idempotent {
+            answer(Relay::new(self.core, self.client, job, running)).await
+        } else {
+            once::run(self.core, self.client, job, running).await
+        };
         let outcome = match &answer {
             Ok(_) => "answered".to_owned(),
             Err(failure) => failure.kind.to_string(),
--- a/app/src/entry/mod.rs
+++ b/app/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod core;
 mod decision;
 mod dispatch;
+mod once;
 mod placing;
 mod relay;
 mod resolve;
@@ -21,7 +22,7 @@
 use actix_rt::task::JoinHandle;
 use pimentotide_caller::{CallerError, CallerOptions, CallerServer};
 use pimentotide_instance::work::WorkClient;
-use pimentotide_instance::{Token, View};
+use pimentotide_instance::{Submitter, Token, View};
 use pimentotide_model::{InstanceName, ZoneName};
 use pimentotide_observe::Metrics;
 use tokio::sync::watch;
@@ -47,6 +48,8 @@
     pub token: Token,
     /// Configuration and membership as this process learns them.
     pub view: watch::Receiver<View>,
+    /// Control replicas, which keep claims; none in a deployment without control.
+    pub control: Option<Submitter>,
     /// Metrics of the process.
     pub metrics: Metrics,
 }
--- a/app/src/entry/tasks.rs
+++ b/app/src/entry/tasks.rs
@@ -104,6 +104,7 @@
     let incarnation: Incarnation = news.report.incarnation;
     let now = core.now();
     let mut inner = core.lock();
+    inner.epochs.insert(upstream.clone(), news.epoch);
     for event in &news.events {
         let blocks = vec![event.block];
         let change = if event.stored {
--- a/app/src/local/deployment.rs
+++ b/app/src/local/deployment.rs
@@ -125,6 +125,7 @@
             engine: free_port(),
             token: token.clone(),
             view: view.subscribe(),
+            control: None,
             metrics: Metrics::none(),
             drain: DRAIN,
         })?;
@@ -175,6 +176,7 @@
                 entries: peers.clone(),
                 token: token.clone(),
                 view: view.subscribe(),
+                control: None,
                 metrics: Metrics::none(),
             })?);
         }
--- a/dev/bench/src/bin/proxy_cost.rs
+++ b/dev/bench/src/bin/proxy_cost.rs
@@ -145,6 +145,7 @@
         engine: any_port(),
         token: token.clone(),
         view: view.subscribe(),
+        control: None,
         metrics: Metrics::none(),
         drain: DRAIN,
     })
@@ -193,6 +194,7 @@
         }],
         token,
         view: view.subscribe(),
+        control: None,
         metrics: Metrics::none(),
     }
 }
--- a/peers/caller/src/parse.rs
+++ b/peers/caller/src/parse.rs
@@ -21,7 +21,7 @@
 };
 
 /// Longest accepted idempotency key, in bytes.
-const MAX_KEY_BYTES: usize = 255;
+const MAX_KEY_BYTES: usize = 128;
 
 /// Longest accepted deadline, in milliseconds.
 const MAX_DEADLINE_MILLIS: u64 = 3_600_000;
--- a/peers/instance/src/lib.rs
+++ b/peers/instance/src/lib.rs
@@ -13,11 +13,13 @@
 mod client;
 mod rpc;
 mod server;
+mod submit;
 mod token;
 mod view;
 
 pub use client::{PeerClient, PeerTimeouts};
 pub use rpc::{failure_of, rpc_error};
 pub use server::PeerServer;
+pub use submit::{Submit, Submitter, submit_module};
 pub use token::{Token, TokenError};
 pub use view::View;
--- a/peers/instance/src/work/client.rs
+++ b/peers/instance/src/work/client.rs
@@ -13,12 +13,13 @@
 use derive_more::Display;
 use futures_util::{Stream, StreamExt};
 use pimentotide_model::RequestId;
+use pimentotide_outcome::Finding;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use super::{
-    CANCEL_PATH, DEMAND_PATH, DemandAnswer, DemandOrder, Frame, FrameDecoder, MAX_FRAME_BYTES,
-    NEWS_PATH, News, NewsOrder, WORK_PATH, WorkOrder,
+    CANCEL_PATH, DEMAND_PATH, DemandAnswer, DemandOrder, Frame, FrameDecoder, HeldClaim,
+    INQUIRY_PATH, MAX_FRAME_BYTES, NEWS_PATH, News, NewsOrder, WORK_PATH, WorkOrder,
 };
 use crate::Token;
 
@@ -139,6 +140,15 @@
         self.ask(agent, NEWS_PATH, order).await
     }
 
+    /// Asks what became of a claim; one that never arrived is barred for good.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the agent does not answer in time.
+    pub async fn inquire(&self, agent: SocketAddr, held: &HeldClaim) -> Result<Finding, WorkError> {
+        self.ask(agent, INQUIRY_PATH, held).await
+    }
+
     async fn ask<Q, A>(&self, agent: SocketAddr, path: &str, order: &Q) -> Result<A, WorkError>
     where
         Q: Serialize,
--- a/peers/instance/src/work/demand.rs
+++ b/peers/instance/src/work/demand.rs
@@ -1,6 +1,7 @@
 //! Demand that an entry states to an agent, and what the agent answers.
 
 use pimentotide_model::{Incarnation, InstanceName, LoadReport};
+use pimentotide_outcome::LedgerEpoch;
 use pimentotide_routing::{CreditId, EntryDemand, Grant};
 use serde::{Deserialize, Serialize};
 
@@ -34,6 +35,8 @@
 /// What an agent knows of its upstream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct News {
+    /// Memory of claims that the agent has.
+    pub epoch: LedgerEpoch,
     /// Load.
     pub report: LoadReport,
     /// Cache events that follow, oldest first; some may be missing.
--- a/peers/instance/src/work/mod.rs
+++ b/peers/instance/src/work/mod.rs
@@ -13,7 +13,7 @@
 pub use client::{FrameStream, WorkClient, WorkError};
 pub use demand::{BlockEvent, DemandAnswer, DemandOrder, News, NewsOrder};
 pub use frame::{Frame, FrameDecoder, FrameError, MAX_FRAME_BYTES};
-pub use order::{MAX_ORDER_BYTES, OrderError, WorkOrder};
+pub use order::{HeldClaim, MAX_ORDER_BYTES, OrderError, WorkOrder};
 
 /// Path to which entries post work.
 pub const WORK_PATH: &str = "/work";
@@ -26,3 +26,6 @@
 
 /// Path to which entries post requests for load and cache events.
 pub const NEWS_PATH: &str = "/news";
+
+/// Path to which entries post inquiries about claims.
+pub const INQUIRY_PATH: &str = "/inquiry";
--- a/peers/instance/src/work/order.rs
+++ b/peers/instance/src/work/order.rs
@@ -4,9 +4,10 @@
 
 use derive_more::Display;
 use pimentotide_model::{
-    ClaimId, IdemKey, Incarnation, InstanceName, Priority, RequestId, Revision, ServiceName,
-    WorkspaceName,
+    ClaimId, Fingerprint, IdemKey, Incarnation, InstanceName, Priority, RequestId, Revision,
+    ServiceName, WorkspaceName,
 };
+use pimentotide_outcome::Place;
 use pimentotide_routing::CreditId;
 use serde::{Deserialize, Serialize};
 
@@ -37,7 +38,11 @@
     /// Key of the caller.
     pub key: Option<IdemKey>,
     /// Right to run it; set for non-idempotent requests.
-    pub claim: Option<ClaimId>,
+    pub claim: Option<HeldClaim>,
+    /// Digest of the content.
+    pub fingerprint: Fingerprint,
+    /// Whether the upstream may run nothing else meanwhile.
+    pub alone: bool,
     /// Credit to use.
     pub credit: Option<CreditId>,
     /// Number of the attempt, from 1.
@@ -54,6 +59,15 @@
     pub body: Vec<u8>,
 }
 
+/// Claim under which a request runs, and where it may run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HeldClaim {
+    /// Claim.
+    pub claim: ClaimId,
+    /// Where it may run.
+    pub place: Place,
+}
+
 /// Why an order cannot be read or written.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum OrderError {
