Push times measured; the history names what a document changed

A summary said only how many profiles a document held; conflicts and the history now name the first eight of each kind.

`Source::changes` carries the revision, so that commands other than orders do not wake every holder.

--- a/decision/control/src/declare/action.rs
+++ b/decision/control/src/declare/action.rs
@@ -62,14 +62,16 @@
 impl fmt::Display for Action {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Apply { document, prune } => write!(
-                f,
-                "apply {} profiles, {} services, {} workspaces{}",
-                document.profiles.len(),
-                document.services.len(),
-                document.workspaces.len(),
-                if *prune { ", prune" } else { "" },
-            ),
+            Self::Apply { document, prune } => {
+                let parts = [
+                    names("profiles", document.profiles.keys()),
+                    names("services", document.services.keys()),
+                    names("workspaces", document.workspaces.keys()),
+                ];
+                let parts: Vec<_> = parts.into_iter().flatten().collect();
+                let verb = if *prune { "apply and prune" } else { "apply" };
+                write!(f, "{verb} {}", parts.join("; "))
+            }
             Self::Zone { zone, standing } => write!(f, "zone {standing} {zone}"),
             Self::Upstream {
                 upstream,
@@ -92,6 +94,27 @@
     }
 }
 
+/// Most names of one kind in a summary.
+const MAX_SHOWN: usize = 8;
+
+/// Lists the first names of a kind, and how many more there are.
+fn names<I>(kind: &str, names: I) -> Option<String>
+where
+    I: ExactSizeIterator,
+    I::Item: fmt::Display,
+{
+    let more = names.len().saturating_sub(MAX_SHOWN);
+    let shown: Vec<_> = names.take(MAX_SHOWN).map(|n| n.to_string()).collect();
+    if shown.is_empty() {
+        return None;
+    }
+    let shown = shown.join(" ");
+    Some(match more {
+        0 => format!("{kind} {shown}"),
+        _ => format!("{kind} {shown} and {more} more"),
+    })
+}
+
 impl fmt::Display for Scope {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- /dev/null
+++ b/dev/bench/src/bin/currency.rs
@@ -0,0 +1,220 @@
+//! Time from an applied order to its being in force at every holder, over loopback.
+//!
+//! Three replicas share one machine in memory, so the time to replicate an
+//! order is left out. Nine entries and fifteen agents follow them. The cost of
+//! applying an order is shown for several numbers of declared profiles, as a
+//! ratio to the smallest.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use pimentotide_control::{Action, Command, Document, Machine, Order};
+use pimentotide_instance::directory::{Directory, FollowOptions, Follower, Source};
+use pimentotide_instance::{PeerClient, PeerServer, Token, View};
+use pimentotide_model::{Failure, Profile, ProfileName, Revision, Standing, Time};
+use tokio::sync::watch;
+
+const ENTRIES: usize = 9;
+const AGENTS: usize = 15;
+const REPLICAS: u64 = 3;
+const RUNS: usize = 5;
+const ORDERS: u64 = 100;
+const PROFILES: [usize; 3] = [10, 100, 1_000];
+const APPLIED: u32 = 20;
+const GOAL: Duration = Duration::from_secs(1);
+
+#[derive(Clone)]
+struct State {
+    machine: Arc<Mutex<Machine>>,
+    changed: watch::Sender<Revision>,
+}
+
+impl State {
+    fn new() -> Self {
+        Self {
+            machine: Arc::default(),
+            changed: watch::Sender::new(Revision(0)),
+        }
+    }
+
+    fn apply(&self, id: u64, action: Action) -> Revision {
+        let mut machine = self.machine.lock().expect("the machine is not poisoned");
+        machine.apply(Time::ZERO, &order(id, action));
+        self.changed.send_replace(machine.revision());
+        machine.revision()
+    }
+}
+
+impl Source for State {
+    async fn confirm(&self) -> Result<(), Failure> {
+        Ok(())
+    }
+
+    fn read<T, F>(&self, read: F) -> T
+    where
+        F: FnOnce(&Machine) -> T,
+    {
+        read(&self.machine.lock().expect("the machine is not poisoned"))
+    }
+
+    fn changes(&self) -> watch::Receiver<Revision> {
+        self.changed.subscribe()
+    }
+}
+
+fn order(id: u64, action: Action) -> Command {
+    Command::Declare(Order {
+        id: format!("o{id}").into(),
+        base: None,
+        actor: "bench".to_owned(),
+        action,
+    })
+}
+
+fn zone(id: u64) -> Action {
+    let standing = if id.is_multiple_of(2) {
+        Standing::In
+    } else {
+        Standing::Out
+    };
+    Action::Zone {
+        zone: "zone-a".into(),
+        standing,
+    }
+}
+
+fn token() -> Token {
+    Token::open("the-secret-of-the-bench").expect("the secret is long enough")
+}
+
+fn main() {
+    apply_cost();
+    actix_rt::System::new().block_on(async {
+        let mut rows = Vec::new();
+        for _ in 0..RUNS {
+            rows.push(push_times().await);
+        }
+        print_pushes(&rows);
+    });
+}
+
+/// Prints what one order costs, by number of profiles.
+fn apply_cost() {
+    println!("profiles  apply min/median/max us  ratio  snapshot bytes");
+    let mut base = None;
+    for profiles in PROFILES {
+        let mut times: Vec<_> = (0..RUNS).map(|_| apply_time(profiles)).collect();
+        times.sort_unstable();
+        let median = times[RUNS / 2];
+        let base = *base.get_or_insert(median);
+        println!(
+            "{profiles:>8}  {:>6} {:>8} {:>8}  {:>5.1}  {}",
+            times[0].as_micros(),
+            median.as_micros(),
+            times[RUNS - 1].as_micros(),
+            median.as_secs_f64() / base.as_secs_f64(),
+            snapshot_bytes(profiles),
+        );
+    }
+}
+
+fn declared(profiles: usize) -> Machine {
+    let mut document = Document::default();
+    for i in 0..profiles {
+        let name = ProfileName::from(format!("profile-{i}"));
+        let profile = Profile {
+            name: name.clone(),
+            model: Some("model".into()),
+            ..Profile::default()
+        };
+        document.profiles.insert(name, profile);
+    }
+    let mut machine = Machine::default();
+    let prune = false;
+    machine.apply(Time::ZERO, &order(0, Action::Apply { document, prune }));
+    machine
+}
+
+fn apply_time(profiles: usize) -> Duration {
+    let mut machine = declared(profiles);
+    let start = Instant::now();
+    for id in 1..=APPLIED {
+        machine.apply(Time::ZERO, &order(u64::from(id), zone(u64::from(id))));
+    }
+    start.elapsed() / APPLIED
+}
+
+fn snapshot_bytes(profiles: usize) -> usize {
+    declared(profiles).snapshot().map_or(0, |bytes| bytes.len())
+}
+
+/// Measures one run: each order at each holder.
+async fn push_times() -> Histogram<u64> {
+    let state = State::new();
+    let mut servers = Vec::new();
+    for epoch in 0..REPLICAS {
+        servers.push(serve(&state, epoch).await);
+    }
+    let addresses: Vec<_> = servers.iter().map(PeerServer::address).collect();
+    let followers: Vec<_> = (0..ENTRIES + AGENTS)
+        .map(|i| {
+            let clients = addresses.iter().map(|a| PeerClient::connect(*a, token()));
+            let agent = i >= ENTRIES;
+            Follower::spawn(FollowOptions {
+                instance: format!("holder-{i}").into(),
+                upstream: agent.then(|| format!("upstream-{i}").into()),
+                directory: !agent,
+                replicas: clients.collect(),
+            })
+        })
+        .collect();
+    let mut views: Vec<_> = followers.iter().map(Follower::view).collect();
+    for view in &mut views {
+        wait(view, |v| v.is_current()).await;
+    }
+    let mut times = Histogram::new(3).expect("three digits are supported");
+    for id in 1..=ORDERS {
+        let start = Instant::now();
+        let revision = state.apply(id, zone(id));
+        let waits = views.iter_mut().map(|view| async move {
+            wait(view, |v| v.declarations.revision >= revision).await;
+            start.elapsed()
+        });
+        for time in futures_util::future::join_all(waits).await {
+            let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+            times.saturating_record(micros);
+        }
+    }
+    times
+}
+
+async fn serve(state: &State, epoch: u64) -> PeerServer {
+    let directory = Directory::spawn(state.clone(), epoch);
+    let module = directory.module().expect("the methods have distinct names");
+    let address = ([127, 0, 0, 1], 0).into();
+    let server = PeerServer::bind(address, token(), [module]).await;
+    server.expect("a loopback port is free")
+}
+
+async fn wait<F>(view: &mut watch::Receiver<View>, test: F)
+where
+    F: FnMut(&View) -> bool,
+{
+    view.wait_for(test).await.expect("the follower runs");
+}
+
+fn print_pushes(runs: &[Histogram<u64>]) {
+    println!(
+        "\nholders {}, orders {ORDERS}, runs {RUNS}",
+        ENTRIES + AGENTS
+    );
+    println!("in force after  min/median/max over runs, us");
+    for (name, quantile) in [("p50", 0.5), ("p99", 0.99), ("max", 1.0)] {
+        let mut values: Vec<_> = runs.iter().map(|r| r.value_at_quantile(quantile)).collect();
+        values.sort_unstable();
+        let [low, median, high] = [values[0], values[RUNS / 2], values[RUNS - 1]];
+        println!("{name:<14}  {low:>8} {median:>8} {high:>8}");
+    }
+    println!("goal: p99 under {} us", GOAL.as_micros());
+}
--- a/peers/instance/src/directory/mod.rs
+++ b/peers/instance/src/directory/mod.rs
@@ -14,7 +14,7 @@
 use std::future::Future;
 
 use pimentotide_control::Machine;
-use pimentotide_model::Failure;
+use pimentotide_model::{Failure, Revision};
 use tokio::sync::watch;
 
 pub use follow::{FollowOptions, Follower};
@@ -40,6 +40,6 @@
     where
         F: FnOnce(&Machine) -> T;
 
-    /// Changes with each change of the local state.
-    fn changes(&self) -> watch::Receiver<u64>;
+    /// Revision in force here, with every change of it.
+    fn changes(&self) -> watch::Receiver<Revision>;
 }
--- a/peers/instance/tests/it/directory.rs
+++ b/peers/instance/tests/it/directory.rs
@@ -25,7 +25,7 @@
 #[derive(Clone)]
 struct State {
     machine: Arc<Mutex<Machine>>,
-    changed: watch::Sender<u64>,
+    changed: watch::Sender<Revision>,
     entitled: Arc<AtomicBool>,
 }
 
@@ -33,7 +33,7 @@
     fn new() -> Self {
         Self {
             machine: Arc::default(),
-            changed: watch::Sender::new(0),
+            changed: watch::Sender::new(Revision(0)),
             entitled: Arc::new(AtomicBool::new(true)),
         }
     }
@@ -47,8 +47,9 @@
     }
 
     fn apply(&self, command: &Command) -> Response {
-        let response = self.machine.lock().unwrap().apply(Time::ZERO, command);
-        self.changed.send_modify(|count| *count += 1);
+        let mut machine = self.machine.lock().unwrap();
+        let response = machine.apply(Time::ZERO, command);
+        self.changed.send_replace(machine.revision());
         response
     }
 
@@ -81,7 +82,7 @@
         read(&self.machine.lock().unwrap())
     }
 
-    fn changes(&self) -> watch::Receiver<u64> {
+    fn changes(&self) -> watch::Receiver<Revision> {
         self.changed.subscribe()
     }
 }
