--- a/decision/routing/src/gate/mod.rs
+++ b/decision/routing/src/gate/mod.rs
@@ -179,6 +179,8 @@
     }
 
     /// Puts a policy in force; an older one than that in force is ignored.
+    ///
+    /// An upstream that was out starts over, because its caches may be cold.
     pub fn declare(&mut self, policy: GatePolicy, capacity: u32, now: Time) -> Vec<Grant> {
         if policy.revision < self.policy.revision {
             return Vec::new();
@@ -188,8 +190,10 @@
         }
         self.warmup
             .resize(policy.slow_start.clone(), policy.limit(capacity));
-        if policy.standing == Standing::Out {
-            self.credits.clear();
+        match (self.policy.standing, policy.standing) {
+            (Standing::Out, Standing::In) => self.warmup.restart(now),
+            (_, Standing::Out) => self.credits.clear(),
+            (Standing::In, Standing::In) => {}
         }
         self.policy = policy;
         self.settle(now)
@@ -206,9 +210,10 @@
         self.credits.clear();
     }
 
-    /// Takes new work again after [`Gate::leave`].
-    pub fn rejoin(&mut self) {
+    /// Takes new work again after [`Gate::leave`], from the initial allowance.
+    pub fn rejoin(&mut self, now: Time) {
         self.leaving = false;
+        self.warmup.restart(now);
     }
 
     /// Starts over from the initial allowance under a new incarnation.
--- a/decision/routing/src/placer/directory.rs
+++ b/decision/routing/src/placer/directory.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use pimentotide_model::{Announcement, GroupName, LoadReport, Time, UpstreamName};
+use pimentotide_model::{
+    Announcement, GroupName, LoadReport, ServiceKind, Time, UpstreamName, ZoneName,
+};
 
 use super::slot::Slot;
 
@@ -22,6 +24,33 @@
     generation: u32,
     groups: Vec<Group>,
     group_names: BTreeMap<GroupName, u32>,
+    usage: Vec<Usage>,
+    domains: BTreeMap<(ZoneName, bool), u32>,
+}
+
+/// Load on the upstreams of one kind in one zone.
+#[derive(Debug, Default)]
+struct Usage {
+    own: f64,
+    others: f64,
+    allowance: f64,
+}
+
+/// Usual load of an upstream for each place of its allowance.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Mean {
+    /// Requests of this entry.
+    pub(super) own: f64,
+    /// Requests of other entries.
+    pub(super) others: f64,
+}
+
+impl Usage {
+    fn add(&mut self, slot: &Slot, sign: f64) {
+        self.own += sign * f64::from(slot.inflight());
+        self.others += sign * slot.others();
+        self.allowance += sign * f64::from(slot.report.allowance);
+    }
 }
 
 impl Directory {
@@ -66,7 +95,8 @@
     /// Adds an upstream and returns its slot number.
     pub(super) fn add(&mut self, announcement: &Announcement) -> u32 {
         self.generation += 1;
-        let slot = Slot::new(announcement.clone(), self.generation);
+        let domain = self.domain(announcement);
+        let slot = Slot::new(announcement.clone(), self.generation, domain);
         let index = match self.free.pop() {
             Some(index) => index,
             None => {
@@ -79,17 +109,31 @@
         index
     }
 
+    /// Takes a later announcement of the upstream in slot number `index`.
+    pub(super) fn announce(&mut self, index: u32, announcement: Announcement) {
+        let domain = self.domain(&announcement);
+        if let Some(slot) = self.slots.get_mut(index as usize).and_then(Option::as_mut) {
+            self.usage[slot.domain as usize].add(slot, -1.0);
+            slot.announcement = announcement;
+            slot.domain = domain;
+            self.usage[slot.domain as usize].add(slot, 1.0);
+        }
+        self.join_group(index);
+    }
+
     /// Forgets an upstream and returns the slot number that it had.
     pub(super) fn remove(&mut self, upstream: &UpstreamName) -> Option<u32> {
         let index = self.names.remove(upstream)?;
         self.leave_group(index);
-        self.slots[index as usize] = None;
+        if let Some(slot) = self.slots[index as usize].take() {
+            self.usage[slot.domain as usize].add(&slot, -1.0);
+        }
         self.free.push(index);
         Some(index)
     }
 
     /// Makes the upstream in slot number `index` a member of its announced group.
-    pub(super) fn join_group(&mut self, index: u32) {
+    fn join_group(&mut self, index: u32) {
         self.leave_group(index);
         let Some(slot) = self.slots[index as usize].as_mut() else {
             return;
@@ -112,10 +156,14 @@
 
     /// Takes a load report of the upstream in slot number `index`.
     pub(super) fn report(&mut self, index: u32, report: &LoadReport, taken: Time) {
-        let Some(slot) = self.slot_mut(index) else {
+        let Some(slot) = self.slots.get_mut(index as usize).and_then(Option::as_mut) else {
             return;
         };
-        if !slot.observe(report, taken) {
+        let usage = &mut self.usage[slot.domain as usize];
+        usage.add(slot, -1.0);
+        let newer = slot.observe(report, taken);
+        usage.add(slot, 1.0);
+        if !newer {
             return;
         }
         let Some(group) = slot.group else {
@@ -132,11 +180,65 @@
             .unwrap_or(0);
     }
 
+    /// Forgets the report of an upstream that has a new incarnation.
+    pub(super) fn restart(&mut self, index: u32) {
+        if let Some(slot) = self.slots.get_mut(index as usize).and_then(Option::as_mut) {
+            let usage = &mut self.usage[slot.domain as usize];
+            usage.add(slot, -1.0);
+            slot.restart();
+            usage.add(slot, 1.0);
+        }
+    }
+
+    /// Usual load on the upstreams of the slot's kind in its zone.
+    pub(super) fn mean(&self, slot: &Slot) -> Mean {
+        let usage = &self.usage[slot.domain as usize];
+        let places = usage.allowance.max(1.0);
+        Mean {
+            own: usage.own.max(0.0) / places,
+            others: usage.others.max(0.0) / places,
+        }
+    }
+
+    /// Counts a request of this entry; returns the generation of its slot.
+    pub(super) fn begin(&mut self, index: u32, now: Time) -> u32 {
+        let Some(slot) = self.slots.get_mut(index as usize).and_then(Option::as_mut) else {
+            return 0;
+        };
+        slot.begin(now);
+        self.usage[slot.domain as usize].own += 1.0;
+        slot.generation
+    }
+
+    /// Counts the end of a request of this entry; false if its slot is gone.
+    pub(super) fn end(&mut self, index: u32, generation: u32, now: Time) -> bool {
+        let slot = self.slots.get_mut(index as usize).and_then(Option::as_mut);
+        let Some(slot) = slot.filter(|s| s.generation == generation) else {
+            return false;
+        };
+        slot.end(now);
+        self.usage[slot.domain as usize].own -= 1.0;
+        true
+    }
+
     /// Longest time between tokens among the members of the slot's group.
     pub(super) fn group_gap(&self, slot: &Slot) -> u64 {
         slot.group.map_or(0, |g| self.groups[g as usize].gap)
     }
 
+    /// Index of the usage that an upstream counts towards.
+    fn domain(&mut self, announcement: &Announcement) -> u32 {
+        let plain = announcement.kind == ServiceKind::Plain;
+        let key = (announcement.zone.clone(), plain);
+        if let Some(index) = self.domains.get(&key) {
+            return *index;
+        }
+        let index = u32::try_from(self.usage.len()).unwrap_or(u32::MAX);
+        self.usage.push(Usage::default());
+        self.domains.insert(key, index);
+        index
+    }
+
     fn leave_group(&mut self, index: u32) {
         let Some(slot) = self.slots[index as usize].as_mut() else {
             return;
--- a/decision/routing/src/placer/mod.rs
+++ b/decision/routing/src/placer/mod.rs
@@ -49,21 +49,15 @@
     pub zone: ZoneName,
     /// Candidates drawn for each decision, half of them from the nearest zone.
     pub choices: usize,
-    /// Weight of own requests sent since a report, for the entries that act alike.
-    pub echo: f64,
-    /// Entries that send to the same upstreams.
-    pub entries: u32,
 }
 
 impl PlacerSettings {
     /// Returns the usual settings of an entry.
-    pub fn new(instance: InstanceName, zone: ZoneName, entries: u32) -> Self {
+    pub fn new(instance: InstanceName, zone: ZoneName) -> Self {
         Self {
             instance,
             zone,
-            choices: 4,
-            echo: 1.0,
-            entries,
+            choices: 6,
         }
     }
 }
@@ -106,18 +100,13 @@
         self.pools.reset(&self.declarations);
     }
 
-    /// Tells how many entries send to the same upstreams.
-    pub fn set_entries(&mut self, entries: u32) {
-        self.settings.entries = entries.max(1);
-    }
-
     /// Takes what an agent announces about its upstream.
     pub fn announce(&mut self, announcement: Announcement) {
         let index = match self.directory.find(&announcement.upstream) {
             Some(index) => index,
             None => self.add(&announcement),
         };
-        let Some(slot) = self.directory.slot_mut(index) else {
+        let Some(slot) = self.directory.slot(index) else {
             return;
         };
         let before = slot.announcement.incarnation;
@@ -125,11 +114,10 @@
             return;
         }
         if announcement.incarnation > before {
-            slot.restart();
+            self.directory.restart(index);
             self.beliefs.restart(index, announcement.incarnation);
         }
-        slot.announcement = announcement;
-        self.directory.join_group(index);
+        self.directory.announce(index, announcement);
         self.index(index);
     }
 
@@ -258,14 +246,13 @@
     /// Takes the end of a placed request.
     pub fn finish(&mut self, ticket: Ticket, meta: &RequestMeta, done: &Finished, now: Time) {
         let booking = ticket.into_booking();
-        let Some(slot) = self.booked(booking) else {
+        if !self.directory.end(booking.slot, booking.generation, now) {
             return;
-        };
-        slot.end(now);
+        }
         match done.verdict {
             Verdict::Good => self.learn(booking, meta, done, now),
             Verdict::Refused(report) => self.refused(booking, meta, report, now),
-            Verdict::Cancelled => slot.health.neutral(),
+            Verdict::Cancelled => self.cancelled(booking),
             Verdict::Failed => self.failed(booking, meta, now),
         }
     }
@@ -374,13 +361,7 @@
     ) -> Decision {
         let chosen = shortlist[0];
         let candidates: Candidates = shortlist.iter().filter_map(|w| self.describe(w)).collect();
-        let generation = match self.directory.slot_mut(chosen.slot) {
-            Some(slot) => {
-                slot.begin(now);
-                slot.generation
-            }
-            None => 0,
-        };
+        let generation = self.directory.begin(chosen.slot, now);
         self.beliefs.add(chosen.slot, &meta.prefix);
         Decision {
             upstream: candidates[0].upstream.clone(),
@@ -426,6 +407,12 @@
             .observe(blocks - hit, done.tokens, first, done.total);
     }
 
+    fn cancelled(&mut self, booking: Booking) {
+        if let Some(slot) = self.booked(booking) {
+            slot.health.neutral();
+        }
+    }
+
     fn refused(
         &mut self,
         booking: Booking,
@@ -434,9 +421,7 @@
         now: Time,
     ) {
         self.disbelieve(booking, meta);
-        if let Some(slot) = self.booked(booking) {
-            slot.health.neutral();
-        }
+        self.cancelled(booking);
         if let Some(report) = report {
             self.directory.report(booking.slot, &report, now);
         }
--- a/decision/routing/src/placer/scene.rs
+++ b/decision/routing/src/placer/scene.rs
@@ -13,6 +13,9 @@
 
 /// Holders of the prefix that are weighed.
 const HOLDER_CHOICES: usize = 3;
+/// Further weight of own requests beyond the usual number: entries that each
+/// spread their own requests evenly spread them evenly together.
+const OWN_WEIGHT: f64 = 4.0;
 /// Draws made when none of the first candidates has room.
 const EXTRA_DRAWS: usize = 12;
 /// Most agents asked for credits.
@@ -144,15 +147,12 @@
 
     pub(super) fn weigh(&self, index: u32, penalty: f64) -> Option<Weighed> {
         let slot = self.directory.slot(index)?;
-        let load = slot.load(
-            self.settings.echo,
-            f64::from(self.settings.entries),
-            self.now,
-        );
+        let mean = self.directory.mean(slot);
+        let load = slot.load(mean, self.learned.turnover(), self.now);
         let hit = self.beliefs.hit(index, &self.meta.prefix);
         let group = self.directory.group_gap(slot);
         let view = View {
-            load,
+            load: (load + OWN_WEIGHT * slot.own_excess(mean)).max(0.0),
             allowance: f64::from(slot.allowance()),
             missing: self.meta.prefix.len() as f64 - f64::from(hit) * slot.trust,
             gap: slot.report.token_gap.max(group) as f64,
--- a/decision/routing/src/placer/score.rs
+++ b/decision/routing/src/placer/score.rs
@@ -47,6 +47,11 @@
         self.first / self.missing
     }
 
+    /// Time in which most requests that run are replaced by others.
+    pub(super) fn turnover(&self) -> Duration {
+        Duration::from_micros((self.usual() * 3.0) as u64)
+    }
+
     /// Usual answer time, microseconds.
     fn usual(&self) -> f64 {
         if self.total > 0.0 {
--- a/decision/routing/src/placer/slot.rs
+++ b/decision/routing/src/placer/slot.rs
@@ -5,12 +5,11 @@
 
 use pimentotide_model::{Announcement, LoadReport, Time};
 
+use super::directory::Mean;
 use crate::health::Health;
 
 /// Changes of the own load that are remembered.
 const MAX_HISTORY: usize = 256;
-/// Age at which a report no longer counts.
-const REPORT_EXPIRY: Duration = Duration::from_secs(15);
 /// Weight of the latest verified hit in the trust in cache beliefs.
 const TRUST_WEIGHT: f64 = 0.1;
 /// Least trust in cache beliefs.
@@ -21,6 +20,7 @@
 pub(super) struct Slot {
     pub(super) announcement: Announcement,
     pub(super) generation: u32,
+    pub(super) domain: u32,
     pub(super) health: Health,
     pub(super) group: Option<u32>,
     pub(super) report: LoadReport,
@@ -33,10 +33,11 @@
 
 impl Slot {
     /// Builds the slot of an upstream that has not reported yet.
-    pub(super) fn new(announcement: Announcement, generation: u32) -> Self {
+    pub(super) fn new(announcement: Announcement, generation: u32, domain: u32) -> Self {
         Self {
             announcement,
             generation,
+            domain,
             health: Health::default(),
             group: None,
             report: LoadReport::default(),
@@ -52,6 +53,7 @@
     pub(super) fn restart(&mut self) {
         self.report = LoadReport::default();
         self.taken = None;
+        self.base = 0;
         self.trust = 1.0;
         self.health.reset();
     }
@@ -97,18 +99,30 @@
         }
     }
 
-    /// Requests that run or wait, with own changes since the report weighed by `echo`.
-    pub(super) fn load(&self, echo: f64, entries: f64, now: Time) -> f64 {
+    /// Requests of other entries at the last report.
+    pub(super) fn others(&self) -> f64 {
+        let reported = self.report.running + self.report.waiting;
+        f64::from(reported.saturating_sub(self.base))
+    }
+
+    /// Requests that run or wait, as estimated now.
+    ///
+    /// Own requests are known exactly. Those of other entries are known as of
+    /// the report, and go back to the usual `mean` as the report ages.
+    pub(super) fn load(&self, mean: Mean, turnover: Duration, now: Time) -> f64 {
         let own = f64::from(self.inflight);
-        let fresh = self
-            .taken
-            .is_some_and(|taken| now.since(taken) < REPORT_EXPIRY);
-        if !fresh {
-            return own * entries;
-        }
-        let reported = f64::from(self.report.running) + f64::from(self.report.waiting);
-        let since = own - f64::from(self.base);
-        (reported + since * echo).max(own)
+        let usual = mean.others * f64::from(self.allowance());
+        let Some(taken) = self.taken else {
+            return own + usual;
+        };
+        let age = now.since(taken).as_secs_f64() / turnover.as_secs_f64();
+        let weight = (-age).exp();
+        own + usual + weight * (self.others() - usual)
+    }
+
+    /// Own requests beyond what this entry usually has on an upstream of this size.
+    pub(super) fn own_excess(&self, mean: Mean) -> f64 {
+        f64::from(self.inflight) - mean.own * f64::from(self.allowance())
     }
 
     /// Compares a believed cache hit with the one reported.
--- a/decision/routing/src/queue/mod.rs
+++ b/decision/routing/src/queue/mod.rs
@@ -27,6 +27,8 @@
 const LEAST_RETRY: Duration = Duration::from_millis(200);
 /// Longest time after which a refused caller is told to come back.
 const MOST_RETRY: Duration = Duration::from_secs(30);
+/// How many times its part each agent is asked for.
+const OVERASK: usize = 2;
 
 /// A request that waits.
 #[derive(Clone, Debug, PartialEq)]
@@ -214,8 +216,10 @@
         self.drain.observe_answer(taken);
     }
 
-    /// Demand to state to agents: one line a workspace and priority.
-    pub fn demand(&self, now: Time) -> EntryDemand {
+    /// Demand to state to each of `agents`: one line a workspace and priority.
+    ///
+    /// Each agent is asked for more than its part, because not all have room.
+    pub fn demand(&self, agents: usize, now: Time) -> EntryDemand {
         let mut demand = EntryDemand::new();
         for (Reverse(priority), class) in &self.classes {
             for (workspace, count, deadline) in class.backlog() {
@@ -224,7 +228,7 @@
                     workspace: workspace.clone(),
                     priority: *priority,
                     remaining: deadline.since(now),
-                    count: u32::try_from(count).unwrap_or(u32::MAX),
+                    count: part(count, agents),
                 });
             }
         }
@@ -309,3 +313,9 @@
         }
     }
 }
+
+/// Requests out of `count` that one of `agents` is asked to take.
+fn part(count: usize, agents: usize) -> u32 {
+    let part = (count * OVERASK).div_ceil(agents.max(1));
+    u32::try_from(part.min(count)).unwrap_or(u32::MAX)
+}
--- a/decision/routing/tests/it/fixture.rs
+++ b/decision/routing/tests/it/fixture.rs
@@ -97,7 +97,7 @@
 /// Placer in the first zone that knows `count` idle upstreams of capacity 16.
 pub(crate) fn placer(count: usize) -> Placer {
     let instance = InstanceName::from("e1");
-    let mut placer = Placer::open(PlacerSettings::new(instance, ZoneName::from(ZONES[0]), 9));
+    let mut placer = Placer::open(PlacerSettings::new(instance, ZoneName::from(ZONES[0])));
     placer.declare(declarations(profile()));
     for index in 0..count {
         let announcement = announcement(index, 16);
--- a/decision/routing/tests/it/gate.rs
+++ b/decision/routing/tests/it/gate.rs
@@ -197,7 +197,7 @@
     assert!(!gate.drained());
     gate.complete(permit, good(), at(5));
     assert!(gate.drained());
-    gate.rejoin();
+    gate.rejoin(at(6));
     assert!(
         gate.admit(&admission("e1", "w"), Time::from_millis(6))
             .is_ok()
