Expert maps: budget of the weights store, orders, rollout, status

Cause: loads of cold starts and rebalancing share one rate-limited store; orders to load a version or change role may be resent or come late; and a version change must not leave a service without warm capacity.

Change: Budget leases shares of the store's rate, cold starts first, and keeps a bucket of bytes for each group; OrderLog and OrderBook make an order act once, with a floor of fencing numbers learnt after a restart; next_step plans a version change one upstream at a time; GroupStatus is what operators see.

--- a/decision/experts/src/decisions.rs
+++ b/decision/experts/src/decisions.rs
@@ -8,167 +8,14 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use derive_more::Display;
-use pimentotide_model::{Fence, GroupName, Incarnation, InstanceName, Time};
+use pimentotide_model::{Fence, GroupName, Incarnation, InstanceName, OrderId, Time, UpstreamName};
 use serde::{Deserialize, Serialize};
 
-use crate::{ExpertMap, Layout, MapError, MapId};
+use crate::{Budget, Change, Command, ExpertMap, Layout, MapId, OrderLog, Refusal, Reply};
 
 /// Groups that are kept at most.
 const MAX_GROUPS: usize = 64;
 
-/// Change to the decided maps, replicated before it takes effect.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Command {
-    /// Brings a group into being with its first map.
-    Form {
-        /// Group.
-        group: GroupName,
-        /// Shape of the group.
-        layout: Layout,
-        /// First map.
-        map: Arc<ExpertMap>,
-    },
-    /// Makes one instance the coordinator of a group.
-    Take {
-        /// Group.
-        group: GroupName,
-        /// Instance that coordinates from now on.
-        holder: InstanceName,
-        /// Number that is the same when the command is resent.
-        nonce: u64,
-    },
-    /// Opens a new term of the rank that leads the steps.
-    Lead {
-        /// Group.
-        group: GroupName,
-        /// Start of the leading rank's agent.
-        incarnation: Incarnation,
-    },
-    /// Tells a rank that has started the floor of fencing numbers.
-    Admit {
-        /// Group.
-        group: GroupName,
-        /// Fencing number of the coordinator.
-        fence: Fence,
-        /// Rank.
-        rank: u16,
-        /// Start of the rank's agent.
-        incarnation: Incarnation,
-    },
-    /// Gives a map an identity, so that ranks may load it.
-    Stage {
-        /// Group.
-        group: GroupName,
-        /// Fencing number of the coordinator.
-        fence: Fence,
-        /// Map.
-        map: Arc<ExpertMap>,
-    },
-    /// Decides that a staged map follows the one in force.
-    Decide {
-        /// Group.
-        group: GroupName,
-        /// Fencing number of the coordinator.
-        fence: Fence,
-        /// Map.
-        id: MapId,
-        /// First step that may run under the map.
-        step: u64,
-    },
-    /// Gives up a staged map.
-    Abandon {
-        /// Group.
-        group: GroupName,
-        /// Fencing number of the coordinator.
-        fence: Fence,
-        /// Map.
-        id: MapId,
-    },
-    /// Records that all ranks run under the decided map.
-    Settle {
-        /// Group.
-        group: GroupName,
-        /// Fencing number of the coordinator.
-        fence: Fence,
-        /// Map.
-        id: MapId,
-        /// Step that all ranks have run under it.
-        step: u64,
-    },
-    /// Drops what is past its window.
-    Expire,
-}
-
-/// Why a command changed nothing.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Refusal {
-    /// The command carries an old fencing number.
-    #[display("old fencing number")]
-    Fenced,
-    /// The group does not exist.
-    #[display("unknown group")]
-    UnknownGroup,
-    /// The group exists with another shape.
-    #[display("the group exists")]
-    Exists,
-    /// No further group fits.
-    #[display("no room")]
-    Full,
-    /// Another switch has not ended.
-    #[display("a switch is in flight")]
-    InFlight,
-    /// The map is neither staged nor decided.
-    #[display("the map is not staged")]
-    NotStaged,
-    /// The map does not fit the group.
-    #[display("the map does not fit: {_0}")]
-    BadMap(MapError),
-}
-
-/// Answer to a command.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Reply {
-    /// Nothing to tell.
-    Done,
-    /// The sender coordinates the group under this fencing number.
-    Taken {
-        /// Fencing number.
-        fence: Fence,
-        /// Group as it stands.
-        group: Box<GroupState>,
-    },
-    /// The sender leads the steps under this number.
-    Leading {
-        /// Fencing number of the term.
-        fence: Fence,
-        /// Map decided last.
-        decided: DecidedMap,
-    },
-    /// The rank belongs to the group.
-    Admitted {
-        /// Rank.
-        rank: u16,
-        /// Start of the rank's agent.
-        incarnation: Incarnation,
-        /// Fencing numbers below this one are refused.
-        floor: Fence,
-        /// Map decided last.
-        decided: DecidedMap,
-    },
-    /// The map has this identity.
-    Staged(MapId),
-    /// The map is decided.
-    Decided(DecidedMap),
-    /// The map is abandoned.
-    Abandoned(MapId),
-    /// The switch has ended.
-    Settled(MapId),
-    /// The command changed nothing.
-    Refused(Refusal),
-}
-
 /// Map that ranks run under from a step on.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct DecidedMap {
@@ -222,6 +69,8 @@
 pub struct Decisions {
     fence: Fence,
     groups: BTreeMap<GroupName, GroupState>,
+    budget: Budget,
+    orders: OrderLog,
 }
 
 impl Decisions {
@@ -254,10 +103,52 @@
             Command::Settle {
                 group, fence, id, ..
             } => self.fenced(group, *fence, |g| g.settle(*id)),
-            Command::Expire => Reply::Done,
+            Command::SetRate(rate) => {
+                self.budget.set_rate(*rate);
+                Reply::Done
+            }
+            Command::Borrow(request) => match self.budget.lease(request, at) {
+                Some(lease) => Reply::Leased(lease),
+                None => Reply::Refused(Refusal::Budget),
+            },
+            Command::GiveBack(id) => {
+                self.budget.give_back(id);
+                Reply::Done
+            }
+            Command::Spend {
+                group,
+                hourly,
+                bytes,
+            } => match self.budget.spend(group, *hourly, *bytes, at) {
+                true => Reply::Done,
+                false => Reply::Refused(Refusal::Budget),
+            },
+            Command::Order {
+                upstream,
+                id,
+                change,
+            } => self.order(upstream, id, change),
+            Command::Finish { upstream, id, end } => {
+                self.orders.finish(upstream, id, *end);
+                Reply::Done
+            }
+            Command::Expire => {
+                self.budget.expire(at);
+                Reply::Done
+            }
         }
     }
 
+    /// Budget of the weights store.
+    pub fn budget(&self) -> &Budget {
+        &self.budget
+    }
+
+    /// Orders to upstreams.
+    pub fn orders(&self) -> &OrderLog {
+        &self.orders
+    }
+
     /// Looks up a group.
     pub fn group(&self, name: &GroupName) -> Option<&GroupState> {
         self.groups.get(name)
@@ -273,6 +164,15 @@
         self.fence
     }
 
+    fn order(&mut self, upstream: &UpstreamName, id: &OrderId, change: &Change) -> Reply {
+        let next = self.fence.next();
+        let Some(order) = self.orders.place(upstream, id, change, next) else {
+            return Reply::Refused(Refusal::KeyMismatch);
+        };
+        self.fence = self.fence.max(order.fence);
+        Reply::Ordered(order)
+    }
+
     fn form(&mut self, name: &GroupName, layout: &Layout, map: &Arc<ExpertMap>) -> Reply {
         if let Some(group) = self.groups.get(name) {
             return match group.layout == *layout {
--- a/decision/experts/src/lib.rs
+++ b/decision/experts/src/lib.rs
@@ -5,18 +5,28 @@
 //! each step runs under one map. The decisions that must survive are commands
 //! in the replicated log. Nothing here performs input or output.
 
+mod budget;
+mod command;
 mod decisions;
 mod map;
+mod order;
 mod plan;
+mod rollout;
+mod status;
 mod switch;
 
-pub use decisions::{Command, DecidedMap, Decisions, GroupState, Refusal, Reply, StagedMap};
+pub use budget::{Budget, LEASE, LEASE_MARGIN, Lease, LeaseRequest, Purpose};
+pub use command::{Command, Refusal, Reply};
+pub use decisions::{DecidedMap, Decisions, GroupState, StagedMap};
 pub use map::{ExpertMap, Layout, MAX_MAP_SLOTS, MapError, MapId, RankShape, Slot};
+pub use order::{Change, EngineState, Order, OrderBook, OrderLog, Progress, Receipt, Role};
 pub use plan::{
     Bounds, Conditions, Declined, Demand, Forecast, Limits, Load, Plan, PlanPolicy, Planner,
     Popularity, Source, Speeds, StepSample, TokenCounts, Verdict, cold_loads, improve_map,
     pack_greedily, place, sources,
 };
+pub use rollout::{Member, RolloutStep, Wait, next_step};
+pub use status::{GroupNotes, GroupStatus, PlanNote, Straggler};
 pub use switch::{
     AbandonCause, Action, Coordinator, Ending, Epoch, Grant, LEADING_RANK, Leader, MapOrder,
     Message, Peer, Phase, RankAgent, RankStatus, SwitchPolicy,
--- a/decision/experts/tests/it/main.rs
+++ b/decision/experts/tests/it/main.rs
@@ -1,5 +1,11 @@
 //! Tests of expert maps: planner, switch and decisions.
 
+mod budget;
+mod decisions;
+mod fencing;
 mod group;
 mod network;
+mod order;
+mod planner;
+mod rollout;
 mod switch;
