Expert maps: switch scenarios with uneven load times, and rules broken on purpose

Cause: with equal load times the scenarios did not notice when the checks that weights are in place were all removed.

Change: each rank of the scenario takes another time to load; the speed estimate is asserted right after a stall.

--- a/decision/experts/tests/it/group.rs
+++ b/decision/experts/tests/it/group.rs
@@ -17,19 +17,22 @@
 pub(crate) const RANKS: u16 = 4;
 
 /// Period on which machines send again.
-const TICK: Duration = Duration::from_millis(50);
+pub(crate) const TICK: Duration = Duration::from_millis(50);
 
 /// Time that a step takes once all ranks have started it.
-const STEP: Duration = Duration::from_millis(25);
+pub(crate) const STEP: Duration = Duration::from_millis(25);
 
-/// Time that the weights of a map take to load.
-const LOAD: Duration = Duration::from_millis(200);
+/// Time that the weights of a map take to load on the first rank; others take longer.
+const LOAD: Duration = Duration::from_millis(150);
 
 /// Time after which a process that died runs again.
-const RESTART: Duration = Duration::from_millis(300);
+pub(crate) const RESTART: Duration = Duration::from_millis(300);
 
 /// Time after which another control instance coordinates.
-const ELECTION: Duration = Duration::from_millis(400);
+pub(crate) const ELECTION: Duration = Duration::from_millis(400);
+
+/// Time at which the next map is proposed.
+pub(crate) const PROPOSAL: Duration = Duration::from_millis(1_000);
 
 /// One process of the group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -96,7 +99,7 @@
 }
 
 impl Group {
-    /// Forms a group and proposes another map 600 ms later.
+    /// Forms a group and proposes another map later.
     pub(crate) fn new(line: Line) -> Self {
         let name = GroupName::from("group");
         let mut log = Decisions::default();
@@ -136,7 +139,7 @@
             group.after(Duration::ZERO, Event::Restart(Process::Rank(rank)));
         }
         group.after(Duration::ZERO, Event::Restart(Process::Control));
-        group.after(Duration::from_millis(600), Event::Propose);
+        group.after(PROPOSAL, Event::Propose);
         group
     }
 
@@ -365,7 +368,7 @@
                 }
                 (Action::Load { id, .. }, Process::Rank(rank)) => {
                     let start = self.ranks[usize::from(rank)].start;
-                    self.after(LOAD, Event::Loaded(rank, start, id));
+                    self.after(LOAD * u32::from(rank + 1), Event::Loaded(rank, start, id));
                 }
                 (Action::Free(id), Process::Rank(rank)) => {
                     self.ranks[usize::from(rank)].weights.remove(&id);
--- a/decision/experts/tests/it/planner.rs
+++ b/decision/experts/tests/it/planner.rs
@@ -134,6 +134,8 @@
 fn a_stall_moves_nothing_and_a_straggler_does() {
     let stall = |tick| if (200..220).contains(&tick) { 0.1 } else { 1.0 };
     assert_eq!(proposals(&planner_after(600, stall).2), 0);
+    let (mut planner, ..) = planner_after(220, stall);
+    assert_eq!(planner.straggler(at(220)), None);
     let (mut planner, _, verdicts) = planner_after(600, |tick| if tick >= 200 { 0.5 } else { 1.0 });
     assert!(proposals(&verdicts) > 0);
     assert_eq!(planner.straggler(at(600)), Some((1, 0.5)));
--- a/decision/experts/tests/it/switch.rs
+++ b/decision/experts/tests/it/switch.rs
@@ -11,16 +11,16 @@
 use crate::network::{Fault, Line};
 
 /// Time at which the map is proposed.
-const PROPOSED: Time = Time::from_millis(590);
+const PROPOSED: Time = Time::from_millis(990);
 
 /// Time by which an undisturbed switch has ended.
-const ENDED: Time = Time::from_millis(1_500);
+const ENDED: Time = Time::from_millis(2_300);
 
 /// Time by which a disturbed switch has ended.
-const RECOVERED: Time = Time::from_millis(5_000);
+const RECOVERED: Time = Time::from_millis(7_000);
 
 /// Time from which a disturbed switch may have ended.
-const SETTLED: Time = Time::from_millis(2_000);
+const SETTLED: Time = Time::from_millis(2_600);
 
 /// Time between two looks whether it has.
 const LOOK: Duration = Duration::from_millis(200);
