Proof of the replicated log under virtual time

Cause: the state machine and the storage were not tested together.

Change: a simulation of replicas with the real storage on disks in memory: message loss, duplication, reordering, one-way and two-way partitions, crashes at any write or sync, disks that fail, fill up or are replaced, clocks of different rates that step, paused processes, handovers and changing members. After every step: election safety, one vote a term, log matching, leader completeness, the same entries and states everywhere, acknowledged commands in their place, current reads, commit never back, one valid lease at any moment. Runs end with all faults healed and a check that the replicas agree. Besides: scenarios of one fault each, rules met by hand, and a search through all short interleavings among three replicas.

The answer is now a message of its own that keeps no lease.

--- a/decision/consensus/src/message.rs
+++ b/decision/consensus/src/message.rs
@@ -110,6 +110,8 @@
     },
     /// Tells the receiver to stand for election at once.
     TimeoutNow,
+    /// The receiver's term is over; proves nothing else, so it keeps no lease.
+    Stale,
     /// The receiver is not who the message was meant for.
     Refused {
         /// Identity that the sender had in mind.
--- a/decision/consensus/src/node/follower.rs
+++ b/decision/consensus/src/node/follower.rs
@@ -8,13 +8,13 @@
 impl Node {
     /// Tells a leader or candidate of an old term that it is over.
     pub(super) fn answer_stale(&mut self, from: &Identity, body: &Message) {
-        let sent = match body {
-            Message::Heartbeat { sent, .. }
-            | Message::Append { sent, .. }
-            | Message::Chunk { sent, .. } => *sent,
-            _ => return,
-        };
-        self.send(from, Message::HeartbeatReply { sent }, Need::Hard);
+        let leads = matches!(
+            body,
+            Message::Heartbeat { .. } | Message::Append { .. } | Message::Chunk { .. }
+        );
+        if leads {
+            self.send(from, Message::Stale, Need::Hard);
+        }
     }
 
     /// Notes that the leader of this term was heard.
--- a/decision/consensus/src/node/mod.rs
+++ b/decision/consensus/src/node/mod.rs
@@ -248,7 +248,8 @@
                 done,
                 sent,
             } => self.on_chunk_reply(&from, last, next, done, sent),
-            Message::PreVote { .. }
+            Message::Stale
+            | Message::PreVote { .. }
             | Message::PreVoteReply { .. }
             | Message::Vote { .. }
             | Message::Refused { .. } => {}
--- /dev/null
+++ b/decision/consensus/tests/it/sim/host.rs
@@ -0,0 +1,125 @@
+//! One instance: its disk, its clocks and the process that runs on it.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pimentotide_consensus::{
+    Action, Applier, Envelope, Index, Moment, Node, Options, Ticket, Write,
+};
+use pimentotide_model::{InstanceName, Term, Time};
+use pimentotide_storage::fake::FakeDisk;
+use pimentotide_storage::{Storage, StorageError};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::machine::Recorder;
+
+/// How much clocks differ at most.
+const DRIFT: f64 = 0.05;
+/// Small segments, so that many are started and removed.
+const SEGMENT_BYTES: u64 = 1_024;
+
+/// One instance.
+pub(crate) struct Host {
+    pub(crate) name: InstanceName,
+    pub(crate) address: SocketAddr,
+    pub(crate) disk: FakeDisk,
+    pub(crate) process: Option<Process>,
+    pub(crate) ticking: bool,
+    pub(crate) paused: Time,
+    /// Highest commit seen of the running process.
+    pub(crate) commit: Index,
+    /// Last term in which the running process was seen to lead.
+    pub(crate) led: Option<Term>,
+    start: Time,
+    origin: Time,
+    rate: f64,
+    pub(crate) shift: u64,
+}
+
+/// A running replica.
+pub(crate) struct Process {
+    pub(crate) node: Node,
+    pub(crate) storage: Storage<FakeDisk>,
+    pub(crate) applier: Applier<Recorder>,
+    pub(crate) writes: VecDeque<Write>,
+    pub(crate) held: Vec<(Ticket, Envelope)>,
+    pub(crate) synced: Ticket,
+}
+
+/// Small bounds, so that every limit is met often.
+pub(crate) fn options() -> Options {
+    Options {
+        election: Duration::from_millis(350),
+        heartbeat: Duration::from_millis(50),
+        drift: DRIFT,
+        resend: Duration::from_millis(100),
+        batch: 300,
+        inflight: 4,
+        chunk: 64,
+        lag: 8,
+        backlog: 200,
+        keep: 5,
+    }
+}
+
+impl Host {
+    pub(crate) fn new(number: usize, seed: u64) -> Self {
+        Self {
+            name: InstanceName::from(format!("accra-a-{}", number + 1)),
+            address: SocketAddr::from(([127, 0, 0, 1], 7_000 + number as u16)),
+            disk: FakeDisk::new(seed),
+            process: None,
+            ticking: false,
+            paused: Time::ZERO,
+            commit: Index(0),
+            led: None,
+            start: Time::ZERO,
+            origin: Time::ZERO,
+            rate: 1.0,
+            shift: 1_000_000_000,
+        }
+    }
+
+    /// Monotonic time of the host's process.
+    pub(crate) fn local(&self, time: Time) -> Time {
+        self.origin + time.since(self.start).mul_f64(self.rate)
+    }
+
+    pub(crate) fn moment(&self, time: Time) -> Moment {
+        Moment {
+            now: self.local(time),
+            wall: time + Duration::from_micros(self.shift),
+        }
+    }
+
+    /// Gives a new process a new start of time, at a rate within the drift.
+    pub(crate) fn reset_clock(&mut self, time: Time, rng: &mut ChaCha8Rng) {
+        self.start = time;
+        self.origin = Time::from_millis(rng.random_range(0..1_000_000));
+        self.rate = rng.random_range(1.0 - DRIFT..=1.0 + DRIFT);
+    }
+}
+
+impl Process {
+    pub(crate) fn start(
+        host: &Host,
+        seed: u64,
+        at: Moment,
+    ) -> Result<(Self, Vec<Action>), StorageError> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let disk = host.disk.clone();
+        let opened = Storage::open_with_limit(disk, &host.name, &mut rng, SEGMENT_BYTES)?;
+        let (node, actions) = Node::start(opened.recovered, options(), seed, at);
+        let process = Self {
+            node,
+            storage: opened.storage,
+            applier: Applier::new(Recorder::default()),
+            writes: VecDeque::new(),
+            held: Vec::new(),
+            synced: Ticket(0),
+        };
+        Ok((process, actions))
+    }
+}
--- a/support/storage/src/fake.rs
+++ b/support/storage/src/fake.rs
@@ -84,6 +84,11 @@
         self.lock().countdown = Some((operations, fault));
     }
 
+    /// Takes back a fault that has not happened yet.
+    pub fn disarm(&self) {
+        self.lock().countdown = None;
+    }
+
     /// Writing operations performed so far.
     pub fn operations(&self) -> u64 {
         self.lock().operations
