--- /dev/null
+++ b/app/src/entry/attempt.rs
@@ -0,0 +1,216 @@
+//! One attempt of a request at one upstream.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pimentotide_instance::work::{Frame, FrameStream, WorkClient, WorkError, WorkOrder};
+use pimentotide_model::{ErrorKind, Failure, LoadReport, Ran, RequestId, UpstreamName};
+use pimentotide_routing::Verdict;
+
+use super::core::Core;
+use super::placing::{Flight, Placed};
+use super::resolve::Job;
+
+/// Silence after which an attempt at an ejected upstream is given up.
+const STALL_SILENCE: Duration = Duration::from_secs(1);
+
+/// Head of an upstream's answer.
+#[derive(Clone, Debug)]
+pub(super) struct Head {
+    pub(super) status: u16,
+    pub(super) headers: Vec<(String, String)>,
+}
+
+/// An attempt whose answer has begun; cancels itself when dropped unfinished.
+pub(super) struct Attempt {
+    frames: Option<FrameStream>,
+    client: WorkClient,
+    upstream: UpstreamName,
+    agent: SocketAddr,
+    id: RequestId,
+    idempotent: bool,
+    flight: Option<Flight>,
+}
+
+/// What an attempt yields next.
+pub(super) enum Step {
+    /// A piece of the answer at its position.
+    Piece(u64, bytes::Bytes),
+    /// The answer is whole, with so many pieces.
+    End(u64),
+}
+
+impl Attempt {
+    /// Sends the request and waits for the head of its answer.
+    pub(super) async fn begin(
+        core: &Arc<Core>,
+        client: &WorkClient,
+        job: &Job,
+        placed: Placed,
+        number: u32,
+        resume: u64,
+    ) -> Result<(Head, Self), Failure> {
+        let order = order(core, job, &placed, number, resume);
+        let mut attempt = Self {
+            frames: None,
+            client: client.clone(),
+            upstream: placed.upstream,
+            agent: placed.agent,
+            id: job.meta.id,
+            idempotent: job.meta.idempotent,
+            flight: Some(placed.flight),
+        };
+        match attempt.send(&order).await? {
+            Frame::Head {
+                status, headers, ..
+            } => Ok((Head { status, headers }, attempt)),
+            _ => Err(attempt.out_of_order()),
+        }
+    }
+
+    /// Waits for the next piece or the end.
+    pub(super) async fn next(&mut self) -> Result<Step, Failure> {
+        match self.watched_frame().await? {
+            Frame::Piece { position, data } => {
+                if let Some(flight) = &mut self.flight {
+                    flight.progress();
+                }
+                Ok(Step::Piece(position, data))
+            }
+            Frame::End { pieces, .. } => {
+                self.finish(Verdict::Good);
+                Ok(Step::End(pieces))
+            }
+            _ => Err(self.out_of_order()),
+        }
+    }
+
+    async fn send(&mut self, order: &WorkOrder) -> Result<Frame, Failure> {
+        let client = self.client.clone();
+        match client.send(self.agent, order).await {
+            Ok(frames) => self.frames = Some(frames),
+            Err(e) => {
+                self.finish(Verdict::Failed);
+                return Err(work_failure(&e));
+            }
+        }
+        self.watched_frame().await
+    }
+
+    /// Waits for a frame, unless the upstream is ejected and nothing comes.
+    async fn watched_frame(&mut self) -> Result<Frame, Failure> {
+        let Some(stalled) = self.flight.as_ref().map(|f| Arc::clone(&f.stalled)) else {
+            return Err(self.out_of_order());
+        };
+        loop {
+            tokio::select! {
+                frame = self.next_frame() => return frame,
+                () = stalled.notified() => {}
+            }
+            if self.is_silent() {
+                self.finish(Verdict::Cancelled);
+                return Err(Failure::new(ErrorKind::UpstreamFailed, "no progress"));
+            }
+        }
+    }
+
+    /// Whether nothing has come for long of a request that may run elsewhere.
+    fn is_silent(&self) -> bool {
+        let silence = self.flight.as_ref().map(Flight::silence);
+        self.idempotent && silence.is_some_and(|s| s >= STALL_SILENCE)
+    }
+
+    /// Refusals and failures of the agent come back as errors.
+    async fn next_frame(&mut self) -> Result<Frame, Failure> {
+        let Some(frames) = &mut self.frames else {
+            return Err(Failure::new(ErrorKind::Internal, "no answer is under way"));
+        };
+        let frame = match frames.next_frame().await {
+            Ok(frame) => frame,
+            Err(e) => {
+                self.finish(Verdict::Failed);
+                return Err(work_failure(&e));
+            }
+        };
+        match frame {
+            Frame::Refused { failure, report } => {
+                self.finish(Verdict::Refused(Some(report)));
+                Err(failure.with_ran(Ran::No))
+            }
+            Frame::Failed { failure } => {
+                self.finish(Verdict::Failed);
+                Err(failure)
+            }
+            Frame::Head { report, .. } | Frame::End { report, .. } => {
+                self.report(&report);
+                Ok(frame)
+            }
+            frame @ Frame::Piece { .. } => Ok(frame),
+        }
+    }
+
+    fn report(&self, report: &LoadReport) {
+        if let Some(flight) = &self.flight {
+            flight.report(&self.upstream, report);
+        }
+    }
+
+    fn finish(&mut self, verdict: Verdict) {
+        if let Some(flight) = self.flight.take() {
+            flight.finish(verdict);
+        }
+    }
+
+    fn out_of_order(&self) -> Failure {
+        let detail = format!("the agent of {} sent a frame out of order", self.upstream);
+        Failure::new(ErrorKind::UpstreamFailed, detail)
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        if self.flight.is_none() {
+            return;
+        }
+        let (client, agent, id) = (self.client.clone(), self.agent, self.id);
+        actix_rt::spawn(async move {
+            // The agent also notices when the connection closes.
+            if let Err(e) = client.cancel(agent, id).await {
+                log::debug!("cancelling {id} at {agent} failed: {e}");
+            }
+        });
+    }
+}
+
+fn order(core: &Core, job: &Job, placed: &Placed, number: u32, resume: u64) -> WorkOrder {
+    let meta = &job.meta;
+    WorkOrder {
+        id: meta.id,
+        entry: core.name().clone(),
+        incarnation: placed.incarnation,
+        revision: placed.revision,
+        workspace: meta.workspace.clone(),
+        service: meta.service.clone(),
+        priority: meta.priority,
+        remaining: meta.deadline.since(core.now()),
+        idempotent: meta.idempotent,
+        key: meta.key.clone(),
+        claim: None,
+        credit: placed.credit,
+        attempt: number,
+        resume,
+        method: job.call.method.clone(),
+        path: job.call.path.clone(),
+        headers: job.call.headers.clone(),
+        body: job.call.body.to_vec(),
+    }
+}
+
+fn work_failure(error: &WorkError) -> Failure {
+    let ran = match error {
+        WorkError::Unreachable(_) | WorkError::Rejected(_) => Ran::No,
+        WorkError::Broken(_) => Ran::Unknown,
+    };
+    Failure::new(ErrorKind::UpstreamFailed, error.to_string()).with_ran(ran)
+}
--- /dev/null
+++ b/app/src/lib.rs
@@ -0,0 +1,11 @@
+//! Load balancer for expert-parallel model groups: roles, settings and commands.
+
+pub mod agent;
+pub mod clock;
+pub mod entry;
+pub mod local;
+pub mod operator;
+pub mod options;
+pub mod run;
+pub mod settings;
+pub mod signal;
--- a/peers/instance/src/client.rs
+++ b/peers/instance/src/client.rs
@@ -170,7 +170,7 @@
 
     async fn open(&self) -> Result<WsClient, Failure> {
         let timeouts = self.shared.timeouts;
-        let mut value = HeaderValue::from_str(&self.shared.token.header())
+        let mut value = HeaderValue::from_str(self.shared.token.header())
             .map_err(|e| Failure::new(ErrorKind::Forbidden, format!("unusable token: {e}")))?;
         value.set_sensitive(true);
         let mut headers = HeaderMap::new();
--- a/peers/instance/src/server.rs
+++ b/peers/instance/src/server.rs
@@ -129,7 +129,7 @@
 
     fn call(&mut self, request: http_helpers::Request<B>) -> Self::Future {
         let header = request.headers().get("authorization");
-        if header.is_some_and(|h| self.token.admits(h.as_bytes())) {
+        if self.token.admits(header.map(|h| h.as_bytes())) {
             return Either::Left(self.inner.call(request));
         }
         log::warn!("refused a connection that does not carry the deployment's token");
