Roles as separate processes: control replica, real-process rig

Cause: entries and agents were fed in process; nothing ran as the users will run it. Change: 'run FILE' starts entry, agent and control replica from settings; 'local' uses the same roles with one replica; the rig starts 24 processes and 15 stand-in upstreams for either deployment, offers open-loop load and applies one of eleven faults.

--- a/app/src/agent/core.rs
+++ b/app/src/agent/core.rs
@@ -12,7 +12,7 @@
 use pimentotide_instance::{Token, View};
 use pimentotide_model::{
     Announcement, ErrorKind, Failure, Fence, Fingerprint, Incarnation, InstanceName, LoadReport,
-    RequestId, Revision, Time,
+    RequestId, Revision, Time, Warmth,
 };
 use pimentotide_observe::Metrics;
 use pimentotide_outcome::{
@@ -52,6 +52,9 @@
     /// Start that the upstream announced last.
     starts: watch::Sender<u64>,
     announce: watch::Sender<Option<Announcement>>,
+    warmth: watch::Sender<Warmth>,
+    /// Highest revision that came with an order.
+    heard: watch::Sender<Revision>,
     inner: Mutex<Inner>,
 }
 
@@ -92,6 +95,8 @@
     engine: EngineState,
     gate: Gate,
     revision: Revision,
+    /// Incarnation under which the directory knows this start of the upstream.
+    alias: Incarnation,
     events: VecDeque<CacheEvent>,
     /// Latest suspected death: the start, whether it was reported, and what ran.
     crash: (Incarnation, Arc<OnceCell<()>>, Vec<Fingerprint>),
@@ -112,6 +117,8 @@
             clock: Clock::start(),
             epoch: LedgerEpoch(rand::rng().random()),
             starts: watch::Sender::new(0),
+            warmth: watch::Sender::new(Warmth::Cold),
+            heard: watch::Sender::new(Revision::default()),
             announce,
             inner: Mutex::default(),
         }
@@ -133,6 +140,21 @@
         self.announce.subscribe()
     }
 
+    pub(super) fn warmth(&self) -> watch::Receiver<Warmth> {
+        self.warmth.subscribe()
+    }
+
+    pub(super) fn heard(&self) -> watch::Receiver<Revision> {
+        self.heard.subscribe()
+    }
+
+    /// Takes orders for `incarnation` too, under which the upstream is announced.
+    pub(super) fn rename(&self, incarnation: Incarnation) {
+        if let Some(slot) = &mut self.lock().slot {
+            slot.alias = incarnation;
+        }
+    }
+
     pub(super) fn views(&self) -> watch::Receiver<View> {
         self.options.view.clone()
     }
@@ -210,11 +232,21 @@
             .map(|s| s.gate.tick(now))
             .unwrap_or_default();
         inner.deliver(grants);
+        if let Some(slot) = &mut inner.slot {
+            let warmth = slot.gate.report().warmth;
+            self.warmth
+                .send_if_modified(|held| std::mem::replace(held, warmth) != warmth);
+        }
     }
 
     /// Decides what becomes of a request.
     pub(super) fn arrive(self: &Arc<Self>, order: &WorkOrder) -> Arrival {
         let now = self.now();
+        self.heard.send_if_modified(|held| {
+            let newer = order.revision > *held;
+            *held = order.revision.max(*held);
+            newer
+        });
         let mut inner = self.lock();
         if inner.running.contains_key(&order.id) {
             return Arrival::Failed(running_already());
@@ -470,6 +502,7 @@
             engine,
             revision,
             events,
+            alias: Incarnation::default(),
             crash: (Incarnation(0), Arc::default(), Vec::new()),
         }
     }
@@ -600,7 +633,8 @@
     }
 
     fn admit(&mut self, order: &WorkOrder, now: Time) -> Result<GatePermit, Failure> {
-        if order.incarnation != Incarnation(self.engine.started) {
+        let known = [Incarnation(self.engine.started), self.alias];
+        if !known.contains(&order.incarnation) {
             return Err(Failure::new(
                 ErrorKind::NoUpstream,
                 "the upstream has restarted",
--- a/app/src/agent/mod.rs
+++ b/app/src/agent/mod.rs
@@ -20,7 +20,7 @@
 use derive_more::Display;
 use pimentotide_instance::work::MAX_ORDER_BYTES;
 use pimentotide_instance::{Submitter, Token, View};
-use pimentotide_model::{Announcement, UpstreamName, ZoneName};
+use pimentotide_model::{Announcement, Incarnation, Revision, UpstreamName, Warmth, ZoneName};
 use pimentotide_observe::Metrics;
 use tokio::sync::watch;
 
@@ -116,8 +116,28 @@
         self.core.announcements()
     }
 
+    /// How far the upstream has warmed up.
+    pub fn warmth(&self) -> watch::Receiver<Warmth> {
+        self.core.warmth()
+    }
+
+    /// Highest revision that came with an order of an entry.
+    pub fn heard(&self) -> watch::Receiver<Revision> {
+        self.core.heard()
+    }
+
+    /// Takes orders for `incarnation` too, under which the directory knows the upstream.
+    pub fn rename(&self, incarnation: Incarnation) {
+        self.core.rename(incarnation);
+    }
+
+    /// Takes no new work, since another process has the upstream's name.
+    pub fn leave(&self) {
+        self.core.leave();
+    }
+
     /// Takes no new work, lets running requests end, and stops.
-    pub async fn stop(self) {
+    pub async fn stop(&self) {
         self.core.leave();
         let patience = tokio::time::timeout(self.drain, async {
             while self.core.running() > 0 {
@@ -130,7 +150,7 @@
                 self.core.running()
             );
         }
-        for task in self.tasks {
+        for task in &self.tasks {
             task.abort();
         }
         self.work.1.stop(true).await;
--- /dev/null
+++ b/app/src/control/source.rs
@@ -0,0 +1,168 @@
+//! The state that the log has built, for whoever reads or writes it.
+
+use std::sync::{Arc, PoisonError, RwLock};
+
+use pimentotide_consensus::{Index, Machine as Replicated, RestoreError};
+use pimentotide_control::directory::Registry;
+use pimentotide_control::machine::{MAX_COMMAND_BYTES, decode, encode};
+use pimentotide_control::{Command, Machine, Response};
+use pimentotide_instance::Submit;
+use pimentotide_instance::directory::{Directory, Source as DirectorySource};
+use pimentotide_instance::replica::ReplicaHandle;
+use pimentotide_model::{ErrorKind, Failure, InstanceName, Revision, Time};
+use pimentotide_operator::{Cluster, Control as OperatorControl, MemberChange};
+use tokio::sync::watch;
+
+/// Replicated machine that the log applies to and others read.
+#[derive(Clone)]
+pub struct Shared {
+    machine: Arc<RwLock<Machine>>,
+    /// Revision in force, to wake whoever waits for the next.
+    changes: watch::Sender<Revision>,
+}
+
+impl Default for Shared {
+    fn default() -> Self {
+        Self {
+            machine: Arc::default(),
+            changes: watch::Sender::new(Revision::default()),
+        }
+    }
+}
+
+impl Shared {
+    fn read<T, F>(&self, read: F) -> T
+    where
+        F: FnOnce(&Machine) -> T,
+    {
+        read(&self.machine.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn write<T, F>(&self, write: F) -> T
+    where
+        F: FnOnce(&mut Machine) -> T,
+    {
+        let mut machine = self.machine.write().unwrap_or_else(PoisonError::into_inner);
+        let result = write(&mut machine);
+        let revision = machine.revision();
+        drop(machine);
+        self.changes
+            .send_if_modified(|held| std::mem::replace(held, revision) != revision);
+        result
+    }
+}
+
+impl Replicated for Shared {
+    fn apply(&mut self, index: Index, time: Time, command: &[u8]) -> Vec<u8> {
+        self.write(|machine| Replicated::apply(machine, index, time, command))
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.read(Replicated::snapshot)
+    }
+
+    fn restore(&mut self, state: &[u8]) -> Result<(), RestoreError> {
+        self.write(|machine| Replicated::restore(machine, state))
+    }
+}
+
+/// The log and the state that it has built; clones share both.
+#[derive(Clone)]
+pub struct Source {
+    shared: Shared,
+    replica: ReplicaHandle<Shared>,
+}
+
+impl Source {
+    pub(super) fn new(shared: Shared, replica: ReplicaHandle<Shared>) -> Self {
+        Self { shared, replica }
+    }
+
+    pub(super) fn replica(&self) -> &ReplicaHandle<Shared> {
+        &self.replica
+    }
+}
+
+impl Submit for Source {
+    async fn submit(&self, command: Command) -> Result<Response, Failure> {
+        let internal = |detail: String| Failure::new(ErrorKind::Internal, detail);
+        let bytes = encode(&command).map_err(|e| internal(e.to_string()))?;
+        let (_, answer) = self.replica.propose(bytes).await?;
+        decode(&answer, MAX_COMMAND_BYTES).map_err(|e| internal(e.to_string()))
+    }
+}
+
+impl DirectorySource for Source {
+    async fn confirm(&self) -> Result<(), Failure> {
+        self.replica.read_index().await.map(drop)
+    }
+
+    fn read<T, F>(&self, read: F) -> T
+    where
+        F: FnOnce(&Machine) -> T,
+    {
+        self.shared.read(read)
+    }
+
+    fn changes(&self) -> watch::Receiver<Revision> {
+        self.shared.changes.subscribe()
+    }
+}
+
+/// What the operators' server works on.
+#[derive(Clone)]
+pub(super) struct Desk {
+    source: Source,
+    directory: Directory<Source>,
+    cluster: watch::Sender<Cluster>,
+}
+
+impl Desk {
+    pub(super) fn new(source: Source, directory: Directory<Source>, name: &InstanceName) -> Self {
+        let local = name.to_string();
+        let cluster = watch::Sender::new(Cluster {
+            local,
+            ..Cluster::default()
+        });
+        Self {
+            source,
+            directory,
+            cluster,
+        }
+    }
+
+    pub(super) fn replica(&self) -> &ReplicaHandle<Shared> {
+        self.source.replica()
+    }
+
+    pub(super) fn set_cluster(&self, cluster: Cluster) {
+        self.cluster.send_replace(cluster);
+    }
+}
+
+impl OperatorControl for Desk {
+    async fn propose(&self, command: Command) -> Result<Response, Failure> {
+        self.source.submit(command).await
+    }
+
+    async fn confirm(&self) -> Result<(), Failure> {
+        DirectorySource::confirm(&self.source).await
+    }
+
+    fn read<T, F>(&self, read: F) -> T
+    where
+        F: FnOnce(&Machine, &Registry) -> T,
+    {
+        self.source
+            .shared
+            .read(|machine| self.directory.read(|registry| read(machine, registry)))
+    }
+
+    fn cluster(&self) -> Cluster {
+        self.cluster.borrow().clone()
+    }
+
+    async fn change(&self, change: MemberChange) -> Result<Cluster, Failure> {
+        super::cluster::change(self, change).await
+    }
+}
--- a/app/src/entry/core.rs
+++ b/app/src/entry/core.rs
@@ -52,10 +52,7 @@
 
 impl Core {
     pub(super) fn new(options: EntryOptions) -> Self {
-        let entries = u32::try_from(options.entries.len())
-            .unwrap_or(u32::MAX)
-            .max(1);
-        let settings = PlacerSettings::new(options.instance.clone(), options.zone.clone(), entries);
+        let settings = PlacerSettings::new(options.instance.clone(), options.zone.clone());
         let states = options.entries.iter().map(|peer| EntryState {
             instance: peer.name.clone(),
             address: peer.address.to_string(),
--- a/app/src/entry/waiting.rs
+++ b/app/src/entry/waiting.rs
@@ -148,8 +148,9 @@
     let asked = inner.asked.get(upstream).cloned().unwrap_or_default();
     let mut demand = EntryDemand::new();
     for service in &asked {
+        let agents = inner.asked.values().filter(|s| s.contains(service)).count();
         if let Some(queue) = inner.queues.get(service) {
-            demand.extend(queue.demand(now));
+            demand.extend(queue.demand(agents, now));
         }
     }
     if demand.is_empty() {
--- a/app/src/lib.rs
+++ b/app/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod agent;
 pub mod clock;
+pub mod control;
 pub mod entry;
 pub mod local;
 pub mod operator;
--- a/app/src/local/deployment.rs
+++ b/app/src/local/deployment.rs
@@ -1,42 +1,53 @@
 //! Starts and stops the parts of a local deployment.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
 
-use actix_rt::task::JoinHandle;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use pimentotide_instance::{Token, View};
+use pimentotide_control::declare::parse_document;
+use pimentotide_control::machine::Verdict;
+use pimentotide_control::{Action, Command, Order, Response};
+use pimentotide_instance::directory::Source as _;
+use pimentotide_instance::{Submit, Token};
 use pimentotide_model::{
-    Announcement, InstanceName, ModelName, ServiceName, UpstreamName, VersionName, WorkspaceName,
-    ZoneName,
+    InstanceName, ModelName, OrderId, RegionName, Revision, ServiceName, UpstreamName, VersionName,
+    WorkspaceName, ZoneName,
 };
 use pimentotide_observe::Metrics;
 use pimentotide_standin::{Engine, EngineOptions};
 use rand::RngExt;
 use serde::Serialize;
-use tokio::sync::watch;
 
 use super::LocalError;
-use super::declared::{MODEL, REGISTER, VERSION, WORKSPACE, declarations};
-use crate::agent::{Agent, AgentOptions};
-use crate::entry::{Entry, EntryOptions};
+use crate::control::{Control, Source};
 use crate::options::LocalOptions;
-use crate::settings::{DEFAULT_BODY_BYTES, DEFAULT_KEEP, EntrySettings, Peer};
+use crate::run::Roles;
+use crate::settings::{
+    AgentSettings, DEFAULT_BODY_BYTES, DEFAULT_KEEP, EntrySettings, Peer, ReplicaSettings, Settings,
+};
 
+const DECLARATIONS: &str = include_str!("declarations.yaml");
+const MODEL: &str = "draft-small";
+const VERSION: &str = "1";
+const REGISTER: &str = "register";
+const WORKSPACE: &str = "demo";
+const REGION: &str = "local";
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 const MODELS_PER_ZONE: usize = 2;
+const UPSTREAMS: usize = ZONES.len() * (MODELS_PER_ZONE + 1);
 const ENTRY_THREADS: usize = 2;
 const DRAIN: Duration = Duration::from_secs(30);
-const READY_TIMEOUT: Duration = Duration::from_secs(10);
+const LEADER_POLL: Duration = Duration::from_millis(20);
+const READY_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// A running local deployment.
 pub struct Deployment {
-    entries: Vec<Entry>,
-    agents: Vec<Agent>,
+    entries: Vec<Roles>,
+    agents: Vec<Roles>,
     engines: Vec<Engine>,
-    feeds: Vec<JoinHandle<()>>,
+    _folder: Option<tempfile::TempDir>,
 }
 
 /// Addresses of a local deployment.
@@ -44,73 +55,100 @@
 pub struct Addresses {
     /// Entries, the first as asked for.
     pub entries: Vec<SocketAddr>,
+    /// Listener for operators.
+    pub operator: Option<SocketAddr>,
     /// Stand-in upstreams.
     pub upstreams: Vec<SocketAddr>,
 }
 
+/// What all parts of a local deployment share.
+struct Plan {
+    token: Token,
+    control: Vec<Peer>,
+    entries: Vec<Peer>,
+    operator: SocketAddr,
+    data: PathBuf,
+}
+
 impl Deployment {
     /// Starts a deployment and waits until it can serve requests.
     ///
     /// # Errors
     ///
-    /// Fails if an address is taken or an upstream does not come up.
+    /// Fails if an address is taken, the data folder cannot be used or a part
+    /// does not come up.
     pub async fn spawn(options: &LocalOptions) -> Result<Self, LocalError> {
-        let token = new_token();
-        let view = watch::Sender::new(View {
-            declarations: Arc::new(declarations()),
-            current: true,
-            ..View::default()
-        });
+        let folder = match &options.data {
+            Some(_) => None,
+            None => Some(tempfile::tempdir().map_err(LocalError::Folder)?),
+        };
+        let plan = Plan::new(options, folder.as_ref());
         let mut deployment = Self {
             entries: Vec::new(),
             agents: Vec::new(),
             engines: Vec::new(),
-            feeds: Vec::new(),
+            _folder: folder,
         };
+        for peer in &plan.entries {
+            let roles = Roles::spawn(plan.entry(peer), &Metrics::none()).await?;
+            if let Some(control) = roles.control() {
+                declare(control).await?;
+            }
+            deployment.entries.push(roles);
+        }
         for zone in ZONES {
             for index in 0..=MODELS_PER_ZONE {
-                deployment.spawn_upstream(zone, index, &token, &view)?;
+                deployment.spawn_upstream(&plan, zone, index).await?;
             }
         }
-        let mut ready = view.subscribe();
-        let expected = ZONES.len() * (MODELS_PER_ZONE + 1);
-        let all = ready.wait_for(|v| v.upstreams.len() == expected);
-        match tokio::time::timeout(READY_TIMEOUT, all).await {
-            Ok(Ok(_)) => {}
-            _ => return Err(LocalError::NotReady),
-        }
-        deployment.spawn_entries(options.caller, &token, &view)?;
+        deployment.wait_until_ready().await?;
         Ok(deployment)
     }
 
     /// Addresses that the parts serve on.
     pub fn addresses(&self) -> Addresses {
+        let entries = self
+            .entries
+            .iter()
+            .filter_map(|r| r.entry().map(|e| e.address()));
+        let operator = self
+            .entries
+            .iter()
+            .find_map(|r| r.control().map(Control::operator_address));
         Addresses {
-            entries: self.entries.iter().map(Entry::address).collect(),
+            entries: entries.collect(),
+            operator,
             upstreams: self.engines.iter().map(Engine::address).collect(),
         }
     }
 
+    /// Stand-in upstreams.
+    pub fn engines(&self) -> &[Engine] {
+        &self.engines
+    }
+
     /// Lets running requests end and stops all parts, callers' side first.
     pub async fn stop(self) {
-        let entries: FuturesUnordered<_> = self.entries.into_iter().map(Entry::stop).collect();
-        entries.collect::<Vec<()>>().await;
-        let agents: FuturesUnordered<_> = self.agents.into_iter().map(Agent::stop).collect();
+        // The first entry hosts control, which the others need until they have stopped.
+        let mut entries = self.entries.into_iter();
+        let first = entries.next();
+        let others: FuturesUnordered<_> = entries.map(Roles::stop).collect();
+        others.collect::<Vec<()>>().await;
+        let agents: FuturesUnordered<_> = self.agents.into_iter().map(Roles::stop).collect();
         agents.collect::<Vec<()>>().await;
-        for feed in self.feeds {
-            feed.abort();
+        if let Some(first) = first {
+            first.stop().await;
         }
         for engine in self.engines {
             engine.stop(false).await;
         }
     }
 
-    fn spawn_upstream(
+    async fn spawn_upstream(
         &mut self,
+        plan: &Plan,
         zone: &str,
         index: usize,
-        token: &Token,
-        view: &watch::Sender<View>,
     ) -> Result<(), LocalError> {
         let plain = index == MODELS_PER_ZONE;
         let name = if plain {
@@ -118,97 +156,180 @@
         } else {
             format!("{zone}-model-{index}")
         };
-        let agent = Agent::spawn(AgentOptions {
-            upstream: UpstreamName::from(name),
-            zone: ZoneName::from(zone),
-            listen: free_port(),
-            engine: free_port(),
-            token: token.clone(),
-            view: view.subscribe(),
-            control: None,
-            metrics: Metrics::none(),
-            drain: DRAIN,
-        })?;
+        let roles = Roles::spawn(plan.agent(zone, &name), &Metrics::none()).await?;
         let options = if plain {
             EngineOptions::plain(vec![ServiceName::from(REGISTER)])
         } else {
             EngineOptions::model(ModelName::from(MODEL), VersionName::from(VERSION))
         };
-        let engine_address = Some(agent.engine_address());
-        self.engines.push(Engine::spawn(EngineOptions {
-            agent: engine_address,
-            ..options
-        })?);
-        self.feeds
-            .push(actix_rt::spawn(feed(agent.announcements(), view.clone())));
-        self.agents.push(agent);
+        let agent = roles.agent().map(|a| a.engine_address());
+        self.engines
+            .push(Engine::spawn(EngineOptions { agent, ..options })?);
+        self.agents.push(roles);
         Ok(())
     }
 
-    fn spawn_entries(
-        &mut self,
-        first: SocketAddr,
-        token: &Token,
-        view: &watch::Sender<View>,
-    ) -> Result<(), LocalError> {
-        let mut peers = Vec::new();
+    /// Waits until every process has a lease and every entry knows every upstream.
+    async fn wait_until_ready(&self) -> Result<(), LocalError> {
+        let waiting = async {
+            for roles in self.entries.iter().chain(&self.agents) {
+                let Some(mut view) = roles.view() else {
+                    continue;
+                };
+                let expected = if roles.entry().is_some() {
+                    UPSTREAMS
+                } else {
+                    0
+                };
+                let ready = view
+                    .wait_for(|v| v.is_current() && v.upstreams.len() >= expected)
+                    .await;
+                if ready.is_err() {
+                    return Err(LocalError::NotReady);
+                }
+            }
+            Ok(())
+        };
+        tokio::time::timeout(READY_TIMEOUT, waiting)
+            .await
+            .unwrap_or(Err(LocalError::NotReady))
+    }
+}
+
+impl Plan {
+    fn new(options: &LocalOptions, folder: Option<&tempfile::TempDir>) -> Self {
+        let mut entries = Vec::new();
         for (index, zone) in ZONES.iter().enumerate() {
-            let listen = if index == 0 { first } else { reserve_port() };
-            let name = InstanceName::from(format!("{zone}-entry"));
-            peers.push(Peer {
-                name,
-                zone: ZoneName::from(*zone),
-                address: listen,
-            });
+            let address = if index == 0 {
+                options.caller
+            } else {
+                reserve_port()
+            };
+            entries.push(peer(&format!("{zone}-entry"), zone, address));
         }
-        for peer in &peers {
-            self.entries.push(Entry::spawn(EntryOptions {
-                instance: peer.name.clone(),
-                zone: peer.zone.clone(),
-                settings: EntrySettings {
-                    listen: peer.address,
-                    threads: ENTRY_THREADS,
-                    body: DEFAULT_BODY_BYTES,
-                    workspace: Some(WorkspaceName::from(WORKSPACE)),
-                    keep: DEFAULT_KEEP,
-                    drain: DRAIN,
-                },
-                entries: peers.clone(),
-                token: token.clone(),
-                view: view.subscribe(),
-                control: None,
-                metrics: Metrics::none(),
-            })?);
+        let control = vec![peer(&entries[0].name, ZONES[0], reserve_port())];
+        let given = options.data.clone();
+        let data = given
+            .or_else(|| folder.map(|f| f.path().to_owned()))
+            .unwrap_or_default();
+        Self {
+            token: new_token(),
+            control,
+            entries,
+            operator: options.operator,
+            data,
+        }
+    }
+
+    /// Settings of one entry; the first hosts the control replica.
+    fn entry(&self, peer: &Peer) -> Settings {
+        let replica = (peer.name == self.control[0].name).then(|| ReplicaSettings {
+            listen: self.control[0].address,
+            operator: self.operator,
+            data: self.data.clone(),
+        });
+        let entry = EntrySettings {
+            listen: peer.address,
+            threads: ENTRY_THREADS,
+            body: DEFAULT_BODY_BYTES,
+            workspace: Some(WorkspaceName::from(WORKSPACE)),
+            keep: DEFAULT_KEEP,
+            drain: DRAIN,
+        };
+        Settings {
+            entry: Some(entry),
+            replica,
+            ..self.base(&peer.name, &peer.zone)
         }
-        Ok(())
+    }
+
+    /// Settings of the agent beside one upstream.
+    fn agent(&self, zone: &str, upstream: &str) -> Settings {
+        let agent = AgentSettings {
+            upstream: UpstreamName::from(upstream),
+            listen: any_port(),
+            engine: any_port(),
+            drain: DRAIN,
+        };
+        let instance = InstanceName::from(format!("{upstream}-agent"));
+        Settings {
+            agent: Some(agent),
+            ..self.base(&instance, &ZoneName::from(zone))
+        }
+    }
+
+    fn base(&self, instance: &InstanceName, zone: &ZoneName) -> Settings {
+        Settings {
+            instance: instance.clone(),
+            region: RegionName::from(REGION),
+            zone: zone.clone(),
+            log: String::new(),
+            metrics: None,
+            token: self.token.clone(),
+            control: self.control.clone(),
+            entries: self.entries.clone(),
+            entry: None,
+            replica: None,
+            agent: None,
+        }
+    }
+}
+
+/// Brings the built-in declarations into force, unless the log has others.
+async fn declare(control: &Control) -> Result<(), LocalError> {
+    let source = control.source();
+    wait_for_leader(source).await?;
+    if source.read(|machine| machine.revision()) > Revision::default() {
+        return Ok(());
+    }
+    let document = parse_document(DECLARATIONS).map_err(|e| LocalError::Document(e.to_string()))?;
+    let order = Order {
+        id: OrderId::from("local-declarations"),
+        base: None,
+        actor: "local".to_owned(),
+        action: Action::Apply {
+            document,
+            prune: false,
+        },
+    };
+    match source
+        .submit(Command::Declare(order))
+        .await
+        .map_err(LocalError::Declare)?
+    {
+        Response::Declare(Verdict::Accepted { .. }) => Ok(()),
+        other => Err(LocalError::Document(format!("{other:?}"))),
     }
 }
 
-/// Copies what an agent announces into the view of all processes.
-async fn feed(mut announced: watch::Receiver<Option<Announcement>>, view: watch::Sender<View>) {
+/// Waits until the only replica leads.
+async fn wait_for_leader(source: &Source) -> Result<(), LocalError> {
+    let end = Instant::now() + READY_TIMEOUT;
     loop {
-        let latest = announced.borrow_and_update().clone();
-        if let Some(announcement) = latest {
-            view.send_modify(|v| {
-                let mut upstreams = (*v.upstreams).clone();
-                upstreams.insert(announcement.upstream.clone(), announcement);
-                v.upstreams = Arc::new(upstreams);
-            });
-        }
-        if announced.changed().await.is_err() {
-            return;
+        match source.confirm().await {
+            Ok(()) => return Ok(()),
+            Err(e) if Instant::now() >= end => return Err(LocalError::Declare(e)),
+            Err(_) => tokio::time::sleep(LEADER_POLL).await,
         }
     }
 }
 
-fn free_port() -> SocketAddr {
+fn peer(name: &str, zone: &str, address: SocketAddr) -> Peer {
+    Peer {
+        name: InstanceName::from(name),
+        zone: ZoneName::from(zone),
+        address,
+    }
+}
+
+fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// Finds a free port, so that entries can name each other before they start.
+/// Finds a free port, so that processes can name each other before they start.
 fn reserve_port() -> SocketAddr {
-    let bound = std::net::TcpListener::bind(free_port()).and_then(|l| l.local_addr());
-    bound.unwrap_or_else(|_| free_port())
+    let bound = std::net::TcpListener::bind(any_port()).and_then(|l| l.local_addr());
+    bound.unwrap_or_else(|_| any_port())
 }
 
 fn new_token() -> Token {
--- a/app/src/local/mod.rs
+++ b/app/src/local/mod.rs
@@ -4,18 +4,17 @@
 //! a stand-in plain service behind an agent each. All talk over loopback
 //! sockets, as separate processes would.
 
-mod declared;
 mod deployment;
 
 use std::process::ExitCode;
 
 use derive_more::{Display, From};
-use pimentotide_caller::CallerError;
+use pimentotide_model::Failure;
 use pimentotide_observe::{LogError, Logs};
 use pimentotide_standin::EngineError;
 
-use crate::agent::AgentError;
 use crate::options::LocalOptions;
+use crate::run::RolesError;
 use crate::signal;
 
 pub use deployment::Deployment;
@@ -27,10 +26,18 @@
     Logs(LogError),
     /// A stand-in could not start.
     Engine(EngineError),
-    /// An agent could not start.
-    Agent(AgentError),
-    /// An entry could not start.
-    Entry(CallerError),
+    /// An entry, an agent or the control replica could not start.
+    Roles(RolesError),
+    /// No folder for the data of the control replica.
+    #[display("no temporary folder: {_0}")]
+    Folder(std::io::Error),
+    /// The built-in declarations could not be brought into force.
+    #[display("the declarations are not in force: {_0}")]
+    Declare(Failure),
+    /// The built-in declarations are wrong.
+    #[display("the declarations are wrong: {_0}")]
+    #[from(ignore)]
+    Document(String),
     /// The upstreams did not announce themselves in time.
     #[display("the upstreams did not announce themselves in time")]
     NotReady,
--- a/app/src/run/mod.rs
+++ b/app/src/run/mod.rs
@@ -8,6 +8,8 @@
 use crate::options::EXIT_USAGE;
 use crate::settings::Settings;
 
+pub use roles::{Roles, RolesError};
+
 /// Checks a settings file and says all that is wrong with it.
 pub fn check(path: &Path) -> ExitCode {
     match Settings::open(path) {
--- a/app/src/run/roles.rs
+++ b/app/src/run/roles.rs
@@ -1,10 +1,302 @@
 //! Starts the roles of one process and stops them gracefully.
 
 use std::process::ExitCode;
+use std::sync::Arc;
 
-use crate::settings::Settings;
+use actix_rt::task::JoinHandle;
+use derive_more::{Display, From};
+use pimentotide_caller::CallerError;
+use pimentotide_control::directory::Standby;
+use pimentotide_instance::directory::{
+    AgentOptions as AgentReport, AgentReporter, EntryOptions as EntryReport, EntryReporter,
+    FollowOptions, Follower,
+};
+use pimentotide_instance::{PeerClient, Submitter};
+use pimentotide_model::{Fence, Incarnation, Revision, UpstreamName};
+use pimentotide_observe::{LogError, Logs, Metrics, MetricsError};
+use serde::Serialize;
+use tokio::sync::watch;
 
-/// Runs all roles that the settings give.
-pub(super) fn run(_settings: Settings) -> ExitCode {
-    ExitCode::FAILURE
+use crate::agent::{Agent, AgentError, AgentOptions};
+use crate::control::{Control, ControlError, ControlOptions};
+use crate::entry::{Entry, EntryOptions};
+use crate::settings::{AgentSettings, EntrySettings, ReplicaSettings, Settings};
+use crate::signal;
+
+/// Why a process could not start its roles.
+#[derive(Debug, Display, From)]
+pub enum RolesError {
+    /// Logging could not start.
+    Logs(LogError),
+    /// Metrics could not start.
+    Metrics(MetricsError),
+    /// The control replica could not start.
+    Control(ControlError),
+    /// The entry could not start.
+    Entry(CallerError),
+    /// The agent could not start.
+    Agent(AgentError),
+}
+
+impl std::error::Error for RolesError {}
+
+/// Running roles of one process, in the order in which they are stopped.
+pub struct Roles {
+    entry: Option<EntryRole>,
+    agent: Option<AgentRole>,
+    control: Option<Control>,
+}
+
+struct EntryRole {
+    entry: Entry,
+    follower: Follower,
+    _reporter: EntryReporter,
+}
+
+struct AgentRole {
+    agent: Arc<Agent>,
+    follower: Arc<Follower>,
+    links: [JoinHandle<()>; 3],
+    _reporter: AgentReporter,
+}
+
+#[derive(Serialize)]
+struct Ready<'a> {
+    instance: &'a str,
+    zone: &'a str,
+    entry: Option<String>,
+    agent: Option<String>,
+    replica: Option<String>,
+    operator: Option<String>,
+}
+
+/// Runs all roles that the settings give until the process is told to stop.
+pub(super) fn run(settings: Settings) -> ExitCode {
+    match actix_rt::System::new().block_on(run_until_stopped(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("pimentotide: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run_until_stopped(settings: Settings) -> Result<(), RolesError> {
+    let _logs = Logs::open(&settings.log)?;
+    let metrics = match settings.metrics {
+        Some(address) => Metrics::open(address)?,
+        None => Metrics::none(),
+    };
+    let mut stop = signal::stops();
+    let (instance, zone) = (settings.instance.clone(), settings.zone.clone());
+    let roles = Roles::spawn(settings, &metrics).await?;
+    pimentotide_observe::event("ready", &roles.ready(&instance, &zone));
+    stop.recv().await;
+    pimentotide_observe::event("stopping", &());
+    roles.stop().await;
+    pimentotide_observe::event("stopped", &());
+    Ok(())
+}
+
+impl Roles {
+    /// Starts the roles that the settings give.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is taken or the data folder cannot be used.
+    pub async fn spawn(mut settings: Settings, metrics: &Metrics) -> Result<Self, RolesError> {
+        let control = match settings.replica.take() {
+            Some(role) => Some(spawn_control(&settings, role).await?),
+            None => None,
+        };
+        let agent = match settings.agent.take() {
+            Some(role) => Some(spawn_agent(&settings, role, metrics)?),
+            None => None,
+        };
+        let entry = match settings.entry.take() {
+            Some(role) => Some(spawn_entry(&settings, role, metrics)?),
+            None => None,
+        };
+        Ok(Self {
+            entry,
+            agent,
+            control,
+        })
+    }
+
+    /// The entry, if the process has one.
+    pub fn entry(&self) -> Option<&Entry> {
+        self.entry.as_ref().map(|role| &role.entry)
+    }
+
+    /// The agent, if the process has one.
+    pub fn agent(&self) -> Option<&Agent> {
+        self.agent.as_ref().map(|role| role.agent.as_ref())
+    }
+
+    /// The control replica, if the process has one.
+    pub fn control(&self) -> Option<&Control> {
+        self.control.as_ref()
+    }
+
+    /// View of the entry, or of the agent where there is no entry.
+    pub fn view(&self) -> Option<watch::Receiver<pimentotide_instance::View>> {
+        let entry = self.entry.as_ref().map(|role| role.follower.view());
+        entry.or_else(|| self.agent.as_ref().map(|role| role.follower.view()))
+    }
+
+    /// Lets running requests end and stops all roles, callers' side first.
+    pub async fn stop(self) {
+        if let Some(role) = self.entry {
+            role.entry.stop().await;
+        }
+        if let Some(role) = self.agent {
+            for link in role.links {
+                link.abort();
+            }
+            role.agent.stop().await;
+        }
+        if let Some(control) = self.control {
+            control.stop().await;
+        }
+    }
+
+    fn ready<'a>(&self, instance: &'a str, zone: &'a str) -> Ready<'a> {
+        Ready {
+            instance,
+            zone,
+            entry: self.entry().map(|e| e.address().to_string()),
+            agent: self.agent().map(|a| a.address().to_string()),
+            replica: self.control().map(|c| c.address().to_string()),
+            operator: self.control().map(|c| c.operator_address().to_string()),
+        }
+    }
+}
+
+async fn spawn_control(settings: &Settings, role: ReplicaSettings) -> Result<Control, RolesError> {
+    let options = ControlOptions {
+        instance: settings.instance.clone(),
+        settings: role,
+        founders: settings.control.clone(),
+        token: settings.token.clone(),
+    };
+    Ok(Control::spawn(options).await?)
+}
+
+fn spawn_entry(
+    settings: &Settings,
+    role: EntrySettings,
+    metrics: &Metrics,
+) -> Result<EntryRole, RolesError> {
+    let replicas = replicas(settings);
+    let follower = follow(settings, None, &replicas);
+    let reporter = EntryReporter::spawn(&EntryReport {
+        instance: settings.instance.clone(),
+        zone: settings.zone.clone(),
+        replicas: replicas.clone(),
+        view: follower.view(),
+    });
+    let entry = Entry::spawn(EntryOptions {
+        instance: settings.instance.clone(),
+        zone: settings.zone.clone(),
+        settings: role,
+        entries: settings.entries.clone(),
+        token: settings.token.clone(),
+        view: follower.view(),
+        control: Some(Submitter::open(replicas)),
+        metrics: metrics.clone(),
+    })?;
+    Ok(EntryRole {
+        entry,
+        follower,
+        _reporter: reporter,
+    })
+}
+
+fn spawn_agent(
+    settings: &Settings,
+    role: AgentSettings,
+    metrics: &Metrics,
+) -> Result<AgentRole, RolesError> {
+    let replicas = replicas(settings);
+    let follower = follow(settings, Some(role.upstream.clone()), &replicas);
+    let agent = Agent::spawn(AgentOptions {
+        upstream: role.upstream,
+        zone: settings.zone.clone(),
+        listen: role.listen,
+        engine: role.engine,
+        token: settings.token.clone(),
+        view: follower.view(),
+        control: Some(Submitter::open(replicas.clone())),
+        metrics: metrics.clone(),
+        drain: role.drain,
+    })?;
+    let reporter = AgentReporter::spawn(AgentReport {
+        replicas,
+        announcement: agent.announcements(),
+        warmth: agent.warmth(),
+        fence: watch::Sender::new(Fence::default()).subscribe(),
+        view: follower.view(),
+    });
+    let (agent, follower) = (Arc::new(agent), Arc::new(follower));
+    let links = [
+        actix_rt::spawn(hear(agent.heard(), Arc::clone(&follower))),
+        actix_rt::spawn(rename(reporter.incarnation(), Arc::clone(&agent))),
+        actix_rt::spawn(step_back(reporter.standby(), Arc::clone(&agent))),
+    ];
+    Ok(AgentRole {
+        agent,
+        follower,
+        links,
+        _reporter: reporter,
+    })
+}
+
+/// Passes on revisions that entries have and this process may lack.
+async fn hear(mut heard: watch::Receiver<Revision>, follower: Arc<Follower>) {
+    while heard.changed().await.is_ok() {
+        let revision = *heard.borrow_and_update();
+        follower.hear(revision);
+    }
+}
+
+/// Tells the agent under which incarnation its upstream is known.
+async fn rename(mut incarnation: watch::Receiver<Incarnation>, agent: Arc<Agent>) {
+    while incarnation.changed().await.is_ok() {
+        let known = *incarnation.borrow_and_update();
+        agent.rename(known);
+    }
+}
+
+/// Takes the agent out of service once another process has its name.
+async fn step_back(mut standby: watch::Receiver<Standby>, agent: Arc<Agent>) {
+    if standby
+        .wait_for(|s| *s == Standby::Superseded)
+        .await
+        .is_ok()
+    {
+        agent.leave();
+    }
+}
+
+fn follow(
+    settings: &Settings,
+    upstream: Option<UpstreamName>,
+    replicas: &[PeerClient],
+) -> Follower {
+    Follower::spawn(FollowOptions {
+        instance: settings.instance.clone(),
+        directory: upstream.is_none(),
+        upstream,
+        replicas: replicas.to_vec(),
+    })
+}
+
+fn replicas(settings: &Settings) -> Vec<PeerClient> {
+    let connect = |address| PeerClient::connect(address, settings.token.clone());
+    settings
+        .control
+        .iter()
+        .map(|peer| connect(peer.address))
+        .collect()
 }
--- a/dev/rig/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Real-process rig: separate processes on loopback, open-loop load, faults.
--- /dev/null
+++ b/dev/rig/src/process.rs
@@ -0,0 +1,116 @@
+//! One process of the deployment under test.
+
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Longest time that a planned stop may take.
+const STOP_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time between looks at whether a process has ended.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// A running process; killed when dropped.
+pub(crate) struct Process {
+    child: Child,
+}
+
+/// Processor time and memory that a process has used.
+#[derive(Clone, Copy, Debug, Default, serde::Serialize)]
+pub(crate) struct Usage {
+    /// Processor time, in seconds.
+    pub(crate) cpu_seconds: f64,
+    /// Resident memory, in bytes.
+    pub(crate) memory_bytes: u64,
+    /// Age of the process, in seconds.
+    pub(crate) age_seconds: f64,
+}
+
+impl Process {
+    /// Starts `binary run SETTINGS`; what it logs goes to a file beside the settings.
+    pub(crate) fn spawn(binary: &Path, settings: &Path) -> Result<Self, String> {
+        let failed = |e: std::io::Error| format!("{}: {e}", binary.display());
+        let log: PathBuf = settings.with_extension("log");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .map_err(failed)?;
+        let child = Command::new(binary)
+            .arg("run")
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .map_err(failed)?;
+        Ok(Self { child })
+    }
+
+    /// Ends the process at once.
+    pub(crate) fn kill(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Asks the process to stop and waits until it has; returns its exit code.
+    pub(crate) async fn stop(&mut self) -> Option<i32> {
+        self.signal("TERM");
+        let end = Instant::now() + STOP_TIMEOUT;
+        while Instant::now() < end {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            tokio::time::sleep(STOP_POLL).await;
+        }
+        self.kill();
+        None
+    }
+
+    /// Freezes the process.
+    pub(crate) fn pause(&self) {
+        self.signal("STOP");
+    }
+
+    /// Lets a frozen process go on.
+    pub(crate) fn resume(&self) {
+        self.signal("CONT");
+    }
+
+    /// Processor time and memory so far; none once it has ended.
+    pub(crate) fn usage(&self, age: Duration) -> Option<Usage> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).ok()?;
+        let fields: Vec<&str> = stat.rsplit_once(") ")?.1.split(' ').collect();
+        let ticks = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+        let pages: u64 = fields.get(21)?.parse().ok()?;
+        Some(Usage {
+            cpu_seconds: ticks / TICKS_PER_SECOND,
+            memory_bytes: pages * PAGE_BYTES,
+            age_seconds: age.as_secs_f64(),
+        })
+    }
+
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.child.id().to_string())
+            .status();
+        if let Err(e) = sent {
+            eprintln!("sending {name} to process {} failed: {e}", self.child.id());
+        }
+    }
+}
+
+/// Unit of processor time in `/proc`.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Unit of memory in `/proc`.
+const PAGE_BYTES: u64 = 4096;
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- a/peers/instance/src/lib.rs
+++ b/peers/instance/src/lib.rs
@@ -8,6 +8,7 @@
 //! holders of the deployment's [`Token`].
 
 pub mod directory;
+pub mod replica;
 pub mod work;
 
 mod client;
--- a/support/observe/src/logs.rs
+++ b/support/observe/src/logs.rs
@@ -71,12 +71,7 @@
     let level = record.level().as_str().to_ascii_lowercase();
     let message = record.args().to_string();
     if record.target() == EVENT_TARGET {
-        // The message is an object, so its fields follow the common ones.
-        return write!(
-            out,
-            r#"{{"time":"{time}","level":"{level}",{}"#,
-            &message[1..]
-        );
+        return write!(out, r#"{{"time":"{time}","level":"{level}",{message}"#);
     }
     let line = json!({
         "time": time,
