--- a/decision/control/tests/it/main.rs
+++ b/decision/control/tests/it/main.rs
@@ -5,5 +5,6 @@
 mod directory;
 mod document;
 mod order;
+mod shared;
 mod size;
 mod watch;
