Replicated state shared between the log and its readers

The log keeps its machine to itself, while holders and operators read it all the time. `SharedMachine` is given to the log and read by the rest, and tells each new revision, also after a restore.

--- a/dev/bench/src/bin/currency.rs
+++ b/dev/bench/src/bin/currency.rs
@@ -5,12 +5,13 @@
 //! applying an order is shown for several numbers of declared profiles, as a
 //! ratio to the smallest.
 
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
+use pimentotide_consensus::{Index, Machine as _};
+use pimentotide_control::machine::encode;
 use pimentotide_control::{Action, Command, Document, Machine, Order};
-use pimentotide_instance::directory::{Directory, FollowOptions, Follower, Source};
+use pimentotide_instance::directory::{Directory, FollowOptions, Follower, SharedMachine, Source};
 use pimentotide_instance::{PeerClient, PeerServer, Token, View};
 use pimentotide_model::{Failure, Profile, ProfileName, Revision, Standing, Time};
 use tokio::sync::watch;
@@ -24,25 +25,16 @@
 const APPLIED: u32 = 20;
 const GOAL: Duration = Duration::from_secs(1);
 
-#[derive(Clone)]
+#[derive(Clone, Default)]
 struct State {
-    machine: Arc<Mutex<Machine>>,
-    changed: watch::Sender<Revision>,
+    machine: SharedMachine,
 }
 
 impl State {
-    fn new() -> Self {
-        Self {
-            machine: Arc::default(),
-            changed: watch::Sender::new(Revision(0)),
-        }
-    }
-
     fn apply(&self, id: u64, action: Action) -> Revision {
-        let mut machine = self.machine.lock().expect("the machine is not poisoned");
-        machine.apply(Time::ZERO, &order(id, action));
-        self.changed.send_replace(machine.revision());
-        machine.revision()
+        let command = encode(&order(id, action)).expect("every order can be encoded");
+        self.machine.clone().apply(Index(id), Time::ZERO, &command);
+        Revision(id)
     }
 }
 
@@ -55,11 +47,11 @@
     where
         F: FnOnce(&Machine) -> T,
     {
-        read(&self.machine.lock().expect("the machine is not poisoned"))
+        self.machine.read(read)
     }
 
     fn changes(&self) -> watch::Receiver<Revision> {
-        self.changed.subscribe()
+        self.machine.changes()
     }
 }
 
@@ -151,7 +143,7 @@
 
 /// Measures one run: each order at each holder.
 async fn push_times() -> Histogram<u64> {
-    let state = State::new();
+    let state = State::default();
     let mut servers = Vec::new();
     for epoch in 0..REPLICAS {
         servers.push(serve(&state, epoch).await);
--- a/peers/instance/src/directory/mod.rs
+++ b/peers/instance/src/directory/mod.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod report;
 mod server;
+mod shared;
 
 use std::future::Future;
 
@@ -20,6 +21,7 @@
 pub use follow::{FollowOptions, Follower};
 pub use report::{AgentOptions, AgentReporter, EntryOptions, EntryReporter};
 pub use server::Directory;
+pub use shared::SharedMachine;
 
 /// Method that answers a [`pimentotide_control::currency::WatchRequest`].
 const WATCH: &str = "directory_watch";
--- a/peers/instance/tests/it/directory.rs
+++ b/peers/instance/tests/it/directory.rs
@@ -1,15 +1,17 @@
 //! Declarations, leases and the directory over loopback.
 
 use std::future::Future;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use pimentotide_consensus::{Index, Machine as _};
 use pimentotide_control::directory::Standby;
-use pimentotide_control::{Action, Command, Machine, Order, Response};
+use pimentotide_control::machine::encode;
+use pimentotide_control::{Action, Command, Machine, Order};
 use pimentotide_instance::directory::{
     AgentOptions, AgentReporter, Directory, EntryOptions, EntryReporter, FollowOptions, Follower,
-    Source,
+    SharedMachine, Source,
 };
 use pimentotide_instance::{PeerClient, PeerServer, Token, View};
 use pimentotide_model::{
@@ -24,16 +26,14 @@
 /// Replicated state in memory; replicas of it share the machine.
 #[derive(Clone)]
 struct State {
-    machine: Arc<Mutex<Machine>>,
-    changed: watch::Sender<Revision>,
+    machine: SharedMachine,
     entitled: Arc<AtomicBool>,
 }
 
 impl State {
     fn new() -> Self {
         Self {
-            machine: Arc::default(),
-            changed: watch::Sender::new(Revision(0)),
+            machine: SharedMachine::default(),
             entitled: Arc::new(AtomicBool::new(true)),
         }
     }
@@ -46,11 +46,10 @@
         }
     }
 
-    fn apply(&self, command: &Command) -> Response {
-        let mut machine = self.machine.lock().unwrap();
-        let response = machine.apply(Time::ZERO, command);
-        self.changed.send_replace(machine.revision());
-        response
+    /// Applies a command as the log does.
+    fn apply(&self, command: &Command) {
+        let command = encode(command).unwrap();
+        self.machine.clone().apply(Index(1), Time::ZERO, &command);
     }
 
     fn zone(&self, id: &str, standing: Standing) {
@@ -79,11 +78,11 @@
     where
         F: FnOnce(&Machine) -> T,
     {
-        read(&self.machine.lock().unwrap())
+        self.machine.read(read)
     }
 
     fn changes(&self) -> watch::Receiver<Revision> {
-        self.changed.subscribe()
+        self.machine.changes()
     }
 }
 
@@ -177,6 +176,25 @@
     assert_eq!(view.declarations, last.declarations);
 }
 
+#[actix_rt::test]
+async fn restored_state_is_pushed() {
+    let ahead = State::new();
+    ahead.zone("o1", Standing::Out);
+    let state = State::new();
+    let replica = Replica::start(&state, 1).await;
+    let follower = follow(vec![replica.client()], None);
+    let mut view = follower.view();
+    until("first answer", &mut view, View::is_current).await;
+    let mut machine = state.machine.clone();
+    machine.restore(&ahead.machine.snapshot()).unwrap();
+    until("push", &mut view, |v| {
+        v.declarations.revision == Revision(1)
+    })
+    .await;
+    assert!(machine.restore(&[]).is_err());
+    assert_eq!(state.machine.read(Machine::revision), Revision(1));
+}
+
 #[actix_rt::test]
 async fn loss_of_a_replica_is_not_felt() {
     let state = State::new();
