The client asks elsewhere after every answer that is not a verdict

A replica that lost its connection to the leader after forwarding an order answers with outcome_unknown, which the client took for a refusal: exit 1 for an order that might be in force. Now only verdicts end the asking (malformed, unknown, conflicting or invalid orders); everything else is asked again elsewhere under the same identifier. The test of lost answers uses that kind; it failed before the change and passes after it.

--- a/peers/operator/src/client/failure.rs
+++ b/peers/operator/src/client/failure.rs
@@ -62,23 +62,23 @@
 }
 
 impl From<ProblemBody> for ClientError {
-    /// Tells a refusal for good from one that another replica may not give.
+    /// Tells a refusal for good from an answer that another replica may not give.
     fn from(problem: ProblemBody) -> Self {
-        let elsewhere = matches!(
+        let last = matches!(
             problem.kind,
-            ErrorKind::NotLeader
-                | ErrorKind::NoQuorum
-                | ErrorKind::NotCurrent
-                | ErrorKind::StaleRevision
-                | ErrorKind::Stopping
-                | ErrorKind::DiskFailed
-                | ErrorKind::DeadlineExceeded
-                | ErrorKind::Internal
+            ErrorKind::InvalidRequest
+                | ErrorKind::Forbidden
+                | ErrorKind::NotFound
+                | ErrorKind::MethodNotAllowed
+                | ErrorKind::BodyTooLarge
+                | ErrorKind::RevisionConflict
+                | ErrorKind::KeyMismatch
+                | ErrorKind::InvalidDeclaration
         );
-        if elsewhere {
-            Self::Lost(problem.detail)
-        } else {
+        if last {
             Self::Refused(Box::new(problem))
+        } else {
+            Self::Lost(problem.detail)
         }
     }
 }
--- a/peers/operator/tests/it/common.rs
+++ b/peers/operator/tests/it/common.rs
@@ -131,7 +131,10 @@
             .machine
             .apply(Time::ZERO, &command);
         if self.mode == Mode::Loses {
-            return Err(Failure::new(ErrorKind::NoQuorum, "the answer is lost"));
+            return Err(Failure::new(
+                ErrorKind::OutcomeUnknown,
+                "the answer is lost",
+            ));
         }
         Ok(response)
     }
