Hostile messages between processes are tested; no incarnation overflows

An answer that names the highest incarnation there is made an agent add one to it and panic; numbers now stop at the top. A flood of names is tested to stay within the bounds of the directory.

--- a/decision/control/src/directory/announcer.rs
+++ b/decision/control/src/directory/announcer.rs
@@ -86,7 +86,7 @@
     pub fn follow(&mut self, mut announcement: Announcement, now: Time) {
         if announcement.incarnation != self.given {
             self.given = announcement.incarnation;
-            self.renew(self.given.max(self.incarnation().next()));
+            self.renew(self.given.max(after(self.incarnation())));
             self.warmth = Warmth::Cold;
             self.started = now;
         }
@@ -132,7 +132,7 @@
             return;
         }
         if now.since(self.started) < START_GRACE {
-            self.renew(highest.next());
+            self.renew(after(highest));
         } else {
             self.superseded = true;
         }
@@ -150,3 +150,8 @@
         }
     }
 }
+
+/// Incarnation that follows; the highest one has none, as a hostile answer may name it.
+fn after(incarnation: Incarnation) -> Incarnation {
+    Incarnation(incarnation.0.saturating_add(1))
+}
--- a/decision/control/tests/it/directory.rs
+++ b/decision/control/tests/it/directory.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use pimentotide_control::directory::{
-    Announcer, EXPIRY, Event, Heard, Notice, Registry, Report, START_GRACE, Standby, View,
+    Announcer, EXPIRY, Event, Heard, MAX_ENTRIES, MAX_MEMBERS, Notice, Presence, Registry, Report,
+    START_GRACE, Standby, View,
 };
 use pimentotide_model::{Announcement, Fence, Incarnation, Revision, ServiceKind, Time, Warmth};
 use proptest::prelude::*;
@@ -210,6 +211,45 @@
     );
 }
 
+#[test]
+fn flood_of_names_is_bounded() {
+    let mut registry = Registry::new(1, Time::ZERO);
+    let refused = (0..MAX_MEMBERS + 500)
+        .filter(|i| registry.hear(whole(&format!("u{i}"), 1, 0), Time::ZERO) == Heard::Refused)
+        .count();
+    assert_eq!(refused, 500);
+    for i in 0..MAX_ENTRIES + 10 {
+        let presence = Presence {
+            instance: format!("e{i}").into(),
+            zone: "accra-a".into(),
+            revision: Revision(0),
+            current: true,
+        };
+        registry.hear(Report::Entry(presence), Time::ZERO);
+    }
+    assert_eq!(registry.entries().count(), MAX_ENTRIES);
+    let before = registry.update_since(None, Time::ZERO).mark;
+    let late = Time::ZERO + EXPIRY;
+    tick(&mut registry, Time::ZERO, late);
+    assert_eq!(
+        (registry.members().count(), registry.entries().count()),
+        (0, 0)
+    );
+    let update = registry.update_since(Some(before), late);
+    assert!(update.whole && update.gone.is_empty());
+}
+
+#[test]
+fn replica_that_forgot_an_agent_asks_for_the_whole() {
+    let mut registry = Registry::new(1, Time::ZERO);
+    let mut agent = Announcer::new(announcement("u", 1), 1, Time::ZERO);
+    agent.receive(0, agent.rank(), Heard::Kept, Time::ZERO);
+    let heard = registry.hear(agent.report(0), Time::ZERO);
+    assert_eq!(heard, Heard::Unknown);
+    agent.receive(0, agent.rank(), heard, Time::ZERO);
+    assert_eq!(registry.hear(agent.report(0), Time::ZERO), Heard::Kept);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(128))]
 
--- a/decision/control/tests/it/main.rs
+++ b/decision/control/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod directory;
 mod document;
+mod hostile;
 mod order;
 mod shared;
 mod size;
