--- a/decision/outcome/src/attempt.rs
+++ b/decision/outcome/src/attempt.rs
@@ -114,13 +114,13 @@
 
     fn claimed(&mut self, place: Place, reply: Reply, now: Time) -> Vec<Action> {
         match reply {
-            Reply::Granted { claim, alone } => {
+            Reply::Granted(claim) => {
                 let held = self.held(claim);
                 if self.late || !self.waiting {
                     return self.release(held, NotRun::Refused);
                 }
                 self.enter(State::Sent(held.clone(), place.clone()));
-                vec![Action::Send { held, place, alone }]
+                vec![Action::Send { held, place }]
             }
             Reply::Running { claim, place, .. } => {
                 let held = self.held(claim);
@@ -128,6 +128,7 @@
                 self.inquire(Subject { held, place, mine })
             }
             Reply::Verdict(Verdict::Wait(pause)) => self.wait_for_trial(&place, pause, now),
+            Reply::Verdict(Verdict::Occupied) => self.wait_for_trial(&place, MAX_PAUSE, now),
             Reply::Verdict(Verdict::Refused(pause)) => {
                 let detail = "this content crashed two upstreams";
                 let failure = Failure::new(ErrorKind::CrashingRequest, detail);
@@ -146,7 +147,7 @@
             return self.finish();
         }
         if self.late || now + pause >= self.intent.deadline {
-            let detail = "no upstream is free to run this content alone";
+            let detail = "no upstream is free to run this content apart";
             return self.fail(Failure::new(ErrorKind::NoUpstream, detail).with_retry(pause));
         }
         vec![propose(self.claim_command(place, now), pause)]
--- a/decision/outcome/src/attempt/message.rs
+++ b/decision/outcome/src/attempt/message.rs
@@ -80,8 +80,6 @@
         held: ClaimRef,
         /// Where it runs.
         place: Place,
-        /// Whether the upstream may run nothing else meanwhile.
-        alone: bool,
     },
     /// Ask the agent about the claim after a pause.
     Inquire {
--- a/decision/outcome/src/journal.rs
+++ b/decision/outcome/src/journal.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pimentotide_model::{ClaimId, Fingerprint, IdemKey, Time, WorkspaceName};
+use pimentotide_model::{ClaimId, Fingerprint, IdemKey, Time, UpstreamName, WorkspaceName};
 use serde::{Deserialize, Serialize};
 
 use crate::window::{Held, Phase, Record, Window};
@@ -52,12 +52,14 @@
     },
     /// Reports the death of an upstream.
     Crash(Crash),
-    /// Asks how an idempotent request under suspicion may run.
+    /// Asks whether an idempotent request under suspicion may run.
     Trial {
         /// Digest of the content.
         content: Fingerprint,
         /// Identifies the asking attempt.
         ticket: Ticket,
+        /// Upstream on which it would run.
+        upstream: UpstreamName,
         /// Time that the attempt may take.
         allowed: Duration,
     },
@@ -79,13 +81,8 @@
 pub enum Reply {
     /// Nothing to tell.
     Done,
-    /// The claim may run in its place.
-    Granted {
-        /// Right to run it once.
-        claim: ClaimId,
-        /// Whether the upstream may run nothing else meanwhile.
-        alone: bool,
-    },
+    /// The claim may run once, in its place.
+    Granted(ClaimId),
     /// The key has no claim, and no request with it has run.
     Open,
     /// The claim was released before, and the key was claimed anew since.
@@ -150,8 +147,9 @@
             Command::Trial {
                 content,
                 ticket,
+                upstream,
                 allowed,
-            } => Reply::Verdict(self.admit(*content, *ticket, *allowed, at)),
+            } => Reply::Verdict(self.admit(*content, *ticket, upstream, *allowed, at)),
             Command::EndTrial { content, ticket } => {
                 self.suspicion.release(*content, *ticket);
                 Reply::Done
@@ -180,8 +178,8 @@
     }
 
     fn claim(&mut self, claim: &Claim, at: Time) -> Reply {
-        if let Some(record) = self.own_claim(claim) {
-            return self.regrant(record, claim, at);
+        if let Some(granted) = self.own_claim(claim) {
+            return Reply::Granted(granted);
         }
         match self.look(&claim.workspace, &claim.key, claim.fingerprint) {
             Reply::Open => self.grant(claim, at),
@@ -199,31 +197,21 @@
         }
     }
 
-    fn regrant(&self, id: ClaimId, claim: &Claim, at: Time) -> Reply {
-        let verdict = self.suspicion.verdict(claim.fingerprint, claim.ticket, at);
-        let alone = verdict != Verdict::Free;
-        Reply::Granted { claim: id, alone }
-    }
-
     fn grant(&mut self, claim: &Claim, at: Time) -> Reply {
         if !self.has_room(claim, at) {
             return Reply::Full;
         }
         let (content, ticket) = (claim.fingerprint, claim.ticket);
-        let verdict = self.admit(content, ticket, claim.allowed, at);
-        let alone = match verdict {
-            Verdict::Free => false,
-            Verdict::Alone => true,
-            Verdict::Wait(_) | Verdict::Refused(_) => return Reply::Verdict(verdict),
-        };
+        let upstream = &claim.place.upstream;
+        let verdict = self.admit(content, ticket, upstream, claim.allowed, at);
+        if !matches!(verdict, Verdict::Free | Verdict::Apart) {
+            return Reply::Verdict(verdict);
+        }
         self.last = self.last.next();
         let record = self.record(claim, at);
         let window = self.windows.entry(claim.workspace.clone()).or_default();
         window.open(claim.key.clone(), record);
-        Reply::Granted {
-            claim: self.last,
-            alone,
-        }
+        Reply::Granted(self.last)
     }
 
     /// Admits a content; a suspect waits for running claims of the same content.
@@ -231,14 +219,15 @@
         &mut self,
         content: Fingerprint,
         ticket: Ticket,
+        upstream: &UpstreamName,
         allowed: Duration,
         at: Time,
     ) -> Verdict {
-        let verdict = self.suspicion.verdict(content, ticket, at);
-        if verdict == Verdict::Alone && self.windows.values().any(|w| w.runs(content, ticket)) {
+        let verdict = self.suspicion.verdict(content, ticket, upstream, at);
+        if verdict == Verdict::Apart && self.windows.values().any(|w| w.runs(content, ticket)) {
             return Verdict::Wait(TWIN_PAUSE);
         }
-        self.suspicion.admit(content, ticket, allowed, at)
+        self.suspicion.admit(content, ticket, upstream, allowed, at)
     }
 
     fn record(&self, claim: &Claim, at: Time) -> Record {
--- a/decision/outcome/src/suspicion.rs
+++ b/decision/outcome/src/suspicion.rs
@@ -2,8 +2,8 @@
 //!
 //! A crash that its agent outlived is evidence against every request that was
 //! running. Each of them then waits until all entries have heard of it and
-//! runs next on an upstream of its own, so that a second crash identifies the
-//! request and a success clears it. The loss of a whole instance is evidence
+//! runs next on an upstream that runs no other suspect, so that a second crash
+//! tells it from the others and a success clears it. The loss of a whole instance is evidence
 //! only when the same content sees it twice, and crashes of many upstreams of
 //! one zone at once are evidence against the zone, not against requests.
 
@@ -20,13 +20,13 @@
 /// Lost instances of one content that count as one crash.
 const LOSSES_PER_STRIKE: usize = 2;
 /// Time from a crash to the first retry of what ran there.
-const QUIET: Duration = Duration::from_secs(3);
+const QUIET: Duration = Duration::from_secs(1);
+/// Pause of a suspect while another copy of its content runs.
+const TRIAL_PAUSE: Duration = Duration::from_secs(1);
 /// Time for which a crash is remembered.
 const MEMORY: Duration = Duration::from_secs(600);
 /// Time for which a content is refused after its last crash.
 const REFUSAL: Duration = Duration::from_secs(600);
-/// Upstreams in quarantine for retries at once.
-const MAX_TRIALS: usize = 3;
 /// Upstreams of one zone whose crashes within [`ZONE_SPAN`] are the zone's.
 const ZONE_CRASHES: usize = 3;
 /// Time within which crashes of one zone belong together.
@@ -67,8 +67,10 @@
 pub enum Verdict {
     /// Like any other.
     Free,
-    /// On an upstream that runs nothing else meanwhile.
-    Alone,
+    /// On the upstream that was asked for, as its only suspect.
+    Apart,
+    /// Not on this upstream now: it runs another suspect.
+    Occupied,
     /// Not before this time has passed.
     Wait(Duration),
     /// Not at all before this time has passed.
@@ -87,9 +89,10 @@
     excused: BTreeSet<Fingerprint>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 struct Trial {
     ticket: Ticket,
+    upstream: UpstreamName,
     until: Time,
 }
 
@@ -119,7 +122,8 @@
         self.trim();
     }
 
-    /// Decides how a content may run and reserves a quarantine if it needs one.
+    /// Decides whether a content may run on `upstream`, and reserves its place
+    /// there if it is a suspect.
     ///
     /// The reservation of `ticket` ends after `allowed`, or with a crash, a
     /// success or [`Suspicion::release`].
@@ -127,19 +131,30 @@
         &mut self,
         content: Fingerprint,
         ticket: Ticket,
+        upstream: &UpstreamName,
         allowed: Duration,
         at: Time,
     ) -> Verdict {
-        let verdict = self.verdict(content, ticket, at);
-        if verdict == Verdict::Alone {
-            let until = at + allowed;
-            self.trials.insert(content, Trial { ticket, until });
+        let verdict = self.verdict(content, ticket, upstream, at);
+        if verdict == Verdict::Apart {
+            let trial = Trial {
+                ticket,
+                upstream: upstream.clone(),
+                until: at + allowed,
+            };
+            self.trials.insert(content, trial);
         }
         verdict
     }
 
-    /// Says how a content may run if `ticket` asks for it.
-    pub fn verdict(&self, content: Fingerprint, ticket: Ticket, at: Time) -> Verdict {
+    /// Says how a content may run if `ticket` asks for `upstream`.
+    pub fn verdict(
+        &self,
+        content: Fingerprint,
+        ticket: Ticket,
+        upstream: &UpstreamName,
+        at: Time,
+    ) -> Verdict {
         if let Some(until) = self.refused.get(&content)
             && at < *until
         {
@@ -151,7 +166,13 @@
         if at < last + QUIET {
             return Verdict::Wait((last + QUIET).since(at));
         }
-        self.quarantine(content, ticket, at)
+        self.quarantine(content, ticket, upstream, at)
+    }
+
+    /// Lists the upstreams that run a suspect.
+    pub fn occupied(&self, at: Time) -> BTreeSet<UpstreamName> {
+        let live = self.trials.values().filter(|t| at < t.until);
+        live.map(|t| t.upstream.clone()).collect()
     }
 
     /// Ends a reservation whose request did not run.
@@ -195,20 +216,24 @@
             .collect()
     }
 
-    fn quarantine(&self, content: Fingerprint, ticket: Ticket, at: Time) -> Verdict {
-        let live = || self.trials.iter().filter(|(_, t)| at < t.until);
-        if let Some((_, trial)) = live().find(|(c, _)| **c == content) {
-            return if trial.ticket == ticket {
-                Verdict::Alone
-            } else {
-                Verdict::Wait(trial.until.since(at))
-            };
+    fn quarantine(
+        &self,
+        content: Fingerprint,
+        ticket: Ticket,
+        upstream: &UpstreamName,
+        at: Time,
+    ) -> Verdict {
+        if let Some(trial) = self.trials.get(&content)
+            && trial.ticket != ticket
+            && at < trial.until
+        {
+            return Verdict::Wait(trial.until.since(at).min(TRIAL_PAUSE));
         }
-        if live().count() < MAX_TRIALS {
-            return Verdict::Alone;
+        let mut others = self.trials.iter().filter(|(c, _)| **c != content);
+        if others.any(|(_, t)| t.upstream == *upstream && at < t.until) {
+            return Verdict::Occupied;
         }
-        let first = live().map(|(_, t)| t.until).min().unwrap_or(at);
-        Verdict::Wait(first.since(at).min(QUIET))
+        Verdict::Apart
     }
 
     fn merge(&mut self, crash: &Crash, at: Time) {
--- a/dev/bench/src/bin/outcome_cost.rs
+++ b/dev/bench/src/bin/outcome_cost.rs
@@ -147,7 +147,7 @@
         let start = Instant::now();
         let reply = journal.apply(&command, at);
         spent += start.elapsed();
-        let Reply::Granted { claim, .. } = reply else {
+        let Reply::Granted(claim) = reply else {
             panic!("claim {i} was not granted: {reply:?}");
         };
         let command = settle(i, claim, &recorded);
