--- a/app/src/entry/once.rs
+++ b/app/src/entry/once.rs
@@ -145,7 +145,7 @@
             match action {
                 Action::Choose { attempt } => self.choose(attempt).await,
                 Action::Propose { command, after } => self.propose(*command, after).await,
-                Action::Send { held, place, alone } => self.send(&held, place, alone).await,
+                Action::Send { held, place } => self.send(&held, place).await,
                 Action::Inquire { held, place, after } => self.inquire(&held, place, after).await,
                 Action::Answer(_) | Action::Finish => Event::Unconfirmed,
             }
@@ -211,7 +211,7 @@
         }
     }
 
-    async fn send(&self, held: &ClaimRef, place: Place, alone: bool) -> Event {
+    async fn send(&self, held: &ClaimRef, place: Place) -> Event {
         let Some(placed) = self.placed.borrow_mut().take() else {
             return Event::Broken;
         };
@@ -221,7 +221,6 @@
             claim: held.claim,
             place,
         });
-        order.alone = alone;
         let event = match self.client.send(placed.agent, &order).await {
             Ok(frames) => collect(frames).await,
             Err(WorkError::Unreachable(_) | WorkError::Rejected(_)) => {
--- a/decision/outcome/src/journal.rs
+++ b/decision/outcome/src/journal.rs
@@ -20,6 +20,9 @@
 /// Pause of a suspected content while a claim of the same content runs.
 const TWIN_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time between two sweeps of what is past its window.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Change to the journal of claims, replicated before it takes effect.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Command {
@@ -63,16 +66,16 @@
         /// Time that the attempt may take.
         allowed: Duration,
     },
-    /// Ends a trial that did not run.
+    /// Ends the trial of an idempotent request that did not crash.
     EndTrial {
         /// Digest of the content.
         content: Fingerprint,
         /// Identifies the attempt.
         ticket: Ticket,
+        /// Whether it ran to its end, which clears the content.
+        finished: bool,
     },
-    /// Clears a content that ran to its end.
-    Clear(Fingerprint),
-    /// Drops what is past its window.
+    /// Drops what is past its window; other commands do so once a second.
     Expire,
 }
 
@@ -115,6 +118,7 @@
 pub struct Journal {
     limits: Limits,
     last: ClaimId,
+    swept: Time,
     windows: BTreeMap<WorkspaceName, Window>,
     suspicion: Suspicion,
 }
@@ -130,6 +134,9 @@
 
     /// Applies one committed command; `at` never goes back.
     pub fn apply(&mut self, command: &Command, at: Time) -> Reply {
+        if at.since(self.swept) >= SWEEP_INTERVAL {
+            self.expire(at);
+        }
         match command {
             Command::Claim(claim) => self.claim(claim, at),
             Command::Look {
@@ -150,12 +157,12 @@
                 upstream,
                 allowed,
             } => Reply::Verdict(self.admit(*content, *ticket, upstream, *allowed, at)),
-            Command::EndTrial { content, ticket } => {
-                self.suspicion.release(*content, *ticket);
-                Reply::Done
-            }
-            Command::Clear(content) => {
-                self.suspicion.clear(*content);
+            Command::EndTrial {
+                content,
+                ticket,
+                finished,
+            } => {
+                self.suspicion.end_trial(*content, *ticket, *finished);
                 Reply::Done
             }
             Command::Expire => self.expire(at),
@@ -290,7 +297,8 @@
         if record.phase != Phase::Running {
             return describe(&record);
         }
-        self.suspicion.release(record.fingerprint, record.ticket);
+        self.suspicion
+            .end_trial(record.fingerprint, record.ticket, false);
         if let Some(window) = self.windows.get_mut(&held.workspace) {
             window.release(&held.key);
         }
@@ -343,6 +351,7 @@
     }
 
     fn expire(&mut self, at: Time) -> Reply {
+        self.swept = at;
         self.suspicion.expire(at);
         for window in self.windows.values_mut() {
             window.expire(&self.limits, at);
--- a/decision/outcome/src/suspicion.rs
+++ b/decision/outcome/src/suspicion.rs
@@ -126,7 +126,7 @@
     /// there if it is a suspect.
     ///
     /// The reservation of `ticket` ends after `allowed`, or with a crash, a
-    /// success or [`Suspicion::release`].
+    /// success or [`Suspicion::end_trial`].
     pub fn admit(
         &mut self,
         content: Fingerprint,
@@ -175,14 +175,16 @@
         live.map(|t| t.upstream.clone()).collect()
     }
 
-    /// Ends a reservation whose request did not run.
-    pub fn release(&mut self, content: Fingerprint, ticket: Ticket) {
-        if self
-            .trials
-            .get(&content)
-            .is_some_and(|t| t.ticket == ticket)
-        {
-            self.trials.remove(&content);
+    /// Ends the reservation of `ticket`, if it holds one.
+    ///
+    /// A request that ran to its end clears its content.
+    pub fn end_trial(&mut self, content: Fingerprint, ticket: Ticket, finished: bool) {
+        if self.trials.get(&content).is_none_or(|t| t.ticket != ticket) {
+            return;
+        }
+        self.trials.remove(&content);
+        if finished {
+            self.clear(content);
         }
     }
 
--- a/decision/outcome/tests/it/suspicion.rs
+++ b/decision/outcome/tests/it/suspicion.rs
@@ -202,7 +202,8 @@
             .extract_if(.., ready)
             .collect::<Vec<_>>()
         {
-            self.suspicion.clear(content(copy.content));
+            let (print, ticket) = (content(copy.content), ticket(copy.request));
+            self.suspicion.end_trial(print, ticket, true);
             self.done.insert(copy.content);
         }
     }
