Clients: a connection that closes without an answer is no proof of "not run"

Cause: awc reports a connection that closes after the request was sent as ConnectError::Disconnected, within the same variant as failures to connect. Both clients took the whole variant as "the peer has seen nothing". An engine that died while it ran an order, before the head of its answer, was told as not run: the claim was released and the order could run a second time elsewhere.

Change: that one error means a broken connection. Tests with a server that reads a request whole and closes, and with a port that nobody listens on.

Conclusion: only a connection that was never made counts as not run.

--- a/peers/instance/src/work/client.rs
+++ b/peers/instance/src/work/client.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
 use awc::http::header::AUTHORIZATION;
 use awc::{Client, Connector};
@@ -219,6 +219,10 @@
 
 fn send_error(error: &SendRequestError) -> WorkError {
     match error {
+        // Also reported when the connection closes after the request was sent.
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            WorkError::Broken("the connection closed without an answer".to_owned())
+        }
         SendRequestError::Connect(e) => WorkError::Unreachable(e.to_string()),
         SendRequestError::Url(e) => WorkError::Unreachable(e.to_string()),
         other => WorkError::Broken(other.to_string()),
--- a/peers/instance/tests/it/main.rs
+++ b/peers/instance/tests/it/main.rs
@@ -1,4 +1,5 @@
 //! Integration tests of the protocol between processes.
 
+mod broken;
 mod directory;
 mod link;
--- a/peers/upstream/src/client.rs
+++ b/peers/upstream/src/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName};
 use awc::http::{Method, StatusCode};
 use awc::{Client, Connector};
@@ -149,6 +149,10 @@
 
 fn send_error(error: &SendRequestError) -> EngineError {
     match error {
+        // Also reported when the connection closes after the request was sent.
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            EngineError::Broken("the connection closed without an answer".to_owned())
+        }
         SendRequestError::Connect(e) => EngineError::Unreachable(e.to_string()),
         SendRequestError::Url(e) => EngineError::Unreachable(e.to_string()),
         other => EngineError::Broken(other.to_string()),
--- /dev/null
+++ b/peers/upstream/tests/it/main.rs
@@ -0,0 +1,3 @@
+//! Integration tests of the protocol with upstreams.
+
+mod broken;
