Agent: requests that may run only once go over a new connection

Cause: a kept connection that the upstream closes just as a request is sent over it leaves an outcome that nobody can tell, for a request that never ran.

Change: an unpooled client of the upstream, used by the agent for requests that may run only once; the two are on the same instance, so connecting is cheap.

Figures: three requests use three connections with the unpooled client and one with the pooled one (only_the_pooled_client_keeps_connections).

--- a/app/src/agent/forward.rs
+++ b/app/src/agent/forward.rs
@@ -20,6 +20,8 @@
 
 thread_local! {
     static CLIENT: EngineClient = EngineClient::open();
+    /// For requests that may run only once.
+    static FRESH_CLIENT: EngineClient = EngineClient::open_unpooled();
 }
 
 /// One request on its way through the agent.
@@ -118,7 +120,11 @@
 impl Passage {
     /// Sends the head and the pieces; returns the number of pieces of the whole answer.
     async fn pass(&mut self, core: &Core, order: &WorkOrder) -> Result<u64, Failure> {
-        let client = CLIENT.with(Clone::clone);
+        let client = if order.idempotent {
+            CLIENT.with(Clone::clone)
+        } else {
+            FRESH_CLIENT.with(Clone::clone)
+        };
         let request = engine_request(order)?;
         let answer = client.send(self.permit.engine, &request).await;
         let answer = answer.map_err(|e| engine_failure(&e))?;
--- a/peers/upstream/src/client.rs
+++ b/peers/upstream/src/client.rs
@@ -14,6 +14,9 @@
 /// Time allowed for connecting to the upstream, which runs on the same instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which an idle connection is kept.
+const KEEP_ALIVE: Duration = Duration::from_secs(15);
+
 /// Connections kept to the upstream at most.
 const MAX_CONNECTIONS: usize = 4096;
 
@@ -62,8 +65,21 @@
 impl EngineClient {
     /// Opens a client that connects when it is first needed.
     pub fn open() -> Self {
+        Self::with_keep_alive(KEEP_ALIVE)
+    }
+
+    /// Opens a client that connects anew for each request.
+    ///
+    /// A kept connection may close just as a request is sent over it, and then
+    /// nobody can tell whether the upstream has seen the request.
+    pub fn open_unpooled() -> Self {
+        Self::with_keep_alive(Duration::ZERO)
+    }
+
+    fn with_keep_alive(keep_alive: Duration) -> Self {
         let connector = Connector::new()
             .timeout(CONNECT_TIMEOUT)
+            .conn_keep_alive(keep_alive)
             .limit(MAX_CONNECTIONS);
         let client = Client::builder()
             .connector(connector)
--- a/peers/upstream/tests/it/broken.rs
+++ b/peers/upstream/tests/it/broken.rs
@@ -1,28 +1,67 @@
 //! What the client says of a request whose connection fails.
 
-use std::io::Read;
-use std::net::{SocketAddr, TcpListener};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 
 use bytes::Bytes;
 use pimentotide_upstream::{EngineClient, EngineError};
 
+fn read_request(stream: &mut TcpStream) -> bool {
+    let mut seen = Vec::new();
+    let mut buffer = [0; 1024];
+    while !seen.ends_with(b"lodge") {
+        match stream.read(&mut buffer) {
+            Ok(count) if count > 0 => seen.extend_from_slice(&buffer[..count]),
+            _ => return false,
+        }
+    }
+    true
+}
+
 /// Address of a server that reads one request whole and closes the connection.
 fn serve_silence() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
-        let mut seen = Vec::new();
-        let mut buffer = [0; 1024];
-        while !seen.ends_with(b"lodge") {
-            let count = stream.read(&mut buffer).unwrap();
-            seen.extend_from_slice(&buffer[..count]);
-        }
+        read_request(&mut stream);
     });
     address
 }
 
+/// Address of a server that answers every request, with its count of connections.
+fn serve_answers() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let connections = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&connections);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            count.fetch_add(1, Ordering::SeqCst);
+            thread::spawn(move || {
+                while read_request(&mut stream) {
+                    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                    stream.write_all(answer).unwrap();
+                }
+            });
+        }
+    });
+    (address, connections)
+}
+
+async fn connections_of(client: EngineClient) -> usize {
+    let (address, connections) = serve_answers();
+    for _ in 0..3 {
+        let body = Bytes::from_static(b"lodge");
+        client.post_json(address, "/orders", body).await.unwrap();
+    }
+    connections.load(Ordering::SeqCst)
+}
+
 async fn post(address: SocketAddr) -> EngineError {
     let body = Bytes::from_static(b"lodge");
     let client = EngineClient::open();
@@ -46,3 +85,9 @@
     let error = post(address).await;
     assert!(matches!(error, EngineError::Unreachable(_)), "{error}");
 }
+
+#[actix_rt::test]
+async fn only_the_pooled_client_keeps_connections() {
+    assert_eq!(connections_of(EngineClient::open()).await, 1);
+    assert_eq!(connections_of(EngineClient::open_unpooled()).await, 3);
+}
