--- a/app/src/agent/core.rs
+++ b/app/src/agent/core.rs
@@ -63,8 +63,6 @@
     address: Option<SocketAddr>,
     slot: Option<Slot>,
     running: BTreeMap<RequestId, RunningWork>,
-    /// Request that runs alone, or waits to.
-    alone: Option<RequestId>,
     mailboxes: BTreeMap<InstanceName, Mailbox>,
     leaving: bool,
 }
@@ -85,8 +83,6 @@
     Refused(Failure),
     /// It may have run.
     Failed(Failure),
-    /// It has to run alone and waits until nothing else runs.
-    Waiting,
 }
 
 /// The upstream in the agent's slot.
@@ -251,16 +247,6 @@
         if inner.running.contains_key(&order.id) {
             return Arrival::Failed(running_already());
         }
-        if inner.alone.is_some_and(|id| id != order.id) {
-            let detail = "the upstream runs a suspected request alone";
-            return Arrival::Refused(Failure::new(ErrorKind::Overloaded, detail));
-        }
-        if order.alone {
-            inner.alone = Some(order.id);
-            if !inner.running.is_empty() {
-                return Arrival::Waiting;
-            }
-        }
         let Some(slot) = inner.slot.as_mut() else {
             let detail = "the upstream has not announced itself";
             return Arrival::Refused(Failure::new(ErrorKind::NoUpstream, detail));
@@ -386,7 +372,6 @@
         let now = self.now();
         let mut inner = self.lock();
         inner.running.remove(&id);
-        inner.end_alone(id);
         let Some(slot) = &mut inner.slot else {
             return;
         };
@@ -394,11 +379,6 @@
         inner.deliver(grants);
     }
 
-    /// Gives up waiting to run a request alone.
-    pub(super) fn end_alone(&self, id: RequestId) {
-        self.lock().end_alone(id);
-    }
-
     /// Gives up a running request on behalf of its entry.
     pub(super) fn cancel(&self, id: RequestId) {
         if let Some(work) = self.lock().running.get(&id) {
@@ -557,12 +537,6 @@
 }
 
 impl Inner {
-    fn end_alone(&mut self, id: RequestId) {
-        if self.alone == Some(id) && !self.running.contains_key(&id) {
-            self.alone = None;
-        }
-    }
-
     /// Puts grants where the entries that they are for will find them.
     fn deliver(&mut self, grants: Vec<Grant>) {
         for grant in grants {
--- a/app/src/agent/routes.rs
+++ b/app/src/agent/routes.rs
@@ -1,8 +1,5 @@
 //! Routes of an agent.
 
-use std::sync::Arc;
-use std::time::{Duration, Instant};
-
 use actix_web::http::header::AUTHORIZATION;
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::Bytes;
@@ -19,12 +16,6 @@
 use super::core::{Arrival, Core};
 use super::forward::{again, forward};
 
-/// Longest time for which a request waits to run alone.
-const ALONE_WAIT: Duration = Duration::from_secs(10);
-
-/// Time between looks at whether the upstream is idle.
-const ALONE_POLL: Duration = Duration::from_millis(10);
-
 /// Frames that may wait for the connection to the entry.
 const FRAME_BUFFER: usize = 64;
 
@@ -56,11 +47,7 @@
             });
         }
     };
-    let arrival = arrive(&core, &order).await;
-    if !matches!(arrival, Arrival::Admitted(_)) {
-        core.end_alone(order.id);
-    }
-    let permit = match arrival {
+    let permit = match core.arrive(&order) {
         Arrival::Admitted(permit) => permit,
         Arrival::Ran(outcome) => return frames(&again(&outcome, core.report())),
         Arrival::Refused(failure) => {
@@ -72,13 +59,6 @@
             });
         }
         Arrival::Failed(failure) => return single(&Frame::Failed { failure }),
-        Arrival::Waiting => {
-            let failure = Failure::new(ErrorKind::Overloaded, "the upstream did not become idle");
-            return single(&Frame::Refused {
-                failure,
-                report: core.report(),
-            });
-        }
     };
     let (sender, receiver) = mpsc::channel(FRAME_BUFFER);
     actix_rt::spawn(forward(core, order, permit, sender));
@@ -89,18 +69,6 @@
     HttpResponse::Ok().streaming(frames.map(|f| f.encode()))
 }
 
-/// Waits with a request that has to run alone until nothing else runs.
-async fn arrive(core: &Arc<Core>, order: &WorkOrder) -> Arrival {
-    let end = Instant::now() + order.remaining.min(ALONE_WAIT);
-    loop {
-        let arrival = core.arrive(order);
-        if !matches!(arrival, Arrival::Waiting) || Instant::now() >= end {
-            return arrival;
-        }
-        tokio::time::sleep(ALONE_POLL).await;
-    }
-}
-
 async fn cancel(
     core: web::Data<Core>,
     request: HttpRequest,
--- a/app/src/control/mod.rs
+++ b/app/src/control/mod.rs
@@ -12,13 +12,13 @@
 
 use actix_rt::task::JoinHandle;
 use derive_more::{Display, From};
-use pimentotide_instance::directory::Directory;
+use pimentotide_instance::directory::{Directory, SharedMachine};
 use pimentotide_instance::replica::{Replica, ReplicaHandle, ReplicaOptions, module};
 use pimentotide_instance::{PeerServer, Token, submit_module};
 use pimentotide_model::{Failure, InstanceName};
 use pimentotide_operator::server::Server;
 
-pub use source::{Shared, Source};
+pub use source::Source;
 
 use self::source::Desk;
 use crate::settings::{Peer, ReplicaSettings};
@@ -50,7 +50,7 @@
 
 /// A running control replica.
 pub struct Control {
-    replica: ReplicaHandle<Shared>,
+    replica: ReplicaHandle<SharedMachine>,
     source: Source,
     peers: PeerServer,
     operators: Server,
@@ -65,7 +65,7 @@
     /// Fails if the data folder cannot be used or an address cannot be bound.
     pub async fn spawn(options: ControlOptions) -> Result<Self, ControlError> {
         let settings = options.settings;
-        let shared = Shared::default();
+        let shared = SharedMachine::default();
         let replica = spawn_replica(
             &options.instance,
             &settings,
@@ -126,8 +126,8 @@
     settings: &ReplicaSettings,
     founders: Vec<Peer>,
     token: &Token,
-    machine: &Shared,
-) -> Result<ReplicaHandle<Shared>, Failure> {
+    machine: &SharedMachine,
+) -> Result<ReplicaHandle<SharedMachine>, Failure> {
     let founders: Vec<_> = founders.into_iter().map(|p| (p.name, p.address)).collect();
     let own = founders
         .iter()
--- a/app/src/control/source.rs
+++ b/app/src/control/source.rs
@@ -1,84 +1,28 @@
 //! The state that the log has built, for whoever reads or writes it.
 
-use std::sync::{Arc, PoisonError, RwLock};
-
-use pimentotide_consensus::{Index, Machine as Replicated, RestoreError};
 use pimentotide_control::directory::Registry;
 use pimentotide_control::machine::{MAX_COMMAND_BYTES, decode, encode};
 use pimentotide_control::{Command, Machine, Response};
 use pimentotide_instance::Submit;
-use pimentotide_instance::directory::{Directory, Source as DirectorySource};
+use pimentotide_instance::directory::{Directory, SharedMachine, Source as DirectorySource};
 use pimentotide_instance::replica::ReplicaHandle;
-use pimentotide_model::{ErrorKind, Failure, InstanceName, Revision, Time};
+use pimentotide_model::{ErrorKind, Failure, InstanceName, Revision};
 use pimentotide_operator::{Cluster, Control as OperatorControl, MemberChange};
 use tokio::sync::watch;
 
-/// Replicated machine that the log applies to and others read.
-#[derive(Clone)]
-pub struct Shared {
-    machine: Arc<RwLock<Machine>>,
-    /// Revision in force, to wake whoever waits for the next.
-    changes: watch::Sender<Revision>,
-}
-
-impl Default for Shared {
-    fn default() -> Self {
-        Self {
-            machine: Arc::default(),
-            changes: watch::Sender::new(Revision::default()),
-        }
-    }
-}
-
-impl Shared {
-    fn read<T, F>(&self, read: F) -> T
-    where
-        F: FnOnce(&Machine) -> T,
-    {
-        read(&self.machine.read().unwrap_or_else(PoisonError::into_inner))
-    }
-
-    fn write<T, F>(&self, write: F) -> T
-    where
-        F: FnOnce(&mut Machine) -> T,
-    {
-        let mut machine = self.machine.write().unwrap_or_else(PoisonError::into_inner);
-        let result = write(&mut machine);
-        let revision = machine.revision();
-        drop(machine);
-        self.changes
-            .send_if_modified(|held| std::mem::replace(held, revision) != revision);
-        result
-    }
-}
-
-impl Replicated for Shared {
-    fn apply(&mut self, index: Index, time: Time, command: &[u8]) -> Vec<u8> {
-        self.write(|machine| Replicated::apply(machine, index, time, command))
-    }
-
-    fn snapshot(&self) -> Vec<u8> {
-        self.read(Replicated::snapshot)
-    }
-
-    fn restore(&mut self, state: &[u8]) -> Result<(), RestoreError> {
-        self.write(|machine| Replicated::restore(machine, state))
-    }
-}
-
 /// The log and the state that it has built; clones share both.
 #[derive(Clone)]
 pub struct Source {
-    shared: Shared,
-    replica: ReplicaHandle<Shared>,
+    shared: SharedMachine,
+    replica: ReplicaHandle<SharedMachine>,
 }
 
 impl Source {
-    pub(super) fn new(shared: Shared, replica: ReplicaHandle<Shared>) -> Self {
+    pub(super) fn new(shared: SharedMachine, replica: ReplicaHandle<SharedMachine>) -> Self {
         Self { shared, replica }
     }
 
-    pub(super) fn replica(&self) -> &ReplicaHandle<Shared> {
+    pub(super) fn replica(&self) -> &ReplicaHandle<SharedMachine> {
         &self.replica
     }
 }
@@ -105,7 +49,7 @@
     }
 
     fn changes(&self) -> watch::Receiver<Revision> {
-        self.shared.changes.subscribe()
+        self.shared.changes()
     }
 }
 
@@ -131,7 +75,7 @@
         }
     }
 
-    pub(super) fn replica(&self) -> &ReplicaHandle<Shared> {
+    pub(super) fn replica(&self) -> &ReplicaHandle<SharedMachine> {
         self.source.replica()
     }
 
--- a/app/src/entry/attempt.rs
+++ b/app/src/entry/attempt.rs
@@ -204,7 +204,6 @@
         key: meta.key.clone(),
         claim: None,
         fingerprint: meta.fingerprint,
-        alone: false,
         credit: placed.credit,
         attempt: number,
         resume,
--- a/decision/control/tests/it/shared.rs
+++ b/decision/control/tests/it/shared.rs
@@ -43,7 +43,7 @@
 fn recorded_answers_survive_a_restore() {
     let mut machine = Machine::default();
     let granted = apply(&mut machine, &outcome::Command::Claim(claim()).into());
-    let Response::Outcome(outcome::Reply::Granted { claim: id, .. }) = granted else {
+    let Response::Outcome(outcome::Reply::Granted(id)) = granted else {
         panic!("expected a grant, found {granted:?}");
     };
     let recorded = Arc::new(Outcome {
--- a/peers/instance/src/work/order.rs
+++ b/peers/instance/src/work/order.rs
@@ -41,8 +41,6 @@
     pub claim: Option<HeldClaim>,
     /// Digest of the content.
     pub fingerprint: Fingerprint,
-    /// Whether the upstream may run nothing else meanwhile.
-    pub alone: bool,
     /// Credit to use.
     pub credit: Option<CreditId>,
     /// Number of the attempt, from 1.
