--- a/dev/rig/src/caller.rs
+++ b/dev/rig/src/caller.rs
@@ -11,8 +11,9 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
-use awc::{Client, ClientResponse, Connector};
+use awc::{Client, ClientResponse};
 use futures_util::StreamExt;
+use pimentotide_upstream::whole_connector;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
@@ -128,7 +129,8 @@
 impl Callers {
     /// Starts to offer load.
     pub(crate) fn spawn(options: &Options, known: Vec<SocketAddr>, zones: Vec<String>) -> Self {
-        let connector = Connector::new().timeout(CONNECT_TIMEOUT).limit(4096);
+        // A connection that closes early must not look like an answer that ended.
+        let connector = whole_connector(CONNECT_TIMEOUT).limit(4096);
         let client = Client::builder()
             .connector(connector)
             .disable_timeout()
--- a/peers/instance/src/work/client.rs
+++ b/peers/instance/src/work/client.rs
@@ -5,15 +5,16 @@
 use std::pin::Pin;
 use std::time::Duration;
 
+use awc::Client;
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
 use awc::http::header::AUTHORIZATION;
-use awc::{Client, Connector};
 use bytes::Bytes;
 use derive_more::Display;
 use futures_util::{Stream, StreamExt};
 use pimentotide_model::RequestId;
 use pimentotide_outcome::Finding;
+use pimentotide_upstream::whole_connector;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -61,9 +62,7 @@
 impl WorkClient {
     /// Opens a client that connects when it is first needed.
     pub fn open(token: Token) -> Self {
-        let connector = Connector::new()
-            .timeout(CONNECT_TIMEOUT)
-            .limit(MAX_CONNECTIONS);
+        let connector = whole_connector(CONNECT_TIMEOUT).limit(MAX_CONNECTIONS);
         let client = Client::builder()
             .connector(connector)
             .disable_timeout()
--- a/peers/upstream/src/client.rs
+++ b/peers/upstream/src/client.rs
@@ -3,14 +3,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use awc::Client;
 use awc::error::{ConnectError, SendRequestError};
-use awc::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName};
+use awc::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use awc::http::{Method, StatusCode};
-use awc::{Client, Connector};
 use bytes::Bytes;
 use derive_more::Display;
 use futures_util::{Stream, StreamExt};
 
+use crate::transport::whole_connector;
+
 /// Time allowed for connecting to the upstream, which runs on the same instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -77,8 +79,7 @@
     }
 
     fn with_keep_alive(keep_alive: Duration) -> Self {
-        let connector = Connector::new()
-            .timeout(CONNECT_TIMEOUT)
+        let connector = whole_connector(CONNECT_TIMEOUT)
             .conn_keep_alive(keep_alive)
             .limit(MAX_CONNECTIONS);
         let client = Client::builder()
@@ -115,6 +116,10 @@
             .map_err(|e| send_error(&e))?;
         let status = answer.status();
         let headers = answer.headers().clone();
+        if !is_delimited(&request.method, status, &headers) {
+            let detail = "its answer has neither a length nor chunks";
+            return Err(EngineError::Broken(detail.to_owned()));
+        }
         let body = answer.map(|chunk| chunk.map_err(|e| EngineError::Broken(e.to_string())));
         Ok(EngineAnswer {
             status,
@@ -148,6 +153,15 @@
     }
 }
 
+/// Whether the end of an answer can be told from the end of its connection.
+fn is_delimited(method: &Method, status: StatusCode, headers: &HeaderMap) -> bool {
+    let bodiless = status.is_informational()
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED
+        || method == Method::HEAD;
+    bodiless || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Whether a header belongs to one connection and is not passed on.
 pub fn is_hop_header(name: &HeaderName) -> bool {
     const HOP: [&str; 8] = [
--- a/peers/upstream/src/lib.rs
+++ b/peers/upstream/src/lib.rs
@@ -10,11 +10,13 @@
 mod prefix;
 mod sse;
 mod state;
+mod transport;
 
 pub use client::{EngineAnswer, EngineClient, EngineError, EngineRequest, is_hop_header};
 pub use prefix::{BLOCK_BYTES, block_hashes};
 pub use sse::{Event, EventError, EventSplitter, MAX_EVENT_BYTES};
 pub use state::{CacheChange, CacheEvent, EngineState, LoadedModel};
+pub use transport::{WholeStream, whole_connector};
 
 /// Path on the agent to which an upstream posts its state.
 pub const ANNOUNCE_PATH: &str = "/announce";
--- a/peers/upstream/tests/it/broken.rs
+++ b/peers/upstream/tests/it/broken.rs
@@ -6,8 +6,10 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 
+use awc::http::Method;
 use bytes::Bytes;
-use pimentotide_upstream::{EngineClient, EngineError};
+use futures_util::StreamExt;
+use pimentotide_upstream::{EngineClient, EngineError, EngineRequest};
 
 fn read_request(stream: &mut TcpStream) -> bool {
     let mut seen = Vec::new();
@@ -91,3 +93,59 @@
     assert_eq!(connections_of(EngineClient::open()).await, 1);
     assert_eq!(connections_of(EngineClient::open_unpooled()).await, 3);
 }
+
+/// Address of a server that sends `answer` to one request and closes the connection.
+fn serve_once(answer: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        read_request(&mut stream);
+        stream.write_all(answer).unwrap();
+    });
+    address
+}
+
+/// Body of an answer, or why it is not whole.
+async fn body_of(answer: &'static [u8]) -> Result<Vec<u8>, EngineError> {
+    let request = EngineRequest {
+        method: Method::POST,
+        path: "/orders".to_owned(),
+        headers: Vec::new(),
+        body: Bytes::from_static(b"lodge"),
+    };
+    let answer = EngineClient::open()
+        .send(serve_once(answer), &request)
+        .await?;
+    let mut body = Vec::new();
+    let mut parts = std::pin::pin!(answer.body);
+    while let Some(part) = parts.next().await {
+        body.extend_from_slice(&part?);
+    }
+    Ok(body)
+}
+
+#[actix_rt::test]
+async fn a_body_that_ends_early_is_never_taken_for_a_whole_one() {
+    let whole: [&[u8]; 2] = [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+    ];
+    for answer in whole {
+        assert_eq!(body_of(answer).await.unwrap(), b"done");
+    }
+    let short: [&[u8]; 4] = [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\ndone",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\ndone\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\ndo",
+        b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\ndone",
+    ];
+    for answer in short {
+        let text = String::from_utf8_lossy(answer);
+        let broken = body_of(answer).await;
+        assert!(
+            matches!(broken, Err(EngineError::Broken(_))),
+            "{text:?}: {broken:?}"
+        );
+    }
+}
