Control replica over the replicated log

Cause: the state machine needs a disk, a clock and peers.

Change: Replica is an actor on a thread of its own; one writer thread syncs what has gathered as one group; messages that depend on a write leave once it is synced. The handle proposes, reads, queries the machine, reports, changes members, publishes progress and leadership, and stops with a handover. A proposal, read or change at another replica is forwarded one hop to the leader. A log is founded by a single replica at once, by several only if all of them answer and none belongs to a log. A write that takes too long counts as a failed disk. A server no longer waits without bound for calls when it stops.

--- a/peers/instance/src/lib.rs
+++ b/peers/instance/src/lib.rs
@@ -3,11 +3,13 @@
 //! Work travels from entries to agents over HTTP as [`work`] orders answered by
 //! frames. Everything else is JSON-RPC over persistent connections:
 //! [`directory`] carries declarations, leases and the directory of upstreams.
+//! [`replica`] is a control replica with its part in the replicated log.
 //! [`PeerServer`] answers on one port for every module that the process has;
 //! [`PeerClient`] is the calling side. Every port of this protocol admits only
 //! holders of the deployment's [`Token`].
 
 pub mod directory;
+pub mod replica;
 pub mod work;
 
 mod client;
--- a/peers/instance/src/server.rs
+++ b/peers/instance/src/server.rs
@@ -6,12 +6,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use futures_util::future::{Either, Ready, ready};
 use jsonrpsee::Methods;
 use jsonrpsee::core::http_helpers;
 use jsonrpsee::server::{HttpBody, HttpResponse, PingConfig, Server, ServerConfig, ServerHandle};
 use pimentotide_model::{ErrorKind, Failure};
+use tokio::time::timeout;
 use tower::{Layer, Service};
 
 use crate::Token;
@@ -20,6 +22,8 @@
 const MAX_CONNECTIONS: u32 = 16_384;
 /// Largest request or answer, bytes.
 const MAX_MESSAGE_BYTES: u32 = 16 << 20;
+/// Longest wait for running calls at a stop.
+const STOP_PATIENCE: Duration = Duration::from_secs(2);
 /// Most subscriptions on one connection.
 const MAX_SUBSCRIPTIONS: u32 = 1_024;
 
@@ -70,11 +74,13 @@
         self.address
     }
 
-    /// Stops accepting, lets running calls finish and closes all connections.
+    /// Stops accepting, lets running calls finish for a while and closes all connections.
     pub async fn stop(self) {
         // An error only says that the server has stopped already.
         let _ = self.handle.stop();
-        self.handle.stopped().await;
+        if timeout(STOP_PATIENCE, self.handle.stopped()).await.is_err() {
+            log::warn!("{}: calls were still running at the stop", self.address);
+        }
     }
 }
 
--- a/peers/instance/tests/it/main.rs
+++ b/peers/instance/tests/it/main.rs
@@ -2,3 +2,4 @@
 
 mod directory;
 mod link;
+mod replica;
--- a/support/storage/src/error.rs
+++ b/support/storage/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors of the storage.
 
 use std::io;
+use std::path::Path;
 
 use derive_more::Display;
 use pimentotide_model::{ErrorKind, Failure};
@@ -58,6 +59,11 @@
         Self::new(StorageErrorKind::Corrupt, detail)
     }
 
+    /// Describes why a data folder cannot be opened.
+    pub fn opening(folder: &Path, error: &io::Error) -> Self {
+        Self::io(&format!("cannot open {}", folder.display()), error)
+    }
+
     /// Describes an I/O error during `what`.
     pub(crate) fn io(what: &str, error: &io::Error) -> Self {
         let kind = match error.kind() {
