--- a/app/src/agent/mod.rs
+++ b/app/src/agent/mod.rs
@@ -19,8 +19,8 @@
 use actix_web::{App, HttpServer, web};
 use derive_more::Display;
 use pimentotide_instance::work::MAX_ORDER_BYTES;
-use pimentotide_instance::{Token, View};
-use pimentotide_model::{Announcement, UpstreamName, ZoneName};
+use pimentotide_instance::{Submitter, Token, View};
+use pimentotide_model::{Announcement, Incarnation, Revision, UpstreamName, Warmth, ZoneName};
 use pimentotide_observe::Metrics;
 use tokio::sync::watch;
 
@@ -49,6 +49,8 @@
     pub token: Token,
     /// Configuration and membership as this process learns them.
     pub view: watch::Receiver<View>,
+    /// Control replicas, told of crashes; none in a deployment without control.
+    pub control: Option<Submitter>,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// Longest time a planned stop waits for running requests.
@@ -114,8 +116,28 @@
         self.core.announcements()
     }
 
+    /// How far the upstream has warmed up.
+    pub fn warmth(&self) -> watch::Receiver<Warmth> {
+        self.core.warmth()
+    }
+
+    /// Highest revision that came with an order of an entry.
+    pub fn heard(&self) -> watch::Receiver<Revision> {
+        self.core.heard()
+    }
+
+    /// Takes orders for `incarnation` too, under which the directory knows the upstream.
+    pub fn rename(&self, incarnation: Incarnation) {
+        self.core.rename(incarnation);
+    }
+
+    /// Takes no new work, since another process has the upstream's name.
+    pub fn leave(&self) {
+        self.core.leave();
+    }
+
     /// Takes no new work, lets running requests end, and stops.
-    pub async fn stop(self) {
+    pub async fn stop(&self) {
         self.core.leave();
         let patience = tokio::time::timeout(self.drain, async {
             while self.core.running() > 0 {
@@ -128,7 +150,7 @@
                 self.core.running()
             );
         }
-        for task in self.tasks {
+        for task in &self.tasks {
             task.abort();
         }
         self.work.1.stop(true).await;
--- a/dev/bench/src/lib.rs
+++ b/dev/bench/src/lib.rs
@@ -1,3 +1,4 @@
 //! Parts that benches share.
 
+pub mod fleet;
 pub mod load;
--- a/peers/instance/tests/it/main.rs
+++ b/peers/instance/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of the protocol between processes.
 
+mod broken;
 mod directory;
 mod link;
 mod replica;
