--- a/decision/experts/src/switch/agent.rs
+++ b/decision/experts/src/switch/agent.rs
@@ -16,6 +16,9 @@
 /// Freed maps that late orders are recognised for.
 const MAX_FREED: usize = 16;
 
+/// Steps between two reports to the leader while enough steps are granted.
+const REPORT_STEPS: u64 = 4;
+
 /// State of the weights of one map.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Weights {
@@ -128,8 +131,10 @@
         }
         self.running = false;
         let mut actions = self.run_next();
-        let status = Message::Status(self.status());
-        actions.push(Action::Send(Peer::Leader, status));
+        if step.is_multiple_of(REPORT_STEPS) || self.granted_ahead() < REPORT_STEPS {
+            let status = Message::Status(self.status());
+            actions.push(Action::Send(Peer::Leader, status));
+        }
         actions.extend(self.free_doomed());
         actions
     }
@@ -144,6 +149,11 @@
         self.floor
     }
 
+    fn granted_ahead(&self) -> u64 {
+        let end = self.grants.last().map_or(0, |g| g.end);
+        end.saturating_sub(self.step)
+    }
+
     fn welcome(&mut self, incarnation: Incarnation, floor: Fence) {
         if incarnation == self.incarnation {
             self.floor = self.floor.max(Some(floor));
