--- a/decision/experts/src/plan/balance.rs
+++ b/decision/experts/src/plan/balance.rs
@@ -31,6 +31,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Site {
     pub(crate) speeds: Vec<f64>,
+    /// Time that a unit of load takes on each rank.
+    pub(crate) costs: Vec<f64>,
     pub(crate) nodes: Vec<u16>,
     pub(crate) owners: Vec<usize>,
     pub(crate) offsets: Vec<usize>,
@@ -42,6 +44,7 @@
         offsets.push(layout.width());
         Self {
             speeds: speeds.to_vec(),
+            costs: speeds.iter().map(|s| 1.0 / s).collect(),
             nodes: layout.ranks.iter().map(|r| r.node).collect(),
             owners: layout.owners(),
             offsets,
@@ -97,8 +100,8 @@
 
     /// Highest time of a rank.
     pub(crate) fn time(&self) -> f64 {
-        let times = self.totals.iter().zip(&self.site.speeds);
-        times.map(|(t, s)| t / s).fold(0.0, f64::max)
+        let times = self.totals.iter().zip(&self.site.costs);
+        times.map(|(t, c)| t * c).fold(0.0, f64::max)
     }
 
     /// Returns the slots with the split as weights.
@@ -122,11 +125,16 @@
         if self.time() <= self.target {
             return None;
         }
+        let found = self.change();
+        if found.is_none() {
+            self.settle(MAX_SWEEPS);
+        }
+        found
+    }
+
+    fn change(&mut self) -> Option<Vec<Change>> {
         let hot = self.hottest();
-        let cool = self.coolest(hot);
-        let changes = self
-            .try_replicas(hot)
-            .or_else(|| self.try_exchange(hot, &cool))?;
+        let changes = self.try_replicas(hot).or_else(|| self.try_exchange(hot))?;
         self.settle(CHANGE_SWEEPS);
         Some(changes)
     }
@@ -170,7 +178,8 @@
             let rank = self.site.owners[host];
             let base = self.totals[rank] - self.carried[host];
             let speed = self.site.speeds[rank];
-            self.scratch.push((base / speed, speed, host));
+            let level = base * self.site.costs[rank];
+            self.scratch.push((level, speed, host));
         }
         self.scratch.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
         let level = fill(&self.scratch, self.loads[expert]);
@@ -182,7 +191,7 @@
     }
 
     fn time_of(&self, rank: usize) -> f64 {
-        self.totals[rank] / self.site.speeds[rank]
+        self.totals[rank] * self.site.costs[rank]
     }
 
     fn hottest(&self) -> usize {
@@ -208,9 +217,9 @@
 
     /// Sum of squared excess over the target.
     fn excess(&self) -> f64 {
-        let times = self.totals.iter().zip(&self.site.speeds);
+        let times = self.totals.iter().zip(&self.site.costs);
         times
-            .map(|(t, s)| (t / s - self.target).max(0.0).powi(2))
+            .map(|(t, c)| (t * c - self.target).max(0.0).powi(2))
             .sum()
     }
 
@@ -240,7 +249,7 @@
             for &slot in hosts {
                 let rank = self.site.owners[slot];
                 let own = self.site.speeds[rank];
-                let freed = self.time_of(rank) - self.carried[slot] / own;
+                let freed = self.time_of(rank) - self.carried[slot] * self.site.costs[rank];
                 let others = time + self.carried[slot] / (speed - own);
                 scored.push((freed.max(others), slot));
             }
@@ -281,9 +290,9 @@
         None
     }
 
-    fn try_exchange(&mut self, hot: usize, cool: &[usize]) -> Option<Vec<Change>> {
+    fn try_exchange(&mut self, hot: usize) -> Option<Vec<Change>> {
         let mut best: Option<(f64, [Change; 2])> = None;
-        for &rank in cool {
+        for rank in self.coolest(hot) {
             for there in self.site.slots_of(rank) {
                 for here in self.site.slots_of(hot) {
                     let (out, back) = (self.experts[here], self.experts[there]);
--- a/decision/experts/src/plan/place.rs
+++ b/decision/experts/src/plan/place.rs
@@ -118,25 +118,34 @@
 struct Packer<'a> {
     site: &'a Site,
     held: Vec<Vec<u16>>,
-    totals: Vec<f64>,
+    /// Time of each rank; infinite once it is full.
+    times: Vec<f64>,
     nodes: Vec<bool>,
 }
 
 impl<'a> Packer<'a> {
     fn new(site: &'a Site) -> Self {
         let nodes = site.nodes.iter().max().map_or(0, |n| usize::from(*n) + 1);
-        Self {
+        let mut packer = Self {
             site,
             held: vec![Vec::new(); site.speeds.len()],
-            totals: vec![0.0; site.speeds.len()],
+            times: vec![0.0; site.speeds.len()],
             nodes: vec![false; nodes],
-        }
+        };
+        (0..site.speeds.len()).for_each(|rank| packer.note_full(rank));
+        packer
     }
 
     fn room(&self, rank: usize) -> usize {
         self.site.offsets[rank + 1] - self.site.offsets[rank] - self.held[rank].len()
     }
 
+    fn note_full(&mut self, rank: usize) {
+        if self.room(rank) == 0 {
+            self.times[rank] = f64::INFINITY;
+        }
+    }
+
     /// Puts replicas on the ranks that are soonest done with them, while one has room.
     fn put(&mut self, expert: u16, load: f64, replicas: usize) {
         self.nodes.fill(false);
@@ -146,17 +155,18 @@
             };
             self.nodes[usize::from(self.site.nodes[rank])] = true;
             self.held[rank].push(expert);
-            self.totals[rank] += load;
+            self.times[rank] += load * self.site.costs[rank];
+            self.note_full(rank);
         }
     }
 
     fn soonest(&self, expert: u16, load: f64) -> Option<usize> {
         let mut best = None;
-        let mut least = f64::MAX;
-        for rank in 0..self.totals.len() {
-            let time = (self.totals[rank] + load) / self.site.speeds[rank];
+        let mut least = f64::INFINITY;
+        for (rank, (time, cost)) in self.times.iter().zip(&self.site.costs).enumerate() {
+            let time = time + load * cost;
             // The cheap comparison goes first: most ranks fail it.
-            if time >= least || self.room(rank) == 0 || self.held[rank].contains(&expert) {
+            if time >= least || self.held[rank].contains(&expert) {
                 continue;
             }
             let known = self.nodes[usize::from(self.site.nodes[rank])];
