--- /dev/null
+++ b/app/src/agent/core.rs
@@ -0,0 +1,641 @@
+//! State of an agent, shared by its handlers.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use pimentotide_control::Command;
+use pimentotide_instance::work::{
+    BlockEvent, DemandAnswer, DemandOrder, HeldClaim, News, NewsOrder, WorkOrder,
+};
+use pimentotide_instance::{Token, View};
+use pimentotide_model::{
+    Announcement, ErrorKind, Failure, Fence, Fingerprint, Incarnation, InstanceName, LoadReport,
+    RequestId, Revision, Time,
+};
+use pimentotide_observe::Metrics;
+use pimentotide_outcome::{
+    AgentLedger, Begin, Conclusion, Crash, Finding, LedgerEpoch, LedgerLimits, Outcome, Witness,
+};
+use pimentotide_routing::{
+    Admission, Completed, Gate, GatePolicy, GateSettings, Grant, Permit as GatePermit,
+};
+use pimentotide_upstream::{CacheChange, CacheEvent, EngineState};
+use rand::RngExt;
+use tokio::sync::{Notify, OnceCell, watch};
+
+use super::AgentOptions;
+use super::permit::Permit;
+use crate::clock::Clock;
+
+/// Cache events kept for entries that have not asked for them yet.
+const MAX_EVENTS: usize = 4096;
+
+/// Longest time for which a demand waits for a grant.
+const DEMAND_WAIT: Duration = Duration::from_millis(500);
+
+/// Time after which an upstream that says nothing counts as dead.
+const SIGN_OF_LIFE: Duration = Duration::from_secs(1);
+
+/// Time allowed for recording a crash.
+const CRASH_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Entries for which grants are kept at most.
+const MAX_MAILBOXES: usize = 1024;
+
+/// One agent.
+pub(super) struct Core {
+    options: AgentOptions,
+    clock: Clock,
+    epoch: LedgerEpoch,
+    /// Start that the upstream announced last.
+    starts: watch::Sender<u64>,
+    announce: watch::Sender<Option<Announcement>>,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    address: Option<SocketAddr>,
+    slot: Option<Slot>,
+    running: BTreeMap<RequestId, RunningWork>,
+    /// Request that runs alone, or waits to.
+    alone: Option<RequestId>,
+    mailboxes: BTreeMap<InstanceName, Mailbox>,
+    leaving: bool,
+}
+
+/// A request that has been passed on.
+struct RunningWork {
+    cancel: Arc<Notify>,
+    fingerprint: Fingerprint,
+}
+
+/// What becomes of a request that arrives.
+pub(super) enum Arrival {
+    /// It is passed on.
+    Admitted(Permit),
+    /// It ran before; its answer is given again.
+    Ran(Arc<Outcome>),
+    /// It did not run, and will not.
+    Refused(Failure),
+    /// It may have run.
+    Failed(Failure),
+    /// It has to run alone and waits until nothing else runs.
+    Waiting,
+}
+
+/// The upstream in the agent's slot.
+struct Slot {
+    ledger: AgentLedger,
+    engine: EngineState,
+    gate: Gate,
+    revision: Revision,
+    events: VecDeque<CacheEvent>,
+    /// Latest suspected death: the start, whether it was reported, and what ran.
+    crash: (Incarnation, Arc<OnceCell<()>>, Vec<Fingerprint>),
+}
+
+/// Grants on their way to one entry.
+#[derive(Default)]
+struct Mailbox {
+    grants: Vec<Grant>,
+    ready: Arc<Notify>,
+}
+
+impl Core {
+    pub(super) fn new(options: AgentOptions) -> Self {
+        let announce = watch::Sender::new(None);
+        Self {
+            options,
+            clock: Clock::start(),
+            epoch: LedgerEpoch(rand::rng().random()),
+            starts: watch::Sender::new(0),
+            announce,
+            inner: Mutex::default(),
+        }
+    }
+
+    pub(super) fn token(&self) -> &Token {
+        &self.options.token
+    }
+
+    pub(super) fn metrics(&self) -> &Metrics {
+        &self.options.metrics
+    }
+
+    pub(super) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    pub(super) fn announcements(&self) -> watch::Receiver<Option<Announcement>> {
+        self.announce.subscribe()
+    }
+
+    pub(super) fn views(&self) -> watch::Receiver<View> {
+        self.options.view.clone()
+    }
+
+    pub(super) fn set_address(&self, address: SocketAddr) {
+        self.lock().address = Some(address);
+    }
+
+    pub(super) fn running(&self) -> usize {
+        self.lock().running.len()
+    }
+
+    /// Refuses new work from now on.
+    pub(super) fn leave(&self) {
+        let mut inner = self.lock();
+        inner.leaving = true;
+        if let Some(slot) = &mut inner.slot {
+            slot.gate.leave();
+        }
+        drop(inner);
+        self.publish();
+    }
+
+    /// Takes in what the upstream says of itself.
+    pub(super) fn engine_announced(&self, state: EngineState) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let leaving = inner.leaving;
+        self.starts.send_replace(state.started);
+        match &mut inner.slot {
+            Some(slot) => slot.update(state, now),
+            none => {
+                let mut slot = self.open_slot(state, now);
+                if leaving {
+                    slot.gate.leave();
+                }
+                *none = Some(slot);
+            }
+        }
+        drop(inner);
+        self.refresh();
+    }
+
+    /// Puts the latest configuration and lease into force.
+    pub(super) fn refresh(&self) {
+        let view = self.options.view.borrow().clone();
+        let now = self.now();
+        let mut inner = self.lock();
+        let Some(slot) = &mut inner.slot else {
+            return;
+        };
+        if view.current {
+            slot.gate
+                .renew(view.expiry.map_or(Time::MAX, |e| self.clock.at(e)));
+        }
+        let mut grants = Vec::new();
+        if slot.revision < view.declarations.revision {
+            let announcement = self.announcement_of(&slot.engine, SocketAddr::from(([0; 4], 0)));
+            let policy = GatePolicy::of(&view.declarations, &announcement);
+            slot.revision = policy.revision;
+            grants = slot.gate.declare(policy, slot.engine.capacity, now);
+        }
+        inner.deliver(grants);
+        drop(inner);
+        self.publish();
+    }
+
+    /// Expires credits and grants what is free.
+    pub(super) fn tick(&self) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let grants = inner
+            .slot
+            .as_mut()
+            .map(|s| s.gate.tick(now))
+            .unwrap_or_default();
+        inner.deliver(grants);
+    }
+
+    /// Decides what becomes of a request.
+    pub(super) fn arrive(self: &Arc<Self>, order: &WorkOrder) -> Arrival {
+        let now = self.now();
+        let mut inner = self.lock();
+        if inner.running.contains_key(&order.id) {
+            return Arrival::Failed(running_already());
+        }
+        if inner.alone.is_some_and(|id| id != order.id) {
+            let detail = "the upstream runs a suspected request alone";
+            return Arrival::Refused(Failure::new(ErrorKind::Overloaded, detail));
+        }
+        if order.alone {
+            inner.alone = Some(order.id);
+            if !inner.running.is_empty() {
+                return Arrival::Waiting;
+            }
+        }
+        let Some(slot) = inner.slot.as_mut() else {
+            let detail = "the upstream has not announced itself";
+            return Arrival::Refused(Failure::new(ErrorKind::NoUpstream, detail));
+        };
+        if let Some(arrival) = slot.begin_claim(order, now) {
+            return arrival;
+        }
+        let permit = match slot.admit(order, now) {
+            Ok(permit) => permit,
+            Err(failure) => {
+                slot.finish_claim(order, Conclusion::Refused, now);
+                return Arrival::Refused(failure);
+            }
+        };
+        let engine = slot.engine.address;
+        let cancel = Arc::new(Notify::new());
+        let work = RunningWork {
+            cancel: Arc::clone(&cancel),
+            fingerprint: order.fingerprint,
+        };
+        inner.running.insert(order.id, work);
+        Arrival::Admitted(Permit::new(
+            Arc::clone(self),
+            order.id,
+            permit,
+            engine,
+            cancel,
+        ))
+    }
+
+    /// Tells the death of the upstream from the failure of one request.
+    ///
+    /// A death is committed before the failure is told, so that nothing that ran
+    /// on the upstream is tried again unobserved.
+    pub(super) async fn explain(&self, order: &WorkOrder, failure: Failure) -> Failure {
+        let Some((crash, once)) = self.crash_at(order.incarnation) else {
+            return failure;
+        };
+        if !self.has_died(order.incarnation).await {
+            return failure;
+        }
+        once.get_or_init(|| self.report_crash(crash)).await;
+        failure
+    }
+
+    /// Crash that a broken connection may mean, and whether it has been reported.
+    fn crash_at(&self, incarnation: Incarnation) -> Option<(Crash, Arc<OnceCell<()>>)> {
+        let mut inner = self.lock();
+        let suspects = inner.running.values().map(|w| w.fingerprint);
+        let mut suspects: Vec<_> = suspects.collect();
+        suspects.sort_unstable();
+        suspects.dedup();
+        let slot = inner.slot.as_mut()?;
+        let reported = slot.crash.1.initialized();
+        if slot.crash.0 < incarnation || !reported && slot.crash.0 == incarnation {
+            let once = if reported {
+                Arc::default()
+            } else {
+                Arc::clone(&slot.crash.1)
+            };
+            slot.crash = (incarnation, once, suspects);
+        }
+        let crash = Crash {
+            upstream: self.options.upstream.clone(),
+            incarnation,
+            zone: Some(self.options.zone.clone()),
+            witness: Witness::Agent,
+            suspects: slot.crash.2.clone(),
+        };
+        Some((crash, Arc::clone(&slot.crash.1)))
+    }
+
+    /// Whether the upstream has died, judged by its next sign of life.
+    async fn has_died(&self, incarnation: Incarnation) -> bool {
+        let mut starts = self.starts.subscribe();
+        starts.mark_unchanged();
+        let next = tokio::time::timeout(SIGN_OF_LIFE, starts.changed()).await;
+        let started = Incarnation(*starts.borrow());
+        next.is_err() || started > incarnation
+    }
+
+    async fn report_crash(&self, crash: Crash) {
+        log::warn!(
+            "upstream {} died while it ran {} contents",
+            crash.upstream,
+            crash.suspects.len()
+        );
+        let Some(control) = &self.options.control else {
+            return;
+        };
+        let command = Command::Outcome(pimentotide_outcome::Command::Crash(crash));
+        if let Err(e) = control.submit(&command, CRASH_TIMEOUT).await {
+            log::error!("the crash of the upstream was not recorded: {e}");
+        }
+    }
+
+    /// Records how a claimed request ended.
+    pub(super) fn finish_claim(&self, order: &WorkOrder, end: Conclusion) {
+        let now = self.now();
+        if let Some(slot) = &mut self.lock().slot {
+            slot.finish_claim(order, end, now);
+        }
+    }
+
+    /// Tells what became of a claim; one that never arrived is barred for good.
+    pub(super) fn inquire(&self, held: &HeldClaim) -> Option<Finding> {
+        let now = self.now();
+        let mut inner = self.lock();
+        let slot = inner.slot.as_mut()?;
+        Some(slot.ledger.inquire(held.claim, &held.place, now))
+    }
+
+    /// Notes the first token of an admitted request.
+    pub(super) fn first_token(&self, permit: &GatePermit) {
+        let now = self.now();
+        if let Some(slot) = &mut self.lock().slot {
+            slot.gate.first_token(permit, now);
+        }
+    }
+
+    /// Gives the place of an admitted request back.
+    pub(super) fn complete(&self, id: RequestId, permit: GatePermit, done: Completed) {
+        let now = self.now();
+        let mut inner = self.lock();
+        inner.running.remove(&id);
+        inner.end_alone(id);
+        let Some(slot) = &mut inner.slot else {
+            return;
+        };
+        let grants = slot.gate.complete(permit, done, now);
+        inner.deliver(grants);
+    }
+
+    /// Gives up waiting to run a request alone.
+    pub(super) fn end_alone(&self, id: RequestId) {
+        self.lock().end_alone(id);
+    }
+
+    /// Gives up a running request on behalf of its entry.
+    pub(super) fn cancel(&self, id: RequestId) {
+        if let Some(work) = self.lock().running.get(&id) {
+            work.cancel.notify_one();
+        }
+    }
+
+    /// Takes an entry's demand and waits for credits.
+    pub(super) async fn demand(&self, order: DemandOrder) -> DemandAnswer {
+        let entry = order.entry.clone();
+        let waits = !order.demand.is_empty();
+        let Some(ready) = self.state_demand(order) else {
+            return DemandAnswer::default();
+        };
+        if waits {
+            // Without a grant in time the entry states its demand again.
+            let _ = tokio::time::timeout(DEMAND_WAIT, ready.notified()).await;
+        }
+        let mut inner = self.lock();
+        let grants = inner
+            .mailboxes
+            .get_mut(&entry)
+            .map(|m| std::mem::take(&mut m.grants));
+        DemandAnswer {
+            grants: grants.unwrap_or_default(),
+        }
+    }
+
+    /// What entries are told about load and cache.
+    pub(super) fn news(&self, order: &NewsOrder) -> Option<News> {
+        let mut inner = self.lock();
+        let slot = inner.slot.as_mut()?;
+        let known = order.incarnation == Incarnation(slot.engine.started);
+        let since = if known { order.sequence } else { 0 };
+        let events = slot
+            .events
+            .iter()
+            .filter(|e| e.sequence > since)
+            .map(block_event)
+            .collect();
+        Some(News {
+            epoch: slot.ledger.epoch(),
+            report: slot.gate.report(),
+            events,
+        })
+    }
+
+    /// Load of the upstream as seen here.
+    pub(super) fn report(&self) -> LoadReport {
+        let mut inner = self.lock();
+        inner
+            .slot
+            .as_mut()
+            .map(|s| s.gate.report())
+            .unwrap_or_default()
+    }
+
+    fn state_demand(&self, order: DemandOrder) -> Option<Arc<Notify>> {
+        let now = self.now();
+        let mut inner = self.lock();
+        if !inner.mailboxes.contains_key(&order.entry) {
+            if inner.mailboxes.len() >= MAX_MAILBOXES {
+                inner.mailboxes.pop_first();
+            }
+            inner
+                .mailboxes
+                .insert(order.entry.clone(), Mailbox::default());
+        }
+        let slot = inner.slot.as_mut()?;
+        let mut grants = Vec::new();
+        for credit in order.returned {
+            grants.extend(slot.gate.give_back(credit, now));
+        }
+        grants.extend(slot.gate.demand(&order.entry, order.demand, now));
+        inner.deliver(grants);
+        inner
+            .mailboxes
+            .get(&order.entry)
+            .map(|m| Arc::clone(&m.ready))
+    }
+
+    fn open_slot(&self, engine: EngineState, now: Time) -> Slot {
+        let announcement = self.announcement_of(&engine, SocketAddr::from(([0; 4], 0)));
+        let declarations = Arc::clone(&self.options.view.borrow().declarations);
+        let policy = GatePolicy::of(&declarations, &announcement);
+        let revision = policy.revision;
+        let settings = GateSettings {
+            incarnation: Incarnation(engine.started),
+            capacity: engine.capacity,
+            policy,
+        };
+        let events = engine.cache.iter().copied().collect();
+        let ledger = AgentLedger::open(
+            self.epoch,
+            Incarnation(engine.started),
+            LedgerLimits::default(),
+        );
+        Slot {
+            ledger,
+            gate: Gate::open(settings, now),
+            engine,
+            revision,
+            events,
+            crash: (Incarnation(0), Arc::default(), Vec::new()),
+        }
+    }
+
+    fn publish(&self) {
+        let inner = self.lock();
+        let announcement = inner
+            .slot
+            .as_ref()
+            .zip(inner.address)
+            .map(|(slot, address)| {
+                let announcement = self.announcement_of(&slot.engine, address);
+                Announcement {
+                    leaving: inner.leaving,
+                    revision: slot.revision,
+                    ..announcement
+                }
+            });
+        drop(inner);
+        self.announce.send_if_modified(|current| {
+            let changed = *current != announcement;
+            *current = announcement;
+            changed
+        });
+    }
+
+    fn announcement_of(&self, engine: &EngineState, address: SocketAddr) -> Announcement {
+        let models = engine
+            .models
+            .iter()
+            .map(|m| (m.name.clone(), m.version.clone()));
+        Announcement {
+            upstream: self.options.upstream.clone(),
+            incarnation: Incarnation(engine.started),
+            zone: self.options.zone.clone(),
+            address: address.to_string(),
+            kind: engine.kind,
+            services: engine.services.clone(),
+            models: models.collect(),
+            adapters: engine.adapters.clone(),
+            capacity: engine.capacity,
+            group: engine.group.clone(),
+            leaving: false,
+            revision: Revision::default(),
+            fence: Fence::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn end_alone(&mut self, id: RequestId) {
+        if self.alone == Some(id) && !self.running.contains_key(&id) {
+            self.alone = None;
+        }
+    }
+
+    /// Puts grants where the entries that they are for will find them.
+    fn deliver(&mut self, grants: Vec<Grant>) {
+        for grant in grants {
+            if let Some(mailbox) = self.mailboxes.get_mut(&grant.entry) {
+                mailbox.grants.push(grant);
+                mailbox.ready.notify_one();
+            }
+        }
+    }
+}
+
+impl Slot {
+    fn update(&mut self, mut engine: EngineState, now: Time) {
+        let events = std::mem::take(&mut engine.cache);
+        if engine.started > self.engine.started {
+            let incarnation = Incarnation(engine.started);
+            self.gate.restart(incarnation, now);
+            self.ledger.upstream_died(now);
+            self.ledger.upstream_started(incarnation);
+            self.events.clear();
+        }
+        self.gate.observe_waiting(engine.waiting);
+        self.events.extend(events);
+        let excess = self.events.len().saturating_sub(MAX_EVENTS);
+        self.events.drain(..excess);
+        self.engine = engine;
+    }
+}
+
+impl Slot {
+    /// Enters a claim into the ledger; none if the request is to run.
+    fn begin_claim(&mut self, order: &WorkOrder, now: Time) -> Option<Arrival> {
+        if order.idempotent {
+            return None;
+        }
+        let Some(held) = &order.claim else {
+            let detail = "a request that may run only once needs a claim";
+            return Some(Arrival::Refused(Failure::new(
+                ErrorKind::InvalidRequest,
+                detail,
+            )));
+        };
+        match self.ledger.begin(held.claim, &held.place, now) {
+            Begin::Run => None,
+            Begin::NotRun(reason) => {
+                let detail = format!("the claim will not run here: {reason:?}");
+                Some(Arrival::Refused(Failure::new(
+                    ErrorKind::NoUpstream,
+                    detail,
+                )))
+            }
+            Begin::Running => Some(Arrival::Failed(running_already())),
+            Begin::Finished(outcome) => Some(Arrival::Ran(outcome)),
+            Begin::Lost => {
+                let detail = "the claim may have run here";
+                Some(Arrival::Failed(Failure::new(
+                    ErrorKind::OutcomeUnknown,
+                    detail,
+                )))
+            }
+        }
+    }
+
+    fn finish_claim(&mut self, order: &WorkOrder, end: Conclusion, now: Time) {
+        if let Some(held) = &order.claim {
+            self.ledger.finish(held.claim, end, now);
+        }
+    }
+
+    fn admit(&mut self, order: &WorkOrder, now: Time) -> Result<GatePermit, Failure> {
+        if order.incarnation != Incarnation(self.engine.started) {
+            return Err(Failure::new(
+                ErrorKind::NoUpstream,
+                "the upstream has restarted",
+            ));
+        }
+        self.gate.admit(&admission(order), now).map_err(|refusal| {
+            Failure::new(
+                refusal.kind,
+                format!("refused by the gate: {}", refusal.kind),
+            )
+        })
+    }
+}
+
+fn running_already() -> Failure {
+    Failure::new(ErrorKind::StillRunning, "the request runs here already")
+}
+
+fn admission(order: &WorkOrder) -> Admission {
+    Admission {
+        entry: order.entry.clone(),
+        request: order.id,
+        service: order.service.clone(),
+        workspace: order.workspace.clone(),
+        priority: order.priority,
+        remaining: order.remaining,
+        revision: order.revision,
+        credit: order.credit,
+    }
+}
+
+fn block_event(event: &CacheEvent) -> BlockEvent {
+    BlockEvent {
+        sequence: event.sequence,
+        stored: event.change == CacheChange::Stored,
+        block: event.block,
+    }
+}
--- /dev/null
+++ b/app/src/entry/decision.rs
@@ -0,0 +1,82 @@
+//! One log line for each routing decision.
+
+use pimentotide_model::{RequestMeta, Revision};
+use serde::Serialize;
+
+use super::placing::Placed;
+
+#[derive(Serialize)]
+struct Line<'a> {
+    request: String,
+    workspace: &'a str,
+    service: &'a str,
+    profile: &'a str,
+    priority: u8,
+    attempt: u32,
+    considered: Vec<Considered<'a>>,
+    choice: Option<&'a str>,
+    reason: String,
+    waited_ms: u128,
+    revision: Revision,
+}
+
+#[derive(Serialize)]
+struct Considered<'a> {
+    upstream: &'a str,
+    score_us: u64,
+    load: u64,
+    allowance: u32,
+    cached_blocks: u32,
+}
+
+/// Logs where a request goes.
+pub(super) fn log_placed(meta: &RequestMeta, profile: &str, attempt: u32, placed: &Placed) {
+    let considered = placed.candidates.iter().map(|c| Considered {
+        upstream: &c.upstream,
+        score_us: c.score as u64,
+        load: c.load as u64,
+        allowance: c.allowance,
+        cached_blocks: c.hit,
+    });
+    let line = Line {
+        considered: considered.collect(),
+        choice: Some(&placed.upstream),
+        reason: placed.reason.to_string(),
+        waited_ms: placed.waited.as_millis(),
+        revision: placed.revision,
+        ..line(meta, profile, attempt)
+    };
+    pimentotide_observe::event("route", &line);
+}
+
+/// Logs that a request goes nowhere.
+pub(super) fn log_refused(
+    meta: &RequestMeta,
+    profile: &str,
+    attempt: u32,
+    reason: &str,
+    revision: Revision,
+) {
+    let refused = Line {
+        reason: reason.to_owned(),
+        revision,
+        ..line(meta, profile, attempt)
+    };
+    pimentotide_observe::event("route", &refused);
+}
+
+fn line<'a>(meta: &'a RequestMeta, profile: &'a str, attempt: u32) -> Line<'a> {
+    Line {
+        request: meta.id.to_string(),
+        workspace: &meta.workspace,
+        service: &meta.service,
+        profile,
+        priority: meta.priority.0,
+        attempt,
+        considered: Vec::new(),
+        choice: None,
+        reason: String::new(),
+        waited_ms: 0,
+        revision: Revision::default(),
+    }
+}
--- a/dev/bench/src/lib.rs
+++ b/dev/bench/src/lib.rs
@@ -1,1 +1,4 @@
-//! Benchmarks of the decision packages and of the whole path.
+//! Parts that benches share.
+
+pub mod fleet;
+pub mod load;
--- /dev/null
+++ b/peers/instance/src/work/mod.rs
@@ -0,0 +1,31 @@
+//! Work passed from an entry to an agent, and the answer on its way back.
+//!
+//! An entry posts one encoded [`WorkOrder`] to [`WORK_PATH`]. The agent answers
+//! with a sequence of [`Frame`]s, each written as soon as the upstream has
+//! produced it. Only [`Frame::End`] closes an answer that is whole; a sequence
+//! that stops without one is a failure, never a short answer.
+
+mod client;
+mod demand;
+mod frame;
+mod order;
+
+pub use client::{FrameStream, WorkClient, WorkError};
+pub use demand::{BlockEvent, DemandAnswer, DemandOrder, News, NewsOrder};
+pub use frame::{Frame, FrameDecoder, FrameError, MAX_FRAME_BYTES};
+pub use order::{HeldClaim, MAX_ORDER_BYTES, OrderError, WorkOrder};
+
+/// Path to which entries post work.
+pub const WORK_PATH: &str = "/work";
+
+/// Path to which entries post the id of a request that they give up.
+pub const CANCEL_PATH: &str = "/cancel";
+
+/// Path to which entries post their demand; answered when credits are granted.
+pub const DEMAND_PATH: &str = "/demand";
+
+/// Path to which entries post requests for load and cache events.
+pub const NEWS_PATH: &str = "/news";
+
+/// Path to which entries post inquiries about claims.
+pub const INQUIRY_PATH: &str = "/inquiry";
