Expert maps: cost of loading weights, decision record of the planner

Cause: rebalancing and cold starts of all coordinators share one store, and the planner's bench let a group move more than its hourly bytes.

Change: expert_cost runs leased shares against leases without priority and a fixed split; expert_plan bills moves to the hourly bucket. Weights of a map are computed only for the points that are chosen.

--- a/decision/experts/src/plan/balance.rs
+++ b/decision/experts/src/plan/balance.rs
@@ -63,6 +63,32 @@
     pub(crate) expert: u16,
 }
 
+/// Experts in the slots of one layer, and the tokens that each slot carries.
+#[derive(Clone, Debug)]
+pub(crate) struct Split {
+    pub(crate) experts: Vec<u16>,
+    carried: Vec<f64>,
+}
+
+impl Split {
+    /// Returns the slots with the tokens as weights.
+    pub(crate) fn slots(&self) -> Vec<Slot> {
+        let experts = self.experts.iter().max().map_or(0, |e| usize::from(*e) + 1);
+        let mut most = vec![0.0_f64; experts];
+        for (expert, carried) in self.experts.iter().zip(&self.carried) {
+            let most = &mut most[usize::from(*expert)];
+            *most = most.max(*carried);
+        }
+        let slots = self.experts.iter().zip(&self.carried);
+        slots
+            .map(|(&expert, &carried)| Slot {
+                expert,
+                weight: quantise(carried, most[usize::from(expert)]),
+            })
+            .collect()
+    }
+}
+
 /// Working state of one layer.
 #[derive(Clone, Debug)]
 pub(crate) struct Balance<'a> {
@@ -73,6 +99,7 @@
     carried: Vec<f64>,
     totals: Vec<f64>,
     hosts: Vec<Vec<usize>>,
+    saved: (Vec<f64>, Vec<f64>),
     scratch: Vec<(f64, f64, usize)>,
 }
 
@@ -91,6 +118,7 @@
             totals: vec![0.0; site.speeds.len()],
             experts,
             hosts,
+            saved: (Vec::new(), Vec::new()),
             scratch: Vec::new(),
         };
         balance.spread();
@@ -104,20 +132,12 @@
         times.map(|(t, c)| t * c).fold(0.0, f64::max)
     }
 
-    /// Returns the slots with the split as weights.
-    pub(crate) fn slots(&self) -> Vec<Slot> {
-        let mut slots: Vec<Slot> = self
-            .experts
-            .iter()
-            .map(|&expert| Slot { expert, weight: 0 })
-            .collect();
-        for hosts in &self.hosts {
-            let most = hosts.iter().map(|h| self.carried[*h]).fold(0.0, f64::max);
-            for &host in hosts {
-                slots[host].weight = quantise(self.carried[host], most);
-            }
+    /// Returns the experts in the slots with the tokens that each carries.
+    pub(crate) fn split(&self) -> Split {
+        Split {
+            experts: self.experts.clone(),
+            carried: self.carried.clone(),
         }
-        slots
     }
 
     /// Makes the one change that cuts the excess over the target, if there is one.
@@ -316,7 +336,8 @@
     /// Applies `changes`, and takes them back unless they cut the excess.
     fn attempt(&mut self, changes: &[Change], hot: usize) -> bool {
         let before = self.excess();
-        let saved = (self.carried.clone(), self.totals.clone());
+        self.saved.0.clone_from(&self.carried);
+        self.saved.1.clone_from(&self.totals);
         let old: Vec<Change> = changes
             .iter()
             .map(|c| Change {
@@ -338,7 +359,8 @@
             return true;
         }
         self.replace(&old);
-        (self.carried, self.totals) = saved;
+        self.carried.clone_from(&self.saved.0);
+        self.totals.clone_from(&self.saved.1);
         false
     }
 
@@ -387,7 +409,6 @@
     if most <= 0.0 {
         return u8::MAX;
     }
-    let weight = (share / most * f64::from(u8::MAX)).round();
     // In range: share lies between zero and most.
-    weight as u8
+    (share / most * f64::from(u8::MAX) + 0.5) as u8
 }
--- a/decision/experts/src/plan/place.rs
+++ b/decision/experts/src/plan/place.rs
@@ -54,7 +54,7 @@
                 break;
             }
         }
-        slots.extend(balance.slots());
+        slots.extend(balance.split().slots());
     }
     Ok(ExpertMap {
         layers: layout.layers,
--- a/decision/experts/src/plan/select.rs
+++ b/decision/experts/src/plan/select.rs
@@ -1,6 +1,6 @@
 //! Choice of the fewest changes that bring most of the gain, over all layers.
 
-use super::balance::{Balance, Site};
+use super::balance::{Balance, Site, Split};
 use super::bound::Bounds;
 use super::demand::Demand;
 use super::place::{MAX_LAYER_CHANGES, TOLERANCE};
@@ -22,7 +22,7 @@
 
 /// One layer after some of its changes.
 struct Point {
-    slots: Vec<Slot>,
+    split: Split,
     moved: u64,
     time: f64,
 }
@@ -64,7 +64,7 @@
         .iter()
         .zip(chosen)
         .flat_map(|(track, point)| match point {
-            Some(point) => track.points[point].slots.clone(),
+            Some(point) => track.points[point].split.slots(),
             None => track.old.clone(),
         })
         .collect();
@@ -95,12 +95,12 @@
 }
 
 fn point(balance: &Balance<'_>, old: &[Slot]) -> Point {
-    let slots = balance.slots();
-    let differ = |(new, old): &(&Slot, &Slot)| new.expert != old.expert;
+    let split = balance.split();
+    let differ = |(new, old): &(&u16, &Slot)| **new != old.expert;
     Point {
-        moved: slots.iter().zip(old).filter(differ).count() as u64,
+        moved: split.experts.iter().zip(old).filter(differ).count() as u64,
         time: balance.time(),
-        slots,
+        split,
     }
 }
 
@@ -182,9 +182,9 @@
     let Some(point) = point else {
         return loads;
     };
-    let slots = track.points[point].slots.iter().zip(&track.old);
+    let slots = track.points[point].split.experts.iter().zip(&track.old);
     for ((new, old), &owner) in slots.zip(&site.owners) {
-        loads[owner] += u64::from(new.expert != old.expert);
+        loads[owner] += u64::from(*new != old.expert);
     }
     loads
 }
--- /dev/null
+++ b/dev/bench/src/bin/expert_cost.rs
@@ -0,0 +1,238 @@
+//! Cost of loading weights: shares of the store, and copies from peers.
+//!
+//! Cold starts and rebalances of three coordinators draw on one store. Leased
+//! shares run against a fixed split by coordinator and against leases that make
+//! no difference between cold starts and rebalances.
+
+use std::time::Duration;
+
+use pimentotide_experts::{
+    Budget, Demand, LEASE, LEASE_MARGIN, Layout, LeaseRequest, Limits, Purpose, Source, cold_loads,
+    improve_map, place, sources,
+};
+use pimentotide_model::{OrderId, Time};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Seed of all random draws.
+const SEED: u64 = 7_340_033;
+
+/// Rate of the store, bytes in a second.
+const RATE: u64 = 1 << 30;
+
+/// Most that one load can take, bytes in a second.
+const LINK: u64 = 512 << 20;
+
+/// Coordinators that share the store.
+const COORDINATORS: u64 = 3;
+
+/// Virtual time of a run.
+const RUN: Duration = Duration::from_secs(2 * 3600);
+
+/// Step of virtual time.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Time before its end at which a lease is renewed.
+const RENEW: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Way {
+    Leased,
+    NoPriority,
+    FixedSplit,
+}
+
+struct Job {
+    id: OrderId,
+    purpose: Purpose,
+    coordinator: u64,
+    start: Time,
+    left: f64,
+    rate: u64,
+    until: Time,
+}
+
+#[derive(Default)]
+struct Tally {
+    cold: Vec<f64>,
+    moves: Vec<f64>,
+    peak: u64,
+    served: f64,
+}
+
+fn arrivals(rng: &mut ChaCha8Rng, moves: f64) -> Vec<Job> {
+    let mut jobs = Vec::new();
+    let mut job = |start: Time, purpose, gib: f64, coordinator| {
+        jobs.push(Job {
+            id: OrderId::from(format!("load-{}", jobs.len())),
+            purpose,
+            coordinator,
+            start,
+            left: gib * f64::from(1 << 30),
+            rate: 0,
+            until: Time::ZERO,
+        });
+    };
+    for second in (0..RUN.as_secs()).step_by(10) {
+        let start = Time::ZERO + Duration::from_secs(second);
+        if rng.random_bool(0.10) {
+            let coordinator = rng.random_range(0..COORDINATORS);
+            job(
+                start,
+                Purpose::ColdStart,
+                rng.random_range(15.0..40.0),
+                coordinator,
+            );
+        }
+        if rng.random_bool(moves) {
+            let coordinator = rng.random_range(0..COORDINATORS);
+            job(
+                start,
+                Purpose::Rebalance,
+                rng.random_range(4.0..16.0),
+                coordinator,
+            );
+        }
+        // A zone comes back: four cold starts at once, every half hour.
+        if second % 1800 == 900 {
+            (0..4).for_each(|n| job(start, Purpose::ColdStart, 30.0, n % COORDINATORS));
+        }
+    }
+    jobs
+}
+
+fn grant(way: Way, budget: &mut Budget, job: &mut Job, share: u64, now: Time) {
+    if way == Way::FixedSplit {
+        job.rate = LINK.min(share);
+        job.until = now + LEASE;
+        return;
+    }
+    let purpose = if way == Way::Leased {
+        job.purpose
+    } else {
+        Purpose::Rebalance
+    };
+    let request = LeaseRequest {
+        id: job.id.clone(),
+        purpose,
+        rate: LINK,
+    };
+    let wanted = job.until < now + RENEW;
+    if let Some(lease) = wanted.then(|| budget.lease(&request, now)).flatten() {
+        job.rate = lease.rate;
+        job.until = lease.until - LEASE_MARGIN;
+    }
+}
+
+fn run(way: Way, moves: f64) -> Tally {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let mut waiting = arrivals(&mut rng, moves);
+    waiting.reverse();
+    let mut budget = Budget::default();
+    budget.set_rate(RATE);
+    let mut active: Vec<Job> = Vec::new();
+    let mut tally = Tally::default();
+    let mut now = Time::ZERO;
+    while now < Time::ZERO + RUN || !active.is_empty() {
+        while waiting.last().is_some_and(|j| j.start <= now) {
+            active.extend(waiting.pop());
+        }
+        let mut counts = [0_u64; COORDINATORS as usize];
+        active
+            .iter()
+            .for_each(|j| counts[j.coordinator as usize] += 1);
+        let mut used = 0;
+        for job in &mut active {
+            let share = RATE / COORDINATORS / counts[job.coordinator as usize];
+            grant(way, &mut budget, job, share, now);
+            if job.until > now {
+                used += job.rate;
+                job.left -= job.rate as f64 * TICK.as_secs_f64();
+            }
+        }
+        tally.peak = tally.peak.max(used);
+        tally.served += used as f64 * TICK.as_secs_f64();
+        now += TICK;
+        active.retain(|job| {
+            if job.left > 0.0 {
+                return true;
+            }
+            budget.give_back(&job.id);
+            let took = now.since(job.start).as_secs_f64();
+            match job.purpose {
+                Purpose::ColdStart => tally.cold.push(took),
+                Purpose::Rebalance => tally.moves.push(took),
+            }
+            false
+        });
+    }
+    tally
+}
+
+fn quantile(values: &mut [f64], part: f64) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[((values.len() - 1) as f64 * part).round() as usize]
+}
+
+fn shares(moves: f64) {
+    println!(
+        "store of 1 GiB/s, {COORDINATORS} coordinators, 2 h, {:.0} rebalances/h; time to load in s",
+        moves * 360.0
+    );
+    println!(
+        "{:12} {:>9} {:>9} {:>9} {:>9} {:>11}",
+        "way", "cold p50", "cold p99", "move p50", "move p99", "peak/rate"
+    );
+    for way in [Way::Leased, Way::NoPriority, Way::FixedSplit] {
+        let mut tally = run(way, moves);
+        println!(
+            "{:12} {:9.1} {:9.1} {:9.1} {:9.1} {:11.3}",
+            format!("{way:?}"),
+            quantile(&mut tally.cold, 0.5),
+            quantile(&mut tally.cold, 0.99),
+            quantile(&mut tally.moves, 0.5),
+            quantile(&mut tally.moves, 0.99),
+            tally.peak as f64 / RATE as f64,
+        );
+    }
+}
+
+fn peers(ranks: u16, slots: u16) {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let layout = Layout::uniform(60, 128, ranks, slots, 8);
+    let mut draw = || -> Vec<f64> {
+        let weights = (0..60 * 128).map(|_| rng.random::<f64>().powi(4));
+        weights.collect()
+    };
+    let speeds = vec![1.0; usize::from(ranks)];
+    let demand = Demand::new(128, &draw(), &speeds);
+    let map = place(&layout, &demand).expect("layout fits");
+    let shifted = Demand::new(128, &draw(), &speeds);
+    let limits = Limits {
+        moves: 500,
+        staged: 200,
+        price: 0.0,
+    };
+    let next = improve_map(&layout, &shifted, &map, &limits);
+    let moves = sources(&layout, &map, &next, &speeds);
+    let cold = cold_loads(&layout, &map, 1, &[]);
+    let store = |loads: &[pimentotide_experts::Load]| {
+        loads.iter().filter(|l| l.source == Source::Store).count()
+    };
+    println!(
+        "{ranks:>4} ranks: rebalance {} loads, {} from the store; one rank starts cold: {} loads, {} from the store",
+        moves.len(),
+        store(&moves),
+        cold.len(),
+        store(&cold),
+    );
+}
+
+fn main() {
+    shares(0.25);
+    shares(0.6);
+    println!();
+    for (ranks, slots) in [(12, 12), (64, 3), (256, 2)] {
+        peers(ranks, slots);
+    }
+}
--- a/dev/bench/src/bin/expert_plan.rs
+++ b/dev/bench/src/bin/expert_plan.rs
@@ -6,10 +6,10 @@
 use std::time::{Duration, Instant};
 
 use pimentotide_experts::{
-    Bounds, Conditions, Demand, ExpertMap, Layout, Limits, PlanPolicy, Planner, StepSample,
+    Bounds, Budget, Conditions, Demand, ExpertMap, Layout, Limits, PlanPolicy, Planner, StepSample,
     TokenCounts, Verdict, improve_map, pack_greedily, place,
 };
-use pimentotide_model::Time;
+use pimentotide_model::{GroupName, Time};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -34,6 +34,9 @@
 /// Layers in the scenarios.
 const SCENARIO_LAYERS: u16 = 16;
 
+/// Bytes that rebalancing may move in an hour.
+const HOURLY: u64 = 64 << 30;
+
 /// Exponent of the popularity by rank of an expert.
 const ZIPF: f64 = 0.8;
 
@@ -219,15 +222,24 @@
     let policy = PlanPolicy::default();
     let mut planner = Planner::new(truth.layout.clone(), policy).expect("layout fits");
     let mut tally = Tally::default();
+    let mut budget = Budget::default();
+    let group = GroupName::from("group");
     for tick in 0..TICKS {
         record(&mut tally, truth, &truth.demand(tick), &map);
         observe(&mut planner, truth, tick, &map, &mut rng);
+        let now = Time::ZERO + TICK * tick as u32;
         let conditions = Conditions {
-            allowance: 64 << 30,
+            allowance: budget.allowance(&group, HOURLY, now),
             ..Conditions::default()
         };
-        match planner.look(Time::ZERO + TICK * tick as u32, &map, conditions) {
-            Verdict::Propose(plan) => switch(&mut tally, &truth.layout, &mut map, plan.map),
+        match planner.look(now, &map, conditions) {
+            Verdict::Propose(plan) => {
+                assert!(
+                    budget.spend(&group, HOURLY, plan.bytes, now),
+                    "within the allowance"
+                );
+                switch(&mut tally, &truth.layout, &mut map, plan.map);
+            }
             Verdict::Decline { reason, .. } => *reasons.entry(reason.to_string()).or_default() += 1,
         }
     }
