Platform protocol: orders to ranks and reading of weights, with stand-ins

Cause: agents need a published protocol towards the ranks of engines and the rate-limited weights store.

Change: RankClient and WeightsClient over HTTP; stand-in ranks run in lock-step, check or ignore fencing numbers and keep a ledger of steps; the stand-in store turns readers away beyond its rate.

What an engine reports of itself is now called Inventory, as EngineState names another message.

--- a/decision/experts/src/lib.rs
+++ b/decision/experts/src/lib.rs
@@ -19,7 +19,7 @@
 pub use command::{Command, Refusal, Reply};
 pub use decisions::{DecidedMap, Decisions, GroupState, StagedMap};
 pub use map::{ExpertMap, Layout, MAX_MAP_SLOTS, MapError, MapId, RankShape, Slot};
-pub use order::{Change, EngineState, Order, OrderBook, OrderLog, Progress, Receipt, Role};
+pub use order::{Change, Inventory, Order, OrderBook, OrderLog, Progress, Receipt, Role};
 pub use plan::{
     Bounds, Conditions, Declined, Demand, Forecast, Limits, Load, Plan, PlanPolicy, Planner,
     Popularity, Source, Speeds, StepSample, TokenCounts, Verdict, cold_loads, improve_map,
--- a/decision/experts/src/order.rs
+++ b/decision/experts/src/order.rs
@@ -69,7 +69,7 @@
 
 /// What an engine reports of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EngineState {
+pub struct Inventory {
     /// Versions loaded, by model.
     pub models: BTreeMap<ModelName, VersionName>,
     /// Adapters loaded.
@@ -133,7 +133,7 @@
     }
 }
 
-impl EngineState {
+impl Inventory {
     /// Whether the engine is in the state that `change` asks for.
     pub fn meets(&self, change: &Change) -> bool {
         match change {
@@ -234,7 +234,7 @@
     }
 
     /// Takes in an order; an engine in the state asked for need not act.
-    pub fn receive(&mut self, order: &Order, engine: &EngineState) -> Result<Receipt, Failure> {
+    pub fn receive(&mut self, order: &Order, engine: &Inventory) -> Result<Receipt, Failure> {
         let Some(floor) = self.floor else {
             let detail = "the agent has not learnt the floor of fencing numbers";
             return Err(Failure::new(ErrorKind::NotCurrent, detail));
--- a/decision/experts/tests/it/order.rs
+++ b/decision/experts/tests/it/order.rs
@@ -2,9 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use pimentotide_experts::{
-    Change, EngineState, Order, OrderBook, OrderLog, Progress, Receipt, Role,
-};
+use pimentotide_experts::{Change, Inventory, Order, OrderBook, OrderLog, Progress, Receipt, Role};
 use pimentotide_model::{ErrorKind, Fence, ModelName, OrderId, UpstreamName, VersionName};
 
 fn upstream() -> UpstreamName {
@@ -19,11 +17,11 @@
     log.place(&upstream(), &OrderId::from(id), change, Fence(fence))
 }
 
-fn engine(version: &str) -> EngineState {
+fn engine(version: &str) -> Inventory {
     let versions = [(ModelName::from("advice"), VersionName::from(version))];
-    EngineState {
+    Inventory {
         models: BTreeMap::from(versions),
-        ..EngineState::default()
+        ..Inventory::default()
     }
 }
 
--- /dev/null
+++ b/peers/platform/tests/it/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the platform protocol against stand-ins over real sockets.
+
+mod ranks;
+mod weights;
--- /dev/null
+++ b/peers/platform/tests/it/ranks.rs
@@ -0,0 +1,118 @@
+//! Orders to ranks that run in lock-step, with and without a check of the number.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pimentotide_experts::{Change, Epoch, ExpertMap, MapId};
+use pimentotide_model::{Fence, ModelName, VersionName};
+use pimentotide_platform::{PlatformError, RankClient, RankOrder, RankRequest};
+use pimentotide_standin::{RankGroup, RankOptions};
+
+const RANKS: u16 = 2;
+
+fn group(fenced: bool) -> RankGroup {
+    let options = RankOptions {
+        listen: "127.0.0.1:0".parse().expect("address"),
+        ranks: RANKS,
+        fenced,
+        step: Duration::from_millis(1),
+        load: Duration::from_millis(1),
+    };
+    RankGroup::spawn(options).expect("bound")
+}
+
+fn clients(address: SocketAddr) -> Vec<RankClient> {
+    (0..RANKS).map(|r| RankClient::open(address, r)).collect()
+}
+
+fn request(fence: u64, order: RankOrder) -> RankRequest {
+    RankRequest {
+        fence: Fence(fence),
+        order,
+    }
+}
+
+fn load(fence: u64, map: u64) -> RankRequest {
+    let order = RankOrder::Load {
+        map: MapId(map),
+        content: Arc::new(ExpertMap::default()),
+        loads: None,
+    };
+    request(fence, order)
+}
+
+fn run(step: u64) -> RankRequest {
+    let order = RankOrder::Run {
+        epoch: Epoch::default(),
+        step,
+        map: MapId(1),
+    };
+    request(1, order)
+}
+
+#[actix_rt::test]
+async fn a_step_ends_when_all_ranks_have_started_it() {
+    let group = group(true);
+    let ranks = clients(group.address());
+    for rank in &ranks {
+        let state = rank.order(&load(1, 1)).await.expect("loaded");
+        assert_eq!(state.ready, [MapId(1)]);
+    }
+    let step = run(1);
+    let (first, second) = futures_util::join!(ranks[0].order(&step), ranks[1].order(&step));
+    assert_eq!(first.expect("run").step, 1);
+    assert_eq!(second.expect("run").step, 1);
+    let ledger = group.ledger();
+    assert_eq!(ledger.len(), 2);
+    assert!(ledger.iter().all(|r| r.map == MapId(1) && r.step == 1));
+    group.stop().await;
+}
+
+#[actix_rt::test]
+async fn an_aborted_step_does_not_end() {
+    let group = group(true);
+    let ranks = clients(group.address());
+    let step = run(1);
+    let abort = request(1, RankOrder::Abort { step: 1 });
+    let wait = async {
+        while group.ledger().is_empty() {
+            actix_rt::time::sleep(Duration::from_millis(1)).await;
+        }
+        ranks[0].order(&abort).await
+    };
+    let (ended, aborted) = futures_util::join!(ranks[0].order(&step), wait);
+    assert_eq!(ended, Err(PlatformError::Status(410)));
+    assert_eq!(aborted.expect("aborted").step, 0);
+    group.stop().await;
+}
+
+#[actix_rt::test]
+async fn only_ranks_that_check_refuse_an_old_number() {
+    for fenced in [true, false] {
+        let group = group(fenced);
+        let rank = RankClient::open(group.address(), 1);
+        rank.order(&load(5, 1)).await.expect("loaded");
+        let old = rank.order(&load(4, 2)).await;
+        match fenced {
+            true => assert_eq!(old, Err(PlatformError::Fenced)),
+            false => assert_eq!(old.expect("ignored").ready, [MapId(1), MapId(2)]),
+        }
+        group.stop().await;
+    }
+}
+
+#[actix_rt::test]
+async fn a_change_shows_in_the_state() {
+    let group = group(true);
+    let rank = RankClient::open(group.address(), 0);
+    let change = Change::Load(ModelName::from("advice"), VersionName::from("v2"));
+    assert!(!rank.state().await.expect("state").inventory.meets(&change));
+    let order = request(1, RankOrder::Change(change.clone()));
+    let state = rank.order(&order).await.expect("changed");
+    assert!(state.inventory.meets(&change));
+    assert_eq!(group.acted(0), 1);
+    group.restart(0);
+    assert!(!rank.state().await.expect("state").inventory.meets(&change));
+    group.stop().await;
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -13,8 +13,12 @@
 mod ledger;
 mod options;
 mod plain;
+mod ranks;
+mod weights;
 
 pub use control::Control;
 pub use engine::{Engine, EngineError};
 pub use ledger::{Ledger, RunRecord};
 pub use options::EngineOptions;
+pub use ranks::{RankGroup, RankGroupError, RankOptions, StepRecord};
+pub use weights::{WeightsOptions, WeightsStore, WeightsStoreError};
