Expert maps: manager that joins planner, bucket and coordinator

Cause: whoever hosts a group would have had to pay for plans, pause and report by itself.

Change: Manager looks on a period, pays for a plan once out of the group's bucket, proposes it, gives up what is staged while operators have paused the group or everything, and gathers the status. A plan's note displays as the text of its log line.

--- a/decision/experts/src/budget.rs
+++ b/decision/experts/src/budget.rs
@@ -64,12 +64,23 @@
     pub rate: u64,
 }
 
+/// Bytes that one plan moves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlanCost {
+    /// Identifier of the plan, the same when the command is resent.
+    pub id: OrderId,
+    /// Bytes.
+    pub bytes: u64,
+}
+
 /// Bytes that rebalancing may still move in one group.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct Bucket {
     hourly: u64,
     level: u64,
     at: Time,
+    /// What was paid for last, so that a resent command takes nothing more.
+    last: Option<OrderId>,
 }
 
 /// Shares and buckets of the whole deployment.
@@ -135,25 +146,27 @@
 
     /// Bytes that rebalancing may move in `group` now, at `hourly` bytes an hour.
     pub fn allowance(&self, group: &GroupName, hourly: u64, now: Time) -> u64 {
-        let full = Bucket {
-            hourly,
-            level: hourly,
-            at: now,
-        };
-        let bucket = self.buckets.get(group).copied().unwrap_or(full);
-        Bucket { hourly, ..bucket }.filled(now).level
+        let filled = |bucket: &Bucket| bucket.level_at(hourly, now);
+        self.buckets.get(group).map_or(hourly, filled)
     }
 
-    /// Takes `bytes` out of the bucket of `group`; false if it holds too little.
-    pub fn spend(&mut self, group: &GroupName, hourly: u64, bytes: u64, now: Time) -> bool {
+    /// Pays for a plan out of the bucket of `group`; false if it holds too little.
+    ///
+    /// A plan under the same identifier as the last one is paid for already.
+    pub fn spend(&mut self, group: &GroupName, hourly: u64, plan: &PlanCost, now: Time) -> bool {
+        let last = self.buckets.get(group).and_then(|b| b.last.as_ref());
+        if last == Some(&plan.id) {
+            return true;
+        }
         let level = self.allowance(group, hourly, now);
-        if bytes > level {
+        if plan.bytes > level {
             return false;
         }
         let bucket = Bucket {
             hourly,
-            level: level - bytes,
+            level: level - plan.bytes,
             at: now,
+            last: Some(plan.id.clone()),
         };
         self.buckets.insert(group.clone(), bucket);
         true
@@ -172,14 +185,11 @@
 }
 
 impl Bucket {
-    fn filled(self, now: Time) -> Self {
+    /// Bytes in the bucket at `now` if it fills at `hourly` bytes an hour.
+    fn level_at(&self, hourly: u64, now: Time) -> u64 {
         let elapsed = now.since(self.at).as_micros();
-        let gained = u128::from(self.hourly) * elapsed / BUCKET_FILL.as_micros();
+        let gained = u128::from(hourly) * elapsed / BUCKET_FILL.as_micros();
         let level = u128::from(self.level) + gained;
-        Self {
-            level: u64::try_from(level).unwrap_or(u64::MAX).min(self.hourly),
-            at: now,
-            ..self
-        }
+        u64::try_from(level).unwrap_or(u64::MAX).min(hourly)
     }
 }
--- a/decision/experts/src/command.rs
+++ b/decision/experts/src/command.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Change, DecidedMap, ExpertMap, GroupState, Layout, Lease, LeaseRequest, MapError, MapId, Order,
-    Progress,
+    PlanCost, Progress,
 };
 
 /// Change to the decided maps, replicated before it takes effect.
@@ -102,8 +102,8 @@
         group: GroupName,
         /// Bytes allowed in an hour.
         hourly: u64,
-        /// Bytes to move.
-        bytes: u64,
+        /// Plan to pay for.
+        plan: PlanCost,
     },
     /// Orders an upstream into another state.
     Order {
--- a/decision/experts/src/decisions.rs
+++ b/decision/experts/src/decisions.rs
@@ -118,8 +118,8 @@
             Command::Spend {
                 group,
                 hourly,
-                bytes,
-            } => match self.budget.spend(group, *hourly, *bytes, at) {
+                plan,
+            } => match self.budget.spend(group, *hourly, plan, at) {
                 true => Reply::Done,
                 false => Reply::Refused(Refusal::Budget),
             },
--- a/decision/experts/src/lib.rs
+++ b/decision/experts/src/lib.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod command;
 mod decisions;
+mod manager;
 mod map;
 mod order;
 mod plan;
@@ -15,9 +16,10 @@
 mod status;
 mod switch;
 
-pub use budget::{Budget, LEASE, LEASE_MARGIN, Lease, LeaseRequest, Purpose};
+pub use budget::{Budget, LEASE, LEASE_MARGIN, Lease, LeaseRequest, PlanCost, Purpose};
 pub use command::{Command, Refusal, Reply};
 pub use decisions::{DecidedMap, Decisions, GroupState, StagedMap};
+pub use manager::{Manager, ManagerLimits};
 pub use map::{ExpertMap, Layout, MAX_MAP_SLOTS, MapError, MapId, RankShape, Slot};
 pub use order::{Change, Inventory, Order, OrderBook, OrderLog, Progress, Receipt, Role};
 pub use plan::{
--- a/decision/experts/src/status.rs
+++ b/decision/experts/src/status.rs
@@ -1,5 +1,6 @@
 //! What operators see of one group.
 
+use derive_more::Display;
 use pimentotide_model::{GroupName, Time};
 use serde::{Deserialize, Serialize};
 
@@ -8,10 +9,15 @@
 };
 
 /// Outcome of the last look of the planner.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Display, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PlanNote {
     /// A map was proposed.
+    #[display(
+        "proposed: skew {:.3} to {:.3}, {moves} experts, {bytes} bytes",
+        before.skew(),
+        after.skew()
+    )]
     Proposed {
         /// Forecast for the map in force.
         before: Forecast,
@@ -23,6 +29,7 @@
         bytes: u64,
     },
     /// The group stays on its map.
+    #[display("declined: {_0}")]
     Declined(Declined),
 }
 
--- a/decision/experts/tests/it/main.rs
+++ b/decision/experts/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod decisions;
 mod fencing;
 mod group;
+mod manager;
 mod network;
 mod order;
 mod planner;
--- a/dev/bench/src/bin/expert_plan.rs
+++ b/dev/bench/src/bin/expert_plan.rs
@@ -6,10 +6,10 @@
 use std::time::{Duration, Instant};
 
 use pimentotide_experts::{
-    Bounds, Budget, Conditions, Demand, ExpertMap, Layout, Limits, PlanPolicy, Planner, StepSample,
-    TokenCounts, Verdict, improve_map, pack_greedily, place,
+    Bounds, Budget, Conditions, Demand, ExpertMap, Layout, Limits, PlanCost, PlanPolicy, Planner,
+    StepSample, TokenCounts, Verdict, improve_map, pack_greedily, place,
 };
-use pimentotide_model::{GroupName, Time};
+use pimentotide_model::{GroupName, OrderId, Time};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -234,8 +234,12 @@
         };
         match planner.look(now, &map, conditions) {
             Verdict::Propose(plan) => {
+                let cost = PlanCost {
+                    id: OrderId::from(format!("plan-{tick}")),
+                    bytes: plan.bytes,
+                };
                 assert!(
-                    budget.spend(&group, HOURLY, plan.bytes, now),
+                    budget.spend(&group, HOURLY, &cost, now),
                     "within the allowance"
                 );
                 switch(&mut tally, &truth.layout, &mut map, plan.map);
