Expert maps: replaced coordinators and leaders that go on, lost commands and replies

Cause: scenarios lost no command on its way to the log and no reply, and whoever was replaced had died. A reply to an older command could be taken for the answer to a newer one: a coordinator that took a late Decided for its own would have had ranks free a map that the log could still decide.

Change: replies are matched by identity; a new epoch loads the decided map whatever an agent has freed before. Scenarios count commands and replies as messages, and two more faults split the coordinator and the leader.

--- a/decision/experts/src/decisions.rs
+++ b/decision/experts/src/decisions.rs
@@ -270,6 +270,11 @@
         id == self.decided.id || Some(id) == staged || Some(id) == self.previous || id > self.last
     }
 
+    /// Identity given out last.
+    pub(crate) fn last(&self) -> MapId {
+        self.last
+    }
+
     /// Takes over what the log has replied to a staged map.
     pub(crate) fn note_staged(&mut self, staged: StagedMap) {
         self.last = self.last.max(staged.id);
--- a/decision/experts/src/switch/agent.rs
+++ b/decision/experts/src/switch/agent.rs
@@ -235,6 +235,9 @@
             self.epoch = epoch;
             self.grants.clear();
             self.next = None;
+            // A new epoch names the decided map whatever was freed before.
+            self.freed.retain(|id| *id != decided.id);
+            self.doomed.retain(|id| *id != decided.id);
             if std::mem::take(&mut self.running) {
                 actions.push(Action::Abort(self.step));
             }
--- a/decision/experts/src/switch/coordinator.rs
+++ b/decision/experts/src/switch/coordinator.rs
@@ -218,13 +218,15 @@
                 let welcome = Message::Welcome { incarnation, floor };
                 vec![Action::Send(Peer::Rank(rank), welcome)]
             }
-            (Reply::Staged(id), Phase::Proposing) => self.staged(id, now),
+            (Reply::Staged(id), Phase::Proposing) if self.is_new(id) => self.staged(id, now),
             (Reply::Refused(_), Phase::Proposing) => {
                 self.proposed = None;
                 self.enter(Phase::Taking, now);
                 vec![self.take()]
             }
-            (Reply::Decided(decided), Phase::Deciding(_) | Phase::Abandoning(_)) => {
+            (Reply::Decided(decided), Phase::Deciding(id) | Phase::Abandoning(id))
+                if decided.id == id =>
+            {
                 self.decided(decided, now)
             }
             (Reply::Abandoned(id), Phase::Abandoning(current)) if id == current => {
@@ -237,6 +239,11 @@
         }
     }
 
+    /// Whether a reply names an identity later than all known ones.
+    fn is_new(&self, id: MapId) -> bool {
+        self.group.as_ref().is_some_and(|g| id > g.last())
+    }
+
     fn enter(&mut self, phase: Phase, now: Time) {
         self.phase = phase;
         self.since = now;
--- a/decision/experts/tests/it/group.rs
+++ b/decision/experts/tests/it/group.rs
@@ -38,6 +38,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Process {
     Control,
+    /// Coordinator that has been replaced and does not know.
+    OldControl,
+    /// Leader that has been replaced and does not know.
+    OldLeader,
     Rank(u16),
 }
 
@@ -45,8 +49,8 @@
 #[derive(Clone, Debug)]
 enum Content {
     Message(Peer, Message),
-    Command(Process, Command),
-    Reply(Reply),
+    Command(Process, u64, Command),
+    Reply(u64, Reply),
 }
 
 #[derive(Clone, Debug)]
@@ -77,6 +81,8 @@
     pub(crate) log: Decisions,
     name: GroupName,
     coordinator: Option<Coordinator>,
+    old_coordinator: Option<Coordinator>,
+    old_leader: Option<Leader>,
     control_start: u64,
     ranks: Vec<Rank>,
     started: BTreeMap<(Epoch, u64), BTreeMap<u16, MapId>>,
@@ -118,6 +124,8 @@
             log,
             name,
             coordinator: None,
+            old_coordinator: None,
+            old_leader: None,
             control_start: 0,
             ranks: Vec::new(),
             started: BTreeMap::new(),
@@ -231,6 +239,8 @@
     fn alive(&self, process: Process) -> bool {
         match process {
             Process::Control => self.coordinator.is_some(),
+            Process::OldControl => self.old_coordinator.is_some(),
+            Process::OldLeader => self.old_leader.is_some(),
             Process::Rank(rank) => self.ranks[usize::from(rank)].alive,
         }
     }
@@ -244,6 +254,8 @@
                 self.coordinator = None;
                 self.after(ELECTION, Event::Restart(process));
             }
+            Process::OldControl => self.old_coordinator = None,
+            Process::OldLeader => self.old_leader = None,
             Process::Rank(rank) => {
                 let rank = &mut self.ranks[usize::from(rank)];
                 rank.alive = false;
@@ -253,8 +265,33 @@
         }
     }
 
+    /// Has another process take over while the first one goes on.
+    fn split(&mut self, process: Process) {
+        let old = match process {
+            Process::Control => {
+                self.old_coordinator = self.coordinator.clone();
+                Process::OldControl
+            }
+            _ => {
+                self.old_leader = self.ranks[0].leader.clone();
+                Process::OldLeader
+            }
+        };
+        self.kill(process);
+        self.after(TICK, Event::Tick(old, 0));
+    }
+
+    fn start_of(&self, process: Process) -> u64 {
+        match process {
+            Process::Control => self.control_start,
+            Process::OldControl | Process::OldLeader => 0,
+            Process::Rank(rank) => self.ranks[usize::from(rank)].start,
+        }
+    }
+
     fn restart(&mut self, process: Process) {
         match process {
+            Process::OldControl | Process::OldLeader => {}
             Process::Control => {
                 self.control_start += 1;
                 let holder = InstanceName::from(format!("control-{}", self.control_start % 3));
@@ -282,21 +319,21 @@
     }
 
     fn tick(&mut self, process: Process, start: u64) {
-        let (current, actions) = match process {
-            Process::Control => {
-                let now = self.now;
-                let actions = self.coordinator.as_mut().map(|c| c.tick(now));
-                (self.control_start, actions.unwrap_or_default())
-            }
+        if self.start_of(process) != start || !self.alive(process) {
+            return;
+        }
+        let now = self.now;
+        let actions = match process {
+            Process::Control => self.coordinator.as_mut().map(|c| c.tick(now)),
+            Process::OldControl => self.old_coordinator.as_mut().map(|c| c.tick(now)),
+            Process::OldLeader => self.old_leader.as_mut().map(Leader::tick),
             Process::Rank(rank) => {
                 let rank = &mut self.ranks[usize::from(rank)];
                 let leader = rank.leader.as_mut().map(Leader::tick).unwrap_or_default();
-                (rank.start, [rank.agent.tick(), leader].concat())
+                Some([rank.agent.tick(), leader].concat())
             }
         };
-        if current != start || !self.alive(process) {
-            return;
-        }
+        let actions = actions.unwrap_or_default();
         self.perform(process, actions);
         self.after(TICK, Event::Tick(process, start));
     }
@@ -317,37 +354,41 @@
         }
         let now = self.now;
         let actions = match (to, content) {
+            (_, Content::Command(from, start, command)) => {
+                let reply = self.log.apply(&command, now);
+                self.send(Process::Control, from, &Content::Reply(start, reply));
+                None
+            }
+            (_, Content::Reply(start, _)) if self.start_of(to) != start => None,
             (Process::Control, Content::Message(_, message)) => {
-                let coordinator = self.coordinator.as_mut();
-                coordinator
-                    .map(|c| c.receive(message, now))
-                    .unwrap_or_default()
+                let old = self.old_coordinator.as_mut();
+                let stale = old.map(|c| c.receive(message.clone(), now));
+                self.perform(Process::OldControl, stale.unwrap_or_default());
+                self.coordinator.as_mut().map(|c| c.receive(message, now))
             }
-            (Process::Control, Content::Command(from, command)) => {
-                let reply = self.log.apply(&command, now);
-                self.send(Process::Control, from, &Content::Reply(reply));
-                Vec::new()
+            (Process::Control, Content::Reply(_, reply)) => {
+                self.coordinator.as_mut().map(|c| c.replied(reply, now))
             }
-            (Process::Control, Content::Reply(reply)) => {
-                let coordinator = self.coordinator.as_mut();
-                coordinator
-                    .map(|c| c.replied(reply, now))
-                    .unwrap_or_default()
+            (Process::OldControl, Content::Reply(_, reply)) => {
+                self.old_coordinator.as_mut().map(|c| c.replied(reply, now))
             }
             (Process::Rank(rank), Content::Message(Peer::Leader, message)) => {
-                let machine = self.ranks[usize::from(rank)].leader.as_mut();
-                machine.map(|l| l.receive(message)).unwrap_or_default()
+                let stale = self.old_leader.as_mut().map(|l| l.receive(message.clone()));
+                self.perform(Process::OldLeader, stale.unwrap_or_default());
+                let leader = self.ranks[usize::from(rank)].leader.as_mut();
+                leader.map(|l| l.receive(message))
             }
             (Process::Rank(rank), Content::Message(_, message)) => {
                 let agent = &mut self.ranks[usize::from(rank)].agent;
-                agent.receive(message).unwrap_or_default()
+                agent.receive(message).ok()
             }
-            (Process::Rank(rank), Content::Reply(reply)) => {
-                let machine = self.ranks[usize::from(rank)].leader.as_mut();
-                machine.map(|l| l.replied(reply)).unwrap_or_default()
+            (Process::Rank(rank), Content::Reply(_, reply)) => {
+                let leader = self.ranks[usize::from(rank)].leader.as_mut();
+                leader.map(|l| l.replied(reply))
             }
-            (Process::Rank(_), Content::Command(..)) => Vec::new(),
+            (Process::OldControl | Process::OldLeader, _) => None,
         };
+        let actions = actions.unwrap_or_default();
         self.perform(to, actions);
     }
 
@@ -363,7 +404,7 @@
                     self.send(process, to, &Content::Message(peer, message));
                 }
                 (Action::Submit(command), _) => {
-                    let content = Content::Command(process, command);
+                    let content = Content::Command(process, self.start_of(process), command);
                     self.send(process, Process::Control, &content);
                 }
                 (Action::Load { id, .. }, Process::Rank(rank)) => {
@@ -395,6 +436,8 @@
             Some(Fault::KillReceiver) => self.kill(to),
             Some(Fault::KillControl) => self.kill(Process::Control),
             Some(Fault::KillLeader) => self.kill(Process::Rank(0)),
+            Some(Fault::SplitControl) => self.split(Process::Control),
+            Some(Fault::SplitLeader) => self.split(Process::Rank(0)),
             _ => {}
         }
     }
--- a/decision/experts/tests/it/network.rs
+++ b/decision/experts/tests/it/network.rs
@@ -24,10 +24,14 @@
     KillReceiver,
     KillControl,
     KillLeader,
+    /// Another coordinator takes over while the first one goes on.
+    SplitControl,
+    /// Another process of the leading rank starts while the leader goes on.
+    SplitLeader,
 }
 
 impl Fault {
-    pub(crate) const ALL: [Self; 7] = [
+    pub(crate) const ALL: [Self; 9] = [
         Self::Lose,
         Self::Twice,
         Self::Late,
@@ -35,6 +39,8 @@
         Self::KillReceiver,
         Self::KillControl,
         Self::KillLeader,
+        Self::SplitControl,
+        Self::SplitLeader,
     ];
 }
 
@@ -88,8 +94,8 @@
 
     /// Passes one message on.
     pub(crate) fn pass(&mut self, from: Process, to: Process) -> Passage {
-        if from == to {
-            // Machines in one process call each other.
+        if from == to && from != Process::Control {
+            // Machines in one process call each other; the log is not one of them.
             let delays = vec![Duration::ZERO];
             return Passage {
                 delays,
--- a/decision/experts/tests/it/switch.rs
+++ b/decision/experts/tests/it/switch.rs
@@ -89,6 +89,11 @@
     check_each_message(&[Fault::KillControl, Fault::KillLeader]);
 }
 
+#[test]
+fn a_replaced_coordinator_or_leader_goes_on_at_each_message() {
+    check_each_message(&[Fault::SplitControl, Fault::SplitLeader]);
+}
+
 #[test]
 fn two_faults_at_drawn_messages() {
     let (first, last) = message_range();
