--- a/decision/experts/tests/it/main.rs
+++ b/decision/experts/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Tests of expert maps: planner, switch and decisions.
 
 mod budget;
+mod coordinator;
 mod decisions;
 mod fencing;
 mod group;
