--- a/decision/experts/src/command.rs
+++ b/decision/experts/src/command.rs
@@ -198,6 +198,8 @@
     Abandoned(MapId),
     /// The switch has ended.
     Settled(MapId),
+    /// The plan of this identifier is paid for.
+    Paid(OrderId),
     /// A share of the weights store.
     Leased(Lease),
     /// The order as it is committed.
--- a/decision/experts/src/decisions.rs
+++ b/decision/experts/src/decisions.rs
@@ -120,7 +120,7 @@
                 hourly,
                 plan,
             } => match self.budget.spend(group, *hourly, plan, at) {
-                true => Reply::Done,
+                true => Reply::Paid(plan.id.clone()),
                 false => Reply::Refused(Refusal::Budget),
             },
             Command::Order {
--- a/decision/experts/src/manager.rs
+++ b/decision/experts/src/manager.rs
@@ -115,8 +115,7 @@
     /// Takes in the reply of the log to a command of this manager.
     pub fn replied(&mut self, reply: Reply, now: Time) -> Vec<Action> {
         match reply {
-            // Only the payment for a plan is answered in these two ways.
-            Reply::Done => self.propose(now),
+            Reply::Paid(id) => self.propose(&id, now),
             Reply::Refused(Refusal::Budget) => {
                 self.pending = None;
                 Vec::new()
@@ -167,8 +166,8 @@
         }))
     }
 
-    fn propose(&mut self, now: Time) -> Vec<Action> {
-        let Some((_, plan)) = self.pending.take() else {
+    fn propose(&mut self, paid: &OrderId, now: Time) -> Vec<Action> {
+        let Some((_, plan)) = self.pending.take_if(|(cost, _)| cost.id == *paid) else {
             return Vec::new();
         };
         self.coordinator.propose(plan.map, now).1
--- a/dev/bench/src/rival.rs
+++ b/dev/bench/src/rival.rs
@@ -166,6 +166,7 @@
         match process {
             Process::Control => self.control.is_some(),
             Process::Rank(rank) => self.ranks[usize::from(rank)].alive,
+            _ => false,
         }
     }
 
@@ -186,6 +187,7 @@
                 rank.told = Told::Nothing;
                 self.after(RESTART, Event::Restart(process));
             }
+            _ => {}
         }
     }
 
@@ -208,6 +210,7 @@
                 self.after(RELOAD * u32::from(number + 1), Event::Ready(number, start));
                 self.after(Duration::ZERO, Event::Tick(process, start));
             }
+            _ => {}
         }
     }
 
@@ -269,6 +272,7 @@
         match to {
             Process::Control => self.deliver_control(note),
             Process::Rank(rank) => self.deliver_rank(rank, note),
+            _ => {}
         }
         self.start_ranks();
     }
