--- a/app/src/agent/core.rs
+++ b/app/src/agent/core.rs
@@ -12,7 +12,7 @@
 use pimentotide_instance::{Token, View};
 use pimentotide_model::{
     Announcement, ErrorKind, Failure, Fence, Fingerprint, Incarnation, InstanceName, LoadReport,
-    RequestId, Revision, Time,
+    RequestId, Revision, Time, Warmth,
 };
 use pimentotide_observe::Metrics;
 use pimentotide_outcome::{
@@ -52,6 +52,9 @@
     /// Start that the upstream announced last.
     starts: watch::Sender<u64>,
     announce: watch::Sender<Option<Announcement>>,
+    warmth: watch::Sender<Warmth>,
+    /// Highest revision that came with an order.
+    heard: watch::Sender<Revision>,
     inner: Mutex<Inner>,
 }
 
@@ -60,8 +63,6 @@
     address: Option<SocketAddr>,
     slot: Option<Slot>,
     running: BTreeMap<RequestId, RunningWork>,
-    /// Request that runs alone, or waits to.
-    alone: Option<RequestId>,
     mailboxes: BTreeMap<InstanceName, Mailbox>,
     leaving: bool,
 }
@@ -82,8 +83,6 @@
     Refused(Failure),
     /// It may have run.
     Failed(Failure),
-    /// It has to run alone and waits until nothing else runs.
-    Waiting,
 }
 
 /// The upstream in the agent's slot.
@@ -92,6 +91,8 @@
     engine: EngineState,
     gate: Gate,
     revision: Revision,
+    /// Incarnation under which the directory knows this start of the upstream.
+    alias: Incarnation,
     events: VecDeque<CacheEvent>,
     /// Latest suspected death: the start, whether it was reported, and what ran.
     crash: (Incarnation, Arc<OnceCell<()>>, Vec<Fingerprint>),
@@ -112,6 +113,8 @@
             clock: Clock::start(),
             epoch: LedgerEpoch(rand::rng().random()),
             starts: watch::Sender::new(0),
+            warmth: watch::Sender::new(Warmth::Cold),
+            heard: watch::Sender::new(Revision::default()),
             announce,
             inner: Mutex::default(),
         }
@@ -133,6 +136,21 @@
         self.announce.subscribe()
     }
 
+    pub(super) fn warmth(&self) -> watch::Receiver<Warmth> {
+        self.warmth.subscribe()
+    }
+
+    pub(super) fn heard(&self) -> watch::Receiver<Revision> {
+        self.heard.subscribe()
+    }
+
+    /// Takes orders for `incarnation` too, under which the upstream is announced.
+    pub(super) fn rename(&self, incarnation: Incarnation) {
+        if let Some(slot) = &mut self.lock().slot {
+            slot.alias = incarnation;
+        }
+    }
+
     pub(super) fn views(&self) -> watch::Receiver<View> {
         self.options.view.clone()
     }
@@ -210,25 +228,25 @@
             .map(|s| s.gate.tick(now))
             .unwrap_or_default();
         inner.deliver(grants);
+        if let Some(slot) = &mut inner.slot {
+            let warmth = slot.gate.report().warmth;
+            self.warmth
+                .send_if_modified(|held| std::mem::replace(held, warmth) != warmth);
+        }
     }
 
     /// Decides what becomes of a request.
     pub(super) fn arrive(self: &Arc<Self>, order: &WorkOrder) -> Arrival {
         let now = self.now();
+        self.heard.send_if_modified(|held| {
+            let newer = order.revision > *held;
+            *held = order.revision.max(*held);
+            newer
+        });
         let mut inner = self.lock();
         if inner.running.contains_key(&order.id) {
             return Arrival::Failed(running_already());
         }
-        if inner.alone.is_some_and(|id| id != order.id) {
-            let detail = "the upstream runs a suspected request alone";
-            return Arrival::Refused(Failure::new(ErrorKind::Overloaded, detail));
-        }
-        if order.alone {
-            inner.alone = Some(order.id);
-            if !inner.running.is_empty() {
-                return Arrival::Waiting;
-            }
-        }
         let Some(slot) = inner.slot.as_mut() else {
             let detail = "the upstream has not announced itself";
             return Arrival::Refused(Failure::new(ErrorKind::NoUpstream, detail));
@@ -354,7 +372,6 @@
         let now = self.now();
         let mut inner = self.lock();
         inner.running.remove(&id);
-        inner.end_alone(id);
         let Some(slot) = &mut inner.slot else {
             return;
         };
@@ -362,11 +379,6 @@
         inner.deliver(grants);
     }
 
-    /// Gives up waiting to run a request alone.
-    pub(super) fn end_alone(&self, id: RequestId) {
-        self.lock().end_alone(id);
-    }
-
     /// Gives up a running request on behalf of its entry.
     pub(super) fn cancel(&self, id: RequestId) {
         if let Some(work) = self.lock().running.get(&id) {
@@ -470,6 +482,7 @@
             engine,
             revision,
             events,
+            alias: Incarnation::default(),
             crash: (Incarnation(0), Arc::default(), Vec::new()),
         }
     }
@@ -524,12 +537,6 @@
 }
 
 impl Inner {
-    fn end_alone(&mut self, id: RequestId) {
-        if self.alone == Some(id) && !self.running.contains_key(&id) {
-            self.alone = None;
-        }
-    }
-
     /// Puts grants where the entries that they are for will find them.
     fn deliver(&mut self, grants: Vec<Grant>) {
         for grant in grants {
@@ -600,7 +607,8 @@
     }
 
     fn admit(&mut self, order: &WorkOrder, now: Time) -> Result<GatePermit, Failure> {
-        if order.incarnation != Incarnation(self.engine.started) {
+        let known = [Incarnation(self.engine.started), self.alias];
+        if !known.contains(&order.incarnation) {
             return Err(Failure::new(
                 ErrorKind::NoUpstream,
                 "the upstream has restarted",
--- a/peers/upstream/src/client.rs
+++ b/peers/upstream/src/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName};
 use awc::http::{Method, StatusCode};
 use awc::{Client, Connector};
@@ -14,6 +14,9 @@
 /// Time allowed for connecting to the upstream, which runs on the same instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which an idle connection is kept.
+const KEEP_ALIVE: Duration = Duration::from_secs(15);
+
 /// Connections kept to the upstream at most.
 const MAX_CONNECTIONS: usize = 4096;
 
@@ -62,8 +65,21 @@
 impl EngineClient {
     /// Opens a client that connects when it is first needed.
     pub fn open() -> Self {
+        Self::with_keep_alive(KEEP_ALIVE)
+    }
+
+    /// Opens a client that connects anew for each request.
+    ///
+    /// A kept connection may close just as a request is sent over it, and then
+    /// nobody can tell whether the upstream has seen the request.
+    pub fn open_unpooled() -> Self {
+        Self::with_keep_alive(Duration::ZERO)
+    }
+
+    fn with_keep_alive(keep_alive: Duration) -> Self {
         let connector = Connector::new()
             .timeout(CONNECT_TIMEOUT)
+            .conn_keep_alive(keep_alive)
             .limit(MAX_CONNECTIONS);
         let client = Client::builder()
             .connector(connector)
@@ -149,6 +165,10 @@
 
 fn send_error(error: &SendRequestError) -> EngineError {
     match error {
+        // Also reported when the connection closes after the request was sent.
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            EngineError::Broken("the connection closed without an answer".to_owned())
+        }
         SendRequestError::Connect(e) => EngineError::Unreachable(e.to_string()),
         SendRequestError::Url(e) => EngineError::Unreachable(e.to_string()),
         other => EngineError::Broken(other.to_string()),
