--- a/decision/experts/tests/it/main.rs
+++ b/decision/experts/tests/it/main.rs
@@ -1,9 +1,11 @@
 //! Tests of expert maps: planner, switch and decisions.
 
 mod budget;
+mod coordinator;
 mod decisions;
 mod fencing;
 mod group;
+mod manager;
 mod network;
 mod order;
 mod planner;
