--- a/app/tests/it/settings.rs
+++ b/app/tests/it/settings.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use pimentotide::settings::{Settings, SettingsError};
+use pimentotide_control::declare::parse_document;
 
 fn files(folder: &str) -> Vec<PathBuf> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join(folder);
@@ -55,6 +56,13 @@
             .filter(|p| stem(p) != "declarations")
             .map(|p| Settings::open(p).unwrap_or_else(|e| panic!("{}: {e}", p.display())))
             .collect();
+        let declared = paths
+            .iter()
+            .find(|p| stem(p) == "declarations")
+            .expect("a document");
+        let declared = fs::read_to_string(declared).expect("a readable document");
+        let document = parse_document(&declared).unwrap_or_else(|e| panic!("{deployment}: {e}"));
+        assert_eq!(document.workspaces.len(), 10);
         let entries = settings.iter().filter(|s| s.entry.is_some()).count();
         let replicas = settings.iter().filter(|s| s.replica.is_some()).count();
         let agents: Vec<_> = settings.iter().filter_map(|s| s.agent.as_ref()).collect();
@@ -69,7 +77,8 @@
             (entries, replicas, agents.len(), plain, zones.len()),
             (9, 3, 15, 3, 3)
         );
-        for (path, settings) in paths.iter().zip(&settings) {
+        let processes = paths.iter().filter(|p| stem(p) != "declarations");
+        for (path, settings) in processes.zip(&settings) {
             assert_eq!(
                 stem(path),
                 settings.instance.as_str(),
@@ -85,6 +94,64 @@
     assert!(matches!(error, SettingsError::Unreadable(..)), "{error}");
 }
 
+/// Keys that the reader knows in a section, as its complaint about another key lists them.
+fn known_keys(text: &str, section: &str) -> Vec<String> {
+    let Err(problems) = Settings::parse(text, Path::new(".")) else {
+        panic!("the unknown key was accepted");
+    };
+    let path = if section == "top level" {
+        "zzz".to_owned()
+    } else {
+        format!("{section}.zzz")
+    };
+    let found = problems
+        .iter()
+        .find(|p| p.path == path)
+        .expect("a complaint about zzz");
+    let (_, list) = found
+        .message
+        .split_once("known here: ")
+        .expect("a list of keys");
+    list.split(", ")
+        .filter(|k| *k != "zzz")
+        .map(str::to_owned)
+        .collect()
+}
+
+#[test]
+fn the_page_names_every_key() {
+    let page =
+        fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/SETTINGS.md"))
+            .expect("the page exists");
+    for section in ["top level", "entry", "replica", "agent"] {
+        let (_, rest) = page
+            .split_once(&format!("## {section}\n"))
+            .expect("a heading");
+        let table = rest.split("\n## ").next().expect("a table");
+        let keys = table
+            .lines()
+            .filter_map(|l| l.strip_prefix("| `")?.split('`').next());
+        let mut listed: Vec<_> = keys.map(str::to_owned).collect();
+        listed.sort();
+        let text = match section {
+            "top level" => "zzz: 1\n".to_owned(),
+            name => format!("{name}:\n  zzz: 1\n"),
+        };
+        assert_eq!(listed, known_keys(&text, section), "section {section}");
+    }
+}
+
+#[test]
+fn the_page_names_every_error_kind() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/OPERATIONS.md");
+    let page = fs::read_to_string(page).expect("the page exists");
+    for kind in pimentotide_model::ErrorKind::ALL {
+        let answer = kind.answer();
+        let row = format!("| `{kind}` | {} | {} |", answer.status, answer.ran);
+        assert!(page.contains(&row), "expected the row {row}");
+    }
+}
+
 mod hostile {
     use super::*;
     use proptest::prelude::*;
