Requests under suspicion run only as the log admits them

Cause: a request that crashes an upstream was retried and resent without anybody knowing; a whole answer put together from two attempts could carry the head of the first; a refusal after an attempt that may have run said 'not run'. Change: entries ask for admission before a suspected content runs, report the loss of an agent before they retry, and poll the contents under suspicion; the head of an answer is that of the attempt that ended it; pieces are checked to follow each other on every answer.

--- a/app/src/control/source.rs
+++ b/app/src/control/source.rs
@@ -6,7 +6,7 @@
 use pimentotide_instance::Submit;
 use pimentotide_instance::directory::{Directory, SharedMachine, Source as DirectorySource};
 use pimentotide_instance::replica::ReplicaHandle;
-use pimentotide_model::{ErrorKind, Failure, InstanceName, Revision};
+use pimentotide_model::{ErrorKind, Failure, Fingerprint, InstanceName, Revision};
 use pimentotide_operator::{Cluster, Control as OperatorControl, MemberChange};
 use tokio::sync::watch;
 
@@ -34,6 +34,14 @@
         let (_, answer) = self.replica.propose(bytes).await?;
         decode(&answer, MAX_COMMAND_BYTES).map_err(|e| internal(e.to_string()))
     }
+
+    async fn suspects(&self) -> Result<Vec<Fingerprint>, Failure> {
+        self.confirm().await?;
+        let contents = self
+            .shared
+            .read(|machine| machine.journal().suspicion().contents());
+        Ok(contents.into_iter().collect())
+    }
 }
 
 impl DirectorySource for Source {
--- a/app/src/entry/attempt.rs
+++ b/app/src/entry/attempt.rs
@@ -6,11 +6,13 @@
 
 use pimentotide_instance::work::{Frame, FrameStream, WorkClient, WorkError, WorkOrder};
 use pimentotide_model::{ErrorKind, Failure, LoadReport, Ran, RequestId, UpstreamName};
+use pimentotide_outcome::Crash;
 use pimentotide_routing::Verdict;
 
 use super::core::Core;
 use super::placing::{Flight, Placed};
 use super::resolve::Job;
+use super::trial;
 
 /// Silence after which an attempt at an ejected upstream is given up.
 const STALL_SILENCE: Duration = Duration::from_secs(1);
@@ -30,15 +32,27 @@
     agent: SocketAddr,
     id: RequestId,
     idempotent: bool,
+    core: Arc<Core>,
+    /// What to report if the agent is lost.
+    loss: Crash,
     flight: Option<Flight>,
 }
 
 /// What an attempt yields next.
 pub(super) enum Step {
-    /// A piece of the answer at its position.
-    Piece(u64, bytes::Bytes),
-    /// The answer is whole, with so many pieces.
-    End(u64),
+    /// The next piece of the answer.
+    Piece(bytes::Bytes),
+    /// The answer is whole.
+    End,
+}
+
+impl Head {
+    /// Whether server-sent events follow.
+    pub(super) fn is_event_stream(&self) -> bool {
+        self.headers
+            .iter()
+            .any(|(name, value)| name == "content-type" && value.starts_with("text/event-stream"))
+    }
 }
 
 impl Attempt {
@@ -55,10 +69,12 @@
         let mut attempt = Self {
             frames: None,
             client: client.clone(),
-            upstream: placed.upstream,
-            agent: placed.agent,
             id: job.meta.id,
             idempotent: job.meta.idempotent,
+            core: Arc::clone(core),
+            loss: trial::loss(core, job, &placed),
+            upstream: placed.upstream,
+            agent: placed.agent,
             flight: Some(placed.flight),
         };
         match attempt.send(&order).await? {
@@ -72,15 +88,15 @@
     /// Waits for the next piece or the end.
     pub(super) async fn next(&mut self) -> Result<Step, Failure> {
         match self.watched_frame().await? {
-            Frame::Piece { position, data } => {
+            Frame::Piece { data, .. } => {
                 if let Some(flight) = &mut self.flight {
                     flight.progress();
                 }
-                Ok(Step::Piece(position, data))
+                Ok(Step::Piece(data))
             }
-            Frame::End { pieces, .. } => {
+            Frame::End { .. } => {
                 self.finish(Verdict::Good);
-                Ok(Step::End(pieces))
+                Ok(Step::End)
             }
             _ => Err(self.out_of_order()),
         }
@@ -90,10 +106,7 @@
         let client = self.client.clone();
         match client.send(self.agent, order).await {
             Ok(frames) => self.frames = Some(frames),
-            Err(e) => {
-                self.finish(Verdict::Failed);
-                return Err(work_failure(&e));
-            }
+            Err(e) => return Err(self.lost(&e).await),
         }
         self.watched_frame().await
     }
@@ -128,10 +141,7 @@
         };
         let frame = match frames.next_frame().await {
             Ok(frame) => frame,
-            Err(e) => {
-                self.finish(Verdict::Failed);
-                return Err(work_failure(&e));
-            }
+            Err(e) => return Err(self.lost(&e).await),
         };
         match frame {
             Frame::Refused { failure, report } => {
@@ -150,6 +160,16 @@
         }
     }
 
+    /// Tells of an agent that gave no answer, once its loss is recorded.
+    async fn lost(&mut self, error: &WorkError) -> Failure {
+        self.finish(Verdict::Failed);
+        let failure = work_failure(error);
+        if failure.ran != Ran::No {
+            trial::report_loss(&self.core, self.loss.clone()).await;
+        }
+        failure
+    }
+
     fn report(&self, report: &LoadReport) {
         if let Some(flight) = &self.flight {
             flight.report(&self.upstream, report);
@@ -215,9 +235,10 @@
 }
 
 fn work_failure(error: &WorkError) -> Failure {
-    let ran = match error {
-        WorkError::Unreachable(_) | WorkError::Rejected(_) => Ran::No,
-        WorkError::Broken(_) => Ran::Unknown,
+    let ran = if error.is_unseen() {
+        Ran::No
+    } else {
+        Ran::Unknown
     };
     Failure::new(ErrorKind::UpstreamFailed, error.to_string()).with_ran(ran)
 }
--- a/app/src/entry/core.rs
+++ b/app/src/entry/core.rs
@@ -7,8 +7,8 @@
 use pimentotide_caller::{Call, EntryAdvice};
 use pimentotide_instance::{Submitter, View};
 use pimentotide_model::{
-    Announcement, ErrorKind, Failure, InstanceName, LoadReport, ModelName, RequestMeta,
-    RetryPolicy, ServiceName, Standing, Time, UpstreamName, ZoneName,
+    Announcement, ErrorKind, Failure, Fingerprint, InstanceName, LoadReport, ModelName,
+    RequestMeta, RetryPolicy, ServiceName, Standing, Time, UpstreamName, ZoneName,
 };
 use pimentotide_observe::Metrics;
 use pimentotide_outcome::LedgerEpoch;
@@ -42,6 +42,8 @@
     pub(super) entries: Vec<EntryState>,
     /// Memory of claims that each agent said it has.
     pub(super) epochs: BTreeMap<UpstreamName, LedgerEpoch>,
+    /// Contents under suspicion of crashing upstreams.
+    pub(super) suspects: BTreeSet<Fingerprint>,
     known: Arc<BTreeMap<UpstreamName, Announcement>>,
     running: usize,
     leaving: bool,
@@ -68,6 +70,7 @@
             stalls: BTreeMap::new(),
             entries: states.collect(),
             epochs: BTreeMap::new(),
+            suspects: BTreeSet::new(),
             known: Arc::default(),
             running: 0,
             leaving: false,
@@ -180,6 +183,11 @@
             .success(&meta.service, &meta.workspace, policy, now);
     }
 
+    /// Whether a content is under suspicion of crashing upstreams.
+    pub(super) fn is_suspect(&self, content: &Fingerprint) -> bool {
+        self.lock().suspects.contains(content)
+    }
+
     /// Pause before another attempt; none if there may be no other.
     pub(super) fn may_retry(&self, job: &Job, attempt: u32) -> Option<Duration> {
         let failed = Failed {
--- a/app/src/entry/dispatch.rs
+++ b/app/src/entry/dispatch.rs
@@ -6,7 +6,7 @@
 use futures_util::stream;
 use pimentotide_caller::{Answer, AnswerBody, Call, EntryAdvice, Health, PieceStream, Service};
 use pimentotide_instance::work::WorkClient;
-use pimentotide_model::{Failure, ModelName};
+use pimentotide_model::{ErrorKind, Failure, ModelName, Ran};
 
 use super::core::Core;
 use super::once;
@@ -25,7 +25,8 @@
     }
 
     async fn run(self, call: Call) -> Result<Answer, Failure> {
-        let (job, running) = self.core.accept(call)?;
+        let keyed = call.key.is_some();
+        let (job, running) = self.core.accept(call).map_err(|f| unproved(f, keyed))?;
         let service = job.meta.service.clone();
         let core = Arc::clone(&self.core);
         let answer = if job.meta.idempotent {
@@ -67,7 +68,7 @@
 
 async fn answer(mut relay: Relay) -> Result<Answer, Failure> {
     let head = relay.begin().await?;
-    if relay.is_stream() && is_event_stream(&head.headers) {
+    if relay.is_stream() && head.is_event_stream() {
         let (status, headers) = (head.status, head.headers);
         return Ok(Answer {
             status,
@@ -75,10 +76,11 @@
             body: AnswerBody::Events(pieces(relay)),
         });
     }
-    let body = relay.whole().await?;
+    let (head, body) = relay.whole(head).await?;
+    let (status, headers) = (head.status, head.headers);
     Ok(Answer {
-        status: head.status,
-        headers: head.headers,
+        status,
+        headers,
         body: AnswerBody::Whole(Bytes::from(body)),
     })
 }
@@ -95,8 +97,10 @@
     Box::pin(pieces)
 }
 
-fn is_event_stream(headers: &[(String, String)]) -> bool {
-    headers
-        .iter()
-        .any(|(name, value)| name == "content-type" && value.starts_with("text/event-stream"))
+/// A key may have run through another entry before this one refused it.
+fn unproved(failure: Failure, keyed: bool) -> Failure {
+    if keyed && failure.kind == ErrorKind::Stopping {
+        return failure.with_ran(Ran::Unknown);
+    }
+    failure
 }
--- a/app/src/entry/mod.rs
+++ b/app/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod relay;
 mod resolve;
 mod tasks;
+mod trial;
 mod waiting;
 
 use std::net::SocketAddr;
--- a/app/src/entry/once.rs
+++ b/app/src/entry/once.rs
@@ -14,7 +14,7 @@
 use pimentotide_caller::{Answer, AnswerBody};
 use pimentotide_control::{Command, Response};
 use pimentotide_instance::Submitter;
-use pimentotide_instance::work::{Frame, FrameStream, HeldClaim, NewsOrder, WorkClient, WorkError};
+use pimentotide_instance::work::{Frame, FrameStream, HeldClaim, NewsOrder, WorkClient};
 use pimentotide_model::{ErrorKind, Failure, Ran, UpstreamName};
 use pimentotide_outcome::{
     Action, Answer as Verdict, Attempt, Blob, Body, ClaimRef, Event, Intent, LedgerEpoch, NotRun,
@@ -223,10 +223,8 @@
         });
         let event = match self.client.send(placed.agent, &order).await {
             Ok(frames) => collect(frames).await,
-            Err(WorkError::Unreachable(_) | WorkError::Rejected(_)) => {
-                Event::NotRun(NotRun::Refused)
-            }
-            Err(WorkError::Broken(_)) => Event::Broken,
+            Err(e) if e.is_unseen() => Event::NotRun(NotRun::Refused),
+            Err(_) => Event::Broken,
         };
         placed.flight.finish(match &event {
             Event::Answered(_) => Flown::Good,
--- a/app/src/entry/relay.rs
+++ b/app/src/entry/relay.rs
@@ -13,10 +13,14 @@
 use super::decision::{log_placed, log_refused};
 use super::placing::{self, Placed};
 use super::resolve::Job;
+use super::trial::{self, Admission, Trial};
 
 /// Refusals by agents after which a request is given up.
 const MAX_REFUSALS: u32 = 16;
 
+/// Pause before a suspect is placed at another upstream.
+const ELSEWHERE_PAUSE: Duration = Duration::from_millis(50);
+
 /// One answer on its way to the caller.
 pub(super) struct Relay {
     core: Arc<Core>,
@@ -27,6 +31,9 @@
     attempts: u32,
     refusals: u32,
     last: Option<Failure>,
+    /// Whether an attempt failed in a way that may have been a crash.
+    crashed: bool,
+    trial: Option<Trial>,
     position: u64,
     _running: Running,
 }
@@ -42,6 +49,8 @@
             attempts: 0,
             refusals: 0,
             last: None,
+            crashed: false,
+            trial: None,
             position: 0,
             _running: running,
         }
@@ -56,6 +65,9 @@
     pub(super) async fn begin(&mut self) -> Result<Head, Failure> {
         loop {
             let placed = self.place().await?;
+            let Some(placed) = self.admitted(placed).await? else {
+                continue;
+            };
             match self.send(placed).await {
                 Ok(head) => return Ok(head),
                 Err(failure) => self.may_retry(failure).await?,
@@ -63,44 +75,60 @@
         }
     }
 
+    /// Asks for admission if the content is under suspicion; none to place it anew.
+    async fn admitted(&mut self, placed: Placed) -> Result<Option<Placed>, Failure> {
+        let suspected = self.crashed || self.core.is_suspect(&self.job.meta.fingerprint);
+        if !suspected {
+            return Ok(Some(placed));
+        }
+        let attempt = self.attempts + 1;
+        let admission = trial::ask(&self.core, &self.job, &placed, attempt).await;
+        match admission.map_err(|f| self.truth(f))? {
+            Admission::Free => {}
+            Admission::Apart(trial) => self.trial = Some(trial),
+            Admission::Elsewhere => {
+                self.tried.push(placed.upstream.clone());
+                tokio::time::sleep(ELSEWHERE_PAUSE).await;
+                return Ok(None);
+            }
+            Admission::After(pause) if pause < self.time_left() => {
+                tokio::time::sleep(pause).await;
+                return Ok(None);
+            }
+            Admission::After(pause) => {
+                let detail = "the content is under suspicion and its turn comes too late";
+                let failure = Failure::new(ErrorKind::NoUpstream, detail).with_retry(pause);
+                return Err(self.truth(failure));
+            }
+        }
+        Ok(Some(placed))
+    }
+
     /// Waits for the next piece that the caller does not have; none at the end.
     pub(super) async fn next_piece(&mut self) -> Result<Option<Bytes>, Failure> {
         loop {
             match self.step().await {
-                Ok(Step::Piece(position, data)) if position == self.position => {
+                Ok(Step::Piece(data)) => {
                     self.position += 1;
                     return Ok(Some(data));
                 }
-                // The caller has this piece from an earlier attempt.
-                Ok(Step::Piece(position, _)) if position < self.position => {}
-                Ok(Step::End(pieces)) if pieces == self.position => return Ok(None),
-                Ok(_) => {
-                    let gap = Failure::new(ErrorKind::StreamBroken, "a piece is missing");
-                    self.resume(gap).await?;
-                }
+                Ok(Step::End) => return Ok(None),
                 Err(failure) => self.resume(failure).await?,
             }
         }
     }
 
-    /// Collects the whole body; starts again where an attempt breaks off.
-    pub(super) async fn whole(&mut self) -> Result<Vec<u8>, Failure> {
+    /// Collects the whole answer that `head` begins; starts again where an attempt breaks off.
+    pub(super) async fn whole(&mut self, mut head: Head) -> Result<(Head, Vec<u8>), Failure> {
         let mut body = Vec::new();
-        while let Some(piece) = self.next_whole_piece(&mut body).await? {
-            body.extend_from_slice(&piece);
-        }
-        Ok(body)
-    }
-
-    async fn next_whole_piece(&mut self, body: &mut Vec<u8>) -> Result<Option<Bytes>, Failure> {
         loop {
             match self.step().await {
-                Ok(Step::Piece(_, data)) => return Ok(Some(data)),
-                Ok(Step::End(_)) => return Ok(None),
+                Ok(Step::Piece(data)) => body.extend_from_slice(&data),
+                Ok(Step::End) => return Ok((head, body)),
                 Err(failure) => {
                     self.may_retry(failure).await?;
                     body.clear();
-                    self.begin().await?;
+                    head = self.begin().await?;
                 }
             }
         }
@@ -114,8 +142,11 @@
         let step = tokio::time::timeout(left, attempt.next())
             .await
             .unwrap_or_else(|_| Err(late()));
-        if matches!(step, Ok(Step::End(_))) {
+        if matches!(step, Ok(Step::End)) {
             self.core.succeeded(&self.job.meta, &self.job.profile.retry);
+            if let Some(trial) = self.trial.take() {
+                trial.finish();
+            }
         }
         step
     }
@@ -157,19 +188,17 @@
                 &failure.detail,
                 revision,
             );
-            self.unplaced(failure)
+            self.truth(failure)
         })
     }
 
-    /// Tells what became of the request, not only of its last placement.
-    fn unplaced(&mut self, failure: Failure) -> Failure {
-        match self.last.take() {
-            Some(last) if last.ran != Ran::No => last,
-            _ => Failure {
-                ran: Ran::No,
-                ..failure
-            },
-        }
+    /// Tells what became of the request, not only of its last attempt.
+    fn truth(&self, failure: Failure) -> Failure {
+        let ran = match &self.last {
+            Some(last) if last.ran != Ran::No => last.ran,
+            _ => failure.ran,
+        };
+        failure.with_ran(ran)
     }
 
     /// Goes on elsewhere after `failure`, from the piece that comes next.
@@ -180,14 +209,23 @@
             ..f
         };
         self.may_retry(failure).await.map_err(broken)?;
-        self.begin().await.map(drop).map_err(broken)
+        let head = self.begin().await.map_err(broken)?;
+        if head.is_event_stream() {
+            return Ok(());
+        }
+        let detail = format!(
+            "an upstream answered with status {} instead of going on",
+            head.status
+        );
+        Err(broken(Failure::new(ErrorKind::StreamBroken, detail)))
     }
 
     /// Passes `failure` on unless another attempt is allowed.
     async fn may_retry(&mut self, failure: Failure) -> Result<(), Failure> {
         self.current = None;
+        self.trial = None;
         if is_final(failure.kind) {
-            return Err(failure);
+            return Err(self.truth(failure));
         }
         if failure.ran == Ran::No {
             self.refusals += 1;
@@ -196,8 +234,13 @@
                 self.tried.clear();
             }
             let hopeless = self.refusals >= MAX_REFUSALS || self.time_left().is_zero();
-            return if hopeless { Err(failure) } else { Ok(()) };
+            return if hopeless {
+                Err(self.truth(failure))
+            } else {
+                Ok(())
+            };
         }
+        self.crashed = true;
         let ran = self.attempts - self.refusals.min(self.attempts - 1);
         let Some(pause) = self.core.may_retry(&self.job, ran) else {
             return Err(failure);
--- a/app/src/entry/tasks.rs
+++ b/app/src/entry/tasks.rs
@@ -19,6 +19,12 @@
 /// Time between two requests for news to one agent.
 const NEWS_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time between two requests for the contents under suspicion.
+const SUSPECTS_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time allowed for an answer about the contents under suspicion.
+const SUSPECTS_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time between two looks at another entry.
 const PEER_PAUSE: Duration = Duration::from_secs(1);
 
@@ -33,6 +39,7 @@
     let mut tasks = vec![
         actix_rt::spawn(follow(Arc::clone(core))),
         actix_rt::spawn(tick(Arc::clone(core), client.clone())),
+        actix_rt::spawn(follow_suspicion(Arc::clone(core))),
         actix_rt::spawn(gather_news(Arc::clone(core), client.clone())),
     ];
     let others: Vec<_> = core
@@ -67,6 +74,20 @@
     }
 }
 
+/// Keeps up with the contents under suspicion.
+async fn follow_suspicion(core: Arc<Core>) {
+    let Some(control) = core.control().cloned() else {
+        return;
+    };
+    loop {
+        match control.suspects(SUSPECTS_TIMEOUT).await {
+            Ok(suspects) => core.lock().suspects = suspects.into_iter().collect(),
+            Err(e) => log::debug!("asking for the contents under suspicion failed: {e}"),
+        }
+        tokio::time::sleep(SUSPECTS_PAUSE).await;
+    }
+}
+
 /// Asks each agent in turn for its load and its cache events.
 async fn gather_news(core: Arc<Core>, client: WorkClient) {
     let mut known = std::collections::BTreeMap::<UpstreamName, NewsOrder>::new();
--- a/peers/instance/src/submit.rs
+++ b/peers/instance/src/submit.rs
@@ -9,16 +9,22 @@
 use base64::engine::general_purpose::STANDARD;
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::RegisterMethodError;
+use jsonrpsee::core::traits::ToRpcParams;
 use jsonrpsee::types::ErrorObjectOwned;
 use pimentotide_control::machine::{MAX_COMMAND_BYTES, decode, encode};
 use pimentotide_control::{Command, Response};
-use pimentotide_model::{ErrorKind, Failure};
+use pimentotide_model::{ErrorKind, Failure, Fingerprint};
+
+use serde::de::DeserializeOwned;
 
 use crate::{PeerClient, rpc_error};
 
 /// Method that takes an encoded command and answers with the encoded response.
 const SUBMIT: &str = "control_submit";
 
+/// Method that answers with the contents under suspicion.
+const SUSPECTS: &str = "control_suspects";
+
 /// Time that one replica has for an answer.
 const ATTEMPT: Duration = Duration::from_millis(1_000);
 
@@ -29,6 +35,9 @@
 pub trait Submit: Clone + Send + Sync + 'static {
     /// Proposes a command; completes once it is committed and applied.
     fn submit(&self, command: Command) -> impl Future<Output = Result<Response, Failure>> + Send;
+
+    /// Contents that may not run like any other, as of a moment after the call.
+    fn suspects(&self) -> impl Future<Output = Result<Vec<Fingerprint>, Failure>> + Send;
 }
 
 /// Builds the method by which other processes submit commands.
@@ -51,6 +60,9 @@
             .map_err(|e| rpc_error(&Failure::new(ErrorKind::Internal, e.to_string())))?;
         Ok::<String, ErrorObjectOwned>(STANDARD.encode(bytes))
     })?;
+    module.register_async_method(SUSPECTS, |_, replica, _| async move {
+        replica.suspects().await.map_err(|e| rpc_error(&e))
+    })?;
     Ok(module)
 }
 
@@ -94,20 +106,34 @@
     pub async fn submit(&self, command: &Command, limit: Duration) -> Result<Response, Failure> {
         let internal = |detail: String| Failure::new(ErrorKind::Internal, detail);
         let text = STANDARD.encode(encode(command).map_err(|e| internal(e.to_string()))?);
+        response_in(&self.ask::<String, _>(SUBMIT, [text], limit).await?)
+    }
+
+    /// Asks for the contents that may not run like any other.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `NoQuorum` if no replica can vouch for its answer in time.
+    pub async fn suspects(&self, limit: Duration) -> Result<Vec<Fingerprint>, Failure> {
+        self.ask(SUSPECTS, [0; 0], limit).await
+    }
+
+    /// Asks one replica after the other until one answers.
+    async fn ask<A, P>(&self, method: &str, params: P, limit: Duration) -> Result<A, Failure>
+    where
+        A: DeserializeOwned,
+        P: ToRpcParams + Clone + Send,
+    {
         let end = Instant::now() + limit;
         let mut failures = 0;
         while !self.replicas.is_empty() && Instant::now() < end {
             let position = self.preferred.load(Ordering::Relaxed) % self.replicas.len();
             let left = end.saturating_duration_since(Instant::now()).min(ATTEMPT);
-            let call =
-                self.replicas[position].call_within::<_, String>(left, SUBMIT, [text.clone()]);
-            match call.await {
-                Ok(answer) => return response_in(&answer),
+            let replica = &self.replicas[position];
+            match replica.call_within(left, method, params.clone()).await {
+                Ok(answer) => return Ok(answer),
                 Err(e) if is_final(e.kind) => return Err(e),
-                Err(e) => log::debug!(
-                    "submitting to {} failed: {e}",
-                    self.replicas[position].address()
-                ),
+                Err(e) => log::debug!("{method} at {} failed: {e}", replica.address()),
             }
             self.preferred.store(position + 1, Ordering::Relaxed);
             failures += 1;
@@ -117,7 +143,7 @@
         }
         Err(Failure::new(
             ErrorKind::NoQuorum,
-            "no control replica confirmed the command in time",
+            "no control replica answered in time",
         ))
     }
 }
--- a/peers/instance/src/work/client.rs
+++ b/peers/instance/src/work/client.rs
@@ -52,6 +52,20 @@
 
 impl std::error::Error for WorkError {}
 
+/// Lowest status with which an agent may have failed after it took a request in.
+const FIRST_FAULT: u16 = 500;
+
+impl WorkError {
+    /// Whether the agent has certainly not passed the request on.
+    pub fn is_unseen(&self) -> bool {
+        match self {
+            Self::Unreachable(_) => true,
+            Self::Rejected(status) => *status < FIRST_FAULT,
+            Self::Broken(_) => false,
+        }
+    }
+}
+
 /// Client of all agents, for use on one thread.
 #[derive(Clone)]
 pub struct WorkClient {
@@ -96,7 +110,7 @@
             return Err(WorkError::Rejected(answer.status().as_u16()));
         }
         let chunks = answer.map(|c| c.map_err(|e| e.to_string()));
-        Ok(FrameStream::new(chunks.boxed_local()))
+        Ok(FrameStream::new(chunks.boxed_local(), order.resume))
     }
 
     /// Tells an agent that nobody waits for the answer any more.
@@ -177,14 +191,17 @@
     chunks: Pin<Box<dyn Stream<Item = Result<Bytes, String>>>>,
     decoder: FrameDecoder,
     ready: VecDeque<Frame>,
+    /// Position of the piece that comes next.
+    next: u64,
 }
 
 impl FrameStream {
-    fn new(chunks: Pin<Box<dyn Stream<Item = Result<Bytes, String>>>>) -> Self {
+    fn new(chunks: Pin<Box<dyn Stream<Item = Result<Bytes, String>>>>, next: u64) -> Self {
         Self {
             chunks,
             decoder: FrameDecoder::default(),
             ready: VecDeque::new(),
+            next,
         }
     }
 
@@ -192,12 +209,13 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection breaks or closes before the answer is closed.
+    /// Fails if the connection breaks or closes before the answer is closed, and
+    /// if a piece is missing or out of place.
     pub async fn next_frame(&mut self) -> Result<Frame, WorkError> {
         let broken = |detail: String| WorkError::Broken(detail);
         loop {
             if let Some(frame) = self.ready.pop_front() {
-                return Ok(frame);
+                return self.in_place(frame);
             }
             let Some(chunk) = self.chunks.next().await else {
                 return Err(broken(
@@ -216,6 +234,25 @@
     }
 }
 
+impl FrameStream {
+    /// Checks that a piece follows the one before it and that the end counts them all.
+    fn in_place(&mut self, frame: Frame) -> Result<Frame, WorkError> {
+        let found = match frame {
+            Frame::Piece { position, .. } => position,
+            Frame::End { pieces, .. } => pieces,
+            _ => return Ok(frame),
+        };
+        if found != self.next {
+            let detail = format!("expected piece {}, found {found}", self.next);
+            return Err(WorkError::Broken(detail));
+        }
+        if matches!(frame, Frame::Piece { .. }) {
+            self.next += 1;
+        }
+        Ok(frame)
+    }
+}
+
 fn send_error(error: &SendRequestError) -> WorkError {
     match error {
         // Also reported when the connection closes after the request was sent.
