--- a/peers/instance/tests/it/main.rs
+++ b/peers/instance/tests/it/main.rs
@@ -3,3 +3,4 @@
 mod broken;
 mod directory;
 mod link;
+mod replica;
