--- a/decision/routing/src/placer/slot.rs
+++ b/decision/routing/src/placer/slot.rs
@@ -20,7 +20,7 @@
 pub(super) struct Slot {
     pub(super) announcement: Announcement,
     pub(super) generation: u32,
-    pub(super) domain: u32,
+    pub(super) domains: [u32; 2],
     pub(super) health: Health,
     pub(super) group: Option<u32>,
     pub(super) report: LoadReport,
@@ -33,11 +33,11 @@
 
 impl Slot {
     /// Builds the slot of an upstream that has not reported yet.
-    pub(super) fn new(announcement: Announcement, generation: u32, domain: u32) -> Self {
+    pub(super) fn new(announcement: Announcement, generation: u32, domains: [u32; 2]) -> Self {
         Self {
             announcement,
             generation,
-            domain,
+            domains,
             health: Health::default(),
             group: None,
             report: LoadReport::default(),
--- a/decision/routing/src/queue/mod.rs
+++ b/decision/routing/src/queue/mod.rs
@@ -167,14 +167,13 @@
 
     /// Puts a request back at the front after a refusal that was "not run".
     pub fn put_back(&mut self, queued: Queued<T>, now: Time) {
-        self.drain.undo();
+        self.drain.undo(now);
         let weight = self.weight(&queued.workspace);
         self.count += 1;
         self.classes
             .entry(Reverse(queued.priority))
             .or_default()
             .put_back(queued, weight);
-        self.drain.entered(now);
     }
 
     /// Takes out a request whose caller went away.
--- /dev/null
+++ b/peers/instance/tests/it/main.rs
@@ -0,0 +1,4 @@
+//! Integration tests of the protocol between processes.
+
+mod directory;
+mod link;
