An idle queue is not taken for a slow one

Cause: while nothing waited, every tick lengthened the interval between departures, so that the first requests to queue later were refused as hopeless although the queue would have drained in a fraction of a second.

Change: the interval is lengthened only while requests wait.

--- a/decision/routing/src/queue/mod.rs
+++ b/decision/routing/src/queue/mod.rs
@@ -187,7 +187,9 @@
 
     /// Sheds all requests that can no longer be answered in time.
     pub fn shed_late(&mut self, now: Time) -> Vec<Shed<T>> {
-        self.drain.advance(now);
+        if self.count > 0 {
+            self.drain.advance(now);
+        }
         let typical = self.drain.interval();
         let mut late = Vec::new();
         for (key, class) in &self.classes {
--- a/decision/routing/tests/it/queue.rs
+++ b/decision/routing/tests/it/queue.rs
@@ -85,6 +85,23 @@
     insta::assert_debug_snapshot!(shed[0].failure());
 }
 
+#[test]
+fn an_idle_queue_is_not_taken_for_a_slow_one() {
+    let mut queue = queue(256, &[]);
+    for id in 0..10 {
+        push(&mut queue, id, "w", at(0));
+    }
+    for step in 1..=10 {
+        queue.pop(at(step * 10));
+    }
+    for step in 0..600 {
+        queue.shed_late(at(1_000 + step * 50));
+    }
+    for id in 20..40 {
+        assert!(push(&mut queue, id, "w", at(32_000)).is_empty());
+    }
+}
+
 #[test]
 fn waiting_requests_are_shed_when_they_are_late() {
     let mut queue = queue(256, &[]);
