--- a/app/src/entry/waiting.rs
+++ b/app/src/entry/waiting.rs
@@ -149,6 +149,7 @@
     let agents = inner.asked.len();
     let mut demand = EntryDemand::new();
     for service in &asked {
+        let agents = inner.asked.values().filter(|s| s.contains(service)).count();
         if let Some(queue) = inner.queues.get(service) {
             demand.extend(queue.demand(agents, now));
         }
--- a/decision/control/tests/it/main.rs
+++ b/decision/control/tests/it/main.rs
@@ -4,6 +4,8 @@
 mod common;
 mod directory;
 mod document;
+mod hostile;
 mod order;
+mod shared;
 mod size;
 mod watch;
--- a/decision/experts/src/plan/balance.rs
+++ b/decision/experts/src/plan/balance.rs
@@ -31,6 +31,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Site {
     pub(crate) speeds: Vec<f64>,
+    /// Time that a unit of load takes on each rank.
+    pub(crate) costs: Vec<f64>,
     pub(crate) nodes: Vec<u16>,
     pub(crate) owners: Vec<usize>,
     pub(crate) offsets: Vec<usize>,
@@ -42,6 +44,7 @@
         offsets.push(layout.width());
         Self {
             speeds: speeds.to_vec(),
+            costs: speeds.iter().map(|s| 1.0 / s).collect(),
             nodes: layout.ranks.iter().map(|r| r.node).collect(),
             owners: layout.owners(),
             offsets,
@@ -60,6 +63,32 @@
     pub(crate) expert: u16,
 }
 
+/// Experts in the slots of one layer, and the tokens that each slot carries.
+#[derive(Clone, Debug)]
+pub(crate) struct Split {
+    pub(crate) experts: Vec<u16>,
+    carried: Vec<f64>,
+}
+
+impl Split {
+    /// Returns the slots with the tokens as weights.
+    pub(crate) fn slots(&self) -> Vec<Slot> {
+        let experts = self.experts.iter().max().map_or(0, |e| usize::from(*e) + 1);
+        let mut most = vec![0.0_f64; experts];
+        for (expert, carried) in self.experts.iter().zip(&self.carried) {
+            let most = &mut most[usize::from(*expert)];
+            *most = most.max(*carried);
+        }
+        let slots = self.experts.iter().zip(&self.carried);
+        slots
+            .map(|(&expert, &carried)| Slot {
+                expert,
+                weight: quantise(carried, most[usize::from(expert)]),
+            })
+            .collect()
+    }
+}
+
 /// Working state of one layer.
 #[derive(Clone, Debug)]
 pub(crate) struct Balance<'a> {
@@ -70,6 +99,7 @@
     carried: Vec<f64>,
     totals: Vec<f64>,
     hosts: Vec<Vec<usize>>,
+    saved: (Vec<f64>, Vec<f64>),
     scratch: Vec<(f64, f64, usize)>,
 }
 
@@ -88,6 +118,7 @@
             totals: vec![0.0; site.speeds.len()],
             experts,
             hosts,
+            saved: (Vec::new(), Vec::new()),
             scratch: Vec::new(),
         };
         balance.spread();
@@ -97,24 +128,16 @@
 
     /// Highest time of a rank.
     pub(crate) fn time(&self) -> f64 {
-        let times = self.totals.iter().zip(&self.site.speeds);
-        times.map(|(t, s)| t / s).fold(0.0, f64::max)
+        let times = self.totals.iter().zip(&self.site.costs);
+        times.map(|(t, c)| t * c).fold(0.0, f64::max)
     }
 
-    /// Returns the slots with the split as weights.
-    pub(crate) fn slots(&self) -> Vec<Slot> {
-        let mut slots: Vec<Slot> = self
-            .experts
-            .iter()
-            .map(|&expert| Slot { expert, weight: 0 })
-            .collect();
-        for hosts in &self.hosts {
-            let most = hosts.iter().map(|h| self.carried[*h]).fold(0.0, f64::max);
-            for &host in hosts {
-                slots[host].weight = quantise(self.carried[host], most);
-            }
+    /// Returns the experts in the slots with the tokens that each carries.
+    pub(crate) fn split(&self) -> Split {
+        Split {
+            experts: self.experts.clone(),
+            carried: self.carried.clone(),
         }
-        slots
     }
 
     /// Makes the one change that cuts the excess over the target, if there is one.
@@ -122,11 +145,16 @@
         if self.time() <= self.target {
             return None;
         }
+        let found = self.change();
+        if found.is_none() {
+            self.settle(MAX_SWEEPS);
+        }
+        found
+    }
+
+    fn change(&mut self) -> Option<Vec<Change>> {
         let hot = self.hottest();
-        let cool = self.coolest(hot);
-        let changes = self
-            .try_replicas(hot)
-            .or_else(|| self.try_exchange(hot, &cool))?;
+        let changes = self.try_replicas(hot).or_else(|| self.try_exchange(hot))?;
         self.settle(CHANGE_SWEEPS);
         Some(changes)
     }
@@ -170,7 +198,8 @@
             let rank = self.site.owners[host];
             let base = self.totals[rank] - self.carried[host];
             let speed = self.site.speeds[rank];
-            self.scratch.push((base / speed, speed, host));
+            let level = base * self.site.costs[rank];
+            self.scratch.push((level, speed, host));
         }
         self.scratch.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
         let level = fill(&self.scratch, self.loads[expert]);
@@ -182,7 +211,7 @@
     }
 
     fn time_of(&self, rank: usize) -> f64 {
-        self.totals[rank] / self.site.speeds[rank]
+        self.totals[rank] * self.site.costs[rank]
     }
 
     fn hottest(&self) -> usize {
@@ -208,9 +237,9 @@
 
     /// Sum of squared excess over the target.
     fn excess(&self) -> f64 {
-        let times = self.totals.iter().zip(&self.site.speeds);
+        let times = self.totals.iter().zip(&self.site.costs);
         times
-            .map(|(t, s)| (t / s - self.target).max(0.0).powi(2))
+            .map(|(t, c)| (t * c - self.target).max(0.0).powi(2))
             .sum()
     }
 
@@ -240,7 +269,7 @@
             for &slot in hosts {
                 let rank = self.site.owners[slot];
                 let own = self.site.speeds[rank];
-                let freed = self.time_of(rank) - self.carried[slot] / own;
+                let freed = self.time_of(rank) - self.carried[slot] * self.site.costs[rank];
                 let others = time + self.carried[slot] / (speed - own);
                 scored.push((freed.max(others), slot));
             }
@@ -281,9 +310,9 @@
         None
     }
 
-    fn try_exchange(&mut self, hot: usize, cool: &[usize]) -> Option<Vec<Change>> {
+    fn try_exchange(&mut self, hot: usize) -> Option<Vec<Change>> {
         let mut best: Option<(f64, [Change; 2])> = None;
-        for &rank in cool {
+        for rank in self.coolest(hot) {
             for there in self.site.slots_of(rank) {
                 for here in self.site.slots_of(hot) {
                     let (out, back) = (self.experts[here], self.experts[there]);
@@ -307,7 +336,8 @@
     /// Applies `changes`, and takes them back unless they cut the excess.
     fn attempt(&mut self, changes: &[Change], hot: usize) -> bool {
         let before = self.excess();
-        let saved = (self.carried.clone(), self.totals.clone());
+        self.saved.0.clone_from(&self.carried);
+        self.saved.1.clone_from(&self.totals);
         let old: Vec<Change> = changes
             .iter()
             .map(|c| Change {
@@ -329,7 +359,8 @@
             return true;
         }
         self.replace(&old);
-        (self.carried, self.totals) = saved;
+        self.carried.clone_from(&self.saved.0);
+        self.totals.clone_from(&self.saved.1);
         false
     }
 
@@ -378,7 +409,6 @@
     if most <= 0.0 {
         return u8::MAX;
     }
-    let weight = (share / most * f64::from(u8::MAX)).round();
     // In range: share lies between zero and most.
-    weight as u8
+    (share / most * f64::from(u8::MAX) + 0.5) as u8
 }
--- a/peers/instance/src/directory/mod.rs
+++ b/peers/instance/src/directory/mod.rs
@@ -10,16 +10,18 @@
 mod follow;
 mod report;
 mod server;
+mod shared;
 
 use std::future::Future;
 
 use pimentotide_control::Machine;
-use pimentotide_model::Failure;
+use pimentotide_model::{Failure, Revision};
 use tokio::sync::watch;
 
 pub use follow::{FollowOptions, Follower};
 pub use report::{AgentOptions, AgentReporter, EntryOptions, EntryReporter};
 pub use server::Directory;
+pub use shared::SharedMachine;
 
 /// Method that answers a [`pimentotide_control::currency::WatchRequest`].
 const WATCH: &str = "directory_watch";
@@ -40,6 +42,6 @@
     where
         F: FnOnce(&Machine) -> T;
 
-    /// Changes with each change of the local state.
-    fn changes(&self) -> watch::Receiver<u64>;
+    /// Revision in force here, with every change of it.
+    fn changes(&self) -> watch::Receiver<Revision>;
 }
--- a/peers/upstream/src/client.rs
+++ b/peers/upstream/src/client.rs
@@ -3,17 +3,22 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use awc::error::SendRequestError;
-use awc::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName};
+use awc::Client;
+use awc::error::{ConnectError, SendRequestError};
+use awc::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use awc::http::{Method, StatusCode};
-use awc::{Client, Connector};
 use bytes::Bytes;
 use derive_more::Display;
 use futures_util::{Stream, StreamExt};
 
+use crate::transport::whole_connector;
+
 /// Time allowed for connecting to the upstream, which runs on the same instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which an idle connection is kept.
+const KEEP_ALIVE: Duration = Duration::from_secs(15);
+
 /// Connections kept to the upstream at most.
 const MAX_CONNECTIONS: usize = 4096;
 
@@ -62,8 +67,20 @@
 impl EngineClient {
     /// Opens a client that connects when it is first needed.
     pub fn open() -> Self {
-        let connector = Connector::new()
-            .timeout(CONNECT_TIMEOUT)
+        Self::with_keep_alive(KEEP_ALIVE)
+    }
+
+    /// Opens a client that connects anew for each request.
+    ///
+    /// A kept connection may close just as a request is sent over it, and then
+    /// nobody can tell whether the upstream has seen the request.
+    pub fn open_unpooled() -> Self {
+        Self::with_keep_alive(Duration::ZERO)
+    }
+
+    fn with_keep_alive(keep_alive: Duration) -> Self {
+        let connector = whole_connector(CONNECT_TIMEOUT)
+            .conn_keep_alive(keep_alive)
             .limit(MAX_CONNECTIONS);
         let client = Client::builder()
             .connector(connector)
@@ -99,6 +116,10 @@
             .map_err(|e| send_error(&e))?;
         let status = answer.status();
         let headers = answer.headers().clone();
+        if !is_delimited(&request.method, status, &headers) {
+            let detail = "its answer has neither a length nor chunks";
+            return Err(EngineError::Broken(detail.to_owned()));
+        }
         let body = answer.map(|chunk| chunk.map_err(|e| EngineError::Broken(e.to_string())));
         Ok(EngineAnswer {
             status,
@@ -132,6 +153,15 @@
     }
 }
 
+/// Whether the end of an answer can be told from the end of its connection.
+fn is_delimited(method: &Method, status: StatusCode, headers: &HeaderMap) -> bool {
+    let bodiless = status.is_informational()
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED
+        || method == Method::HEAD;
+    bodiless || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Whether a header belongs to one connection and is not passed on.
 pub fn is_hop_header(name: &HeaderName) -> bool {
     const HOP: [&str; 8] = [
@@ -149,6 +179,10 @@
 
 fn send_error(error: &SendRequestError) -> EngineError {
     match error {
+        // Also reported when the connection closes after the request was sent.
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            EngineError::Broken("the connection closed without an answer".to_owned())
+        }
         SendRequestError::Connect(e) => EngineError::Unreachable(e.to_string()),
         SendRequestError::Url(e) => EngineError::Unreachable(e.to_string()),
         other => EngineError::Broken(other.to_string()),
