--- a/app/src/entry/waiting.rs
+++ b/app/src/entry/waiting.rs
@@ -146,7 +146,6 @@
     let now = core.now();
     let mut inner = core.lock();
     let asked = inner.asked.get(upstream).cloned().unwrap_or_default();
-    let agents = inner.asked.len();
     let mut demand = EntryDemand::new();
     for service in &asked {
         let agents = inner.asked.values().filter(|s| s.contains(service)).count();
