--- a/decision/routing/src/placer/mod.rs
+++ b/decision/routing/src/placer/mod.rs
@@ -18,14 +18,14 @@
 use std::collections::BTreeMap;
 
 use pimentotide_model::{
-    Announcement, Declarations, ErrorKind, Failure, Incarnation, InstanceName, LoadReport,
-    RequestMeta, Revision, ServiceName, Time, UpstreamName, ZoneName,
+    Announcement, Declarations, ErrorKind, Failure, Fingerprint, Incarnation, InstanceName,
+    LoadReport, RequestMeta, Revision, ServiceName, Time, UpstreamName, ZoneName,
 };
 use rand::Rng;
 
 use crate::gate::CreditId;
 use crate::health::HealthState;
-use decision::Booking;
+use decision::{Booking, INLINE_CANDIDATES};
 pub use decision::{
     Candidate, Candidates, Decision, Finished, Placement, Reason, Ticket, Verdict, Wait,
 };
@@ -49,15 +49,19 @@
     pub zone: ZoneName,
     /// Candidates drawn for each decision, half of them from the nearest zone.
     pub choices: usize,
+    /// Number by which entries lean towards different upstreams.
+    pub lean: u64,
 }
 
 impl PlacerSettings {
     /// Returns the usual settings of an entry.
     pub fn new(instance: InstanceName, zone: ZoneName) -> Self {
+        let lean = Fingerprint::of([instance.as_bytes()]).0;
         Self {
             instance,
             zone,
             choices: 6,
+            lean: u64::from_le_bytes(lean[..8].try_into().unwrap_or_default()),
         }
     }
 }
@@ -360,7 +364,11 @@
         now: Time,
     ) -> Decision {
         let chosen = shortlist[0];
-        let candidates: Candidates = shortlist.iter().filter_map(|w| self.describe(w)).collect();
+        let candidates: Candidates = shortlist
+            .iter()
+            .take(INLINE_CANDIDATES)
+            .filter_map(|w| self.describe(w))
+            .collect();
         let generation = self.directory.begin(chosen.slot, now);
         self.beliefs.add(chosen.slot, &meta.prefix);
         Decision {
--- a/decision/routing/src/queue/mod.rs
+++ b/decision/routing/src/queue/mod.rs
@@ -167,14 +167,13 @@
 
     /// Puts a request back at the front after a refusal that was "not run".
     pub fn put_back(&mut self, queued: Queued<T>, now: Time) {
-        self.drain.undo();
+        self.drain.undo(now);
         let weight = self.weight(&queued.workspace);
         self.count += 1;
         self.classes
             .entry(Reverse(queued.priority))
             .or_default()
             .put_back(queued, weight);
-        self.drain.entered(now);
     }
 
     /// Takes out a request whose caller went away.
@@ -188,7 +187,9 @@
 
     /// Sheds all requests that can no longer be answered in time.
     pub fn shed_late(&mut self, now: Time) -> Vec<Shed<T>> {
-        self.drain.advance(now);
+        if self.count > 0 {
+            self.drain.advance(now);
+        }
         let typical = self.drain.interval();
         let mut late = Vec::new();
         for (key, class) in &self.classes {
