--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of the binary's library.
 
+mod local;
 mod operator;
 mod options;
 mod settings;
