Scenario language: scripts, fakes at the interfaces, first stories

Cause: failures were shown only by each package's own tests; no story ran consensus, currency, gate, placement and at-most-once together.

Change: scripts (.scn) are read and checked as a whole, then run under virtual time from the seed that they name. The pure machines run between small fakes: links, disks in memory, clocks, engines with a ledger of their own. Every script runs twice and has to report the same both times. Protections can be left out with "bypass", to show that their loss is seen.

--- /dev/null
+++ b/dev/scenario/src/world/call.rs
@@ -0,0 +1,241 @@
+//! Proposals to the control replicas, repeated until they are answered.
+
+use std::time::Duration;
+
+use pimentotide_control::{Action, Command, Order, Response, Verdict};
+use pimentotide_model::{OrderId, Revision, Standing, Time, UpstreamName, ZoneName};
+use pimentotide_outcome::Reply;
+
+use super::parcel::{Parcel, Proposed};
+use super::{Item, NodeId, OUTSIDE, World};
+use crate::script::OrderText;
+
+/// Time that one replica has to answer.
+const ANSWER: Duration = Duration::from_millis(1_500);
+/// Pause before a refused proposal is made elsewhere.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Time after which a claim is given up as unconfirmed.
+const CLAIM: Duration = Duration::from_secs(3);
+/// Time after which anything else is given up.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// What a proposal is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Purpose {
+    Services,
+    Order(String),
+    Claim(u64),
+    Trial(u64),
+    Crash,
+}
+
+/// One proposal under way.
+pub(super) struct Call {
+    from: NodeId,
+    command: Command,
+    purpose: Purpose,
+    only: Option<NodeId>,
+    position: usize,
+    attempt: u32,
+    until: Time,
+}
+
+/// An order of an operator, and its latest answer.
+#[derive(Clone)]
+pub(super) struct OrderState {
+    order: Order,
+    pub(super) verdict: Option<Verdict>,
+    unanswered: bool,
+}
+
+impl World {
+    pub(super) fn submit(
+        &mut self,
+        from: NodeId,
+        command: Command,
+        purpose: Purpose,
+        only: Option<NodeId>,
+    ) {
+        let id = self.fresh();
+        let claim = matches!(purpose, Purpose::Claim(_));
+        let call = Call {
+            from,
+            command,
+            purpose,
+            only,
+            position: self.disks.keys().position(|n| *n == from).unwrap_or(0),
+            attempt: 0,
+            until: self.time + if claim { CLAIM } else { PATIENCE },
+        };
+        self.calls.insert(id, call);
+        self.dial(id);
+    }
+
+    fn dial(&mut self, id: u64) {
+        let time = self.time;
+        let replicas: Vec<NodeId> = self.disks.keys().copied().collect();
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if time >= call.until {
+            return self.conclude(id, None);
+        }
+        call.attempt += 1;
+        let to = call
+            .only
+            .unwrap_or(replicas[call.position % replicas.len()]);
+        let (from, attempt) = (call.from, call.attempt);
+        let command = Box::new(call.command.clone());
+        self.send(from, to, Parcel::Propose(id, command));
+        self.schedule(ANSWER, Item::Call(id, attempt));
+    }
+
+    pub(super) fn call_late(&mut self, id: u64, attempt: u32) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if call.attempt != attempt {
+            return;
+        }
+        call.position += 1;
+        self.dial(id);
+    }
+
+    pub(super) fn call_answered(&mut self, to: NodeId, id: u64, result: Proposed) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if call.from != to {
+            return;
+        }
+        if let Proposed::Rejected(Some(leader)) = result {
+            // The late call goes on to the one after this position.
+            let found = self.disks.keys().position(|n| *n == leader);
+            call.position = found.map_or(call.position, |p| p + self.disks.len() - 1);
+        }
+        match result {
+            Proposed::Applied(response) => self.conclude(id, Some(response)),
+            Proposed::Rejected(_) | Proposed::Unknown => {
+                call.attempt += 1;
+                let attempt = call.attempt;
+                self.schedule(PAUSE, Item::Call(id, attempt));
+            }
+        }
+    }
+
+    fn conclude(&mut self, id: u64, response: Option<Response>) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        if call.from != OUTSIDE && !self.hosts[call.from].up {
+            return;
+        }
+        let reply: Option<Reply> = match &response {
+            Some(Response::Outcome(reply)) => Some(reply.clone()),
+            _ => None,
+        };
+        match (call.purpose, response) {
+            (Purpose::Order(order), Some(Response::Declare(verdict))) => {
+                self.order_answered(&order, verdict);
+            }
+            (Purpose::Order(order), _) => self.note(&format!("order {order}: no answer")),
+            (Purpose::Claim(once), _) => self.once_committed(once, reply),
+            (Purpose::Trial(flight), _) => self.trial_answered(flight, reply.as_ref()),
+            (Purpose::Services | Purpose::Crash, _) => {}
+        }
+    }
+
+    pub(super) fn order(&mut self, text: &OrderText) -> Result<(), String> {
+        let standing = if text.standing == "out" {
+            Standing::Out
+        } else {
+            Standing::In
+        };
+        let action = if text.kind == "zone" {
+            Action::Zone {
+                zone: ZoneName::from(text.target.as_str()),
+                standing,
+            }
+        } else {
+            Action::Upstream {
+                upstream: UpstreamName::from(text.target.as_str()),
+                standing: Some(standing),
+                fenced: None,
+            }
+        };
+        let order = Order {
+            id: OrderId::from(text.id.as_str()),
+            base: text.base.map(Revision),
+            actor: "operator".to_owned(),
+            action,
+        };
+        let state = OrderState {
+            order,
+            verdict: None,
+            unanswered: text.unanswered,
+        };
+        self.orders.insert(text.id.clone(), state);
+        self.resend(&text.id, text.via.as_deref())
+    }
+
+    pub(super) fn resend(&mut self, id: &str, via: Option<&str>) -> Result<(), String> {
+        let only = match via {
+            Some(name) => Some(
+                self.node(name)
+                    .ok_or(format!("no node is called {name:?}"))?,
+            ),
+            None => None,
+        };
+        let order = self.orders[id].order.clone();
+        let purpose = Purpose::Order(id.to_owned());
+        self.submit(OUTSIDE, Command::Declare(order), purpose, only);
+        Ok(())
+    }
+
+    /// Orders that follow each other at once, each a change.
+    pub(super) fn flood(&mut self, count: u32) {
+        let zone = ZoneName::from("flooded");
+        for number in 0..count {
+            let standing = if number.is_multiple_of(2) {
+                Standing::Out
+            } else {
+                Standing::In
+            };
+            let id = format!("flood-{}-{number}", self.time.as_millis());
+            let order = Order {
+                id: OrderId::from(id),
+                base: None,
+                actor: "operator".to_owned(),
+                action: Action::Zone {
+                    zone: zone.clone(),
+                    standing,
+                },
+            };
+            self.submit(OUTSIDE, Command::Declare(order), Purpose::Services, None);
+        }
+    }
+
+    fn order_answered(&mut self, id: &str, verdict: Verdict) {
+        let Some(state) = self.orders.get_mut(id) else {
+            return;
+        };
+        if std::mem::take(&mut state.unanswered) {
+            return self.note(&format!("order {id}: the answer is lost"));
+        }
+        let text = verdict_text(&verdict);
+        state.verdict = Some(verdict);
+        self.note(&format!("order {id}: {text}"));
+    }
+}
+
+/// Says a verdict as scripts name it.
+pub(super) fn verdict_text(verdict: &Verdict) -> String {
+    match verdict {
+        Verdict::Accepted { revision } => format!("accepted as revision {revision}"),
+        Verdict::Conflict { base, current, .. } => {
+            format!("conflict: made at revision {base}, in force is {current}")
+        }
+        Verdict::Mismatch { .. } => "mismatch".to_owned(),
+        Verdict::Invalid { .. } => "invalid".to_owned(),
+    }
+}
