--- a/dev/scenario/src/lib.rs
+++ b/dev/scenario/src/lib.rs
@@ -13,6 +13,9 @@
 
 pub use script::{Script, ScriptError};
 
+/// Most failures that a report shows.
+const MAX_SHOWN: usize = 6;
+
 /// What a run left behind.
 #[derive(Clone, Debug)]
 pub struct Report {
@@ -31,9 +34,12 @@
             return writeln!(f, "passed");
         }
         writeln!(f, "failed")?;
-        self.failures
-            .iter()
-            .try_for_each(|line| writeln!(f, "  {line}"))
+        let shown = self.failures.iter().take(MAX_SHOWN);
+        shown.into_iter().try_for_each(|l| writeln!(f, "  {l}"))?;
+        match self.failures.len().saturating_sub(MAX_SHOWN) {
+            0 => Ok(()),
+            more => writeln!(f, "  and {more} more"),
+        }
     }
 }
 
--- a/dev/scenario/src/world/agent.rs
+++ b/dev/scenario/src/world/agent.rs
@@ -327,15 +327,11 @@
             }
             return;
         }
-        let request = super::flight::request_id(run.flight);
-        let piece = Piece::Token {
-            request,
-            attempt: run.attempt,
-            position,
-            token: answer_to(&run.content)[position as usize].clone(),
-        };
-        self.answer_flight(node, run, WorkAnswer::Piece(piece));
+        if position < PIECES {
+            self.answer_piece(node, run, position);
+        }
         if ended {
+            let request = super::flight::request_id(run.flight);
             let end = Piece::End {
                 request,
                 attempt: run.attempt,
@@ -345,6 +341,16 @@
         }
     }
 
+    fn answer_piece(&mut self, node: NodeId, run: &Run, position: u64) {
+        let piece = Piece::Token {
+            request: super::flight::request_id(run.flight),
+            attempt: run.attempt,
+            position,
+            token: answer_to(&run.content)[position as usize].clone(),
+        };
+        self.answer_flight(node, run, WorkAnswer::Piece(piece));
+    }
+
     /// The engine died with these requests.
     pub(super) fn runs_died(&mut self, node: NodeId, runs: BTreeMap<u64, Run>) {
         let now = self.local(node);
--- a/dev/scenario/src/world/call.rs
+++ b/dev/scenario/src/world/call.rs
@@ -34,7 +34,6 @@
     from: NodeId,
     command: Command,
     purpose: Purpose,
-    only: Option<NodeId>,
     position: usize,
     attempt: u32,
     until: Time,
@@ -54,7 +53,7 @@
         from: NodeId,
         command: Command,
         purpose: Purpose,
-        only: Option<NodeId>,
+        first: Option<NodeId>,
     ) {
         let id = self.fresh();
         let claim = matches!(purpose, Purpose::Claim(_));
@@ -62,8 +61,11 @@
             from,
             command,
             purpose,
-            only,
-            position: self.disks.keys().position(|n| *n == from).unwrap_or(0),
+            position: self
+                .disks
+                .keys()
+                .position(|n| *n == first.unwrap_or(from))
+                .unwrap_or(0),
             attempt: 0,
             until: self.time + if claim { CLAIM } else { PATIENCE },
         };
@@ -81,9 +83,7 @@
             return self.conclude(id, None);
         }
         call.attempt += 1;
-        let to = call
-            .only
-            .unwrap_or(replicas[call.position % replicas.len()]);
+        let to = replicas[call.position % replicas.len()];
         let (from, attempt) = (call.from, call.attempt);
         let command = Box::new(call.command.clone());
         self.send(from, to, Parcel::Propose(id, command));
@@ -179,7 +179,7 @@
     }
 
     pub(super) fn resend(&mut self, id: &str, via: Option<&str>) -> Result<(), String> {
-        let only = match via {
+        let first = match via {
             Some(name) => Some(
                 self.node(name)
                     .ok_or(format!("no node is called {name:?}"))?,
@@ -188,7 +188,7 @@
         };
         let order = self.orders[id].order.clone();
         let purpose = Purpose::Order(id.to_owned());
-        self.submit(OUTSIDE, Command::Declare(order), purpose, only);
+        self.submit(OUTSIDE, Command::Declare(order), purpose, first);
         Ok(())
     }
 
--- a/dev/scenario/src/world/engine.rs
+++ b/dev/scenario/src/world/engine.rs
@@ -110,7 +110,7 @@
             return;
         }
         let position = run.position;
-        run.position += 1;
+        run.position = (position + 1).min(PIECES);
         let (run, pause) = (run.clone(), engine.text.takes / PIECES as u32);
         let ended = run.position == PIECES;
         if ended {
--- a/dev/scenario/src/world/ledger.rs
+++ b/dev/scenario/src/world/ledger.rs
@@ -78,9 +78,10 @@
         let Some(key) = key else {
             return;
         };
-        let runs = self.runs.entry(key.clone()).or_default();
-        runs.push(run);
-        let count = runs.len();
+        if key != name {
+            self.runs.entry(key.clone()).or_default().push(run);
+        }
+        let count = self.run_count(&key);
         if count > 1 {
             self.violate(at, "at most once", &format!("{key} ran {count} times"));
         }
