Scenarios: a group of ranks in lock-step, and more pairs of faults

Cause: the first promise had no story, since no group ran in the scripts.

Change: a group's ranks, leader of steps and coordinator run with the control replicas' log; its ledger checks that all ranks start a step under one map with its weights loaded.

--- a/dev/scenario/src/script/expect.rs
+++ b/dev/scenario/src/script/expect.rs
@@ -33,6 +33,8 @@
         "leader" if words.accept("not") => Expect::NotLeader(words.name("an instance")?),
         "leader" => Expect::Leader(Some(words.name("an instance or any")?)),
         "served" => Expect::Served(count(words)?),
+        "settled" if words.is_empty() => Expect::Settled(None),
+        "settled" => Expect::Settled(Some(words.number("a map")?)),
         "ended" => Expect::Ended,
         "crashes" => Expect::Crashes(count(words)?),
         other => return Err(format!("{other:?} cannot be expected")),
--- a/dev/scenario/src/script/parse.rs
+++ b/dev/scenario/src/script/parse.rs
@@ -21,8 +21,11 @@
 #[derive(Default)]
 struct Scope {
     begun: bool,
+    grouped: bool,
     seed: Option<u64>,
     disks: usize,
+    /// Whether an upstream or a group has been declared.
+    peopled: bool,
     names: BTreeSet<String>,
     services: BTreeSet<String>,
     places: BTreeSet<String>,
@@ -77,6 +80,7 @@
         "instance" => instance(words)?,
         "upstream" => upstream(words)?,
         "service" => service(words)?,
+        "group" => group(words)?,
         "begin" => Statement::Begin,
         "wait" => Statement::Wait(words.duration()?),
         "start" => Statement::Start(words.name("a name")?),
@@ -103,6 +107,7 @@
         "request" => request(words)?,
         "load" => load(words)?,
         "poison" => Statement::Poison(words.name("a content")?),
+        "rebalance" => Statement::Rebalance,
         "bypass" => Statement::Bypass(guard(words)?),
         "expect" => Statement::Expect(expect(words)?),
         other => return Err(format!("{other:?} is not a statement")),
@@ -142,6 +147,17 @@
     }))
 }
 
+fn group(words: &mut Words<'_>) -> Result<Statement, String> {
+    let name = words.name("a name")?;
+    words.expect("in")?;
+    let zone = words.name("a zone")?;
+    words.expect("ranks")?;
+    let ranks = words.number("a number of ranks")?;
+    let ranks = u16::try_from(ranks).ok().filter(|r| (2..=8).contains(r));
+    let ranks = ranks.ok_or("a group has 2 to 8 ranks")?;
+    Ok(Statement::Group { name, zone, ranks })
+}
+
 fn service(words: &mut Words<'_>) -> Result<Statement, String> {
     let name = words.name("a name")?;
     let kind = match words.next("model or plain")? {
@@ -257,6 +273,7 @@
         "assembly" => Guard::Assembly,
         "refusals" => Guard::Refusals,
         "revisions" => Guard::Revisions,
+        "maps" => Guard::Maps,
         other => return Err(format!("{other:?} cannot be bypassed")),
     })
 }
@@ -269,6 +286,7 @@
                 | Statement::Instance { .. }
                 | Statement::Upstream(_)
                 | Statement::Service(_)
+                | Statement::Group { .. }
                 | Statement::Begin
         );
         if self.seed.is_none() && !matches!(statement, Statement::Seed(_)) {
@@ -289,16 +307,26 @@
         let fresh = match statement {
             Statement::Seed(seed) => self.seed.replace(*seed).is_none(),
             Statement::Instance { name, zone, disk } => {
+                if self.peopled {
+                    return Err("instances stand before upstreams and groups".to_owned());
+                }
                 self.disks += usize::from(*disk);
                 self.places.insert(zone.clone());
                 self.names.insert(name.clone())
             }
             Statement::Upstream(text) => {
                 known(&self.services, "service", &text.service)?;
+                self.peopled = true;
                 self.places.insert(text.zone.clone());
                 self.places.insert(text.name.clone());
                 self.names.insert(text.name.clone())
             }
+            Statement::Group { name, ranks, .. } => {
+                self.peopled = true;
+                let names = (0..*ranks).map(|r| format!("{name}-{r}"));
+                self.names.extend(names);
+                !std::mem::replace(&mut self.grouped, true)
+            }
             Statement::Service(text) => self.services.insert(text.name.clone()),
             Statement::Request(text) => self.requests.insert(text.name.clone()),
             Statement::Order(text) => {
--- a/dev/scenario/src/script/statement.rs
+++ b/dev/scenario/src/script/statement.rs
@@ -15,6 +15,11 @@
     },
     Upstream(UpstreamText),
     Service(ServiceText),
+    Group {
+        name: String,
+        zone: String,
+        ranks: u16,
+    },
     Begin,
     Wait(Duration),
     Start(String),
@@ -40,6 +45,7 @@
         span: Duration,
     },
     Poison(String),
+    Rebalance,
     Bypass(Guard),
     Expect(Expect),
 }
@@ -114,6 +120,7 @@
     Assembly,
     Refusals,
     Revisions,
+    Maps,
 }
 
 /// What is expected.
@@ -133,5 +140,6 @@
     NotLeader(String),
     Served(u32),
     Ended,
+    Settled(Option<u64>),
     Crashes(u32),
 }
--- a/dev/scenario/src/script/words.rs
+++ b/dev/scenario/src/script/words.rs
@@ -69,6 +69,10 @@
         duration(word).ok_or_else(|| format!("expected a time such as 200ms or 3s, found {word:?}"))
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.rest.is_empty()
+    }
+
     pub(super) fn end(&self) -> Result<(), String> {
         match self.rest.last() {
             None => Ok(()),
--- a/dev/scenario/src/world/call.rs
+++ b/dev/scenario/src/world/call.rs
@@ -27,6 +27,7 @@
     Claim(u64),
     Trial(u64),
     Crash,
+    Experts(NodeId),
 }
 
 /// One proposal under way.
@@ -56,7 +57,7 @@
         first: Option<NodeId>,
     ) {
         let id = self.fresh();
-        let claim = matches!(purpose, Purpose::Claim(_));
+        let claim = matches!(purpose, Purpose::Claim(_) | Purpose::Experts(_));
         let call = Call {
             from,
             command,
@@ -135,13 +136,16 @@
             _ => None,
         };
         match (call.purpose, response) {
+            (Purpose::Experts(node), Some(Response::Experts(reply))) => {
+                self.rank_replied(node, reply);
+            }
             (Purpose::Order(order), Some(Response::Declare(verdict))) => {
                 self.order_answered(&order, verdict);
             }
             (Purpose::Order(order), _) => self.note(&format!("order {order}: no answer")),
             (Purpose::Claim(once), _) => self.once_committed(once, reply),
             (Purpose::Trial(flight), _) => self.trial_answered(flight, reply.as_ref()),
-            (Purpose::Services | Purpose::Crash, _) => {}
+            (Purpose::Services | Purpose::Crash | Purpose::Experts(_), _) => {}
         }
     }
 
--- a/dev/scenario/src/world/judge.rs
+++ b/dev/scenario/src/world/judge.rs
@@ -33,6 +33,7 @@
                 _ => Ok(()),
             },
             Expect::Served(share) => self.served(*share),
+            Expect::Settled(map) => self.settled(*map),
             Expect::Ended => self.ended(),
             Expect::Crashes(most) => {
                 let crashes = self.ledger.crashes;
--- a/dev/scenario/src/world/mod.rs
+++ b/dev/scenario/src/world/mod.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod entry;
 mod flight;
+mod group;
 mod holder;
 mod judge;
 mod ledger;
@@ -35,6 +36,7 @@
 use engine::Engine;
 use entry::Entry;
 use flight::Flight;
+use group::{Group, RankEvent};
 use ledger::{Ledger, stamp};
 use network::Network;
 use once::Once;
@@ -69,6 +71,7 @@
     Disk(NodeId, u64),
     Start(NodeId),
     Engine(NodeId, u64, u64),
+    Rank(RankEvent),
     Call(u64, u32),
     Flight(u64),
     Once(u64, u64, once::Timer),
@@ -99,6 +102,7 @@
     orders: BTreeMap<String, OrderState>,
     flights: BTreeMap<u64, Flight>,
     onces: BTreeMap<u64, Once>,
+    group: Option<Group>,
     poisons: BTreeSet<String>,
     bypassed: Vec<Guard>,
     ledger: Ledger,
@@ -116,6 +120,8 @@
         }
     }
     world.trace.extend(world.ledger.summary());
+    let steps = world.steps().map(|s| format!("steps: {s}"));
+    world.trace.extend(steps);
     failures.extend(world.ledger.violations.iter().map(|v| v.trim().to_owned()));
     Report {
         trace: world.trace,
@@ -144,6 +150,7 @@
             orders: BTreeMap::new(),
             flights: BTreeMap::new(),
             onces: BTreeMap::new(),
+            group: None,
             poisons: BTreeSet::new(),
             bypassed: Vec::new(),
             ledger: Ledger::default(),
@@ -195,6 +202,7 @@
             Item::Disk(node, life) => self.work_disk(node, life),
             Item::Start(node) => self.start(node),
             Item::Engine(node, start, run) => self.engine_step(node, start, run),
+            Item::Rank(event) => self.rank_event(event),
             Item::Call(call, attempt) => self.call_late(call, attempt),
             Item::Flight(flight) => self.place_flight(flight),
             Item::Once(once, stage, timer) => self.once_timer(once, stage, timer),
@@ -255,6 +263,7 @@
             Parcel::Inquire(once, stage, held, place) => {
                 self.inquired(from, to, (once, stage), &held, &place);
             }
+            Parcel::Ranks(peer, message) => self.rank_message(to, peer, *message),
             Parcel::Found(once, stage, finding) => self.found(once, stage, finding),
         }
     }
@@ -266,6 +275,7 @@
         self.tick_replica(node);
         self.tick_entry(node);
         self.tick_agent(node);
+        self.tick_group(node);
         if self.hosts[node].up && self.hosts[node].life == life {
             self.schedule(TICK, Item::Tick(node, life));
         }
--- a/dev/scenario/src/world/parcel.rs
+++ b/dev/scenario/src/world/parcel.rs
@@ -4,6 +4,7 @@
 use pimentotide_control::currency::{WatchAnswer, WatchRequest};
 use pimentotide_control::directory::{Heard, Report};
 use pimentotide_control::{Command, Response};
+use pimentotide_experts::{Message, Peer};
 use pimentotide_model::{Incarnation, LoadReport};
 use pimentotide_outcome::{ClaimRef, Finding, LedgerEpoch, NotRun, Piece, Place};
 use pimentotide_routing::{Admission, Refusal};
@@ -27,6 +28,7 @@
     Answer(u64, u32, WorkAnswer),
     Inquire(u64, u64, ClaimRef, Place),
     Found(u64, u64, Finding),
+    Ranks(Peer, Box<Message>),
 }
 
 /// What became of a proposal at one replica.
--- a/dev/scenario/src/world/perform.rs
+++ b/dev/scenario/src/world/perform.rs
@@ -26,6 +26,10 @@
                 self.add_upstream(text);
                 Ok(())
             }
+            Statement::Group { name, zone, ranks } => {
+                self.add_group(name, zone, *ranks);
+                Ok(())
+            }
             Statement::Service(text) => {
                 self.services.insert(text.name.clone(), text.clone());
                 Ok(())
@@ -40,13 +44,13 @@
         match statement {
             Statement::Wait(span) => self.run(*span),
             Statement::Start(name) => self.start(self.named(name)?),
-            Statement::Stop(name) => self.stop(self.named(name)?),
+            Statement::Stop(name) => self.stop(self.whole(name)?),
             Statement::Kill(name) => self.kill(self.named(name)?),
             Statement::Pause(name, span) => {
                 let node = self.named(name)?;
                 self.hosts[node].paused = self.time + *span;
             }
-            Statement::Cold(name) => self.turn_cold(self.named(name)?),
+            Statement::Cold(name) => self.turn_cold(self.whole(name)?),
             Statement::Cut(link) => self.links(link, true)?,
             Statement::Heal(Some(link)) => self.links(link, false)?,
             Statement::Heal(None) => self.network.heal_all(),
@@ -75,6 +79,7 @@
             Statement::Poison(content) => {
                 self.poisons.insert(content.clone());
             }
+            Statement::Rebalance => self.rebalance(),
             Statement::Bypass(guard) => self.bypassed.push(*guard),
             _ => {}
         }
@@ -86,6 +91,15 @@
             .ok_or_else(|| format!("no node is called {name:?}"))
     }
 
+    /// A node that is no rank of a group.
+    fn whole(&self, name: &str) -> Result<NodeId, String> {
+        let node = self.named(name)?;
+        if node < self.instances || self.engines.contains_key(&node) {
+            return Ok(node);
+        }
+        Err("a rank can only be killed, started, paused or cut off".to_owned())
+    }
+
     fn links(&mut self, link: &Link, cut: bool) -> Result<(), String> {
         let all: Vec<NodeId> = (0..self.hosts.len()).collect();
         let ends = |world: &Self, name: &Option<String>| match name {
--- a/dev/scenario/src/world/setup.rs
+++ b/dev/scenario/src/world/setup.rs
@@ -72,6 +72,7 @@
             },
         };
         self.submit(OUTSIDE, Command::Declare(order), Purpose::Services, None);
+        self.form_group();
         self.run(FOUNDING);
         if self.ledger.newest.0 != 1 {
             return Err("the deployment did not come up".to_owned());
@@ -139,7 +140,7 @@
                 return self.schedule(Duration::from_millis(50), Item::Start(node));
             }
             self.start_entry(node);
-        } else {
+        } else if !self.start_rank(node) {
             self.start_engine(node);
             self.start_agent(node);
             let name = self.hosts[node].name.clone();
@@ -188,6 +189,7 @@
         }
         self.hosts[node].up = false;
         self.replicas.remove(&node);
+        self.kill_rank(node);
         if let Some(disk) = self.disks.get(&node) {
             disk.restart();
         }
