--- a/dev/scenario/src/world/group.rs
+++ b/dev/scenario/src/world/group.rs
@@ -28,7 +28,7 @@
 const STALL: Duration = Duration::from_millis(300);
 
 /// What happens at a rank.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(super) enum RankEvent {
     Loaded(NodeId, u64, MapId),
     Done(Epoch, u64),
--- a/dev/scenario/src/world/replica.rs
+++ b/dev/scenario/src/world/replica.rs
@@ -18,6 +18,7 @@
 
 use super::parcel::{Parcel, Proposed};
 use super::{Item, NodeId, World};
+use crate::script::Guard;
 
 /// Small segments, so that many are started and removed.
 const SEGMENT_BYTES: u64 = 16 << 10;
@@ -329,15 +330,23 @@
         from: NodeId,
         node: NodeId,
         session: u64,
-        request: WatchRequest,
+        mut request: WatchRequest,
     ) {
         let started = self.local(node);
+        let unconfirmed = self.bypasses(Guard::Revisions);
+        if unconfirmed {
+            request.held = None;
+        }
         let reader = Reader::Watch {
             from,
             session,
             request,
             started,
         };
+        if unconfirmed && let Some(replica) = self.replicas.get_mut(&node) {
+            replica.ready.push((Index(0), reader));
+            return self.serve_ready(node);
+        }
         self.confirm(node, reader);
     }
 
