--- a/dev/scenario/src/script/parse.rs
+++ b/dev/scenario/src/script/parse.rs
@@ -85,6 +85,7 @@
         "wait" => Statement::Wait(words.duration()?),
         "start" => Statement::Start(words.name("a name")?),
         "stop" => Statement::Stop(words.name("a name")?),
+        "kill" if words.accept("agent") => Statement::KillAgent(words.name("an upstream")?),
         "kill" => Statement::Kill(words.name("a name")?),
         "cold" => Statement::Cold(words.name("an upstream")?),
         "pause" => {
@@ -269,6 +270,7 @@
         "gate" => Guard::Gate,
         "claims" => Guard::Claims,
         "currency" => Guard::Currency,
+        "leaving" => Guard::Leaving,
         "drain" => Guard::Drain,
         "assembly" => Guard::Assembly,
         "refusals" => Guard::Refusals,
@@ -354,6 +356,7 @@
             | Statement::Stop(name)
             | Statement::Kill(name)
             | Statement::Cold(name)
+            | Statement::KillAgent(name)
             | Statement::Pause(name, _)
             | Statement::Disk(name, _)
             | Statement::Clock(name, _) => known(&self.names, "node", name),
--- a/dev/scenario/src/world/agent.rs
+++ b/dev/scenario/src/world/agent.rs
@@ -19,9 +19,11 @@
 use super::engine::{PIECES, Run, answer_to};
 use super::holder::Holder;
 use super::parcel::{Parcel, Work, WorkAnswer};
-use super::{NodeId, World};
+use super::{Item, NodeId, World};
 use crate::script::Guard;
 
+/// Time after which an agent that died runs again.
+const RESTART: Duration = Duration::from_millis(300);
 /// Pause between load reports.
 const REPORT: Duration = Duration::from_millis(100);
 
@@ -189,7 +191,31 @@
         agent.beat = now;
     }
 
+    /// The agent dies; its engine goes on with what it runs.
+    pub(super) fn kill_agent(&mut self, node: NodeId) {
+        self.agents.remove(&node);
+        let runs = self.engines.get(&node).map(|e| e.runs.clone());
+        for (number, run) in runs.unwrap_or_default() {
+            self.answer_flight(node, &run, WorkAnswer::Reset);
+            let engine = self.engines.get_mut(&node).expect("it runs");
+            if let Some(run) = engine.runs.get_mut(&number) {
+                run.connected = false;
+            }
+        }
+        let life = self.hosts[node].life;
+        self.schedule(RESTART, Item::Agent(node, life));
+    }
+
+    pub(super) fn agent_back(&mut self, node: NodeId, life: u64) {
+        if self.hosts[node].up && self.hosts[node].life == life {
+            self.start_agent(node);
+        }
+    }
+
     pub(super) fn leave(&mut self, node: NodeId) {
+        if self.bypasses(Guard::Leaving) {
+            return;
+        }
         let now = self.local(node);
         if let Some(agent) = self.agents.get_mut(&node) {
             agent.gate.leave();
@@ -272,6 +298,7 @@
             position: work.from,
             entry: from,
             once: work.claim.is_some(),
+            connected: true,
         };
         let lies = self.bypasses(Guard::Refusals);
         let number = self.engine_run(node, run.clone());
--- a/dev/scenario/src/world/engine.rs
+++ b/dev/scenario/src/world/engine.rs
@@ -22,6 +22,8 @@
     pub(super) position: u64,
     pub(super) entry: NodeId,
     pub(super) once: bool,
+    /// Whether whoever sent it still waits on a connection.
+    pub(super) connected: bool,
 }
 
 /// A stand-in for an engine or a plain service.
@@ -133,6 +135,9 @@
     }
 
     pub(super) fn answer_flight(&mut self, node: NodeId, run: &Run, answer: WorkAnswer) {
+        if !run.connected {
+            return;
+        }
         let parcel = super::Parcel::Answer(run.flight, run.attempt, answer);
         self.send(node, run.entry, parcel);
     }
--- a/dev/scenario/src/world/perform.rs
+++ b/dev/scenario/src/world/perform.rs
@@ -46,6 +46,10 @@
             Statement::Start(name) => self.start(self.named(name)?),
             Statement::Stop(name) => self.stop(self.whole(name)?),
             Statement::Kill(name) => self.kill(self.named(name)?),
+            Statement::KillAgent(name) => {
+                let node = self.whole(name)?;
+                self.kill_agent(node);
+            }
             Statement::Pause(name, span) => {
                 let node = self.named(name)?;
                 self.hosts[node].paused = self.time + *span;
