--- a/dev/scenario/src/script/mod.rs
+++ b/dev/scenario/src/script/mod.rs
@@ -47,4 +47,13 @@
     pub fn parse(text: &str) -> Result<Self, Vec<ScriptError>> {
         parse::script(text)
     }
+
+    /// Returns the same story under another seed.
+    #[must_use]
+    pub fn with_seed(&self, seed: u64) -> Self {
+        Self {
+            seed,
+            ..self.clone()
+        }
+    }
 }
--- a/dev/scenario/src/world/flight.rs
+++ b/dev/scenario/src/world/flight.rs
@@ -304,6 +304,12 @@
                 }
                 self.schedule(ROOM_PAUSE, Item::Flight(id));
             }
+            WorkAnswer::Unsent => {
+                let upstream = flight.upstream.take().map(|(u, _)| u);
+                flight.tried.extend(upstream);
+                self.unbook(id, Flown::Failed);
+                self.schedule(ROOM_PAUSE, Item::Flight(id));
+            }
             WorkAnswer::Piece(piece) => self.piece(id, piece),
             WorkAnswer::Died(incarnation) => self.died(id, incarnation),
             WorkAnswer::Reset | WorkAnswer::NotRun(_) | WorkAnswer::Finished(_) => {
--- a/dev/scenario/src/world/mod.rs
+++ b/dev/scenario/src/world/mod.rs
@@ -245,7 +245,7 @@
 
     fn deliver(&mut self, from: NodeId, to: NodeId, parcel: Parcel) {
         if to != OUTSIDE && !self.hosts[to].up {
-            return;
+            return self.refuse_connection(from, to, parcel);
         }
         match parcel {
             Parcel::Consensus(envelope) => self.consensus(to, *envelope),
@@ -270,6 +270,14 @@
         }
     }
 
+    /// The instance is there but nothing listens on it.
+    fn refuse_connection(&mut self, from: NodeId, to: NodeId, parcel: Parcel) {
+        if let Parcel::Work(work) = parcel {
+            let answer = parcel::WorkAnswer::Unsent;
+            self.send(to, from, Parcel::Answer(work.flight, work.attempt, answer));
+        }
+    }
+
     fn tick(&mut self, node: NodeId, life: u64) {
         if !self.hosts[node].up || self.hosts[node].life != life {
             return;
--- a/dev/scenario/src/world/once.rs
+++ b/dev/scenario/src/world/once.rs
@@ -5,8 +5,8 @@
 use pimentotide_control::Command;
 use pimentotide_model::{Fingerprint, RequestMeta, UpstreamName};
 use pimentotide_outcome::{
-    Action, Answer, Attempt, Body, ClaimRef, Command as Journaled, Event, Finding, Intent, Outcome,
-    Place, Reply, generated_key,
+    Action, Answer, Attempt, Body, ClaimRef, Command as Journaled, Event, Finding, Intent, NotRun,
+    Outcome, Place, Reply, generated_key,
 };
 use pimentotide_routing::{Finished, Placement, Ticket, Verdict};
 
@@ -261,6 +261,7 @@
         let event = match answer {
             WorkAnswer::Finished(outcome) => Event::Answered(outcome),
             WorkAnswer::NotRun(reason) => Event::NotRun(reason),
+            WorkAnswer::Unsent => Event::NotRun(NotRun::Refused),
             _ => Event::Broken,
         };
         self.once_event(id, event);
--- a/dev/scenario/src/world/parcel.rs
+++ b/dev/scenario/src/world/parcel.rs
@@ -63,6 +63,8 @@
     Finished(std::sync::Arc<pimentotide_outcome::Outcome>),
     /// The engine died while it ran the request.
     Died(Incarnation),
+    /// No process listened, so nothing was sent.
+    Unsent,
     /// The connection broke.
     Reset,
 }
