--- a/decision/routing/src/placer/scene.rs
+++ b/decision/routing/src/placer/scene.rs
@@ -16,6 +16,8 @@
 /// Further weight of own requests beyond the usual number: entries that each
 /// spread their own requests evenly spread them evenly together.
 const OWN_WEIGHT: f64 = 4.0;
+/// Largest lean away from an upstream, as part of the answer time.
+const LEAN: f64 = 0.05;
 /// Draws made when none of the first candidates has room.
 const EXTRA_DRAWS: usize = 12;
 /// Most agents asked for credits.
@@ -147,7 +149,7 @@
 
     pub(super) fn weigh(&self, index: u32, penalty: f64) -> Option<Weighed> {
         let slot = self.directory.slot(index)?;
-        let mean = self.directory.mean(slot);
+        let mean = self.directory.mean(slot, self.pool.is_zonal());
         let load = slot.load(mean, self.learned.turnover(), self.now);
         let hit = self.beliefs.hit(index, &self.meta.prefix);
         let group = self.directory.group_gap(slot);
@@ -156,7 +158,7 @@
             allowance: f64::from(slot.allowance()),
             missing: self.meta.prefix.len() as f64 - f64::from(hit) * slot.trust,
             gap: slot.report.token_gap.max(group) as f64,
-            penalty,
+            penalty: penalty + self.lean(index),
         };
         Some(Weighed {
             slot: index,
@@ -167,6 +169,18 @@
         })
     }
 
+    /// Part of the answer time by which this entry leans away from an upstream.
+    ///
+    /// Entries without a zone to prefer lean towards different upstreams, so
+    /// that fewer entries share each and own requests tell more of its load.
+    fn lean(&self, index: u32) -> f64 {
+        if self.pool.is_zonal() {
+            return 0.0;
+        }
+        let mixed = (self.settings.lean ^ u64::from(index)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        LEAN * (mixed >> 32) as f64 / f64::from(u32::MAX)
+    }
+
     fn penalty_of(&self, index: u32) -> f64 {
         let Some(slot) = self.directory.slot(index) else {
             return 0.0;
