--- /dev/null
+++ b/dev/bench/src/bin/capacity_entry.rs
@@ -0,0 +1,190 @@
+//! Slopes of the entry: memory and processor time of the placer, bytes of agents' news.
+
+use std::time::Duration;
+
+use pimentotide_bench::measure::{memory_each, nanos};
+use pimentotide_bench::target::{
+    MODELS, UPSTREAMS, WORKSPACES, announcement, declarations, service,
+};
+use pimentotide_instance::work::{BlockEvent, News, NewsOrder};
+use pimentotide_model::{
+    Fingerprint, Incarnation, LoadReport, Priority, RequestId, RequestMeta, Time, Warmth,
+};
+use pimentotide_outcome::LedgerEpoch;
+use pimentotide_routing::{
+    CacheChange, CacheEvent, Finished, Placement, Placer, PlacerSettings, Verdict,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// Upstreams that an entry knows.
+const SIZES: [usize; 4] = [100, 1_000, UPSTREAMS, 10_000];
+/// Blocks believed cached, on one hundred upstreams.
+const BLOCKS: [usize; 3] = [100_000, 400_000, 1_600_000];
+/// Upstreams of the memory of beliefs.
+const HOLDERS: usize = 100;
+/// Blocks of one prompt.
+const PROMPT_BLOCKS: u64 = 32;
+/// Events in one timed run.
+const BATCH: usize = 2_000;
+/// Cache events in one answer of an agent.
+const EVENTS: [usize; 4] = [0, 1, 16, 256];
+/// Seed of all random draws.
+const SEED: u64 = 7_340_033;
+
+fn main() {
+    print_placer();
+    print_beliefs();
+    print_news();
+}
+
+fn placer(upstreams: usize) -> Placer {
+    let settings = PlacerSettings::new("entry-1".into(), "region-1-zone-1".into());
+    let mut placer = Placer::open(settings);
+    placer.declare(declarations(MODELS, WORKSPACES));
+    for i in 0..upstreams {
+        placer.announce(announcement(i));
+        placer.observe_report(&announcement(i).upstream, &report(1), Time::ZERO);
+    }
+    placer
+}
+
+fn report(sequence: u64) -> LoadReport {
+    LoadReport {
+        incarnation: Incarnation(1_764_800_000_000_000),
+        sequence,
+        running: 21,
+        waiting: 3,
+        allowance: 64,
+        warmth: Warmth::Warm,
+        first_token: 210_000,
+        token_gap: 14_500,
+    }
+}
+
+fn meta(i: usize) -> RequestMeta {
+    RequestMeta {
+        id: RequestId(i as u128),
+        workspace: "workspace-0001".into(),
+        service: service(i % MODELS),
+        model: Some(format!("model-{:02}", i % MODELS).into()),
+        version: None,
+        adapter: None,
+        priority: Priority(100),
+        deadline: Time::from_millis(30_000),
+        idempotent: true,
+        key: None,
+        fingerprint: Fingerprint([0; 16]),
+        prefix: (0..PROMPT_BLOCKS).map(|b| (i as u64) << 8 | b).collect(),
+        stream: true,
+    }
+}
+
+fn print_placer() {
+    println!("placer, {MODELS} services, prompts of {PROMPT_BLOCKS} blocks; ns min/median/max");
+    println!(
+        "{:>9} {:>12} {:>20} {:>20} {:>20}",
+        "upstreams", "resident B", "report ns", "announcement ns", "decision ns"
+    );
+    for size in SIZES {
+        let resident = memory_each(size, || placer(size));
+        let mut placer = placer(size);
+        let names: Vec<_> = (0..size).map(|i| announcement(i).upstream).collect();
+        let mut sequence = 1;
+        let reported = nanos(BATCH, |i| {
+            sequence += 1;
+            placer.observe_report(&names[i % size], &report(sequence), Time::ZERO);
+        });
+        let mut restarts = 0;
+        let announced = nanos(BATCH, |i| {
+            restarts += 1;
+            let mut announcement = announcement(i % size);
+            announcement.incarnation.0 += restarts;
+            placer.announce(announcement);
+        });
+        let decided = time_decision(&mut placer);
+        println!("{size:>9} {resident:>12.0} {reported:>20} {announced:>20} {decided:>20}");
+    }
+    println!("resident: bytes an upstream, declarations included");
+}
+
+/// Times a decision and the end of its request.
+fn time_decision(placer: &mut Placer) -> String {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let metas: Vec<_> = (0..BATCH).map(meta).collect();
+    nanos(BATCH, |i| {
+        let meta = &metas[i];
+        let Placement::Chosen(decision) = placer.place(meta, &[], Time::ZERO, &mut rng) else {
+            return;
+        };
+        let done = Finished {
+            verdict: Verdict::Good,
+            first_token: Some(Duration::from_millis(200)),
+            total: Duration::from_secs(5),
+            tokens: 350,
+            cached: None,
+        };
+        placer.finish(decision.ticket, meta, &done, Time::ZERO);
+    })
+}
+
+fn print_beliefs() {
+    println!("\nbeliefs about cached blocks, {HOLDERS} upstreams, each block on one");
+    println!("{:>10} {:>10} {:>12}", "offered", "kept", "B a block");
+    for blocks in BLOCKS {
+        let mut kept = 0;
+        let total = memory_each(1, || {
+            let mut placer = placer(HOLDERS);
+            for i in 0..blocks {
+                store(&mut placer, i);
+            }
+            kept = placer.believed_blocks();
+            placer
+        });
+        let each = total / kept.max(1) as f64;
+        println!("{blocks:>10} {kept:>10} {each:>12.1}");
+    }
+    let mut placer = placer(HOLDERS);
+    let mut next = 0;
+    let stored = nanos(BATCH, |_| {
+        store(&mut placer, next);
+        next += 1;
+    });
+    println!("one event of one block, ns min/median/max {stored}");
+}
+
+fn store(placer: &mut Placer, i: usize) {
+    let event = CacheEvent {
+        incarnation: Incarnation(1_764_800_000_000_000),
+        sequence: (i / HOLDERS) as u64 + 1,
+        change: CacheChange::Stored(vec![(i as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15)]),
+    };
+    placer.observe_cache(&announcement(i % HOLDERS).upstream, event, Time::ZERO);
+}
+
+fn print_news() {
+    let order = NewsOrder {
+        incarnation: Incarnation(1_764_800_000_000_000),
+        sequence: 1_000_000,
+    };
+    println!("\nnews of one agent, bytes without HTTP headers");
+    let bytes = |encoded: Result<Vec<u8>, _>| encoded.expect("news encode").len();
+    println!("question {}", bytes(postcard::to_stdvec(&order)));
+    println!("{:>8} {:>8}", "events", "bytes");
+    for events in EVENTS {
+        let news = News {
+            epoch: LedgerEpoch(1_764_800_000_000_000),
+            report: report(1_000_000),
+            events: (0..events).map(event).collect(),
+        };
+        println!("{events:>8} {:>8}", bytes(postcard::to_stdvec(&news)));
+    }
+}
+
+fn event(i: usize) -> BlockEvent {
+    BlockEvent {
+        sequence: 1_000_000 + i as u64,
+        stored: true,
+        block: (i as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15),
+    }
+}
--- /dev/null
+++ b/dev/bench/src/bin/capacity_stream.rs
@@ -0,0 +1,113 @@
+//! Processor time of a request and of a token through entry and agent, and memory of an open stream.
+//!
+//! Engine, agent, entry and callers share this process, so that each figure is
+//! the difference between the same load through both and straight to the engine.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pimentotide_bench::load::{Load, offer};
+use pimentotide_bench::measure::resident;
+use pimentotide_bench::pair::{MODEL, deployment};
+
+/// Tokens of an answer.
+const TOKENS: [u32; 3] = [1, 32, 128];
+/// Streams open at once.
+const STREAMS: [u32; 3] = [250, 500, 1_000];
+/// Tokens of a stream that stays open while memory is read.
+const LONG_TOKENS: u32 = 1_000;
+/// Runs of each size.
+const RUNS: usize = 5;
+/// Requests offered a second.
+const RATE: u32 = 200;
+/// Time for which load is offered.
+const LENGTH: Duration = Duration::from_secs(1);
+/// Time between two looks at the memory.
+const LOOK: Duration = Duration::from_millis(20);
+/// Unit of processor time in `/proc`.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+fn main() {
+    actix_rt::System::new().block_on(run());
+}
+
+async fn run() {
+    let (engine, agent, entry, _view) = deployment().await;
+    let (direct, proxied) = (engine.address(), entry.address());
+    offer(&load(proxied, 1, RATE)).await;
+    println!("processor time of entry and agent, streamed, us a request, min/median/max of {RUNS}");
+    println!("{:>8} {:>22} {:>10}", "tokens", "us a request", "failed");
+    for tokens in TOKENS {
+        let mut added = Vec::new();
+        let mut failed = 0;
+        for _ in 0..RUNS {
+            let straight = cost(&load(direct, tokens, RATE)).await;
+            let through = cost(&load(proxied, tokens, RATE)).await;
+            added.push(through.0 - straight.0);
+            failed += straight.1 + through.1;
+        }
+        println!("{tokens:>8} {:>22} {failed:>10}", spread(added));
+    }
+    println!("\nresident memory at the peak, all in one process, KiB");
+    println!("{:>8} {:>10} {:>10}", "streams", "direct", "proxied");
+    for streams in STREAMS {
+        let straight = peak(&load(direct, LONG_TOKENS, streams)).await;
+        let through = peak(&load(proxied, LONG_TOKENS, streams)).await;
+        println!("{streams:>8} {:>10} {:>10}", straight >> 10, through >> 10);
+    }
+    entry.stop().await;
+    agent.stop().await;
+    engine.stop(false).await;
+}
+
+fn load(target: SocketAddr, tokens: u32, rate: u32) -> Load {
+    let body = format!(
+        r#"{{"model":"{MODEL}","prompt":"close Ring Road","max_tokens":{tokens},"stream":true}}"#
+    );
+    Load {
+        target,
+        path: "/v1/completions",
+        body,
+        rate,
+        length: LENGTH,
+    }
+}
+
+/// Processor time of the whole process in us a request, and failures.
+async fn cost(load: &Load) -> (f64, u64) {
+    let before = processor_seconds();
+    let outcome = offer(load).await;
+    let spent = processor_seconds() - before;
+    (spent * 1e6 / outcome.offered as f64, outcome.failed)
+}
+
+/// Highest resident memory while the load runs.
+async fn peak(load: &Load) -> u64 {
+    let highest = Rc::new(Cell::new(0));
+    let seen = Rc::clone(&highest);
+    let look = actix_rt::spawn(async move {
+        loop {
+            seen.set(seen.get().max(resident()));
+            tokio::time::sleep(LOOK).await;
+        }
+    });
+    offer(load).await;
+    look.abort();
+    highest.get()
+}
+
+fn processor_seconds() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields = text.rsplit_once(") ").map_or("", |(_, rest)| rest);
+    let ticks = fields.split(' ').skip(11).take(2);
+    ticks.filter_map(|t| t.parse::<f64>().ok()).sum::<f64>() / TICKS_PER_SECOND
+}
+
+fn spread(mut values: Vec<f64>) -> String {
+    values.sort_by(f64::total_cmp);
+    let last = values.len() - 1;
+    let [low, median, high] = [values[0], values[last / 2], values[last]];
+    format!("{low:.0}/{median:.0}/{high:.0}")
+}
--- a/dev/bench/src/bin/proxy_cost.rs
+++ b/dev/bench/src/bin/proxy_cost.rs
@@ -1,29 +1,17 @@
 //! What proxying costs: the same load straight to an engine and through entry and agent.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use pimentotide::agent::{Agent, AgentOptions};
-use pimentotide::entry::{Entry, EntryOptions};
-use pimentotide::settings::{DEFAULT_BODY_BYTES, DEFAULT_KEEP, EntrySettings, Peer};
+use pimentotide::entry::Entry;
 use pimentotide_bench::load::{Load, Outcome, offer};
-use pimentotide_instance::{Token, View};
-use pimentotide_model::{
-    Declarations, InstanceName, ModelName, Profile, Revision, Service, ServiceKind, ServiceName,
-    SlowStart, UpstreamName, VersionName, WorkspaceName, ZoneName,
-};
-use pimentotide_observe::Metrics;
-use pimentotide_standin::{Engine, EngineOptions};
-use tokio::sync::watch;
+use pimentotide_bench::pair::{MODEL, deployment};
+use pimentotide_standin::Engine;
 
-const MODEL: &str = "bench";
 const ROUNDS: usize = 5;
 const RATE: u32 = 400;
 const LENGTH: Duration = Duration::from_secs(3);
-const CAPACITY: u32 = 4096;
 const TOKENS: u32 = 16;
-const DRAIN: Duration = Duration::from_secs(10);
 const PATH: &str = "/v1/completions";
 
 fn main() {
@@ -130,98 +118,3 @@
         values[last]
     )
 }
-
-async fn deployment() -> (Engine, Agent, Entry, watch::Sender<View>) {
-    let token = Token::open("bench-secret-0123456789").expect("a valid secret");
-    let view = watch::Sender::new(View {
-        declarations: Arc::new(declarations()),
-        current: true,
-        ..View::default()
-    });
-    let agent = Agent::spawn(AgentOptions {
-        upstream: UpstreamName::from("bench"),
-        zone: ZoneName::from("zone"),
-        listen: any_port(),
-        engine: any_port(),
-        token: token.clone(),
-        view: view.subscribe(),
-        control: None,
-        metrics: Metrics::none(),
-        drain: DRAIN,
-    })
-    .expect("the agent starts");
-    let engine = Engine::spawn(EngineOptions {
-        agent: Some(agent.engine_address()),
-        capacity: CAPACITY,
-        initial: CAPACITY,
-        first_token: Duration::from_millis(5),
-        token_gap: Duration::from_millis(2),
-        ..EngineOptions::model(ModelName::from(MODEL), VersionName::from("1"))
-    })
-    .expect("the engine starts");
-    let mut announced = agent.announcements();
-    let announcement = announced
-        .wait_for(Option::is_some)
-        .await
-        .expect("the agent lives")
-        .clone();
-    let announcement = announcement.expect("waited for");
-    view.send_modify(|v| {
-        v.upstreams = Arc::new([(announcement.upstream.clone(), announcement)].into());
-    });
-    let entry = Entry::spawn(entry_options(token, &view)).expect("the entry starts");
-    (engine, agent, entry, view)
-}
-
-fn entry_options(token: Token, view: &watch::Sender<View>) -> EntryOptions {
-    let name = InstanceName::from("bench-entry");
-    let zone = ZoneName::from("zone");
-    EntryOptions {
-        instance: name.clone(),
-        zone: zone.clone(),
-        settings: EntrySettings {
-            listen: any_port(),
-            threads: 2,
-            body: DEFAULT_BODY_BYTES,
-            workspace: Some(WorkspaceName::from("bench")),
-            keep: DEFAULT_KEEP,
-            drain: DRAIN,
-        },
-        entries: vec![Peer {
-            name,
-            zone,
-            address: any_port(),
-        }],
-        token,
-        view: view.subscribe(),
-        control: None,
-        metrics: Metrics::none(),
-    }
-}
-
-fn declarations() -> Declarations {
-    let profile = Profile {
-        model: Some(ModelName::from(MODEL)),
-        slow_start: SlowStart {
-            initial: CAPACITY,
-            completions: 1,
-            least: Duration::ZERO,
-        },
-        ..Profile::default()
-    };
-    let service = Service {
-        name: ServiceName::from("bench"),
-        kind: ServiceKind::Model,
-        profile: profile.name.clone(),
-    };
-    Declarations {
-        revision: Revision(1),
-        services: [(service.name.clone(), service)].into(),
-        profiles: [(profile.name.clone(), profile)].into(),
-        ..Declarations::default()
-    }
-}
-
-fn any_port() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
--- a/dev/bench/src/lib.rs
+++ b/dev/bench/src/lib.rs
@@ -2,3 +2,6 @@
 
 pub mod fleet;
 pub mod load;
+pub mod measure;
+pub mod pair;
+pub mod target;
--- /dev/null
+++ b/dev/bench/src/measure.rs
@@ -0,0 +1,50 @@
+//! Measures of processor time and memory for the capacity benches.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+/// Runs of each timing.
+pub const RUNS: usize = 7;
+
+/// Unit of memory in `/proc`.
+const PAGE_BYTES: u64 = 4096;
+
+/// Times `work`, which is done `count` times in each run, and returns ns a time as min/median/max.
+pub fn nanos<F>(count: usize, mut work: F) -> String
+where
+    F: FnMut(usize),
+{
+    let mut samples: Vec<f64> = (0..RUNS)
+        .map(|_| {
+            let start = Instant::now();
+            for i in 0..count {
+                work(i);
+            }
+            start.elapsed().as_secs_f64() * 1e9 / count as f64
+        })
+        .collect();
+    samples.sort_by(f64::total_cmp);
+    let [low, median, high] = [samples[0], samples[RUNS / 2], samples[RUNS - 1]];
+    format!("{low:.0}/{median:.0}/{high:.0}")
+}
+
+/// Builds something and returns the resident memory that it takes, bytes an item.
+///
+/// What is built is kept, so that later measures find no freed memory to reuse.
+pub fn memory_each<T, F>(items: usize, build: F) -> f64
+where
+    F: FnOnce() -> T,
+{
+    let before = resident();
+    let built = black_box(build());
+    let after = resident();
+    std::mem::forget(built);
+    after.saturating_sub(before) as f64 / items as f64
+}
+
+/// Resident memory of this process, bytes.
+pub fn resident() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|p| p.parse().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
