--- a/decision/routing/src/placer/decision.rs
+++ b/decision/routing/src/placer/decision.rs
@@ -8,8 +8,8 @@
 
 use crate::gate::CreditId;
 
-/// Candidates kept in a decision without allocation.
-const INLINE_CANDIDATES: usize = 8;
+/// Candidates kept in a decision, which needs no allocation for them.
+pub(super) const INLINE_CANDIDATES: usize = 8;
 
 /// An upstream that was weighed.
 #[derive(Clone, Debug, PartialEq)]
@@ -26,7 +26,7 @@
     pub hit: u32,
 }
 
-/// Candidates that were weighed, best first.
+/// Best candidates that were weighed, best first.
 pub type Candidates = SmallVec<[Candidate; INLINE_CANDIDATES]>;
 
 /// Why the chosen upstream was chosen.
@@ -75,7 +75,7 @@
     pub reason: Reason,
     /// Credit to send along.
     pub credit: Option<CreditId>,
-    /// Candidates that were weighed, best first.
+    /// Best candidates that were weighed, best first.
     pub candidates: Candidates,
     /// Booking to give back at the end.
     pub ticket: Ticket,
--- a/decision/routing/src/placer/directory.rs
+++ b/decision/routing/src/placer/directory.rs
@@ -25,7 +25,7 @@
     groups: Vec<Group>,
     group_names: BTreeMap<GroupName, u32>,
     usage: Vec<Usage>,
-    domains: BTreeMap<(ZoneName, bool), u32>,
+    domains: BTreeMap<(Option<ZoneName>, bool), u32>,
 }
 
 /// Load on the upstreams of one kind in one zone.
@@ -95,8 +95,8 @@
     /// Adds an upstream and returns its slot number.
     pub(super) fn add(&mut self, announcement: &Announcement) -> u32 {
         self.generation += 1;
-        let domain = self.domain(announcement);
-        let slot = Slot::new(announcement.clone(), self.generation, domain);
+        let domains = self.domains(announcement);
+        let slot = Slot::new(announcement.clone(), self.generation, domains);
         let index = match self.free.pop() {
             Some(index) => index,
             None => {
@@ -111,12 +111,12 @@
 
     /// Takes a later announcement of the upstream in slot number `index`.
     pub(super) fn announce(&mut self, index: u32, announcement: Announcement) {
-        let domain = self.domain(&announcement);
+        let domains = self.domains(&announcement);
         if let Some(slot) = self.slots.get_mut(index as usize).and_then(Option::as_mut) {
-            self.usage[slot.domain as usize].add(slot, -1.0);
+            count(&mut self.usage, slot, -1.0);
             slot.announcement = announcement;
-            slot.domain = domain;
-            self.usage[slot.domain as usize].add(slot, 1.0);
+            slot.domains = domains;
+            count(&mut self.usage, slot, 1.0);
         }
         self.join_group(index);
     }
@@ -126,7 +126,7 @@
         let index = self.names.remove(upstream)?;
         self.leave_group(index);
         if let Some(slot) = self.slots[index as usize].take() {
-            self.usage[slot.domain as usize].add(&slot, -1.0);
+            count(&mut self.usage, &slot, -1.0);
         }
         self.free.push(index);
         Some(index)
@@ -159,10 +159,9 @@
         let Some(slot) = self.slots.get_mut(index as usize).and_then(Option::as_mut) else {
             return;
         };
-        let usage = &mut self.usage[slot.domain as usize];
-        usage.add(slot, -1.0);
+        count(&mut self.usage, slot, -1.0);
         let newer = slot.observe(report, taken);
-        usage.add(slot, 1.0);
+        count(&mut self.usage, slot, 1.0);
         if !newer {
             return;
         }
@@ -183,16 +182,15 @@
     /// Forgets the report of an upstream that has a new incarnation.
     pub(super) fn restart(&mut self, index: u32) {
         if let Some(slot) = self.slots.get_mut(index as usize).and_then(Option::as_mut) {
-            let usage = &mut self.usage[slot.domain as usize];
-            usage.add(slot, -1.0);
+            count(&mut self.usage, slot, -1.0);
             slot.restart();
-            usage.add(slot, 1.0);
+            count(&mut self.usage, slot, 1.0);
         }
     }
 
-    /// Usual load on the upstreams of the slot's kind in its zone.
-    pub(super) fn mean(&self, slot: &Slot) -> Mean {
-        let usage = &self.usage[slot.domain as usize];
+    /// Usual load on the upstreams of the slot's kind, in its zone or in all.
+    pub(super) fn mean(&self, slot: &Slot, zonal: bool) -> Mean {
+        let usage = &self.usage[slot.domains[usize::from(zonal)] as usize];
         let places = usage.allowance.max(1.0);
         Mean {
             own: usage.own.max(0.0) / places,
@@ -206,7 +204,9 @@
             return 0;
         };
         slot.begin(now);
-        self.usage[slot.domain as usize].own += 1.0;
+        for domain in slot.domains {
+            self.usage[domain as usize].own += 1.0;
+        }
         slot.generation
     }
 
@@ -217,7 +217,9 @@
             return false;
         };
         slot.end(now);
-        self.usage[slot.domain as usize].own -= 1.0;
+        for domain in slot.domains {
+            self.usage[domain as usize].own -= 1.0;
+        }
         true
     }
 
@@ -226,10 +228,14 @@
         slot.group.map_or(0, |g| self.groups[g as usize].gap)
     }
 
-    /// Index of the usage that an upstream counts towards.
-    fn domain(&mut self, announcement: &Announcement) -> u32 {
+    /// Indexes of the usages that an upstream counts towards: all zones, its zone.
+    fn domains(&mut self, announcement: &Announcement) -> [u32; 2] {
         let plain = announcement.kind == ServiceKind::Plain;
-        let key = (announcement.zone.clone(), plain);
+        let zone = announcement.zone.clone();
+        [None, Some(zone)].map(|zone| self.domain((zone, plain)))
+    }
+
+    fn domain(&mut self, key: (Option<ZoneName>, bool)) -> u32 {
         if let Some(index) = self.domains.get(&key) {
             return *index;
         }
@@ -249,3 +255,10 @@
         }
     }
 }
+
+/// Adds the load of an upstream to the usages that it counts towards.
+fn count(usage: &mut [Usage], slot: &Slot, sign: f64) {
+    for domain in slot.domains {
+        usage[domain as usize].add(slot, sign);
+    }
+}
--- a/decision/routing/src/placer/pool.rs
+++ b/decision/routing/src/placer/pool.rs
@@ -55,6 +55,11 @@
         self.total
     }
 
+    /// Whether work is kept in some zones before others.
+    pub(super) fn is_zonal(&self) -> bool {
+        self.zones.iter().any(|z| z.penalty > 0.0)
+    }
+
     /// Upstream number `index` of all zones in order.
     pub(super) fn nth(&self, index: usize) -> Option<(u32, f64)> {
         let mut index = index;
--- a/decision/routing/src/queue/drain.rs
+++ b/decision/routing/src/queue/drain.rs
@@ -18,19 +18,24 @@
     answer: f64,
     samples: u32,
     last: Time,
+    backlog: bool,
 }
 
 impl Drain {
     /// Notes that the queue has something to drain from now on.
     pub(super) fn entered(&mut self, now: Time) {
         self.last = self.last.max(now);
+        self.backlog = false;
     }
 
     /// Notes a departure; `more` says that others still wait.
+    ///
+    /// Only the time between two departures of one backlog tells the rate.
     pub(super) fn left(&mut self, more: bool, now: Time) {
         let gap = now.since(self.last).as_micros() as f64;
+        let backlog = std::mem::replace(&mut self.backlog, more);
         self.last = now;
-        if !more && self.samples == 0 {
+        if !backlog {
             return;
         }
         self.samples = self.samples.saturating_add(1);
@@ -39,8 +44,9 @@
     }
 
     /// Takes back the latest departure.
-    pub(super) fn undo(&mut self) {
+    pub(super) fn undo(&mut self, now: Time) {
         self.samples = self.samples.saturating_sub(1);
+        self.entered(now);
     }
 
     /// Lengthens the interval while nothing leaves.
