--- a/app/tests/it/local.rs
+++ b/app/tests/it/local.rs
@@ -190,12 +190,10 @@
             let url = format!("http://{operator}/status");
             let mut answer = Client::default().get(url).send().await.expect("an answer");
             let status: Value = answer.json().await.expect("a status");
-            let held = |list: &str| {
-                let all = status[list].as_array().expect("a list");
-                all.iter()
-                    .all(|one| one["revision"].as_u64() >= Some(revision))
-            };
-            if held("upstreams") && held("entries") {
+            let all = |list: &str| status[list].as_array().expect("a list").clone();
+            let held = |one: &Value| one["revision"].as_u64() >= Some(revision);
+            let agents = all("upstreams").iter().all(|u| held(&u["announced"]));
+            if agents && all("entries").iter().all(held) {
                 return;
             }
             tokio::time::sleep(POLL).await;
