An idle cold upstream is not taken for a full one

Change: crowding counts what runs already. The rig refuses to run when a process has ended at the start: two rigs on the same addresses had answered for each other. The stand-in ends a run before it tells its end, not after.

--- a/decision/routing/src/placer/score.rs
+++ b/decision/routing/src/placer/score.rs
@@ -99,7 +99,8 @@
     } else {
         plain_time(slot, learned) * after
     };
-    let fill = (view.load + 1.0) / view.allowance.max(1.0);
+    // An idle upstream is not crowded, however small its allowance: a cold one has to get work to warm.
+    let fill = view.load / view.allowance.max(1.0);
     let crowding = learned.usual() * CROWDING * fill.powi(CROWDING_POWER);
     let time = prefill + decode + plain;
     time * (1.0 + view.penalty) + crowding
--- a/dev/rig/src/deployment.rs
+++ b/dev/rig/src/deployment.rs
@@ -61,13 +61,19 @@
     }
 
     /// Waits until every entry and agent is current and every upstream is known.
-    pub(crate) async fn wait_until_ready(&self) -> Result<(), String> {
+    pub(crate) async fn wait_until_ready(&mut self) -> Result<(), String> {
         let end = Instant::now() + READY_TIMEOUT;
         let expected = self.engines.len();
         let entries = self.entry_addresses().len();
         loop {
             let status = self.status().await.unwrap_or_default();
             let count = |key: &str| status[key].as_array().map_or(0, Vec::len);
+            let mut processes = self.processes.iter_mut();
+            let ended = processes.find_map(|(name, (p, _))| p.has_ended().then_some(name));
+            if let Some(name) = ended {
+                // Another deployment on the same addresses would answer in its place.
+                return Err(format!("{name} has ended; are its addresses in use?"));
+            }
             if count("upstreams") >= expected && count("entries") >= entries {
                 return Ok(());
             }
--- a/dev/rig/src/process.rs
+++ b/dev/rig/src/process.rs
@@ -48,6 +48,11 @@
         Ok(Self { child })
     }
 
+    /// Whether the process has ended by itself.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Ends the process at once.
     pub(crate) fn kill(&mut self) {
         // It may have ended by itself.
--- a/standin/src/answer.rs
+++ b/standin/src/answer.rs
@@ -117,9 +117,6 @@
     let next = plan.from;
     stream::unfold(Some((run, plan, next)), |state| async move {
         let (mut run, plan, next) = state?;
-        if next > plan.tokens {
-            return None;
-        }
         if next > plan.from {
             let gap = run.core().scaled(run.core().options.token_gap);
             tokio::time::sleep(gap).await;
@@ -130,12 +127,15 @@
         if !run.is_current() {
             return Some((Err(std::io::Error::other("the engine fell over")), None));
         }
-        let event = if next == plan.tokens {
+        if next == plan.tokens {
+            let event = Event::with_data(STREAM_END);
+            run.wrote(event.0.len());
             run.complete();
-            Event::with_data(STREAM_END)
-        } else {
-            Event::with_data(&plan.piece(next).to_string())
-        };
+            // The run is over before its end is told.
+            drop(run);
+            return Some((Ok(event.0), None));
+        }
+        let event = Event::with_data(&plan.piece(next).to_string());
         run.wrote(event.0.len());
         Some((Ok(event.0), Some((run, plan, next + 1))))
     })
