--- a/app/src/agent/core.rs
+++ b/app/src/agent/core.rs
@@ -1,46 +1,32 @@
 //! State of an agent, shared by its handlers.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use pimentotide_control::Command;
 use pimentotide_instance::work::{
     BlockEvent, DemandAnswer, DemandOrder, HeldClaim, News, NewsOrder, WorkOrder,
 };
-use pimentotide_instance::{Token, View};
+use pimentotide_instance::{Clock, Token, View};
 use pimentotide_model::{
     Announcement, ErrorKind, Failure, Fence, Fingerprint, Incarnation, InstanceName, LoadReport,
     RequestId, Revision, Time, Warmth,
 };
 use pimentotide_observe::Metrics;
-use pimentotide_outcome::{
-    AgentLedger, Begin, Conclusion, Crash, Finding, LedgerEpoch, LedgerLimits, Outcome, Witness,
-};
-use pimentotide_routing::{
-    Admission, Completed, Gate, GatePolicy, GateSettings, Grant, Permit as GatePermit,
-};
+use pimentotide_outcome::{Conclusion, Finding, LedgerEpoch};
+use pimentotide_routing::{Completed, GatePolicy, Grant, Permit as GatePermit};
 use pimentotide_upstream::{CacheChange, CacheEvent, EngineState};
 use rand::RngExt;
-use tokio::sync::{Notify, OnceCell, watch};
+use tokio::sync::{Notify, watch};
 
 use super::AgentOptions;
 use super::permit::Permit;
-use crate::clock::Clock;
-
-/// Cache events kept for entries that have not asked for them yet.
-const MAX_EVENTS: usize = 4096;
+use super::slot::{Arrival, Slot, running_already};
 
 /// Longest time for which a demand waits for a grant.
 const DEMAND_WAIT: Duration = Duration::from_millis(500);
 
-/// Time after which an upstream that says nothing counts as dead.
-const SIGN_OF_LIFE: Duration = Duration::from_secs(1);
-
-/// Time allowed for recording a crash.
-const CRASH_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Entries for which grants are kept at most.
 const MAX_MAILBOXES: usize = 1024;
 
@@ -59,43 +45,18 @@
 }
 
 #[derive(Default)]
-struct Inner {
+pub(super) struct Inner {
     address: Option<SocketAddr>,
-    slot: Option<Slot>,
-    running: BTreeMap<RequestId, RunningWork>,
+    pub(super) slot: Option<Slot>,
+    pub(super) running: BTreeMap<RequestId, RunningWork>,
     mailboxes: BTreeMap<InstanceName, Mailbox>,
     leaving: bool,
 }
 
 /// A request that has been passed on.
-struct RunningWork {
+pub(super) struct RunningWork {
     cancel: Arc<Notify>,
-    fingerprint: Fingerprint,
-}
-
-/// What becomes of a request that arrives.
-pub(super) enum Arrival {
-    /// It is passed on.
-    Admitted(Permit),
-    /// It ran before; its answer is given again.
-    Ran(Arc<Outcome>),
-    /// It did not run, and will not.
-    Refused(Failure),
-    /// It may have run.
-    Failed(Failure),
-}
-
-/// The upstream in the agent's slot.
-struct Slot {
-    ledger: AgentLedger,
-    engine: EngineState,
-    gate: Gate,
-    revision: Revision,
-    /// Incarnation under which the directory knows this start of the upstream.
-    alias: Incarnation,
-    events: VecDeque<CacheEvent>,
-    /// Latest suspected death: the start, whether it was reported, and what ran.
-    crash: (Incarnation, Arc<OnceCell<()>>, Vec<Fingerprint>),
+    pub(super) fingerprint: Fingerprint,
 }
 
 /// Grants on their way to one entry.
@@ -120,6 +81,15 @@
         }
     }
 
+    pub(super) fn options(&self) -> &AgentOptions {
+        &self.options
+    }
+
+    /// Start that the upstream announced last.
+    pub(super) fn starts(&self) -> watch::Receiver<u64> {
+        self.starts.subscribe()
+    }
+
     pub(super) fn token(&self) -> &Token {
         &self.options.token
     }
@@ -277,72 +247,6 @@
         ))
     }
 
-    /// Tells the death of the upstream from the failure of one request.
-    ///
-    /// A death is committed before the failure is told, so that nothing that ran
-    /// on the upstream is tried again unobserved.
-    pub(super) async fn explain(&self, order: &WorkOrder, failure: Failure) -> Failure {
-        let Some((crash, once)) = self.crash_at(order.incarnation) else {
-            return failure;
-        };
-        if !self.has_died(order.incarnation).await {
-            return failure;
-        }
-        once.get_or_init(|| self.report_crash(crash)).await;
-        failure
-    }
-
-    /// Crash that a broken connection may mean, and whether it has been reported.
-    fn crash_at(&self, incarnation: Incarnation) -> Option<(Crash, Arc<OnceCell<()>>)> {
-        let mut inner = self.lock();
-        let suspects = inner.running.values().map(|w| w.fingerprint);
-        let mut suspects: Vec<_> = suspects.collect();
-        suspects.sort_unstable();
-        suspects.dedup();
-        let slot = inner.slot.as_mut()?;
-        let reported = slot.crash.1.initialized();
-        if slot.crash.0 < incarnation || !reported && slot.crash.0 == incarnation {
-            let once = if reported {
-                Arc::default()
-            } else {
-                Arc::clone(&slot.crash.1)
-            };
-            slot.crash = (incarnation, once, suspects);
-        }
-        let crash = Crash {
-            upstream: self.options.upstream.clone(),
-            incarnation,
-            zone: Some(self.options.zone.clone()),
-            witness: Witness::Agent,
-            suspects: slot.crash.2.clone(),
-        };
-        Some((crash, Arc::clone(&slot.crash.1)))
-    }
-
-    /// Whether the upstream has died, judged by its next sign of life.
-    async fn has_died(&self, incarnation: Incarnation) -> bool {
-        let mut starts = self.starts.subscribe();
-        starts.mark_unchanged();
-        let next = tokio::time::timeout(SIGN_OF_LIFE, starts.changed()).await;
-        let started = Incarnation(*starts.borrow());
-        next.is_err() || started > incarnation
-    }
-
-    async fn report_crash(&self, crash: Crash) {
-        log::warn!(
-            "upstream {} died while it ran {} contents",
-            crash.upstream,
-            crash.suspects.len()
-        );
-        let Some(control) = &self.options.control else {
-            return;
-        };
-        let command = Command::Outcome(pimentotide_outcome::Command::Crash(crash));
-        if let Err(e) = control.submit(&command, CRASH_TIMEOUT).await {
-            log::error!("the crash of the upstream was not recorded: {e}");
-        }
-    }
-
     /// Records how a claimed request ended.
     pub(super) fn finish_claim(&self, order: &WorkOrder, end: Conclusion) {
         let now = self.now();
@@ -464,27 +368,7 @@
         let announcement = self.announcement_of(&engine, SocketAddr::from(([0; 4], 0)));
         let declarations = Arc::clone(&self.options.view.borrow().declarations);
         let policy = GatePolicy::of(&declarations, &announcement);
-        let revision = policy.revision;
-        let settings = GateSettings {
-            incarnation: Incarnation(engine.started),
-            capacity: engine.capacity,
-            policy,
-        };
-        let events = engine.cache.iter().copied().collect();
-        let ledger = AgentLedger::open(
-            self.epoch,
-            Incarnation(engine.started),
-            LedgerLimits::default(),
-        );
-        Slot {
-            ledger,
-            gate: Gate::open(settings, now),
-            engine,
-            revision,
-            events,
-            alias: Incarnation::default(),
-            crash: (Incarnation(0), Arc::default(), Vec::new()),
-        }
+        Slot::open(engine, policy, self.epoch, now)
     }
 
     fn publish(&self) {
@@ -531,7 +415,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -548,98 +432,6 @@
     }
 }
 
-impl Slot {
-    fn update(&mut self, mut engine: EngineState, now: Time) {
-        let events = std::mem::take(&mut engine.cache);
-        if engine.started > self.engine.started {
-            let incarnation = Incarnation(engine.started);
-            self.gate.restart(incarnation, now);
-            self.ledger.upstream_died(now);
-            self.ledger.upstream_started(incarnation);
-            self.events.clear();
-        }
-        self.gate.observe_waiting(engine.waiting);
-        self.events.extend(events);
-        let excess = self.events.len().saturating_sub(MAX_EVENTS);
-        self.events.drain(..excess);
-        self.engine = engine;
-    }
-}
-
-impl Slot {
-    /// Enters a claim into the ledger; none if the request is to run.
-    fn begin_claim(&mut self, order: &WorkOrder, now: Time) -> Option<Arrival> {
-        if order.idempotent {
-            return None;
-        }
-        let Some(held) = &order.claim else {
-            let detail = "a request that may run only once needs a claim";
-            return Some(Arrival::Refused(Failure::new(
-                ErrorKind::InvalidRequest,
-                detail,
-            )));
-        };
-        match self.ledger.begin(held.claim, &held.place, now) {
-            Begin::Run => None,
-            Begin::NotRun(reason) => {
-                let detail = format!("the claim will not run here: {reason:?}");
-                Some(Arrival::Refused(Failure::new(
-                    ErrorKind::NoUpstream,
-                    detail,
-                )))
-            }
-            Begin::Running => Some(Arrival::Failed(running_already())),
-            Begin::Finished(outcome) => Some(Arrival::Ran(outcome)),
-            Begin::Lost => {
-                let detail = "the claim may have run here";
-                Some(Arrival::Failed(Failure::new(
-                    ErrorKind::OutcomeUnknown,
-                    detail,
-                )))
-            }
-        }
-    }
-
-    fn finish_claim(&mut self, order: &WorkOrder, end: Conclusion, now: Time) {
-        if let Some(held) = &order.claim {
-            self.ledger.finish(held.claim, end, now);
-        }
-    }
-
-    fn admit(&mut self, order: &WorkOrder, now: Time) -> Result<GatePermit, Failure> {
-        let known = [Incarnation(self.engine.started), self.alias];
-        if !known.contains(&order.incarnation) {
-            return Err(Failure::new(
-                ErrorKind::NoUpstream,
-                "the upstream has restarted",
-            ));
-        }
-        self.gate.admit(&admission(order), now).map_err(|refusal| {
-            Failure::new(
-                refusal.kind,
-                format!("refused by the gate: {}", refusal.kind),
-            )
-        })
-    }
-}
-
-fn running_already() -> Failure {
-    Failure::new(ErrorKind::StillRunning, "the request runs here already")
-}
-
-fn admission(order: &WorkOrder) -> Admission {
-    Admission {
-        entry: order.entry.clone(),
-        request: order.id,
-        service: order.service.clone(),
-        workspace: order.workspace.clone(),
-        priority: order.priority,
-        remaining: order.remaining,
-        revision: order.revision,
-        credit: order.credit,
-    }
-}
-
 fn block_event(event: &CacheEvent) -> BlockEvent {
     BlockEvent {
         sequence: event.sequence,
--- a/app/src/agent/mod.rs
+++ b/app/src/agent/mod.rs
@@ -6,9 +6,11 @@
 //! one that broke off.
 
 mod core;
+mod crash;
 mod forward;
 mod permit;
 mod routes;
+mod slot;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/app/src/agent/routes.rs
+++ b/app/src/agent/routes.rs
@@ -13,8 +13,9 @@
 use serde::Serialize;
 use tokio::sync::mpsc;
 
-use super::core::{Arrival, Core};
+use super::core::Core;
 use super::forward::{again, forward};
+use super::slot::Arrival;
 
 /// Frames that may wait for the connection to the entry.
 const FRAME_BUFFER: usize = 64;
--- a/app/src/entry/core.rs
+++ b/app/src/entry/core.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use pimentotide_caller::{Call, EntryAdvice};
-use pimentotide_instance::{Submitter, View};
+use pimentotide_instance::{Clock, Submitter, View};
 use pimentotide_model::{
     Announcement, ErrorKind, Failure, Fingerprint, InstanceName, LoadReport, ModelName,
     RequestMeta, RetryPolicy, ServiceName, Standing, Time, UpstreamName, ZoneName,
@@ -21,7 +21,6 @@
 use super::EntryOptions;
 use super::resolve::{Job, resolve};
 use super::waiting::Waiting;
-use crate::clock::Clock;
 
 /// One entry.
 pub(super) struct Core {
--- a/app/src/lib.rs
+++ b/app/src/lib.rs
@@ -1,7 +1,6 @@
 //! Load balancer for expert-parallel model groups: roles, settings and commands.
 
 pub mod agent;
-pub mod clock;
 pub mod control;
 pub mod entry;
 pub mod local;
--- a/peers/caller/src/routes.rs
+++ b/peers/caller/src/routes.rs
@@ -35,9 +35,12 @@
         .service(resource("/v1/models", web::get().to(models::<S>)))
         .service(resource(
             "/v1/completions",
-            web::post().to(completions::<S>),
+            web::post().to(completions::<S, false>),
+        ))
+        .service(resource(
+            "/v1/chat/completions",
+            web::post().to(completions::<S, true>),
         ))
-        .service(resource("/v1/chat/completions", web::post().to(chat::<S>)))
         .service(web::resource("/services/{service}/{path:.*}").to(plain::<S>))
         .service(web::resource("/services/{service}").to(plain::<S>))
         .default_service(web::to(not_found));
@@ -80,22 +83,7 @@
     HttpResponse::Ok().json(json!({"object": "list", "data": data.collect::<Vec<_>>()}))
 }
 
-async fn completions<S>(
-    service: web::ThinData<S>,
-    limits: web::Data<Limits>,
-    request: HttpRequest,
-    payload: web::Payload,
-) -> HttpResponse
-where
-    S: Service,
-{
-    let id = new_id();
-    let call = body::read(payload, limits.body).await;
-    let call = call.and_then(|body| parse::completion(&request, id, body, false));
-    respond(&service.0, id, call).await
-}
-
-async fn chat<S>(
+async fn completions<S, const CHAT: bool>(
     service: web::ThinData<S>,
     limits: web::Data<Limits>,
     request: HttpRequest,
@@ -106,7 +94,7 @@
 {
     let id = new_id();
     let call = body::read(payload, limits.body).await;
-    let call = call.and_then(|body| parse::completion(&request, id, body, true));
+    let call = call.and_then(|body| parse::completion(&request, id, body, CHAT));
     respond(&service.0, id, call).await
 }
 
--- a/app/src/clock.rs
+++ b/peers/instance/src/clock.rs
@@ -21,7 +21,11 @@
 
     /// Time of an instant, zero if it lies before the start.
     pub fn at(self, instant: Instant) -> Time {
-        let micros = instant.saturating_duration_since(self.0).as_micros();
-        Time::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+        Time::ZERO + instant.saturating_duration_since(self.0)
+    }
+
+    /// Instant that a time stands for.
+    pub fn instant(self, time: Time) -> Instant {
+        self.0 + time.since(Time::ZERO)
     }
 }
--- a/peers/instance/src/directory/confirm.rs
+++ b/peers/instance/src/directory/confirm.rs
@@ -8,7 +8,7 @@
 use tokio::time::timeout;
 
 use super::Source;
-use super::clock::Clock;
+use crate::Clock;
 
 /// Time that a quorum has to confirm; less than a holder's patience.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(200);
--- a/peers/instance/src/directory/follow.rs
+++ b/peers/instance/src/directory/follow.rs
@@ -14,8 +14,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::WATCH;
-use super::clock::Clock;
-use crate::{PeerClient, View};
+use crate::{Clock, PeerClient, View};
 
 /// Time that one replica has for an answer.
 const ATTEMPT: Duration = RENEWAL.saturating_add(PATIENCE);
--- a/peers/instance/src/directory/mod.rs
+++ b/peers/instance/src/directory/mod.rs
@@ -5,7 +5,6 @@
 //! [`Follower`] and report themselves with an [`EntryReporter`] or an
 //! [`AgentReporter`].
 
-mod clock;
 mod confirm;
 mod follow;
 mod report;
--- a/peers/instance/src/directory/report.rs
+++ b/peers/instance/src/directory/report.rs
@@ -12,8 +12,7 @@
 use tokio::time::timeout;
 
 use super::REPORT;
-use super::clock::Clock;
-use crate::{PeerClient, View};
+use crate::{Clock, PeerClient, View};
 
 /// Time that a replica has to take a report.
 const REPORT_TIMEOUT: Duration = HEARTBEAT;
--- a/peers/instance/src/directory/server.rs
+++ b/peers/instance/src/directory/server.rs
@@ -13,10 +13,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::clock::Clock;
 use super::confirm::Confirmations;
 use super::{REPORT, Source, WATCH};
-use crate::rpc_error;
+use crate::{Clock, rpc_error};
 
 /// Time between two looks for upstreams that have gone silent.
 const TICK: Duration = Duration::from_millis(250);
--- a/peers/instance/src/lib.rs
+++ b/peers/instance/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod work;
 
 mod client;
+mod clock;
 mod rpc;
 mod server;
 mod submit;
@@ -20,6 +21,7 @@
 mod view;
 
 pub use client::{PeerClient, PeerTimeouts};
+pub use clock::Clock;
 pub use rpc::{failure_of, rpc_error};
 pub use server::PeerServer;
 pub use submit::{Submit, Submitter, submit_module};
--- a/peers/instance/src/replica/actor.rs
+++ b/peers/instance/src/replica/actor.rs
@@ -12,7 +12,7 @@
 use pimentotide_model::{ErrorKind, Failure, InstanceName, Ran, Time};
 use tokio::sync::watch;
 
-use super::clock::Clock;
+use super::clock::moment;
 use super::founding;
 use super::link::Links;
 use super::message::{
@@ -22,6 +22,7 @@
 use super::options::ReplicaOptions;
 use super::status::{DiskHealth, LeaderView, ReplicaStatus};
 use super::writer::Writer;
+use crate::Clock;
 
 /// Pause between ticks of the state machine.
 const TICK: Duration = Duration::from_millis(10);
@@ -92,7 +93,7 @@
     pub(super) fn new(parts: Parts<M>) -> Result<Self, Failure> {
         let clock = Clock::start();
         let Parts { options, .. } = parts;
-        let (node, actions) = Node::start(parts.recovered, options.log, parts.seed, clock.moment());
+        let (node, actions) = Node::start(parts.recovered, options.log, parts.seed, moment(clock));
         let mut replica = Self {
             links: Links::new(options.address, options.token.clone()),
             options,
@@ -125,7 +126,7 @@
 
     /// Tells the state machine of an event and carries out what follows.
     fn step(&mut self, event: Event) {
-        let actions = self.node.step(event, self.clock.moment());
+        let actions = self.node.step(event, moment(self.clock));
         for action in actions {
             self.carry_out(action);
         }
@@ -256,14 +257,14 @@
     fn wait(&mut self, reply: Pending) -> ProposalId {
         self.issued += 1;
         let id = ProposalId(self.issued);
-        let until = self.clock.moment().now + self.options.patience;
+        let until = self.clock.now() + self.options.patience;
         self.waiting.insert(id, Waiting { reply, until });
         id
     }
 
     /// Gives up on those who have waited for too long.
     fn expire(&mut self) {
-        let now = self.clock.moment().now;
+        let now = self.clock.now();
         let late: Vec<ProposalId> = self
             .waiting
             .iter()
@@ -286,7 +287,7 @@
         let index = self.applier.applied();
         let state = self.applier.machine().snapshot();
         let event = Event::Compact(index, state.into());
-        for action in self.node.step(event, self.clock.moment()) {
+        for action in self.node.step(event, moment(self.clock)) {
             self.carry_out(action);
         }
     }
@@ -364,7 +365,7 @@
 
     /// Logs, from time to time, that messages are meant for a disk that is gone.
     fn note_refusal(&mut self, from: &Identity, meant: &Identity) {
-        let now = self.clock.moment().now;
+        let now = self.clock.now();
         let recent = self.refused.is_some_and(|at| now < at + REFUSAL_PAUSE);
         if !recent {
             self.refused = Some(now);
@@ -398,13 +399,13 @@
         };
         log::info!("{} founded a log", self.options.name);
         let seed = rand::random();
-        self.node = Node::start(recovered, self.options.log, seed, self.clock.moment()).0;
+        self.node = Node::start(recovered, self.options.log, seed, moment(self.clock)).0;
         self.publish();
     }
 
     fn status(&self) -> ReplicaStatus {
         ReplicaStatus {
-            log: self.node.status(self.clock.moment()),
+            log: self.node.status(moment(self.clock)),
             address: self.options.address,
             applied: self.applier.applied(),
             disk: self.disk.clone(),
