A crashing request, sent again through every entry, shown against real sockets

Change: stand-ins crash on a text that is set while they run; a test sends such a request six times through three entries; the rig's first-token figures cover streams only, since whole answers are counted by their end.

--- a/app/tests/it/local.rs
+++ b/app/tests/it/local.rs
@@ -6,6 +6,7 @@
 use awc::Client;
 use pimentotide::local::Deployment;
 use pimentotide::options::LocalOptions;
+use pimentotide_standin::Control;
 use serde_json::{Value, json};
 
 /// Longest time for anything that is waited for.
@@ -173,6 +174,38 @@
     deployment.stop().await;
 }
 
+#[actix_rt::test]
+async fn a_request_that_crashes_engines_crashes_two_at_most() {
+    let (deployment, ..) = deployment().await;
+    for engine in deployment.engines() {
+        let crash_on = Some("glue that explodes".to_owned());
+        engine.control(Control {
+            crash_on,
+            ..Control::default()
+        });
+    }
+    let mut poison = completion("draft-small");
+    poison["prompt"] = Value::from("Which glue that explodes suits oak?");
+    let mut kinds = Vec::new();
+    for round in 0..6 {
+        let entries = deployment.addresses().entries;
+        let entry = entries[round % entries.len()];
+        let (status, answer) = post(entry, "/v1/completions", None, &poison).await;
+        assert_ne!(status, 200, "{answer}");
+        kinds.push(answer["kind"].as_str().expect("a kind").to_owned());
+        let (status, _) = post(entry, "/v1/completions", None, &completion("draft-small")).await;
+        assert_eq!(status, 200, "an innocent request is answered");
+    }
+    let crashes: u64 = deployment
+        .engines()
+        .iter()
+        .map(|e| e.ledger().crashes)
+        .sum();
+    assert!(crashes <= 2, "{crashes} crashes, {kinds:?}");
+    assert_eq!(kinds.last().map(String::as_str), Some("crashing_request"));
+    deployment.stop().await;
+}
+
 /// Runs on the stand-ins of each zone, which stand in the order of the zones.
 fn runs_by_zone(deployment: &Deployment) -> Vec<u64> {
     let runs: Vec<_> = deployment
--- a/dev/rig/src/report.rs
+++ b/dev/rig/src/report.rs
@@ -9,7 +9,7 @@
 use pimentotide_standin::Ledger;
 use serde::Serialize;
 
-use crate::caller::{End, Sample};
+use crate::caller::{End, Job, Sample};
 use crate::options::Options;
 use crate::process::Usage;
 use crate::verdict::Verdict;
@@ -51,7 +51,7 @@
     pub(crate) told: BTreeMap<String, u64>,
     /// Jobs whose connection broke for good.
     pub(crate) broken: u64,
-    /// Time to the first token at 50, 95 and 99 in 100, in microseconds.
+    /// Time to the first token of a stream at 50, 95 and 99 in 100, in microseconds.
     pub(crate) first_us: [u64; 3],
     /// Time to the end at 50, 95 and 99 in 100, in microseconds.
     pub(crate) total_us: [u64; 3],
@@ -210,7 +210,9 @@
         match &sample.end {
             End::Answered => {
                 service.answered += 1;
-                first.saturating_record(micros(sample.first));
+                if sample.job == Job::Stream {
+                    first.saturating_record(micros(sample.first));
+                }
                 total.saturating_record(micros(sample.total));
             }
             End::Told { kind, ran } => {
--- a/standin/src/control.rs
+++ b/standin/src/control.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// How the engine behaves from now on; posted as JSON to `/control`.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Control {
     /// Restarts cold at once; what runs is broken off.
@@ -12,6 +12,8 @@
     pub stall: bool,
     /// Factor on all delays.
     pub slowness: f64,
+    /// Requests whose body holds this text crash the engine.
+    pub crash_on: Option<String>,
 }
 
 impl Default for Control {
@@ -20,6 +22,7 @@
             restart: false,
             stall: false,
             slowness: 1.0,
+            crash_on: None,
         }
     }
 }
--- a/standin/src/options.rs
+++ b/standin/src/options.rs
@@ -34,8 +34,6 @@
     pub announce: Duration,
     /// Prompt blocks kept in the cache.
     pub blocks: usize,
-    /// Requests whose body holds this text crash the engine.
-    pub crash_on: Option<String>,
 }
 
 impl EngineOptions {
@@ -55,7 +53,6 @@
             token_gap: Duration::from_millis(5),
             announce: Duration::from_millis(200),
             blocks: 4096,
-            crash_on: None,
         }
     }
 
