A long answer that is not streamed does not look like a stall

Cause: an upstream counted as stalled after 2 s without a frame; a completion that is not streamed sends none until it is whole, so a 5 s answer was given up twice and ended as upstream_failed (seen first as a request cut short by a planned stop; ruled out: the agent's drain, which waited). Change: engines tell their progress, agents pass a sign on for as long as it rises, entries count it as progress. Upstreams that tell none count as at work while they announce themselves.

--- a/app/src/agent/core.rs
+++ b/app/src/agent/core.rs
@@ -37,6 +37,8 @@
     epoch: LedgerEpoch,
     /// Start that the upstream announced last.
     starts: watch::Sender<u64>,
+    /// Signs that the upstream is at work.
+    signs: watch::Sender<u64>,
     announce: watch::Sender<Option<Announcement>>,
     warmth: watch::Sender<Warmth>,
     /// Highest revision that came with an order.
@@ -74,6 +76,7 @@
             clock: Clock::start(),
             epoch: LedgerEpoch(rand::rng().random()),
             starts: watch::Sender::new(0),
+            signs: watch::Sender::new(0),
             warmth: watch::Sender::new(Warmth::Cold),
             heard: watch::Sender::new(Revision::default()),
             announce,
@@ -90,6 +93,11 @@
         self.starts.subscribe()
     }
 
+    /// Changes with each sign that the upstream is at work.
+    pub(super) fn signs(&self) -> watch::Receiver<u64> {
+        self.signs.subscribe()
+    }
+
     pub(super) fn token(&self) -> &Token {
         &self.options.token
     }
@@ -150,6 +158,11 @@
         let mut inner = self.lock();
         let leaving = inner.leaving;
         self.starts.send_replace(state.started);
+        let before = inner.slot.as_ref().and_then(|slot| slot.engine.progress);
+        // An upstream that tells nothing of its progress is at work while it announces itself.
+        if state.progress.is_none() || state.progress != before {
+            self.signs.send_modify(|count| *count += 1);
+        }
         match &mut inner.slot {
             Some(slot) => slot.update(state, now),
             none => {
--- a/app/src/agent/forward.rs
+++ b/app/src/agent/forward.rs
@@ -13,7 +13,7 @@
     EngineAnswer, EngineClient, EngineError, EngineRequest, EventSplitter, KEY_HEADER,
     PRIORITY_HEADER, REQUEST_HEADER, RESUME_HEADER, STREAM_END, is_hop_header,
 };
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use super::core::Core;
 use super::permit::Permit;
@@ -106,14 +106,33 @@
     let cancel = Arc::clone(&passage.permit.cancel);
     let sender = passage.sender.clone();
     let pass = passage.pass(core, order);
+    pin_mut!(pass);
+    let given_up = given_up(order, &cancel, &sender);
+    pin_mut!(given_up);
+    let mut signs = core.signs();
+    loop {
+        tokio::select! {
+            last = &mut pass => return last,
+            failure = &mut given_up => return Err(failure),
+            sign = signs.changed() => {
+                // A full buffer holds frames that say as much.
+                if sign.is_ok() {
+                    let _ = sender.try_send(Frame::Alive);
+                }
+            }
+        }
+    }
+}
+
+/// Completes when an idempotent request is given up; never for any other.
+async fn given_up(order: &WorkOrder, cancel: &Notify, sender: &mpsc::Sender<Frame>) -> Failure {
     if !order.idempotent {
-        return pass.await;
+        return std::future::pending().await;
     }
     tokio::select! {
-        last = pass => last,
-        () = cancel.notified() => Err(gone()),
-        () = sender.closed() => Err(gone()),
-        () = tokio::time::sleep(order.remaining) => Err(late()),
+        () = cancel.notified() => gone(),
+        () = sender.closed() => gone(),
+        () = tokio::time::sleep(order.remaining) => late(),
     }
 }
 
--- a/app/src/entry/attempt.rs
+++ b/app/src/entry/attempt.rs
@@ -118,16 +118,24 @@
         };
         loop {
             tokio::select! {
-                frame = self.next_frame() => return frame,
-                () = stalled.notified() => {}
-            }
-            if self.is_silent() {
-                self.finish(Verdict::Cancelled);
-                return Err(Failure::new(ErrorKind::UpstreamFailed, "no progress"));
+                frame = self.next_frame() => match frame {
+                    Ok(Frame::Alive) => self.alive(),
+                    frame => return frame,
+                },
+                () = stalled.notified() => if self.is_silent() {
+                    self.finish(Verdict::Cancelled);
+                    return Err(Failure::new(ErrorKind::UpstreamFailed, "no progress"));
+                },
             }
         }
     }
 
+    fn alive(&mut self) {
+        if let Some(flight) = &mut self.flight {
+            flight.alive();
+        }
+    }
+
     /// Whether nothing has come for long of a request that may run elsewhere.
     fn is_silent(&self) -> bool {
         let silence = self.flight.as_ref().map(Flight::silence);
@@ -156,7 +164,7 @@
                 self.report(&report);
                 Ok(frame)
             }
-            frame @ Frame::Piece { .. } => Ok(frame),
+            frame @ (Frame::Piece { .. } | Frame::Alive) => Ok(frame),
         }
     }
 
--- a/app/src/entry/once.rs
+++ b/app/src/entry/once.rs
@@ -264,6 +264,7 @@
     let (mut status, mut headers, mut body) = (0, Vec::new(), Vec::new());
     loop {
         match frames.next_frame().await {
+            Ok(Frame::Alive) => {}
             Ok(Frame::Refused { .. }) => return Event::NotRun(NotRun::Refused),
             Ok(Frame::Failed { .. }) | Err(_) => return Event::Broken,
             Ok(Frame::Head {
--- a/app/src/entry/placing.rs
+++ b/app/src/entry/placing.rs
@@ -198,12 +198,17 @@
 impl Flight {
     /// Notes a piece of the answer.
     pub(super) fn progress(&mut self) {
-        let now = self.core.now();
-        self.last = now;
         self.pieces += 1;
         if self.first.is_none() {
-            self.first = Some(now.since(self.sent));
+            self.first = Some(self.core.now().since(self.sent));
         }
+        self.alive();
+    }
+
+    /// Notes that the upstream is at work.
+    pub(super) fn alive(&mut self) {
+        let now = self.core.now();
+        self.last = now;
         if let Some(ticket) = &self.ticket {
             self.core.lock().placer.progress(ticket, now);
         }
--- a/app/tests/it/local.rs
+++ b/app/tests/it/local.rs
@@ -174,6 +174,19 @@
     deployment.stop().await;
 }
 
+#[actix_rt::test]
+async fn a_long_answer_that_is_not_streamed_runs_once() {
+    let (deployment, caller, _) = deployment().await;
+    let mut long = completion("draft-small");
+    // Five seconds of tokens, longer than the silence after which an upstream counts as stalled.
+    long["max_tokens"] = Value::from(1_000);
+    let (status, answer) = post(caller, "/v1/completions", None, &long).await;
+    assert_eq!(status, 200, "{answer}");
+    let runs: u64 = deployment.engines().iter().map(|e| e.ledger().runs).sum();
+    assert_eq!(runs, 1);
+    deployment.stop().await;
+}
+
 #[actix_rt::test]
 async fn a_request_that_crashes_engines_crashes_two_at_most() {
     let (deployment, ..) = deployment().await;
--- a/peers/instance/src/work/frame.rs
+++ b/peers/instance/src/work/frame.rs
@@ -19,6 +19,8 @@
         /// Load of the upstream.
         report: LoadReport,
     },
+    /// The upstream is at work; the answer is not there yet.
+    Alive,
     /// Head of the upstream's answer.
     Head {
         /// HTTP status.
--- a/peers/upstream/src/state.rs
+++ b/peers/upstream/src/state.rs
@@ -29,6 +29,9 @@
     pub running: u32,
     /// Requests waiting.
     pub waiting: u32,
+    /// Rises with every step of its work, as with each token; none if it does not tell.
+    #[serde(default)]
+    pub progress: Option<u64>,
     /// Group whose ranks it hosts.
     #[serde(default)]
     pub group: Option<GroupName>,
--- a/standin/src/core.rs
+++ b/standin/src/core.rs
@@ -30,6 +30,7 @@
     cache: VecDeque<u64>,
     events: VecDeque<CacheEvent>,
     sequence: u64,
+    progress: u64,
     control: Control,
 }
 
@@ -52,6 +53,7 @@
             cache: VecDeque::new(),
             events: VecDeque::new(),
             sequence: 0,
+            progress: 0,
             control: Control::default(),
         };
         Self {
@@ -122,6 +124,7 @@
             capacity: options.capacity,
             running: inner.running,
             waiting: 0,
+            progress: (options.kind == ServiceKind::Model).then_some(inner.progress),
             group: None,
             cache: inner.events.drain(..).collect(),
         }
@@ -215,6 +218,11 @@
         self.bytes += bytes as u64;
     }
 
+    /// Notes that a token was generated.
+    pub(crate) fn advance(&self) {
+        self.core.lock().progress += 1;
+    }
+
     pub(crate) fn complete(&mut self) {
         self.whole = true;
     }
