--- a/peers/instance/tests/it/main.rs
+++ b/peers/instance/tests/it/main.rs
@@ -4,3 +4,4 @@
 mod directory;
 mod link;
 mod replica;
+mod work;
--- a/peers/upstream/tests/it/main.rs
+++ b/peers/upstream/tests/it/main.rs
@@ -1,3 +1,4 @@
 //! Integration tests of the protocol with upstreams.
 
 mod broken;
+mod events;
