--- a/app/src/entry/tasks.rs
+++ b/app/src/entry/tasks.rs
@@ -7,8 +7,8 @@
 use actix_rt::task::JoinHandle;
 use pimentotide_caller::Health;
 use pimentotide_instance::work::{News, NewsOrder, WorkClient};
-use pimentotide_model::{Incarnation, InstanceName, UpstreamName};
-use pimentotide_routing::{CacheChange, CacheEvent};
+use pimentotide_model::{Incarnation, UpstreamName};
+use pimentotide_routing::{CacheChange, CacheEvent, EntryState};
 
 use super::core::Core;
 use super::waiting;
@@ -42,17 +42,9 @@
         actix_rt::spawn(follow_suspicion(Arc::clone(core))),
         actix_rt::spawn(gather_news(Arc::clone(core), client.clone())),
     ];
-    let others: Vec<_> = core
-        .lock()
-        .entries
-        .iter()
-        .map(|e| e.instance.clone())
-        .collect();
-    for other in others
-        .into_iter()
-        .filter(|o| o != core.name())
-        .take(MAX_PEERS)
-    {
+    let entries = core.lock().entries.clone();
+    let others = entries.into_iter().filter(|e| e.instance != *core.name());
+    for other in others.take(MAX_PEERS) {
         tasks.push(actix_rt::spawn(look_at(Arc::clone(core), other)));
     }
     tasks
@@ -148,21 +140,14 @@
 }
 
 /// Keeps up with whether another entry serves callers.
-async fn look_at(core: Arc<Core>, other: InstanceName) {
+async fn look_at(core: Arc<Core>, other: EntryState) {
     let client = awc::Client::default();
     loop {
-        let address = core
-            .lock()
-            .entries
-            .iter()
-            .find(|e| e.instance == other)
-            .map(|e| e.address.clone());
-        if let Some(address) = address
-            && let Some(health) = health_of(&client, &address).await
-        {
+        if let Some(health) = health_of(&client, &other.address).await {
             let now = core.now();
             let mut inner = core.lock();
-            for entry in inner.entries.iter_mut().filter(|e| e.instance == other) {
+            let known = inner.entries.iter_mut();
+            for entry in known.filter(|e| e.instance == other.instance) {
                 entry.heard = now;
                 entry.stopping = health.stopping;
             }
--- a/peers/caller/src/parse.rs
+++ b/peers/caller/src/parse.rs
@@ -10,6 +10,7 @@
     AdapterName, ErrorKind, Failure, IdemKey, ModelName, Priority, RequestId, ServiceName,
     VersionName, WorkspaceName,
 };
+use pimentotide_outcome::MAX_KEY_BYTES;
 use pimentotide_upstream::is_hop_header;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -20,9 +21,6 @@
     VERSION_HEADER, WORKSPACE_HEADER,
 };
 
-/// Longest accepted idempotency key, in bytes.
-const MAX_KEY_BYTES: usize = 128;
-
 /// Longest accepted deadline, in milliseconds.
 const MAX_DEADLINE_MILLIS: u64 = 3_600_000;
 
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -5,11 +5,12 @@
 
 use actix_rt::task::JoinHandle;
 use actix_web::dev::ServerHandle;
-use actix_web::{App, HttpResponse, HttpServer, web};
+use actix_web::{HttpResponse, web};
 use derive_more::Display;
 use pimentotide_model::ServiceKind;
 
 use crate::core::Core;
+use crate::serve::serve;
 use crate::{Control, EngineOptions, Ledger, announce, answer, plain};
 
 /// Largest request body, in bytes.
@@ -42,27 +43,13 @@
     /// Fails if the address cannot be bound.
     pub fn spawn(options: EngineOptions) -> Result<Self, EngineError> {
         let listen = options.listen;
-        let failed = |source| EngineError {
+        let kind = options.kind;
+        let core = Arc::new(Core::new(options));
+        let served = serve(listen, &core, move |routes| configure(routes, kind));
+        let (address, handle) = served.map_err(|source| EngineError {
             address: listen,
             source,
-        };
-        let core = Arc::new(Core::new(options));
-        let data = web::Data::from(Arc::clone(&core));
-        let server = HttpServer::new(move || {
-            App::new()
-                .app_data(data.clone())
-                .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
-                .configure(|routes| configure(routes, data.options.kind))
-        })
-        .workers(1)
-        .tcp_nodelay(true)
-        .disable_signals()
-        .bind(listen)
-        .map_err(failed)?;
-        let address = server.addrs().first().copied().unwrap_or(listen);
-        let server = server.run();
-        let handle = server.handle();
-        actix_rt::spawn(server);
+        })?;
         let announcer = actix_rt::spawn(announce::run(Arc::clone(&core), address));
         Ok(Self {
             address,
@@ -96,6 +83,7 @@
 
 fn configure(routes: &mut web::ServiceConfig, kind: ServiceKind) {
     routes
+        .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
         .route("/ledger", web::get().to(ledger))
         .route("/control", web::post().to(control));
     match kind {
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -14,6 +14,7 @@
 mod options;
 mod plain;
 mod ranks;
+mod serve;
 mod weights;
 
 pub use control::Control;
--- a/standin/src/ranks.rs
+++ b/standin/src/ranks.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use actix_web::dev::ServerHandle;
-use actix_web::{App, HttpResponse, HttpServer, web};
+use actix_web::{HttpResponse, web};
 use derive_more::Display;
 use pimentotide_experts::{Change, Epoch, Inventory, MapId};
 use pimentotide_model::Fence;
@@ -14,6 +14,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
+use crate::serve::serve;
+
 /// Behaviour of a group of ranks.
 #[derive(Clone, Debug)]
 pub struct RankOptions {
@@ -209,25 +211,15 @@
             }),
             changed: watch::channel(()).0,
         });
-        let data = web::Data::from(Arc::clone(&core));
-        let server = HttpServer::new(move || {
-            App::new()
-                .app_data(data.clone())
+        let served = serve(listen, &core, |routes| {
+            routes
                 .route("/ranks/{rank}", web::get().to(state))
-                .route("/ranks/{rank}", web::post().to(order))
-        })
-        .workers(1)
-        .tcp_nodelay(true)
-        .disable_signals()
-        .bind(listen)
-        .map_err(|source| RankGroupError {
+                .route("/ranks/{rank}", web::post().to(order));
+        });
+        let (address, handle) = served.map_err(|source| RankGroupError {
             address: listen,
             source,
         })?;
-        let address = server.addrs().first().copied().unwrap_or(listen);
-        let server = server.run();
-        let handle = server.handle();
-        actix_rt::spawn(server);
         Ok(Self {
             address,
             core,
--- a/standin/src/weights.rs
+++ b/standin/src/weights.rs
@@ -6,12 +6,14 @@
 use std::time::Duration;
 
 use actix_web::dev::ServerHandle;
-use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::Bytes;
 use derive_more::Display;
 use futures_util::stream;
 use pimentotide_platform::RATE_HEADER;
 
+use crate::serve::serve;
+
 /// Bytes of weights in one chunk.
 const CHUNK_BYTES: usize = 16 << 10;
 
@@ -116,23 +118,13 @@
             options,
             books: Mutex::default(),
         });
-        let data = web::Data::from(Arc::clone(&core));
-        let server = HttpServer::new(move || {
-            App::new()
-                .app_data(data.clone())
-                .route("/weights/{key:.*}", web::get().to(read))
-        })
-        .workers(1)
-        .disable_signals()
-        .bind(listen)
-        .map_err(|source| WeightsStoreError {
+        let served = serve(listen, &core, |routes| {
+            routes.route("/weights/{key:.*}", web::get().to(read));
+        });
+        let (address, handle) = served.map_err(|source| WeightsStoreError {
             address: listen,
             source,
         })?;
-        let address = server.addrs().first().copied().unwrap_or(listen);
-        let server = server.run();
-        let handle = server.handle();
-        actix_rt::spawn(server);
         Ok(Self {
             address,
             core,
