--- a/dev/rig/src/process.rs
+++ b/dev/rig/src/process.rs
@@ -41,7 +41,7 @@
             .arg("run")
             .arg(settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone().map_err(failed)?)
             .stderr(log)
             .spawn()
             .map_err(failed)?;
