--- /dev/null
+++ b/app/src/fleet/agent/coordinate.rs
@@ -0,0 +1,198 @@
+//! Coordinates the group whose rank 0 is the engine beside this agent.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use pimentotide_experts::{EvenLayout, Placement, plan_even};
+use pimentotide_model::Failure;
+use pimentotide_platform::{EngineReport, Membership};
+use serde::Serialize;
+
+use super::super::beacon::Seat;
+use super::demand::Demand;
+use super::engine::{EngineHandle, Look};
+use super::ranks::{Group, Peers};
+use super::switch::{Ending, Switch};
+
+/// Pause between looks at the demand.
+const PAUSE: Duration = Duration::from_millis(300);
+/// Least relative fall of the most loaded rank's part for which experts are moved.
+///
+/// Copying slows passes by a seventh for about half a second, so a smaller gain
+/// needs longer to pay than demand lasts.
+const LEAST_GAIN: f64 = 0.05;
+/// Versions skipped after a refusal, in case an engine knows a higher one than this clock.
+const VERSION_SKIP: u64 = 10_000;
+
+/// Numbers of a plan that led to a switch.
+#[derive(Serialize)]
+struct Planned {
+    group: String,
+    epoch: u64,
+    version: u64,
+    before: f64,
+    after: f64,
+    copies: usize,
+    ending: String,
+    took_ms: u128,
+}
+
+/// Coordinator of one group.
+struct Coordinator {
+    engine: EngineHandle,
+    peers: Arc<Peers>,
+    demand: Demand,
+    /// Seat for which the demand was observed.
+    seat: Option<Seat>,
+    /// Versions start above the time of day by this much.
+    skip: u64,
+    last: u64,
+}
+
+/// Coordinates until it is aborted.
+pub(super) async fn coordinate(engine: EngineHandle, peers: Arc<Peers>) {
+    let mut coordinator = Coordinator {
+        engine,
+        peers,
+        demand: Demand::default(),
+        seat: None,
+        skip: 0,
+        last: 0,
+    };
+    loop {
+        tokio::time::sleep(PAUSE).await;
+        if let Err(failure) = coordinator.look().await {
+            log::info!("experts stay where they are: {failure}");
+        }
+    }
+}
+
+impl Coordinator {
+    async fn look(&mut self) -> Result<(), Failure> {
+        let report = self.engine.report().await?;
+        let Some(Membership {
+            group,
+            epoch,
+            rank: 0,
+            open: true,
+        }) = report.membership.clone()
+        else {
+            self.seat = None;
+            return Ok(());
+        };
+        let seat = Seat {
+            group,
+            epoch,
+            rank: 0,
+        };
+        if self.seat.as_ref() != Some(&seat) {
+            self.demand.clear();
+            self.seat = Some(seat.clone());
+        }
+        let Some(group) = self.peers.group(&seat, report.size) else {
+            return Ok(());
+        };
+        let looks: Result<Vec<Look>, Failure> = group.look().await.into_iter().collect();
+        let looks = looks?;
+        if looks.iter().any(|l| !is_in(&l.report, &seat)) {
+            return Ok(());
+        }
+        let counts = looks.iter().map(|l| (l.report.born, &l.picked.counts[..]));
+        self.demand.observe(counts, Instant::now());
+        let placement = placement(&looks);
+        let steady = looks.iter().all(|l| l.held.version == looks[0].held.version);
+        let armed = looks.iter().any(|l| l.report.armed.is_some());
+        if let Some(step) = looks[0].report.held {
+            return self.release(&group, &looks, placement, step).await;
+        }
+        if steady && !armed {
+            self.improve(&group, &looks, placement).await;
+        }
+        Ok(())
+    }
+
+    /// Lets a pass go that was left held back.
+    async fn release(
+        &mut self,
+        group: &Group,
+        looks: &[Look],
+        placement: Placement,
+        step: u64,
+    ) -> Result<(), Failure> {
+        let switch = Switch {
+            epoch: group.seat.epoch,
+            version: self.version(looks),
+            old: placement.clone(),
+            new: placement,
+        };
+        let ending = switch.undo(group, step).await;
+        log::warn!("pass {step} was left held back: {ending}");
+        Ok(())
+    }
+
+    /// Moves the group to a better map if there is one.
+    async fn improve(&mut self, group: &Group, looks: &[Look], old: Placement) {
+        let (Some(counts), Some(shape)) = (self.demand.counts(), self.peers.shape()) else {
+            return;
+        };
+        let layers = old.len().max(1);
+        let layout = EvenLayout {
+            ranks: looks.len(),
+            experts: counts.len() / layers,
+            places: shape.places,
+            spare: shape.spare,
+        };
+        let plan = plan_even(&layout, &old, &counts);
+        if plan.after > plan.before * (1.0 - LEAST_GAIN) {
+            return;
+        }
+        let start = Instant::now();
+        let switch = Switch {
+            epoch: group.seat.epoch,
+            version: self.version(looks),
+            old,
+            new: plan.placement,
+        };
+        let ending = switch.run(group).await;
+        match ending {
+            Ending::NotPrepared => self.skip += VERSION_SKIP,
+            Ending::Switched(_) => self.demand.restart(),
+            Ending::NotHeld | Ending::Undone | Ending::GivenUp => {}
+        }
+        let planned = Planned {
+            group: group.seat.group.clone(),
+            epoch: group.seat.epoch,
+            version: switch.version,
+            before: plan.before,
+            after: plan.after,
+            copies: plan.copies,
+            ending: ending.to_string(),
+            took_ms: start.elapsed().as_millis(),
+        };
+        pimentotide_observe::event("experts_moved", &planned);
+    }
+
+    /// Version above all that were ever used, by the clock and by what ranks report.
+    fn version(&mut self, looks: &[Look]) -> u64 {
+        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        // Without a clock the reported versions decide alone.
+        let clock = since.map_or(0, |d| d.as_millis() as u64) + self.skip;
+        let used = looks.iter().flat_map(|l| [l.report.map, l.report.prepared.unwrap_or(0)]);
+        // A switch uses its version and the next one.
+        self.last = clock.max(used.max().unwrap_or(0) + 1).max(self.last + 2);
+        self.last
+    }
+}
+
+/// Whether a report comes from the group and epoch of `seat`.
+fn is_in(report: &EngineReport, seat: &Seat) -> bool {
+    let membership = report.membership.as_ref();
+    membership.is_some_and(|m| m.group == seat.group && m.epoch == seat.epoch && m.open)
+}
+
+/// Experts by layer and rank.
+fn placement(looks: &[Look]) -> Placement {
+    let layers = looks.iter().map(|l| l.held.experts.len()).min().unwrap_or(0);
+    let layer = |index: usize| looks.iter().map(|l| l.held.experts[index].clone()).collect();
+    (0..layers).map(layer).collect()
+}
--- /dev/null
+++ b/app/src/fleet/agent/engine.rs
@@ -0,0 +1,137 @@
+//! The engine beside an agent: its newest report, and orders to it.
+//!
+//! The client lives on one thread, the calls of other agents arrive on any. So
+//! all go through one task, which handles them side by side.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use pimentotide_model::{ErrorKind, Failure, Ran};
+use pimentotide_platform::{
+    EngineClient, EngineError, EngineReport, FencedOrder, HeldExperts, OrderAnswer, PickedExperts,
+};
+use serde::{Deserialize, Serialize};
+use tokio::sync::{mpsc, oneshot};
+
+use super::super::beacon::Seat;
+
+/// Longest wait for the engine beside the agent.
+const TIMEOUT: Duration = Duration::from_millis(300);
+/// Pause between reports.
+const REPORT_PAUSE: Duration = Duration::from_millis(400);
+
+/// Handle of the engine; clones lead to the same one.
+#[derive(Clone)]
+pub(super) struct EngineHandle {
+    asks: mpsc::UnboundedSender<Ask>,
+    report: Arc<Mutex<Option<EngineReport>>>,
+}
+
+/// What an engine tells the coordinator.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct Look {
+    /// Report.
+    pub(super) report: EngineReport,
+    /// Experts that its requests chose.
+    pub(super) picked: PickedExperts,
+    /// Experts that it holds.
+    pub(super) held: HeldExperts,
+}
+
+enum Ask {
+    Report(oneshot::Sender<Result<EngineReport, EngineError>>),
+    Look(oneshot::Sender<Result<Look, EngineError>>),
+    Order(FencedOrder, oneshot::Sender<Result<OrderAnswer, EngineError>>),
+}
+
+impl EngineHandle {
+    /// Starts to look after the engine at `address`.
+    pub(super) fn spawn(address: SocketAddr) -> Self {
+        let (asks, asked) = mpsc::unbounded_channel();
+        let engine = Self {
+            asks,
+            report: Arc::default(),
+        };
+        actix_rt::spawn(serve(EngineClient::open(address, TIMEOUT), asked));
+        actix_rt::spawn(keep_report(engine.clone()));
+        engine
+    }
+
+    /// Place of the engine in its group, by its last report.
+    pub(super) fn seat(&self) -> Option<Seat> {
+        let report = self.report.lock().unwrap_or_else(PoisonError::into_inner);
+        let membership = report.as_ref()?.membership.as_ref()?;
+        Some(Seat {
+            group: membership.group.clone(),
+            epoch: membership.epoch,
+            rank: membership.rank,
+        })
+    }
+
+    /// Asks the engine for a report.
+    pub(super) async fn report(&self) -> Result<EngineReport, Failure> {
+        let result = self.ask(Ask::Report).await;
+        *self.report.lock().unwrap_or_else(PoisonError::into_inner) = result.as_ref().ok().cloned();
+        result
+    }
+
+    /// Asks the engine for all that the coordinator needs.
+    pub(super) async fn look(&self) -> Result<Look, Failure> {
+        self.ask(Ask::Look).await
+    }
+
+    /// Gives the engine an order.
+    pub(super) async fn order(&self, order: FencedOrder) -> Result<OrderAnswer, Failure> {
+        let text = format!("{} fence {}", order.order, order.fence);
+        let answer = self.ask(|reply| Ask::Order(order, reply)).await;
+        match &answer {
+            Ok(answer) => log::info!("order {text}: {answer}"),
+            Err(failure) => log::warn!("order {text}: {failure}"),
+        }
+        answer.map_err(|f| f.with_ran(Ran::Unknown))
+    }
+
+    async fn ask<T, F>(&self, ask: F) -> Result<T, Failure>
+    where
+        F: FnOnce(oneshot::Sender<Result<T, EngineError>>) -> Ask,
+    {
+        let stopped = || Failure::new(ErrorKind::Stopping, "the agent stops");
+        let (reply, answer) = oneshot::channel();
+        self.asks.send(ask(reply)).map_err(|_| stopped())?;
+        let result = answer.await.map_err(|_| stopped())?;
+        result.map_err(|e| Failure::new(ErrorKind::UpstreamFailed, e.to_string()))
+    }
+}
+
+async fn serve(client: EngineClient, mut asked: mpsc::UnboundedReceiver<Ask>) {
+    while let Some(ask) = asked.recv().await {
+        actix_rt::spawn(answer(client.clone(), ask));
+    }
+}
+
+async fn answer(client: EngineClient, ask: Ask) {
+    // Whoever asked may have gone.
+    match ask {
+        Ask::Report(reply) => drop(reply.send(client.report().await)),
+        Ask::Look(reply) => drop(reply.send(look(&client).await)),
+        Ask::Order(order, reply) => drop(reply.send(client.order(&order).await)),
+    }
+}
+
+async fn look(client: &EngineClient) -> Result<Look, EngineError> {
+    Ok(Look {
+        picked: client.picked().await?,
+        held: client.held().await?,
+        report: client.report().await?,
+    })
+}
+
+async fn keep_report(engine: EngineHandle) {
+    loop {
+        if let Err(failure) = engine.report().await {
+            log::debug!("no report: {failure}");
+        }
+        tokio::time::sleep(REPORT_PAUSE).await;
+    }
+}
--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -7,11 +7,11 @@
 use pimentotide_fleet::{Announcement, Command, Declaration, FleetState, Record, Reply};
 use pimentotide_instance::replica::ReplicaHandle;
 use pimentotide_model::{ErrorKind, Failure, Time, UpstreamName, ZoneName};
-use pimentotide_platform::{Control, Held};
+use pimentotide_platform::{Control, Held, read_configuration};
 use serde::Serialize;
 use tokio::time::Instant as Deadline;
 
-use super::super::news::{Document, Fleet, News, Seen};
+use super::super::news::{Document, Fleet, News, Processes, Seen, Shape};
 use super::roster::Roster;
 
 /// Longest time for which a question waits for something new.
@@ -28,6 +28,8 @@
     roster: Roster,
     /// When this replica first saw each record with its present time.
     seen: Arc<Mutex<BTreeMap<UpstreamName, (Time, Instant)>>>,
+    /// Room of ranks for experts by the configuration at this position.
+    shape: Arc<Mutex<Option<(u64, Option<Shape>)>>>,
 }
 
 #[derive(Serialize)]
@@ -44,6 +46,7 @@
             replica,
             roster,
             seen: Arc::default(),
+            shape: Arc::default(),
         }
     }
 
@@ -86,7 +89,7 @@
             let _ = tokio::time::timeout_at(until, applied.changed()).await;
         }
         self.replica.read_index().await?;
-        let entries = self.roster.addresses(Instant::now()).len();
+        let entries = self.roster.entries().len();
         let status = self.replica.status().await?;
         let replicas = status.log.config.members().map(|(_, m)| m.address).collect();
         let (declared, fleet) = self.replica.query(move |s, _| excerpt(s, seen)).await?;
@@ -98,6 +101,39 @@
         })
     }
 
+    /// Processes that are alive, as this replica knows them.
+    pub(super) async fn processes(&self) -> Result<Processes, Failure> {
+        let status = self.replica.status().await?;
+        Ok(Processes {
+            replicas: status.log.config.members().map(|(_, m)| m.address).collect(),
+            entries: self.roster.entries(),
+            agents: self.roster.agents(),
+            shape: self.shape().await?,
+        })
+    }
+
+    /// Room of each rank for experts, read from the configuration once for each version.
+    async fn shape(&self) -> Result<Option<Shape>, Failure> {
+        let known = *self.shape.lock().unwrap_or_else(PoisonError::into_inner);
+        let declared = self.replica.query(move |s, _| {
+            let newer = s.declared().filter(|d| Some(d.index) != known.map(|(index, _)| index));
+            newer.map(|d| (d.index, d.document.clone()))
+        });
+        let Some((index, document)) = declared.await? else {
+            return Ok(known.and_then(|(_, shape)| shape));
+        };
+        let declaration = read_configuration(&document)
+            .map_err(|e| Failure::new(ErrorKind::Internal, e.to_string()))?;
+        let engines = declaration.services.values().filter_map(|s| s.engine);
+        let shape = engines.filter(|e| e.experts > 0).map(|e| Shape {
+            places: usize::from(e.places),
+            spare: usize::from(e.spare),
+        });
+        let shape = shape.last();
+        *self.shape.lock().unwrap_or_else(PoisonError::into_inner) = Some((index, shape));
+        Ok(shape)
+    }
+
     /// Records that have not been refreshed for `age` since this replica first saw them.
     pub(super) async fn silent(&self, age: Duration) -> Result<Vec<Record>, Failure> {
         let records = self
--- a/app/src/fleet/control/methods.rs
+++ b/app/src/fleet/control/methods.rs
@@ -5,7 +5,7 @@
 use jsonrpsee::{Methods, RpcModule};
 use pimentotide_instance::rpc_error;
 
-use super::super::news::{FOLLOW, JOIN, Joining, Seen};
+use super::super::news::{FOLLOW, JOIN, Joining, PROCESSES, Seen};
 use super::desk::Desk;
 use super::membership::Members;
 
@@ -22,6 +22,9 @@
         let seen: Seen = params.one()?;
         shared.desk.news(seen).await.map_err(|f| rpc_error(&f))
     })?;
+    module.register_async_method(PROCESSES, |_, shared, _| async move {
+        shared.desk.processes().await.map_err(|f| rpc_error(&f))
+    })?;
     module.register_async_method(JOIN, |params, shared, _| async move {
         let joining: Joining = params.one()?;
         shared.members.admit(joining).await.map_err(|f| rpc_error(&f))?;
--- a/app/src/fleet/control/mod.rs
+++ b/app/src/fleet/control/mod.rs
@@ -17,7 +17,7 @@
 use pimentotide_model::{ErrorKind, Failure, InstanceName};
 use pimentotide_platform::{ControlServer, DirectoryServer};
 
-use super::{FleetError, FleetSettings};
+use super::{FleetError, FleetSettings, datagram};
 use desk::Desk;
 use roster::{Counter, Roster};
 
@@ -62,11 +62,11 @@
         let shared = methods::module(desk.clone(), members.clone())
             .map_err(|e| FleetError::Methods(e.to_string()))?;
         let calls = PeerServer::bind(settings.calls(), token, [own.into(), methods::erase(shared)]).await?;
+        let heard = roster.clone();
         let tasks = vec![
-            actix_rt::spawn(roster::listen(
-                settings.beacons_at(settings.ip),
-                roster.clone(),
-            )),
+            actix_rt::spawn(datagram::listen(settings.beacons_at(settings.ip), move |beacon| {
+                heard.hear(beacon);
+            })),
             actix_rt::spawn(membership::keep(members, path.to_owned())),
             actix_rt::spawn(upkeep::expire(desk.clone())),
         ];
--- a/app/src/fleet/control/roster.rs
+++ b/app/src/fleet/control/roster.rs
@@ -1,98 +1,113 @@
-//! Entries as a replica knows them from their beacons.
+//! Entries and agents as a replica knows them from their beacons.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use pimentotide_platform::{Directory, Entries, Place};
-use tokio::net::UdpSocket;
 
 use super::super::FleetSettings;
-use super::super::beacon::{Beacon, MAX_BEACON_BYTES};
+use super::super::beacon::{AgentBeacon, Beacon, EntryBeacon, Order};
 
-/// Silence after which an entry is no longer named to callers; four beacons.
+/// Silence after which a process is no longer named to others; four beacons.
 const SILENCE: Duration = Duration::from_millis(1_600);
-/// Silence after which an entry is forgotten.
+/// Silence after which a process is forgotten.
 const FORGET: Duration = Duration::from_secs(30);
 /// Time for which callers may keep the list; short, so that they soon learn of a lost entry.
 const KEEP: Duration = Duration::from_secs(2);
-/// Pause after a socket error.
-const ERROR_PAUSE: Duration = Duration::from_millis(200);
 /// Most addresses in one answer.
 const MAX_ADDRESSES: usize = 64;
 
-/// Entries by the address for callers.
+/// Processes by address.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Roster {
-    entries: Arc<Mutex<BTreeMap<SocketAddr, (Beacon, Instant)>>>,
+    known: Arc<Mutex<Known>>,
+}
+
+#[derive(Debug, Default)]
+struct Known {
+    entries: Heard<EntryBeacon>,
+    agents: Heard<AgentBeacon>,
+}
+
+/// Newest beacon of each address, and when it was heard.
+type Heard<B> = BTreeMap<SocketAddr, (B, Instant)>;
+
+/// Takes a beacon over unless a newer one of the address is known; true if it is new or differs.
+fn take<B, K, F>(heard: &mut Heard<B>, address: SocketAddr, beacon: B, order: F, state: K) -> bool
+where
+    F: Fn(&B) -> Order,
+    K: Fn(&B) -> (bool, bool),
+{
+    let now = Instant::now();
+    heard.retain(|_, (_, at)| now.duration_since(*at) < FORGET);
+    let known = heard.get(&address).map(|(b, _)| b);
+    if known.is_some_and(|known| order(known) > order(&beacon)) {
+        return false;
+    }
+    let differs = known.map(&state) != Some(state(&beacon));
+    heard.insert(address, (beacon, now));
+    differs
+}
+
+fn fresh<B>(heard: &Heard<B>) -> impl Iterator<Item = &B> {
+    let now = Instant::now();
+    let alive = heard.values().filter(move |(_, at)| now.duration_since(*at) < SILENCE);
+    alive.map(|(beacon, _)| beacon)
 }
 
 impl Roster {
-    /// Starts without entries.
+    /// Starts without processes.
     pub(super) fn open() -> Self {
         Self::default()
     }
 
-    fn hear(&self, beacon: Beacon, now: Instant) {
-        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
-        let order = |b: &Beacon| (b.born, b.sequence);
-        let known = entries.get(&beacon.callers).map(|(b, _)| b);
-        if known.is_some_and(|known| order(known) > order(&beacon)) {
-            return;
-        }
-        let (was, is) = (known.map(|b| (b.accepting, b.stopping)), (beacon.accepting, beacon.stopping));
-        if was != Some(is) {
-            log::info!(
-                "entry {} accepting {} stopping {}",
-                beacon.callers,
-                beacon.accepting,
-                beacon.stopping
-            );
+    fn known(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in a beacon.
+    pub(super) fn hear(&self, beacon: Beacon) {
+        let mut known = self.known();
+        match beacon {
+            Beacon::Entry(entry) => {
+                let (callers, state) = (entry.callers, (entry.accepting, entry.stopping));
+                let states = |b: &EntryBeacon| (b.accepting, b.stopping);
+                if take(&mut known.entries, callers, entry, |b| b.order, states) {
+                    let (accepting, stopping) = state;
+                    log::info!("entry {callers} accepting {accepting} stopping {stopping}");
+                }
+            }
+            Beacon::Agent(agent) => {
+                let calls = agent.calls;
+                let states = |b: &AgentBeacon| (b.seat.is_some(), false);
+                if take(&mut known.agents, calls, agent, |b| b.order, states) {
+                    log::info!("agent {calls} is there");
+                }
+            }
+            Beacon::Load(load) => log::warn!("load of {} told to a replica", load.upstream),
         }
-        entries.insert(beacon.callers, (beacon, now));
-        entries.retain(|_, (_, heard)| now.duration_since(*heard) < FORGET);
     }
 
     /// Entries that callers may be sent to.
     ///
     /// If none accepts callers, those that are alive are named all the same: they
     /// refuse with a reason.
-    pub(super) fn addresses(&self, now: Instant) -> Vec<SocketAddr> {
-        let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
-        let alive = || {
-            let fresh = entries.values().filter(|(_, heard)| now.duration_since(*heard) < SILENCE);
-            fresh.map(|(beacon, _)| beacon).filter(|b| !b.stopping)
-        };
-        let accepting: Vec<SocketAddr> = alive().filter(|b| b.accepting).map(|b| b.callers).collect();
+    pub(super) fn entries(&self) -> Vec<SocketAddr> {
+        let known = self.known();
+        let alive: Vec<&EntryBeacon> = fresh(&known.entries).filter(|b| !b.stopping).collect();
+        let accepting: Vec<SocketAddr> =
+            alive.iter().filter(|b| b.accepting).map(|b| b.callers).collect();
         if accepting.is_empty() {
-            return alive().map(|b| b.callers).collect();
+            return alive.iter().map(|b| b.callers).collect();
         }
         accepting
     }
-}
 
-/// Takes in beacons until it is aborted.
-pub(super) async fn listen(address: SocketAddr, roster: Roster) {
-    let socket = match UdpSocket::bind(address).await {
-        Ok(socket) => socket,
-        Err(e) => {
-            log::error!("cannot listen for beacons on {address}: {e}");
-            return;
-        }
-    };
-    let mut bytes = [0; MAX_BEACON_BYTES];
-    loop {
-        match socket.recv_from(&mut bytes).await {
-            Ok((length, from)) => match postcard::from_bytes(&bytes[..length]) {
-                Ok(beacon) => roster.hear(beacon, Instant::now()),
-                Err(e) => log::warn!("unreadable beacon from {from}: {e}"),
-            },
-            Err(e) => {
-                log::warn!("beacons: {e}");
-                tokio::time::sleep(ERROR_PAUSE).await;
-            }
-        }
+    /// Agents that are alive.
+    pub(super) fn agents(&self) -> Vec<AgentBeacon> {
+        fresh(&self.known().agents).cloned().collect()
     }
 }
 
@@ -115,7 +130,7 @@
 
 impl Directory for Counter {
     fn entries(&self, _place: &Place) -> Entries {
-        let mut addresses = self.roster.addresses(Instant::now());
+        let mut addresses = self.roster.entries();
         addresses.truncate(MAX_ADDRESSES);
         Entries {
             addresses,
--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -34,7 +34,7 @@
     pub(super) policy: Policy,
     pub(super) tried: Vec<UpstreamName>,
     pub(super) sends: u32,
-    pub(super) open: OpenRequest,
+    pub(super) _open: OpenRequest,
 }
 
 /// A send that has an answer, or has yet to end.
--- a/app/src/fleet/entry/follow.rs
+++ b/app/src/fleet/entry/follow.rs
@@ -1,17 +1,17 @@
 //! Follows the shared state through one replica at a time, and tells all of them of this entry.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, SystemTime};
+use std::sync::Arc;
+use std::time::Duration;
 
 use pimentotide_instance::{PeerClient, PeerTimeouts, Token};
-use tokio::net::UdpSocket;
 
 use super::super::FleetSettings;
-use super::super::beacon::Beacon;
+use super::super::beacon::{EntryBeacon, Order};
+use super::super::datagram::Sender;
 use super::super::news::{FOLLOW, News};
+use super::super::replicas::Replicas;
 use super::state::EntryState;
 
 /// Pause between beacons.
@@ -26,39 +26,6 @@
     silence: Duration::from_millis(1_500),
 };
 
-/// Addresses of the replicas for calls, shared by both tasks.
-#[derive(Clone, Debug)]
-pub(super) struct Replicas {
-    known: Arc<Mutex<BTreeSet<SocketAddr>>>,
-}
-
-impl Replicas {
-    pub(super) fn new(settings: &FleetSettings) -> Self {
-        let seeds = settings.seed_calls().into_values().collect();
-        Self {
-            known: Arc::new(Mutex::new(seeds)),
-        }
-    }
-
-    fn list(&self) -> Vec<SocketAddr> {
-        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        known.iter().copied().collect()
-    }
-
-    /// Takes over the members of the log.
-    fn replace(&self, members: Vec<SocketAddr>) {
-        if !members.is_empty() {
-            *self.known.lock().unwrap_or_else(PoisonError::into_inner) = members.into_iter().collect();
-        }
-    }
-
-    /// Adds seeds, which may be newer than what is known.
-    fn add(&self, seeds: impl IntoIterator<Item = SocketAddr>) {
-        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        known.extend(seeds);
-    }
-}
-
 /// Follows the shared state until it is aborted.
 pub(super) async fn follow(
     state: Arc<EntryState>,
@@ -78,10 +45,7 @@
             }
         }
         turn += 1;
-        match FleetSettings::open(&path) {
-            Ok(settings) => replicas.add(settings.seed_calls().into_values()),
-            Err(e) => log::warn!("{}: {e}", path.display()),
-        }
+        replicas.add_seeds(&path);
         tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
@@ -106,7 +70,7 @@
             log::info!("following replica {}", client.address());
             answered = true;
         }
-        replicas.replace(news.replicas.clone());
+        replicas.replace(&news.replicas);
         if let Err(failure) = state.learn(news, asked) {
             log::error!("news of replica {} are not usable: {failure}", client.address());
             return false;
@@ -121,38 +85,24 @@
     callers: SocketAddr,
     settings: FleetSettings,
 ) {
-    let socket = match UdpSocket::bind(SocketAddr::new(settings.ip, 0)).await {
-        Ok(socket) => socket,
+    let sender = match Sender::bind(settings.ip).await {
+        Ok(sender) => sender,
         Err(e) => {
             log::error!("cannot send beacons: {e}");
             return;
         }
     };
-    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    let mut beacon = Beacon {
-        callers,
-        zone: settings.zone.clone(),
-        accepting: false,
-        stopping: false,
-        // A clock before the epoch would make this start the oldest of all.
-        born: since_epoch.map_or(0, |d| d.as_millis() as u64),
-        sequence: 0,
-    };
+    let mut order = Order::start();
     loop {
-        beacon.sequence += 1;
-        beacon.stopping = state.is_stopping();
-        beacon.accepting = !beacon.stopping && state.is_current();
-        match postcard::to_stdvec(&beacon) {
-            Ok(bytes) => {
-                for address in replicas.list() {
-                    let to = settings.beacons_at(address.ip());
-                    if let Err(e) = socket.send_to(&bytes, to).await {
-                        log::debug!("no beacon to {to}: {e}");
-                    }
-                }
-            }
-            Err(e) => log::error!("a beacon cannot be encoded: {e}"),
-        }
+        let stopping = state.is_stopping();
+        let beacon = EntryBeacon {
+            callers,
+            accepting: !stopping && state.is_current(),
+            stopping,
+            order: order.advance(),
+        };
+        let to = replicas.list().into_iter().map(|a| settings.beacons_at(a.ip()));
+        sender.send(&beacon.into(), to).await;
         state.wait_for_stop(BEACON_PAUSE).await;
     }
 }
--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -17,6 +17,7 @@
 use pimentotide_model::{ErrorKind, Failure};
 use pimentotide_platform::{FrontendOptions, FrontendServer};
 
+use super::replicas::Replicas;
 use super::{FleetError, FleetSettings};
 use relay::EntryRelay;
 use state::EntryState;
@@ -63,7 +64,7 @@
             head: HEAD,
         };
         let server = FrontendServer::bind(options, EntryRelay::new(state.clone()))?;
-        let replicas = follow::Replicas::new(settings);
+        let replicas = Replicas::new(settings);
         let tasks = vec![
             actix_rt::spawn(follow::follow(
                 state.clone(),
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -67,7 +67,7 @@
             workspace: found.workspace.cloned(),
             priority: None,
             state: self.state.clone(),
-            open: self.state.enter(),
+            _open: self.state.enter(),
             service,
             policy,
             tried: Vec::new(),
--- a/app/src/fleet/mod.rs
+++ b/app/src/fleet/mod.rs
@@ -4,10 +4,13 @@
 //! say which entries to use. Entries follow a replica and send each request
 //! straight to an upstream.
 
+mod agent;
 mod beacon;
 mod control;
+mod datagram;
 mod entry;
 mod news;
+mod replicas;
 mod settings;
 
 use std::path::{Path, PathBuf};
@@ -92,6 +95,13 @@
             pimentotide_observe::event("stopping", &());
             role.stop().await;
         }
+        RoleKind::Agent => {
+            let role = agent::AgentRole::spawn(&settings, path).await?;
+            pimentotide_observe::event("ready", &ready);
+            stop.recv().await;
+            pimentotide_observe::event("stopping", &());
+            role.stop().await;
+        }
     }
     pimentotide_observe::event("stopped", &());
     Ok(())
--- a/app/src/fleet/news.rs
+++ b/app/src/fleet/news.rs
@@ -8,11 +8,16 @@
 use pimentotide_model::{InstanceName, ZoneName};
 use serde::{Deserialize, Serialize};
 
+use super::beacon::AgentBeacon;
+
 /// Method by which entries follow the shared state.
 pub(super) const FOLLOW: &str = "fleet_follow";
 /// Method by which a replica asks to become a member.
 pub(super) const JOIN: &str = "fleet_join";
 
+/// Method by which agents learn of the other processes.
+pub(super) const PROCESSES: &str = "fleet_processes";
+
 /// What an entry knows already.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Seen {
@@ -65,3 +70,25 @@
     /// Identity of its disk.
     pub(super) disk: DiskId,
 }
+
+/// Processes that are alive.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(super) struct Processes {
+    /// Addresses of the replicas for calls.
+    pub(super) replicas: Vec<SocketAddr>,
+    /// Addresses of the entries for callers.
+    pub(super) entries: Vec<SocketAddr>,
+    /// Agents.
+    pub(super) agents: Vec<AgentBeacon>,
+    /// Room of each rank for experts, if the configuration has an engine.
+    pub(super) shape: Option<Shape>,
+}
+
+/// Room of each rank for experts, in each layer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Shape {
+    /// Experts that a rank holds, at most.
+    pub(super) places: usize,
+    /// Experts new to a rank in one change, at most.
+    pub(super) spare: usize,
+}
--- a/app/src/fleet/settings.rs
+++ b/app/src/fleet/settings.rs
@@ -19,6 +19,9 @@
     /// Keeps the shared state.
     #[display("control")]
     Control,
+    /// Looks after the engine beside it.
+    #[display("agent")]
+    Agent,
 }
 
 /// Why settings cannot be used.
@@ -71,6 +74,9 @@
     /// Folder on the instance's disk.
     #[serde(default)]
     pub data: Option<PathBuf>,
+    /// Address of the engine beside the process.
+    #[serde(default)]
+    pub engine: Option<SocketAddr>,
     /// Most open descriptors.
     #[serde(default)]
     pub descriptors: Option<u64>,
@@ -188,6 +194,7 @@
                 ("listen.directory", listen.directory.is_none()),
                 ("data", self.data.is_none()),
             ],
+            RoleKind::Agent => &[("engine", self.engine.is_none())],
         };
         needed.iter().find(|(_, lacks)| *lacks).map(|(key, _)| *key)
     }
