--- a/app/src/fleet/agent/coordinate.rs
+++ b/app/src/fleet/agent/coordinate.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
-use pimentotide_experts::{EvenLayout, Placement, plan_even};
+use pimentotide_experts::{EvenLayout, Placement, imbalance_even, plan_even};
 use pimentotide_model::Failure;
 use pimentotide_platform::{EngineReport, Membership};
 use serde::Serialize;
@@ -15,12 +15,17 @@
 use super::switch::{Ending, Switch};
 
 /// Pause between looks at the demand.
-const PAUSE: Duration = Duration::from_millis(300);
-/// Least relative fall of the most loaded rank's part for which experts are moved.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Most loaded rank over the mean from which experts are moved.
 ///
-/// Copying slows passes by a seventh for about half a second, so a smaller gain
-/// needs longer to pay than demand lasts.
+/// Below it lies the noise of a window of a second, and copies cost more than they save.
+const TRIGGER: f64 = 1.3;
+/// Most loaded rank over the mean that a change aims at.
+const GOAL: f64 = 1.1;
+/// Least relative fall of the most loaded rank's part for which experts are moved.
 const LEAST_GAIN: f64 = 0.05;
+/// Most loaded rank over the mean, in the newest sample alone, that shows that demand has moved.
+const MOVED: f64 = 1.6;
 /// Versions skipped after a refusal, in case an engine knows a higher one than this clock.
 const VERSION_SKIP: u64 = 10_000;
 
@@ -142,7 +147,12 @@
             places: shape.places,
             spare: shape.spare,
         };
-        let plan = plan_even(&layout, &old, &counts);
+        let recent = self.demand.newest().filter(|c| imbalance_even(&layout, &old, c) >= MOVED);
+        let counts = recent.map_or(counts, <[f64]>::to_vec);
+        if imbalance_even(&layout, &old, &counts) < TRIGGER {
+            return;
+        }
+        let plan = plan_even(&layout, &old, &counts, GOAL);
         if plan.after > plan.before * (1.0 - LEAST_GAIN) {
             return;
         }
--- a/app/src/fleet/agent/demand.rs
+++ b/app/src/fleet/agent/demand.rs
@@ -59,8 +59,13 @@
                 *sum += count;
             }
         }
-        let total: f64 = sum.iter().sum();
-        (total >= LEAST_CHOICES * sum.len() as f64 && total > 0.0).then_some(sum)
+        is_enough(&sum).then_some(sum)
+    }
+
+    /// Choices since the last look but one; none if there are too few.
+    pub(super) fn newest(&self) -> Option<&[f64]> {
+        let (_, counts) = self.recent.back()?;
+        is_enough(counts).then_some(&counts[..])
     }
 
     /// Starts a new window, as after a change whose effect is to be seen.
@@ -74,3 +79,8 @@
         self.recent.clear();
     }
 }
+
+fn is_enough(counts: &[f64]) -> bool {
+    let total: f64 = counts.iter().sum();
+    total > 0.0 && total >= LEAST_CHOICES * counts.len() as f64
+}
--- a/decision/experts/src/even/layer.rs
+++ b/decision/experts/src/even/layer.rs
@@ -75,10 +75,13 @@
         self.held
     }
 
-    /// Makes the best change again and again while it helps.
-    pub(super) fn improve(&mut self) {
+    /// Makes the best change again and again until the goal is reached or nothing helps.
+    pub(super) fn improve(&mut self, goal: f64) {
         let most = self.layout.ranks * self.layout.spare * 2;
         for _ in 0..most {
+            if self.imbalance() <= goal {
+                return;
+            }
             let Some((change, cost)) = self.best_change() else {
                 return;
             };
--- a/decision/experts/src/even/mod.rs
+++ b/decision/experts/src/even/mod.rs
@@ -41,8 +41,9 @@
 
 /// Improves a placement for the given popularity, `counts` layer after layer.
 ///
-/// Layers without counts stay as they are.
-pub fn plan_even(layout: &EvenLayout, current: &Placement, counts: &[f64]) -> EvenPlan {
+/// A layer is left as it is once its most loaded rank is within `goal` times the
+/// mean: each further copy costs more than it saves. Layers without counts stay.
+pub fn plan_even(layout: &EvenLayout, current: &Placement, counts: &[f64], goal: f64) -> EvenPlan {
     let mut plan = EvenPlan {
         placement: Vec::with_capacity(current.len()),
         before: 0.0,
@@ -53,7 +54,7 @@
     for (held, loads) in current.iter().zip(loads) {
         let mut layer = Layer::new(layout, held, loads);
         plan.before += layer.imbalance();
-        layer.improve();
+        layer.improve(goal);
         plan.after += layer.imbalance();
         plan.copies += layer.copies();
         plan.placement.push(layer.into_held());
