Answers without a length stay so; held groups are let go; full disks are waited out

A coordinator frozen between hold and go left the group held for 3.9 s. A replica whose disk was full ended again and again while it stayed full. Ruled out for MIXED: framed answers, whose early end is an error of the transport.

--- a/app/src/fleet/agent/engine.rs
+++ b/app/src/fleet/agent/engine.rs
@@ -19,7 +19,7 @@
 /// Longest wait for the engine beside the agent.
 const TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause between reports.
-const REPORT_PAUSE: Duration = Duration::from_millis(400);
+const REPORT_PAUSE: Duration = Duration::from_millis(200);
 
 /// Handle of the engine; clones lead to the same one.
 #[derive(Clone)]
@@ -58,15 +58,21 @@
         engine
     }
 
-    /// Place of the engine in its group, by its last report.
-    pub(super) fn seat(&self) -> Option<Seat> {
-        let report = self.report.lock().unwrap_or_else(PoisonError::into_inner);
-        let membership = report.as_ref()?.membership.as_ref()?;
-        Some(Seat {
+    /// Last report and the place of the engine in its group.
+    pub(super) fn newest(&self) -> Option<(EngineReport, Seat)> {
+        let report = self.report.lock().unwrap_or_else(PoisonError::into_inner).clone()?;
+        let membership = report.membership.as_ref()?;
+        let seat = Seat {
             group: membership.group.clone(),
             epoch: membership.epoch,
             rank: membership.rank,
-        })
+        };
+        Some((report, seat))
+    }
+
+    /// Place of the engine in its group, by its last report.
+    pub(super) fn seat(&self) -> Option<Seat> {
+        self.newest().map(|(_, seat)| seat)
     }
 
     /// Asks the engine for a report.
--- a/app/src/fleet/agent/mod.rs
+++ b/app/src/fleet/agent/mod.rs
@@ -3,13 +3,15 @@
 //! Every agent reads its engine's report, tells replicas of its seat in the
 //! group, and carries orders to its engine. The agent of rank 0 of an open group
 //! also coordinates the group: it adds up which experts are in demand and moves
-//! the group to better expert maps.
+//! the group to better expert maps. The other agents step in if it leaves the
+//! group held back.
 
 mod coordinate;
 mod demand;
 mod engine;
 mod methods;
 mod ranks;
+mod rescue;
 mod switch;
 
 use std::net::SocketAddr;
@@ -60,8 +62,9 @@
         let replicas = Replicas::new(settings);
         let peers = Arc::new(Peers::new(settings.calls(), engine.clone(), token.clone()));
         let tasks = vec![
-            actix_rt::spawn(beacons(settings.clone(), replicas.clone(), engine.clone())),
+            actix_rt::spawn(beacons(settings.clone(), address, replicas.clone(), engine.clone())),
             actix_rt::spawn(learn(replicas, peers.clone(), token, path.to_owned())),
+            actix_rt::spawn(rescue::watch(engine.clone(), peers.clone())),
             actix_rt::spawn(coordinate::coordinate(engine, peers)),
         ];
         Ok(Self { calls, tasks })
@@ -77,7 +80,7 @@
 }
 
 /// Tells all replicas of this agent until it is aborted.
-async fn beacons(settings: FleetSettings, replicas: Replicas, engine: EngineHandle) {
+async fn beacons(settings: FleetSettings, address: SocketAddr, replicas: Replicas, engine: EngineHandle) {
     let sender = match Sender::bind(settings.ip).await {
         Ok(sender) => sender,
         Err(e) => {
@@ -89,6 +92,7 @@
     loop {
         let beacon = AgentBeacon {
             calls: settings.calls(),
+            engine: address,
             seat: engine.seat(),
             order: order.advance(),
         };
--- a/app/src/fleet/agent/ranks.rs
+++ b/app/src/fleet/agent/ranks.rs
@@ -7,8 +7,8 @@
 
 use futures_util::future::join_all;
 use pimentotide_instance::{PeerClient, PeerTimeouts, Token};
-use pimentotide_model::Failure;
-use pimentotide_platform::{EngineReport, FencedOrder, OrderAnswer};
+use pimentotide_model::{ErrorKind, Failure};
+use pimentotide_platform::{EngineClient, EngineReport, FencedOrder, HeldExperts, OrderAnswer};
 
 use super::super::beacon::{AgentBeacon, Seat};
 use super::super::news::{Processes, Shape};
@@ -24,6 +24,9 @@
     silence: Duration::from_millis(1_500),
 };
 
+/// Longest wait for an engine that is asked straight.
+const DIRECT: Duration = Duration::from_millis(300);
+
 /// Other agents, by the address for calls.
 pub(super) struct Peers {
     own: SocketAddr,
@@ -34,7 +37,7 @@
 
 #[derive(Default)]
 struct Known {
-    agents: Vec<AgentBeacon>,
+    agents: BTreeMap<SocketAddr, AgentBeacon>,
     shape: Option<Shape>,
     clients: BTreeMap<SocketAddr, PeerClient>,
 }
@@ -44,7 +47,15 @@
     /// Seat of this agent's engine.
     pub(super) seat: Seat,
     engine: EngineHandle,
-    clients: Vec<Option<PeerClient>>,
+    ways: Vec<Way>,
+}
+
+/// How a rank is reached.
+enum Way {
+    /// It is the engine beside this agent.
+    Own,
+    /// Through the agent beside it, or straight if that agent does not answer.
+    Far(PeerClient, EngineClient),
 }
 
 impl Peers {
@@ -61,13 +72,13 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes over the agents that a replica knows.
+    /// Takes over the agents that a replica knows; those that fell silent are remembered.
     pub(super) fn learn(&self, processes: Processes) {
         let mut known = self.known();
-        let alive = |address: &SocketAddr| processes.agents.iter().any(|a| a.calls == *address);
-        known.clients.retain(|address, _| alive(address));
-        known.agents = processes.agents;
         known.shape = processes.shape.or(known.shape);
+        for agent in processes.agents {
+            known.agents.insert(agent.calls, agent);
+        }
     }
 
     /// Room of each rank for experts.
@@ -78,66 +89,102 @@
     /// Ranks of the group of `seat`; none if some are not known.
     pub(super) fn group(&self, seat: &Seat, size: u16) -> Option<Group> {
         let mut known = self.known();
-        let mut clients = vec![None; usize::from(size)];
-        let agents = known.agents.clone();
-        for agent in agents {
-            let Some(other) = agent.seat.filter(|s| s.group == seat.group && s.epoch == seat.epoch) else {
+        let mut found: Vec<Option<&AgentBeacon>> = vec![None; usize::from(size)];
+        let agents = std::mem::take(&mut known.agents);
+        for agent in agents.values() {
+            let other = agent.seat.as_ref();
+            let Some(other) = other.filter(|s| s.group == seat.group && s.epoch == seat.epoch) else {
                 continue;
             };
-            if agent.calls == self.own || other.rank == seat.rank {
-                continue;
-            }
-            let client = known.clients.entry(agent.calls).or_insert_with(|| {
-                PeerClient::with_timeouts(agent.calls, self.token.clone(), TIMEOUTS)
-            });
-            if let Some(place) = clients.get_mut(usize::from(other.rank)) {
-                *place = Some(client.clone());
+            if let Some(place) = found.get_mut(usize::from(other.rank)) {
+                *place = Some(agent);
             }
         }
-        let missing = clients.iter().filter(|c| c.is_none()).count();
-        (missing == 1).then(|| Group {
+        let ways: Option<Vec<Way>> = (0..size)
+            .map(|rank| {
+                if rank == seat.rank {
+                    return Some(Way::Own);
+                }
+                let agent = found[usize::from(rank)].filter(|a| a.calls != self.own)?;
+                let client = known.clients.entry(agent.calls).or_insert_with(|| {
+                    PeerClient::with_timeouts(agent.calls, self.token.clone(), TIMEOUTS)
+                });
+                Some(Way::Far(client.clone(), EngineClient::open(agent.engine, DIRECT)))
+            })
+            .collect();
+        known.agents = agents;
+        Some(Group {
             seat: seat.clone(),
             engine: self.engine.clone(),
-            clients,
+            ways: ways?,
         })
     }
 }
 
 impl Group {
-    /// Asks all ranks for all that the coordinator needs.
+    /// Asks all ranks for all that the coordinator needs, through their agents only.
     pub(super) async fn look(&self) -> Vec<Result<Look, Failure>> {
-        let looks = self.clients.iter().map(|client| async move {
-            match client {
-                Some(client) => client.call(LOOK, [0; 0]).await,
-                None => self.engine.look().await,
+        let looks = self.ways.iter().map(|way| async move {
+            match way {
+                Way::Own => self.engine.look().await,
+                Way::Far(agent, _) => agent.call(LOOK, [0; 0]).await,
             }
         });
         join_all(looks).await
     }
+
+    /// Experts that a rank holds.
+    pub(super) async fn held(&self, rank: usize) -> Result<HeldExperts, Failure> {
+        match &self.ways[rank] {
+            Way::Own => Ok(self.engine.look().await?.held),
+            Way::Far(agent, engine) => match agent.call::<_, Look>(LOOK, [0; 0]).await {
+                Ok(look) => Ok(look.held),
+                Err(failure) => {
+                    log::info!("rank {rank} is asked straight: {failure}");
+                    let held = engine.held().await;
+                    held.map_err(|e| Failure::new(ErrorKind::UpstreamFailed, e.to_string()))
+                }
+            },
+        }
+    }
 }
 
 impl Ranks for Group {
     fn size(&self) -> usize {
-        self.clients.len()
+        self.ways.len()
     }
 
     async fn report(&self, rank: usize) -> Option<EngineReport> {
-        let report = match &self.clients[rank] {
-            Some(client) => client.call(REPORT, [0; 0]).await,
-            None => self.engine.report().await,
+        let report = match &self.ways[rank] {
+            Way::Own => self.engine.report().await,
+            Way::Far(agent, engine) => match agent.call(REPORT, [0; 0]).await {
+                Ok(report) => Ok(report),
+                Err(failure) => {
+                    log::debug!("rank {rank} is asked straight: {failure}");
+                    let report = engine.report().await;
+                    report.map_err(|e| Failure::new(ErrorKind::UpstreamFailed, e.to_string()))
+                }
+            },
         };
         report
-            .inspect_err(|failure| log::debug!("rank {rank} does not report: {failure}"))
+            .inspect_err(|failure| log::info!("rank {rank} does not report: {failure}"))
             .ok()
     }
 
     async fn order(&self, rank: usize, order: FencedOrder) -> Option<OrderAnswer> {
-        let answer = match &self.clients[rank] {
-            Some(client) => client.call(ORDER, [order]).await,
-            None => self.engine.order(order).await,
+        let answer = match &self.ways[rank] {
+            Way::Own => self.engine.order(order.clone()).await,
+            Way::Far(agent, engine) => match agent.call(ORDER, [&order]).await {
+                Ok(answer) => Ok(answer),
+                Err(failure) => {
+                    log::info!("rank {rank} is ordered straight: {failure}");
+                    let answer = engine.order(&order).await;
+                    answer.map_err(|e| Failure::new(ErrorKind::UpstreamFailed, e.to_string()))
+                }
+            },
         };
         answer
-            .inspect_err(|failure| log::warn!("order to rank {rank}: {failure}"))
+            .inspect_err(|failure| log::warn!("order {} to rank {rank}: {failure}", order.order))
             .ok()
     }
 
--- a/app/src/fleet/agent/switch.rs
+++ b/app/src/fleet/agent/switch.rs
@@ -221,7 +221,7 @@
     {
         for _ in 0..UNDO_ATTEMPTS {
             let answer = ranks.order(OWN, self.fenced(EngineOrder::Go { step })).await;
-            if answer == Some(OrderAnswer::Accepted) {
+            if matches!(answer, Some(OrderAnswer::Accepted | OrderAnswer::Fenced)) {
                 return;
             }
             let report = ranks.report(OWN).await;
@@ -286,7 +286,9 @@
         let order = self.fenced(prepare(self.version, &self.new));
         match ranks.order(rank, order).await {
             Some(OrderAnswer::Accepted) => Settled::Yes,
-            _ => Settled::No,
+            // Another coordinator has taken over.
+            Some(OrderAnswer::Fenced) => Settled::Over,
+            Some(OrderAnswer::Refused) | None => Settled::No,
         }
     }
 }
--- a/app/src/fleet/beacon.rs
+++ b/app/src/fleet/beacon.rs
@@ -42,6 +42,8 @@
 pub(super) struct AgentBeacon {
     /// Address for calls.
     pub(super) calls: SocketAddr,
+    /// Address of its engine.
+    pub(super) engine: SocketAddr,
     /// Place of its engine in a group.
     pub(super) seat: Option<Seat>,
     /// Place among the beacons of this address.
--- a/app/src/fleet/control/membership.rs
+++ b/app/src/fleet/control/membership.rs
@@ -19,8 +19,10 @@
 const PAUSE: Duration = Duration::from_millis(500);
 /// Silence after which a voter that is not needed is removed; longer than an ordinary restart.
 const SILENCE: Duration = Duration::from_secs(6);
-/// Time that a replica with a failed disk waits before it ends, to be started anew.
-const FAILED_PAUSE: Duration = Duration::from_secs(2);
+/// File that is written to see whether the disk takes writes.
+const PROBE_FILE: &str = "probe";
+/// Size of that file; more than one record of the log.
+const PROBE_BYTES: usize = 64 << 10;
 /// Exit code after a failure of the disk.
 const EXIT_DISK: i32 = 5;
 /// How long a replica that joins waits for another one.
@@ -36,6 +38,7 @@
 pub(super) struct Members {
     replica: ReplicaHandle<FleetState>,
     own: SocketAddr,
+    data: PathBuf,
     token: Token,
     repairs: RepairOptions,
     /// When each member was last heard of, while this replica leads.
@@ -51,6 +54,7 @@
         Self {
             replica,
             own: settings.calls(),
+            data: settings.data.clone().unwrap_or_default(),
             token,
             repairs: RepairOptions {
                 silence: SILENCE,
@@ -112,9 +116,7 @@
     async fn look(&self, others: &[SocketAddr]) -> Result<(), Failure> {
         let status = self.replica.status().await?;
         if let DiskHealth::Failed(detail) = &status.disk {
-            log::error!("ending because the disk failed: {detail}");
-            tokio::time::sleep(FAILED_PAUSE).await;
-            std::process::exit(EXIT_DISK);
+            return self.end_if_writable(detail).await;
         }
         let me = &status.log.identity;
         if status.log.role == RoleKind::Leader {
@@ -142,6 +144,19 @@
         Ok(())
     }
 
+    /// Ends the process, to be started anew, once the disk takes writes again.
+    async fn end_if_writable(&self, detail: &str) -> Result<(), Failure> {
+        let probe = self.data.join(PROBE_FILE);
+        let written = std::fs::write(&probe, [0; PROBE_BYTES]).and_then(|()| std::fs::remove_file(&probe));
+        match written {
+            Ok(()) => {
+                log::error!("ending to recover from a failure of the disk: {detail}");
+                std::process::exit(EXIT_DISK);
+            }
+            Err(e) => Err(Failure::new(ErrorKind::DiskFailed, e.to_string())),
+        }
+    }
+
     /// Asks the leader, whichever it is, to make this replica a member.
     async fn ask_to_join(&self, replicas: &[SocketAddr], joining: &Joining) {
         for address in replicas {
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -131,6 +131,7 @@
     status: StatusCode,
     headers: Vec<(HeaderName, HeaderValue)>,
     body: Bytes,
+    unframed: bool,
 }
 
 impl From<WholeAnswer> for Relayed {
@@ -139,6 +140,7 @@
             status: answer.status,
             headers: answer.headers,
             body: answer.body,
+            unframed: answer.unframed,
         }
     }
 }
@@ -184,7 +186,7 @@
 
 async fn read_whole(attempt: &Attempt, running: Running) -> Result<WholeAnswer, Ended> {
     let Running { answer, held } = running;
-    let (status, headers) = (answer.status, answer.headers);
+    let (status, headers, unframed) = (answer.status, answer.headers, answer.unframed);
     let limit = tokio::time::Instant::from_std(attempt.limit());
     match tokio::time::timeout_at(limit, answer.body.read_all()).await {
         Ok(Ok(body)) => {
@@ -193,6 +195,7 @@
                 status,
                 headers,
                 body,
+                unframed,
             })
         }
         Ok(Err(_)) => {
--- a/app/src/fleet/entry/streaming.rs
+++ b/app/src/fleet/entry/streaming.rs
@@ -66,10 +66,7 @@
                     return pass_failure(&run.attempt, answer, held).await;
                 }
                 let (status, headers) = (answer.status, answer.headers);
-                run.source = Some(Source {
-                    body: answer.body,
-                    held,
-                });
+                run.start(answer.body, answer.unframed, held);
                 match run.next().await {
                     Next::Events(events) => {
                         run.ready = events;
@@ -85,6 +82,7 @@
                             status,
                             headers,
                             body: Bytes::new(),
+                            unframed: false,
                         };
                     }
                     Next::Ended(ended) => (ended, upstream),
@@ -123,6 +121,7 @@
                 status,
                 headers,
                 body,
+                unframed: answer.unframed,
             }
         }
         Ok(Err(_)) | Err(_) => {
@@ -161,6 +160,18 @@
 }
 
 impl Run {
+    /// Takes over the stream of an upstream.
+    ///
+    /// One whose end does not show could pass for complete when it is cut, so it
+    /// counts as broken off.
+    fn start(&mut self, body: Body, unframed: bool, held: HeldTicket) {
+        if unframed {
+            held.end(Outcome::Neutral);
+            return;
+        }
+        self.source = Some(Source { body, held });
+    }
+
     /// Waits for whole events of the present source.
     async fn next(&mut self) -> Next {
         loop {
@@ -228,10 +239,8 @@
             let last = self.cursor.last().map(|id| id.to_string());
             match self.attempt.send(last).await {
                 Ok(running) if running.answer.status.is_success() => {
-                    self.source = Some(Source {
-                        body: running.answer.body,
-                        held: running.held,
-                    });
+                    let Running { answer, held } = running;
+                    self.start(answer.body, answer.unframed, held);
                     return Ok(());
                 }
                 Ok(running) => {
