--- a/app/src/fleet/agent/coordinate.rs
+++ b/app/src/fleet/agent/coordinate.rs
@@ -3,16 +3,17 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
-use pimentotide_experts::{EvenLayout, Placement, imbalance_even, plan_even};
+use pimentotide_experts::{
+    EngineReport, EvenLayout, ExpertDemand, Membership, Placement, Switch, SwitchEnding,
+    imbalance_even, plan_even,
+};
+use pimentotide_instance::Clock;
 use pimentotide_model::Failure;
-use pimentotide_platform::{EngineReport, Membership};
 use serde::Serialize;
 
 use super::super::beacon::Seat;
-use super::demand::Demand;
 use super::engine::{EngineHandle, Look};
 use super::ranks::{Group, Peers};
-use super::switch::{Ending, Switch};
 
 /// Pause between looks at the demand.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -46,7 +47,8 @@
 struct Coordinator {
     engine: EngineHandle,
     peers: Arc<Peers>,
-    demand: Demand,
+    demand: ExpertDemand,
+    clock: Clock,
     /// Seat for which the demand was observed.
     seat: Option<Seat>,
     /// Versions start above the time of day by this much.
@@ -59,7 +61,8 @@
     let mut coordinator = Coordinator {
         engine,
         peers,
-        demand: Demand::default(),
+        demand: ExpertDemand::default(),
+        clock: Clock::start(),
         seat: None,
         skip: 0,
         last: 0,
@@ -103,9 +106,11 @@
             return Ok(());
         }
         let counts = looks.iter().map(|l| (l.report.born, &l.picked.counts[..]));
-        self.demand.observe(counts, Instant::now());
+        self.demand.observe(counts, self.clock.now());
         let placement = placement(&looks);
-        let steady = looks.iter().all(|l| l.held.version == looks[0].held.version);
+        let steady = looks
+            .iter()
+            .all(|l| l.held.version == looks[0].held.version);
         let armed = looks.iter().any(|l| l.report.armed.is_some());
         if let Some(step) = looks[0].report.held {
             return self.release(&group, &looks, placement, step).await;
@@ -147,7 +152,10 @@
             places: shape.places,
             spare: shape.spare,
         };
-        let recent = self.demand.newest().filter(|c| imbalance_even(&layout, &old, c) >= MOVED);
+        let recent = self
+            .demand
+            .newest()
+            .filter(|c| imbalance_even(&layout, &old, c) >= MOVED);
         let counts = recent.map_or(counts, <[f64]>::to_vec);
         if imbalance_even(&layout, &old, &counts) < TRIGGER {
             return;
@@ -165,9 +173,9 @@
         };
         let ending = switch.run(group).await;
         match ending {
-            Ending::NotPrepared => self.skip += VERSION_SKIP,
-            Ending::Switched(_) => self.demand.restart(),
-            Ending::NotHeld | Ending::Undone | Ending::GivenUp => {}
+            SwitchEnding::NotPrepared => self.skip += VERSION_SKIP,
+            SwitchEnding::Switched(_) => self.demand.restart(),
+            SwitchEnding::NotHeld | SwitchEnding::Undone | SwitchEnding::GivenUp => {}
         }
         let planned = Planned {
             group: group.seat.group.clone(),
@@ -187,7 +195,9 @@
         let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         // Without a clock the reported versions decide alone.
         let clock = since.map_or(0, |d| d.as_millis() as u64) + self.skip;
-        let used = looks.iter().flat_map(|l| [l.report.map, l.report.prepared.unwrap_or(0)]);
+        let used = looks
+            .iter()
+            .flat_map(|l| [l.report.map, l.report.prepared.unwrap_or(0)]);
         // A switch uses its version and the next one.
         self.last = clock.max(used.max().unwrap_or(0) + 1).max(self.last + 2);
         self.last
@@ -202,7 +212,16 @@
 
 /// Experts by layer and rank.
 fn placement(looks: &[Look]) -> Placement {
-    let layers = looks.iter().map(|l| l.held.experts.len()).min().unwrap_or(0);
-    let layer = |index: usize| looks.iter().map(|l| l.held.experts[index].clone()).collect();
+    let layers = looks
+        .iter()
+        .map(|l| l.held.experts.len())
+        .min()
+        .unwrap_or(0);
+    let layer = |index: usize| {
+        looks
+            .iter()
+            .map(|l| l.held.experts[index].clone())
+            .collect()
+    };
     (0..layers).map(layer).collect()
 }
--- a/app/src/fleet/agent/engine.rs
+++ b/app/src/fleet/agent/engine.rs
@@ -7,10 +7,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use pimentotide_experts::{EngineReport, FencedOrder, HeldExperts, OrderAnswer, PickedExperts};
 use pimentotide_model::{ErrorKind, Failure, Ran};
-use pimentotide_platform::{
-    EngineClient, EngineError, EngineReport, FencedOrder, HeldExperts, OrderAnswer, PickedExperts,
-};
+use pimentotide_platform::{EngineClient, EngineError};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
@@ -18,6 +17,10 @@
 
 /// Longest wait for the engine beside the agent.
 const TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait for the answer to an order, which the engine gives at once.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(60);
+/// Attempts to have an order answered.
+const ORDER_ATTEMPTS: u32 = 3;
 /// Pause between reports.
 const REPORT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -42,7 +45,10 @@
 enum Ask {
     Report(oneshot::Sender<Result<EngineReport, EngineError>>),
     Look(oneshot::Sender<Result<Look, EngineError>>),
-    Order(FencedOrder, oneshot::Sender<Result<OrderAnswer, EngineError>>),
+    Order(
+        FencedOrder,
+        oneshot::Sender<Result<OrderAnswer, EngineError>>,
+    ),
 }
 
 impl EngineHandle {
@@ -60,7 +66,11 @@
 
     /// Last report and the place of the engine in its group.
     pub(super) fn newest(&self) -> Option<(EngineReport, Seat)> {
-        let report = self.report.lock().unwrap_or_else(PoisonError::into_inner).clone()?;
+        let report = self
+            .report
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()?;
         let membership = report.membership.as_ref()?;
         let seat = Seat {
             group: membership.group.clone(),
@@ -121,10 +131,22 @@
     match ask {
         Ask::Report(reply) => drop(reply.send(client.report().await)),
         Ask::Look(reply) => drop(reply.send(look(&client).await)),
-        Ask::Order(order, reply) => drop(reply.send(client.order(&order).await)),
+        Ask::Order(given, reply) => drop(reply.send(order(&client, &given).await)),
     }
 }
 
+/// Gives an order, again if no answer comes; each order may be carried out twice.
+async fn order(client: &EngineClient, given: &FencedOrder) -> Result<OrderAnswer, EngineError> {
+    let mut answer = client.order(given, ORDER_TIMEOUT).await;
+    for _ in 1..ORDER_ATTEMPTS {
+        if answer.is_ok() {
+            break;
+        }
+        answer = client.order(given, ORDER_TIMEOUT).await;
+    }
+    answer
+}
+
 async fn look(client: &EngineClient) -> Result<Look, EngineError> {
     Ok(Look {
         picked: client.picked().await?,
--- a/app/src/fleet/agent/methods.rs
+++ b/app/src/fleet/agent/methods.rs
@@ -2,8 +2,8 @@
 
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::RegisterMethodError;
+use pimentotide_experts::FencedOrder;
 use pimentotide_instance::rpc_error;
-use pimentotide_platform::FencedOrder;
 
 use super::engine::EngineHandle;
 
--- a/app/src/fleet/agent/mod.rs
+++ b/app/src/fleet/agent/mod.rs
@@ -7,12 +7,10 @@
 //! group held back.
 
 mod coordinate;
-mod demand;
 mod engine;
 mod methods;
 mod ranks;
 mod rescue;
-mod switch;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -57,12 +55,18 @@
         })?;
         let address = settings.engine.ok_or(FleetError::NoAddress("engine"))?;
         let engine = EngineHandle::spawn(address);
-        let module = methods::module(engine.clone()).map_err(|e| FleetError::Methods(e.to_string()))?;
+        let module =
+            methods::module(engine.clone()).map_err(|e| FleetError::Methods(e.to_string()))?;
         let calls = PeerServer::bind(settings.calls(), token.clone(), [module]).await?;
         let replicas = Replicas::new(settings);
         let peers = Arc::new(Peers::new(settings.calls(), engine.clone(), token.clone()));
         let tasks = vec![
-            actix_rt::spawn(beacons(settings.clone(), address, replicas.clone(), engine.clone())),
+            actix_rt::spawn(beacons(
+                settings.clone(),
+                address,
+                replicas.clone(),
+                engine.clone(),
+            )),
             actix_rt::spawn(learn(replicas, peers.clone(), token, path.to_owned())),
             actix_rt::spawn(rescue::watch(engine.clone(), peers.clone())),
             actix_rt::spawn(coordinate::coordinate(engine, peers)),
@@ -80,7 +84,12 @@
 }
 
 /// Tells all replicas of this agent until it is aborted.
-async fn beacons(settings: FleetSettings, address: SocketAddr, replicas: Replicas, engine: EngineHandle) {
+async fn beacons(
+    settings: FleetSettings,
+    address: SocketAddr,
+    replicas: Replicas,
+    engine: EngineHandle,
+) {
     let sender = match Sender::bind(settings.ip).await {
         Ok(sender) => sender,
         Err(e) => {
@@ -96,7 +105,10 @@
             seat: engine.seat(),
             order: order.advance(),
         };
-        let to = replicas.list().into_iter().map(|a| settings.beacons_at(a.ip()));
+        let to = replicas
+            .list()
+            .into_iter()
+            .map(|a| settings.beacons_at(a.ip()));
         sender.send(&beacon.into(), to).await;
         tokio::time::sleep(BEACON_PAUSE).await;
     }
@@ -130,5 +142,8 @@
 fn pick(replicas: &Replicas, turn: usize) -> SocketAddr {
     let known = replicas.list();
     let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
-    known.get(turn % known.len().max(1)).copied().unwrap_or(unknown)
+    known
+        .get(turn % known.len().max(1))
+        .copied()
+        .unwrap_or(unknown)
 }
--- a/app/src/fleet/agent/ranks.rs
+++ b/app/src/fleet/agent/ranks.rs
@@ -6,15 +6,15 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use pimentotide_experts::{EngineReport, FencedOrder, HeldExperts, OrderAnswer, Ranks};
 use pimentotide_instance::{PeerClient, PeerTimeouts, Token};
 use pimentotide_model::{ErrorKind, Failure};
-use pimentotide_platform::{EngineClient, EngineReport, FencedOrder, HeldExperts, OrderAnswer};
+use pimentotide_platform::EngineClient;
 
 use super::super::beacon::{AgentBeacon, Seat};
 use super::super::news::{Processes, Shape};
 use super::engine::{EngineHandle, Look};
 use super::methods::{LOOK, ORDER, REPORT};
-use super::switch::Ranks;
 
 /// How long the coordinator waits for another agent, which waits for its engine.
 const TIMEOUTS: PeerTimeouts = PeerTimeouts {
@@ -93,7 +93,8 @@
         let agents = std::mem::take(&mut known.agents);
         for agent in agents.values() {
             let other = agent.seat.as_ref();
-            let Some(other) = other.filter(|s| s.group == seat.group && s.epoch == seat.epoch) else {
+            let Some(other) = other.filter(|s| s.group == seat.group && s.epoch == seat.epoch)
+            else {
                 continue;
             };
             if let Some(place) = found.get_mut(usize::from(other.rank)) {
@@ -109,7 +110,10 @@
                 let client = known.clients.entry(agent.calls).or_insert_with(|| {
                     PeerClient::with_timeouts(agent.calls, self.token.clone(), TIMEOUTS)
                 });
-                Some(Way::Far(client.clone(), EngineClient::open(agent.engine, DIRECT)))
+                Some(Way::Far(
+                    client.clone(),
+                    EngineClient::open(agent.engine, DIRECT),
+                ))
             })
             .collect();
         known.agents = agents;
@@ -159,6 +163,7 @@
             Way::Own => self.engine.report().await,
             Way::Far(agent, engine) => match agent.call(REPORT, [0; 0]).await {
                 Ok(report) => Ok(report),
+                Err(failure) if failure.kind == ErrorKind::UpstreamFailed => Err(failure),
                 Err(failure) => {
                     log::debug!("rank {rank} is asked straight: {failure}");
                     let report = engine.report().await;
@@ -176,9 +181,11 @@
             Way::Own => self.engine.order(order.clone()).await,
             Way::Far(agent, engine) => match agent.call(ORDER, [&order]).await {
                 Ok(answer) => Ok(answer),
+                // The engine itself does not answer.
+                Err(failure) if failure.kind == ErrorKind::UpstreamFailed => Err(failure),
                 Err(failure) => {
                     log::info!("rank {rank} is ordered straight: {failure}");
-                    let answer = engine.order(&order).await;
+                    let answer = engine.order(&order, DIRECT).await;
                     answer.map_err(|e| Failure::new(ErrorKind::UpstreamFailed, e.to_string()))
                 }
             },
--- a/app/src/fleet/agent/rescue.rs
+++ b/app/src/fleet/agent/rescue.rs
@@ -8,14 +8,12 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use futures_util::future::join_all;
-use pimentotide_experts::Placement;
+use pimentotide_experts::{EngineReport, Placement, Ranks, Switch};
 use pimentotide_model::Failure;
-use pimentotide_platform::EngineReport;
 
 use super::super::beacon::Seat;
 use super::engine::EngineHandle;
 use super::ranks::{Group, Peers};
-use super::switch::{Ranks, Switch};
 
 /// Pause between looks at the own engine.
 const PAUSE: Duration = Duration::from_millis(150);
@@ -42,7 +40,9 @@
             Some((seat, step, _)) if (seat, *step) == (&at.0, at.1) => {}
             _ => last = Some((at.0, at.1, Instant::now())),
         }
-        let stuck = last.as_ref().map_or(Duration::ZERO, |(_, _, since)| since.elapsed());
+        let stuck = last
+            .as_ref()
+            .map_or(Duration::ZERO, |(_, _, since)| since.elapsed());
         if !is_stuck(&report, seat.rank, stuck) {
             continue;
         }
@@ -75,7 +75,10 @@
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     // Without a clock the version is above what the first rank knows.
     let clock = since.map_or(0, |d| d.as_millis() as u64);
-    let known = first.map.max(first.armed.unwrap_or(0)).max(first.prepared.unwrap_or(0));
+    let known = first
+        .map
+        .max(first.armed.unwrap_or(0))
+        .max(first.prepared.unwrap_or(0));
     let switch = Switch {
         epoch: group.seat.epoch,
         version: clock.max(known + VERSION_LEAD),
--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -91,7 +91,12 @@
         self.replica.read_index().await?;
         let entries = self.roster.entries().len();
         let status = self.replica.status().await?;
-        let replicas = status.log.config.members().map(|(_, m)| m.address).collect();
+        let replicas = status
+            .log
+            .config
+            .members()
+            .map(|(_, m)| m.address)
+            .collect();
         let (declared, fleet) = self.replica.query(move |s, _| excerpt(s, seen)).await?;
         Ok(News {
             declared,
@@ -105,7 +110,12 @@
     pub(super) async fn processes(&self) -> Result<Processes, Failure> {
         let status = self.replica.status().await?;
         Ok(Processes {
-            replicas: status.log.config.members().map(|(_, m)| m.address).collect(),
+            replicas: status
+                .log
+                .config
+                .members()
+                .map(|(_, m)| m.address)
+                .collect(),
             entries: self.roster.entries(),
             agents: self.roster.agents(),
             shape: self.shape().await?,
@@ -116,7 +126,9 @@
     async fn shape(&self) -> Result<Option<Shape>, Failure> {
         let known = *self.shape.lock().unwrap_or_else(PoisonError::into_inner);
         let declared = self.replica.query(move |s, _| {
-            let newer = s.declared().filter(|d| Some(d.index) != known.map(|(index, _)| index));
+            let newer = s
+                .declared()
+                .filter(|d| Some(d.index) != known.map(|(index, _)| index));
             newer.map(|d| (d.index, d.document.clone()))
         });
         let Some((index, document)) = declared.await? else {
@@ -228,7 +240,10 @@
             .await?;
         let due = match known {
             (true, _, _) => {
-                log::info!("announcement of {} ignored: something newer is known", said.upstream);
+                log::info!(
+                    "announcement of {} ignored: something newer is known",
+                    said.upstream
+                );
                 false
             }
             (_, news, record) => news || record.is_none_or(|r| self.needs_refresh(&r)),
--- a/app/src/fleet/control/membership.rs
+++ b/app/src/fleet/control/membership.rs
@@ -107,8 +107,11 @@
             }
         };
         let config = &status.log.config;
-        let mut views: Vec<MemberView> =
-            config.voters.iter().map(|(n, m)| view(n, m.disk, true)).collect();
+        let mut views: Vec<MemberView> = config
+            .voters
+            .iter()
+            .map(|(n, m)| view(n, m.disk, true))
+            .collect();
         views.extend(config.learners.iter().map(|(n, m)| view(n, m.disk, false)));
         views
     }
@@ -147,7 +150,8 @@
     /// Ends the process, to be started anew, once the disk takes writes again.
     async fn end_if_writable(&self, detail: &str) -> Result<(), Failure> {
         let probe = self.data.join(PROBE_FILE);
-        let written = std::fs::write(&probe, [0; PROBE_BYTES]).and_then(|()| std::fs::remove_file(&probe));
+        let written =
+            std::fs::write(&probe, [0; PROBE_BYTES]).and_then(|()| std::fs::remove_file(&probe));
         match written {
             Ok(()) => {
                 log::error!("ending to recover from a failure of the disk: {detail}");
--- a/app/src/fleet/control/methods.rs
+++ b/app/src/fleet/control/methods.rs
@@ -16,7 +16,10 @@
 }
 
 /// Methods for entries and for replicas that join.
-pub(super) fn module(desk: Desk, members: Members) -> Result<RpcModule<Shared>, RegisterMethodError> {
+pub(super) fn module(
+    desk: Desk,
+    members: Members,
+) -> Result<RpcModule<Shared>, RegisterMethodError> {
     let mut module = RpcModule::new(Shared { desk, members });
     module.register_async_method(FOLLOW, |params, shared, _| async move {
         let seen: Seen = params.one()?;
@@ -27,7 +30,11 @@
     })?;
     module.register_async_method(JOIN, |params, shared, _| async move {
         let joining: Joining = params.one()?;
-        shared.members.admit(joining).await.map_err(|f| rpc_error(&f))?;
+        shared
+            .members
+            .admit(joining)
+            .await
+            .map_err(|f| rpc_error(&f))?;
         Ok::<_, ErrorObjectOwned>(())
     })?;
     Ok(module)
--- a/app/src/fleet/control/mod.rs
+++ b/app/src/fleet/control/mod.rs
@@ -24,9 +24,9 @@
 /// Shortest silence after which a replica stands for election.
 ///
 /// Several times what a replica needs for a round under a small share of a core.
-const ELECTION: Duration = Duration::from_millis(800);
-/// Pause between heartbeats of the leader; a fifth of the election time, so that single losses do no harm.
-const HEARTBEAT: Duration = Duration::from_millis(150);
+const ELECTION: Duration = Duration::from_millis(450);
+/// Pause between heartbeats of the leader; a quarter of the election time, so that single losses do no harm.
+const HEARTBEAT: Duration = Duration::from_millis(100);
 /// Wait before a message without an answer is repeated.
 const RESEND: Duration = Duration::from_millis(300);
 /// Longest wait for a proposal or a read; operators ask again after a second.
@@ -51,8 +51,14 @@
         let token = Token::open(&settings.token).map_err(|e| {
             FleetError::Replica(Failure::new(ErrorKind::InvalidRequest, e.to_string()))
         })?;
-        let control = settings.listen.control.ok_or(FleetError::NoAddress("listen.control"))?;
-        let directory = settings.listen.directory.ok_or(FleetError::NoAddress("listen.directory"))?;
+        let control = settings
+            .listen
+            .control
+            .ok_or(FleetError::NoAddress("listen.control"))?;
+        let directory = settings
+            .listen
+            .directory
+            .ok_or(FleetError::NoAddress("listen.directory"))?;
         let options = replica_options(settings, token.clone())?;
         let replica = Replica::spawn(options, FleetState::default()).await?;
         let roster = Roster::open();
@@ -61,12 +67,20 @@
         let own = module(replica.clone()).map_err(|e| FleetError::Methods(e.to_string()))?;
         let shared = methods::module(desk.clone(), members.clone())
             .map_err(|e| FleetError::Methods(e.to_string()))?;
-        let calls = PeerServer::bind(settings.calls(), token, [own.into(), methods::erase(shared)]).await?;
+        let calls = PeerServer::bind(
+            settings.calls(),
+            token,
+            [own.into(), methods::erase(shared)],
+        )
+        .await?;
         let heard = roster.clone();
         let tasks = vec![
-            actix_rt::spawn(datagram::listen(settings.beacons_at(settings.ip), move |beacon| {
-                heard.hear(beacon);
-            })),
+            actix_rt::spawn(datagram::listen(
+                settings.beacons_at(settings.ip),
+                move |beacon| {
+                    heard.hear(beacon);
+                },
+            )),
             actix_rt::spawn(membership::keep(members, path.to_owned())),
             actix_rt::spawn(upkeep::expire(desk.clone())),
         ];
@@ -98,7 +112,11 @@
     let mut options = ReplicaOptions::new(name, address, data, token);
     let founders: BTreeMap<_, _> = settings.seed_calls().into_iter().collect();
     if settings.first_start && founders.values().any(|a| *a == address) {
-        options = options.with_founders(founders.into_iter().map(|(n, a)| (InstanceName::from(n), a)));
+        options = options.with_founders(
+            founders
+                .into_iter()
+                .map(|(n, a)| (InstanceName::from(n), a)),
+        );
     }
     options.log.election = ELECTION;
     options.log.heartbeat = HEARTBEAT;
--- a/app/src/fleet/control/roster.rs
+++ b/app/src/fleet/control/roster.rs
@@ -53,7 +53,9 @@
 
 fn fresh<B>(heard: &Heard<B>) -> impl Iterator<Item = &B> {
     let now = Instant::now();
-    let alive = heard.values().filter(move |(_, at)| now.duration_since(*at) < SILENCE);
+    let alive = heard
+        .values()
+        .filter(move |(_, at)| now.duration_since(*at) < SILENCE);
     alive.map(|(beacon, _)| beacon)
 }
 
@@ -97,8 +99,11 @@
     pub(super) fn entries(&self) -> Vec<SocketAddr> {
         let known = self.known();
         let alive: Vec<&EntryBeacon> = fresh(&known.entries).filter(|b| !b.stopping).collect();
-        let accepting: Vec<SocketAddr> =
-            alive.iter().filter(|b| b.accepting).map(|b| b.callers).collect();
+        let accepting: Vec<SocketAddr> = alive
+            .iter()
+            .filter(|b| b.accepting)
+            .map(|b| b.callers)
+            .collect();
         if accepting.is_empty() {
             return alive.iter().map(|b| b.callers).collect();
         }
--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use pimentotide_fleet::{Ask, Choice, Ended, Outcome, Policy, Refusal, Step, Ticket, give_up, next_step};
+use pimentotide_fleet::{
+    Ask, Choice, Ended, Outcome, Policy, Refusal, Step, Ticket, give_up, next_step,
+};
 use pimentotide_model::{ErrorKind, Failure, Ran, ServiceName, Time, UpstreamName, WorkspaceName};
 use pimentotide_platform::{Answer, AnswerError, Call, Send, UpstreamClient};
 
@@ -190,7 +192,11 @@
 
     /// Failure that tells truly whether the request has run.
     pub(super) fn failure(&self, kind: ErrorKind, detail: &str) -> Failure {
-        let ran = if self.policy.ran == 0 { Ran::No } else { Ran::Unknown };
+        let ran = if self.policy.ran == 0 {
+            Ran::No
+        } else {
+            Ran::Unknown
+        };
         Failure::new(kind, detail).with_ran(ran)
     }
 
--- a/app/src/fleet/entry/follow.rs
+++ b/app/src/fleet/entry/follow.rs
@@ -72,7 +72,10 @@
         }
         replicas.replace(&news.replicas);
         if let Err(failure) = state.learn(news, asked) {
-            log::error!("news of replica {} are not usable: {failure}", client.address());
+            log::error!(
+                "news of replica {} are not usable: {failure}",
+                client.address()
+            );
             return false;
         }
     }
@@ -101,7 +104,10 @@
             stopping,
             order: order.advance(),
         };
-        let to = replicas.list().into_iter().map(|a| settings.beacons_at(a.ip()));
+        let to = replicas
+            .list()
+            .into_iter()
+            .map(|a| settings.beacons_at(a.ip()));
         sender.send(&beacon.into(), to).await;
         state.wait_for_stop(BEACON_PAUSE).await;
     }
--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -1,7 +1,6 @@
 //! Entry role: answers callers by sending their requests straight to upstreams.
 
 mod attempt;
-mod cursor;
 mod follow;
 mod journal;
 mod relay;
@@ -53,8 +52,14 @@
         let token = Token::open(&settings.token).map_err(|e| {
             FleetError::Replica(Failure::new(ErrorKind::InvalidRequest, e.to_string()))
         })?;
-        let callers = settings.listen.callers.ok_or(FleetError::NoAddress("listen.callers"))?;
-        let ready = settings.listen.ready.ok_or(FleetError::NoAddress("listen.ready"))?;
+        let callers = settings
+            .listen
+            .callers
+            .ok_or(FleetError::NoAddress("listen.callers"))?;
+        let ready = settings
+            .listen
+            .ready
+            .ok_or(FleetError::NoAddress("listen.ready"))?;
         let state = Arc::new(EntryState::new(settings));
         let options = FrontendOptions {
             callers,
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::http::StatusCode;
+use actix_web::http::header::{HeaderName, HeaderValue};
 use bytes::Bytes;
 use pimentotide_fleet::{Ended, Mismatch, Outcome, Policy, RouteKind, Step};
 use pimentotide_model::{ErrorKind, Failure, Ran};
@@ -19,6 +19,10 @@
 const PATIENCE: Duration = Duration::from_secs(30);
 /// When a caller may come back to an entry that is not current; it will find another one.
 const RETRY_STALE: Duration = Duration::from_millis(300);
+/// When a caller may come back to an entry that has just started.
+///
+/// If only this one has, the caller loses little; if all have, control has elected a leader by then.
+const RETRY_START: Duration = Duration::from_millis(1_200);
 /// When a caller may come back after it met an entry that stops.
 const RETRY_STOPPING: Duration = Duration::from_millis(50);
 /// Largest body while no configuration is known, bytes.
@@ -42,7 +46,11 @@
         }
         let table = match self.state.table() {
             Ok(table) => table,
-            Err(failure) => return Err((call, failure.with_retry(RETRY_STALE))),
+            Err(failure) => {
+                let known = self.state.known().table.is_some();
+                let retry = if known { RETRY_STALE } else { RETRY_START };
+                return Err((call, failure.with_retry(retry)));
+            }
         };
         let found = match table.find(&call.host, call.path(), call.key.as_deref()) {
             Ok(found) => found,
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -187,10 +187,19 @@
 impl Known {
     fn count_entries(&mut self, entries: usize, now: Time) {
         self.entries.push_back((now, entries));
-        while self.entries.front().is_some_and(|(at, _)| now.since(*at) > ENTRIES_WINDOW) {
+        while self
+            .entries
+            .front()
+            .is_some_and(|(at, _)| now.since(*at) > ENTRIES_WINDOW)
+        {
             self.entries.pop_front();
         }
-        let most = self.entries.iter().map(|(_, n)| *n).max().unwrap_or(FIRST_ENTRIES);
+        let most = self
+            .entries
+            .iter()
+            .map(|(_, n)| *n)
+            .max()
+            .unwrap_or(FIRST_ENTRIES);
         self.balancer.set_entries(most);
         self.budget.set_entries(most, now);
     }
--- a/app/src/fleet/entry/streaming.rs
+++ b/app/src/fleet/entry/streaming.rs
@@ -13,10 +13,10 @@
 use pimentotide_fleet::{Ended, Outcome, Step};
 use pimentotide_model::{ErrorKind, Failure};
 use pimentotide_platform::{Body, Relayed};
+use pimentotide_upstream::StreamCursor;
 use tokio::time::Instant;
 
 use super::attempt::{Attempt, HeldTicket, Running, SendError};
-use super::cursor::Cursor;
 use super::journal::Answered;
 use super::relay::refuse;
 
@@ -26,7 +26,7 @@
 /// A stream on its way to the caller.
 struct Run {
     attempt: Attempt,
-    cursor: Cursor,
+    cursor: StreamCursor,
     source: Option<Source>,
     /// Events that wait to be passed on.
     ready: Bytes,
@@ -50,10 +50,14 @@
 
 /// Runs a streaming request.
 pub(super) async fn run(attempt: Attempt) -> Relayed {
-    let last = attempt.call.last_event.as_deref().and_then(|id| id.parse().ok());
+    let last = attempt
+        .call
+        .last_event
+        .as_deref()
+        .and_then(|id| id.parse().ok());
     let mut run = Run {
         attempt,
-        cursor: Cursor::new(last),
+        cursor: StreamCursor::new(last),
         source: None,
         ready: Bytes::new(),
     };
@@ -94,11 +98,15 @@
         match run.attempt.after(ended, &upstream, 0) {
             Step::Again => run.cursor.restart(),
             Step::Answer(kind) => {
-                let failure = run.attempt.failure(kind, &format!("{ended:?} at {upstream}"));
+                let failure = run
+                    .attempt
+                    .failure(kind, &format!("{ended:?} at {upstream}"));
                 return refuse(&run.attempt.call, failure);
             }
             Step::Pass => {
-                let failure = run.attempt.failure(ErrorKind::UpstreamFailed, "the stream broke off");
+                let failure = run
+                    .attempt
+                    .failure(ErrorKind::UpstreamFailed, "the stream broke off");
                 return refuse(&run.attempt.call, failure);
             }
         }
@@ -127,7 +135,10 @@
         Ok(Err(_)) | Err(_) => {
             held.end(Outcome::Failed);
             let detail = format!("{upstream} broke off its answer {status}");
-            refuse(&attempt.call, attempt.failure(ErrorKind::UpstreamFailed, &detail))
+            refuse(
+                &attempt.call,
+                attempt.failure(ErrorKind::UpstreamFailed, &detail),
+            )
         }
     }
 }
--- a/app/src/fleet/settings.rs
+++ b/app/src/fleet/settings.rs
@@ -217,7 +217,9 @@
     /// Addresses of the seeds for calls, by the names of their replicas.
     pub fn seed_calls(&self) -> BTreeMap<String, SocketAddr> {
         let calls = self.seeds.iter().map(|s| self.calls_at(s.ip()));
-        calls.map(|address| (address.to_string(), address)).collect()
+        calls
+            .map(|address| (address.to_string(), address))
+            .collect()
     }
 
     /// Time for which an entry may act on what it last confirmed.
--- a/app/src/fleet/agent/demand.rs
+++ b/decision/experts/src/even/demand.rs
@@ -1,7 +1,9 @@
 //! Which experts have been in demand lately, added up over the ranks.
 
 use std::collections::VecDeque;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use pimentotide_model::Time;
 
 /// Time over which choices count; demand moves within seconds.
 const WINDOW: Duration = Duration::from_millis(1_200);
@@ -10,10 +12,10 @@
 
 /// Choices of the last while.
 #[derive(Debug, Default)]
-pub(super) struct Demand {
+pub struct ExpertDemand {
     /// Counts of each rank since the start of its engine.
     last: Vec<Option<RankCounts>>,
-    recent: VecDeque<(Instant, Vec<f64>)>,
+    recent: VecDeque<(Time, Vec<f64>)>,
 }
 
 #[derive(Clone, Debug)]
@@ -22,9 +24,9 @@
     counts: Vec<u64>,
 }
 
-impl Demand {
+impl ExpertDemand {
     /// Takes in the counts of all ranks, each with the start of its engine.
-    pub(super) fn observe<'a, I>(&mut self, ranks: I, now: Instant)
+    pub fn observe<'a, I>(&mut self, ranks: I, now: Time)
     where
         I: IntoIterator<Item = (u64, &'a [u64])>,
     {
@@ -45,13 +47,17 @@
             });
         }
         self.recent.push_back((now, sum));
-        while self.recent.front().is_some_and(|(at, _)| now.duration_since(*at) > WINDOW) {
+        while self
+            .recent
+            .front()
+            .is_some_and(|(at, _)| now.since(*at) > WINDOW)
+        {
             self.recent.pop_front();
         }
     }
 
     /// Choices of each expert, layer after layer; none if there are too few.
-    pub(super) fn counts(&self) -> Option<Vec<f64>> {
+    pub fn counts(&self) -> Option<Vec<f64>> {
         let mut sum: Vec<f64> = Vec::new();
         for (_, counts) in &self.recent {
             sum.resize(sum.len().max(counts.len()), 0.0);
@@ -63,18 +69,18 @@
     }
 
     /// Choices since the last look but one; none if there are too few.
-    pub(super) fn newest(&self) -> Option<&[f64]> {
+    pub fn newest(&self) -> Option<&[f64]> {
         let (_, counts) = self.recent.back()?;
         is_enough(counts).then_some(&counts[..])
     }
 
     /// Starts a new window, as after a change whose effect is to be seen.
-    pub(super) fn restart(&mut self) {
+    pub fn restart(&mut self) {
         self.recent.clear();
     }
 
     /// Forgets what was chosen, as after the group was formed anew.
-    pub(super) fn clear(&mut self) {
+    pub fn clear(&mut self) {
         self.last.clear();
         self.recent.clear();
     }
--- a/decision/experts/src/even/layer.rs
+++ b/decision/experts/src/even/layer.rs
@@ -122,7 +122,9 @@
                 continue;
             }
             let mut add = |dropped: Option<u16>, swapped: bool| {
-                let keeps = [false, true].into_iter().filter(|shared| !(*shared && swapped));
+                let keeps = [false, true]
+                    .into_iter()
+                    .filter(|shared| !(*shared && swapped));
                 changes.extend(keeps.map(|shared| Change {
                     expert,
                     from,
@@ -224,7 +226,9 @@
             }
         }
         for (rank, held) in self.held.iter().enumerate() {
-            let fresh = held.iter().filter(|expert| !self.old[rank].contains(expert));
+            let fresh = held
+                .iter()
+                .filter(|expert| !self.old[rank].contains(expert));
             self.fresh[rank] = fresh.count();
         }
     }
--- a/decision/experts/src/even/mod.rs
+++ b/decision/experts/src/even/mod.rs
@@ -6,10 +6,19 @@
 //! over only a few new experts in one change, so a large drift of popularity
 //! takes several changes, the most useful first.
 
+mod demand;
 mod layer;
+mod rank;
+mod switch;
 
 use layer::Layer;
 
+pub use demand::ExpertDemand;
+pub use rank::{
+    EngineOrder, EngineReport, FencedOrder, HeldExperts, Membership, OrderAnswer, PickedExperts,
+};
+pub use switch::{Ending, Ranks, Switch};
+
 /// Sizes of a group whose experts are placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EvenLayout {
@@ -69,6 +78,8 @@
 pub fn imbalance_even(layout: &EvenLayout, placement: &Placement, counts: &[f64]) -> f64 {
     let loads = counts.chunks(layout.experts.max(1));
     let layers = placement.iter().zip(loads);
-    let sum: f64 = layers.map(|(held, loads)| Layer::new(layout, held, loads).imbalance()).sum();
+    let sum: f64 = layers
+        .map(|(held, loads)| Layer::new(layout, held, loads).imbalance())
+        .sum();
     sum / placement.len().max(1) as f64
 }
--- a/app/src/fleet/agent/switch.rs
+++ b/decision/experts/src/even/switch.rs
@@ -23,8 +23,8 @@
 
 use derive_more::Display;
 use futures_util::future::join_all;
-use pimentotide_experts::Placement;
-use pimentotide_platform::{EngineOrder, EngineReport, FencedOrder, OrderAnswer};
+
+use super::{EngineOrder, EngineReport, FencedOrder, OrderAnswer, Placement};
 
 /// Rank of the coordinator, which holds passes back.
 const OWN: usize = 0;
@@ -44,7 +44,7 @@
 const UNDO_ATTEMPTS: u32 = 200;
 
 /// Ranks of one group.
-pub(super) trait Ranks {
+pub trait Ranks {
     /// Number of ranks.
     fn size(&self) -> usize;
 
@@ -60,7 +60,7 @@
 
 /// How a switch ended.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub(super) enum Ending {
+pub enum Ending {
     /// All ranks switch at this pass.
     #[display("switching at pass {_0}")]
     Switched(u64),
@@ -80,15 +80,15 @@
 
 /// Maps of a switch.
 #[derive(Clone, Debug)]
-pub(super) struct Switch {
+pub struct Switch {
     /// Epoch of the group.
-    pub(super) epoch: u64,
+    pub epoch: u64,
     /// Version of the new map; the next one is used to undo it.
-    pub(super) version: u64,
+    pub version: u64,
     /// Map in use.
-    pub(super) old: Placement,
+    pub old: Placement,
     /// Map to use.
-    pub(super) new: Placement,
+    pub new: Placement,
 }
 
 /// Experts by layer and rank, in the order that engines expect.
@@ -109,7 +109,7 @@
     }
 
     /// Carries the switch out.
-    pub(super) async fn run<R>(&self, ranks: &R) -> Ending
+    pub async fn run<R>(&self, ranks: &R) -> Ending
     where
         R: Ranks,
     {
@@ -194,7 +194,9 @@
             if attempt > 0 {
                 ranks.pause(PAUSE).await;
             }
-            let orders = open.iter().map(|rank| ranks.order(*rank, self.fenced(order.clone())));
+            let orders = open
+                .iter()
+                .map(|rank| ranks.order(*rank, self.fenced(order.clone())));
             let answers = join_all(orders).await;
             let mut left = Vec::new();
             for (rank, answer) in open.into_iter().zip(answers) {
@@ -220,7 +222,9 @@
         R: Ranks,
     {
         for _ in 0..UNDO_ATTEMPTS {
-            let answer = ranks.order(OWN, self.fenced(EngineOrder::Go { step })).await;
+            let answer = ranks
+                .order(OWN, self.fenced(EngineOrder::Go { step }))
+                .await;
             if matches!(answer, Some(OrderAnswer::Accepted | OrderAnswer::Fenced)) {
                 return;
             }
@@ -245,7 +249,7 @@
     ///
     /// The version of this switch has to be higher than any before, and its new
     /// map the one in use. Also for a pass that an earlier coordinator left held.
-    pub(super) async fn undo<R>(&self, ranks: &R, step: u64) -> Ending
+    pub async fn undo<R>(&self, ranks: &R, step: u64) -> Ending
     where
         R: Ranks,
     {
@@ -255,7 +259,10 @@
             if settled.contains(&Settled::Over) {
                 return Ending::GivenUp;
             }
-            let left = open.iter().zip(&settled).filter(|(_, s)| **s != Settled::Yes);
+            let left = open
+                .iter()
+                .zip(&settled)
+                .filter(|(_, s)| **s != Settled::Yes);
             open = left.map(|(rank, _)| *rank).collect();
             if open.is_empty() {
                 self.let_go(ranks, step).await;
--- a/decision/experts/src/lib.rs
+++ b/decision/experts/src/lib.rs
@@ -20,7 +20,11 @@
 pub use budget::{Budget, LEASE, LEASE_MARGIN, Lease, LeaseRequest, PlanCost, Purpose};
 pub use command::{Command, Refusal, Reply};
 pub use decisions::{DecidedMap, Decisions, GroupState, StagedMap};
-pub use even::{EvenLayout, EvenPlan, Placement, imbalance_even, plan_even};
+pub use even::{
+    Ending as SwitchEnding, EngineOrder, EngineReport, EvenLayout, EvenPlan, ExpertDemand,
+    FencedOrder, HeldExperts, Membership, OrderAnswer, PickedExperts, Placement, Ranks, Switch,
+    imbalance_even, plan_even,
+};
 pub use manager::{Manager, ManagerLimits};
 pub use map::{ExpertMap, Layout, MAX_MAP_SLOTS, MapError, MapId, RankShape, Slot};
 pub use order::{Change, Inventory, Order, OrderBook, OrderLog, Progress, Receipt, Role};
--- /dev/null
+++ b/decision/experts/tests/it/even_group.rs
@@ -0,0 +1,317 @@
+//! Group of engines that carry out orders at once, late, or without an answer.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use pimentotide_experts::{
+    EngineOrder, EngineReport, FencedOrder, Membership, OrderAnswer, Placement, Ranks,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// What engines leave out, to show what the protections are for.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Lapses {
+    /// Passes begin although they are held back.
+    pub(crate) hold: bool,
+    /// A prepared map stays armable after another one was prepared, and fences are not checked.
+    pub(crate) fence: bool,
+}
+
+/// How orders fare, in parts of a thousand.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Trouble {
+    /// Carried out, but the answer is lost.
+    pub(crate) unanswered: u32,
+    /// Not answered and carried out after many passes.
+    pub(crate) late: u32,
+    /// Lost.
+    pub(crate) lost: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Rank {
+    map: (u64, Placement),
+    prepared: Vec<(u64, Placement)>,
+    armed: Option<(u64, u64)>,
+    held: Option<u64>,
+    highest: u64,
+    fence: u64,
+    sequence: u64,
+}
+
+struct State {
+    ranks: Vec<Rank>,
+    step: u64,
+    late: Vec<(u64, usize, FencedOrder)>,
+    rng: ChaCha8Rng,
+    trouble: Trouble,
+    lapses: Lapses,
+    /// Orders after which the coordinator stands still.
+    life: Option<u32>,
+    broken: Option<String>,
+    most_held: u64,
+    waited: u64,
+}
+
+/// Group of engines.
+pub(crate) struct Group {
+    state: RefCell<State>,
+}
+
+const EPOCH: u64 = 1;
+
+impl Group {
+    pub(crate) fn new(ranks: usize, old: &Placement, seed: u64, trouble: Trouble, lapses: Lapses) -> Self {
+        let rank = Rank {
+            map: (0, old.clone()),
+            ..Rank::default()
+        };
+        Self {
+            state: RefCell::new(State {
+                ranks: vec![rank; ranks],
+                step: 10,
+                late: Vec::new(),
+                rng: ChaCha8Rng::seed_from_u64(seed),
+                trouble,
+                lapses,
+                life: None,
+                broken: None,
+                most_held: 0,
+                waited: 0,
+            }),
+        }
+    }
+
+    /// The coordinator stands still after so many orders.
+    pub(crate) fn set_life(&self, orders: Option<u32>) {
+        self.state.borrow_mut().life = orders;
+    }
+
+    /// Lets `passes` passes begin if none is held back.
+    pub(crate) fn run(&self, passes: u64) {
+        let mut state = self.state.borrow_mut();
+        for _ in 0..passes {
+            state.advance();
+        }
+    }
+
+    /// Two ranks that began a pass under different maps.
+    pub(crate) fn broken(&self) -> Option<String> {
+        self.state.borrow().broken.clone()
+    }
+
+    /// Version in use, if all ranks agree.
+    pub(crate) fn version(&self) -> Option<u64> {
+        let state = self.state.borrow();
+        let first = state.ranks[0].map.0;
+        state.ranks.iter().all(|r| r.map.0 == first).then_some(first)
+    }
+
+    /// Whether a pass is held back.
+    pub(crate) fn is_held(&self) -> bool {
+        self.state.borrow().ranks.iter().any(|r| r.held.is_some())
+    }
+
+    /// Pass that rank 0 holds back.
+    pub(crate) fn held(&self) -> Option<u64> {
+        self.state.borrow().ranks[0].held
+    }
+
+    /// Highest version that any rank has had.
+    pub(crate) fn highest(&self) -> u64 {
+        self.state.borrow().ranks.iter().map(|r| r.highest).max().unwrap_or(0)
+    }
+
+    /// Most times in a row that a pass could not begin.
+    pub(crate) fn most_held(&self) -> u64 {
+        self.state.borrow().most_held
+    }
+}
+
+impl State {
+    fn advance(&mut self) {
+        let now = self.step;
+        let due: Vec<(usize, FencedOrder)> = {
+            let (due, rest) = std::mem::take(&mut self.late).into_iter().partition(|(at, _, _)| *at <= now);
+            self.late = rest;
+            let due: Vec<(u64, usize, FencedOrder)> = due;
+            due.into_iter().map(|(_, rank, order)| (rank, order)).collect()
+        };
+        for (rank, order) in due {
+            self.carry_out(rank, &order);
+        }
+        let next = self.step + 1;
+        let held = self.ranks.iter().any(|r| r.held.is_some_and(|h| h <= next));
+        if held && !self.lapses.hold {
+            self.waited += 1;
+            self.most_held = self.most_held.max(self.waited);
+            return;
+        }
+        self.waited = 0;
+        self.step = next;
+        for rank in &mut self.ranks {
+            if let Some((version, step)) = rank.armed
+                && step <= next
+            {
+                let map = rank.prepared.iter().find(|(v, _)| *v == version).cloned();
+                rank.map = map.unwrap_or_default();
+                rank.armed = None;
+            }
+        }
+        let first = &self.ranks[0].map;
+        if let Some(other) = self.ranks.iter().position(|r| r.map != *first) {
+            let maps = (first.0, self.ranks[other].map.0);
+            self.broken.get_or_insert(format!("pass {next}: rank 0 and {other} use {maps:?}"));
+        }
+    }
+
+    fn carry_out(&mut self, rank: usize, fenced: &FencedOrder) -> OrderAnswer {
+        let (step, lapses) = (self.step, self.lapses);
+        let rank = &mut self.ranks[rank];
+        if fenced.epoch != EPOCH {
+            return OrderAnswer::Refused;
+        }
+        if fenced.fence < rank.fence && !lapses.fence {
+            return OrderAnswer::Fenced;
+        }
+        rank.fence = rank.fence.max(fenced.fence);
+        let fits = match &fenced.order {
+            EngineOrder::Prepare { version, experts } => {
+                if rank.prepared.last() == Some(&(*version, experts.clone())) {
+                    return OrderAnswer::Accepted;
+                }
+                let fits = *version > rank.highest && (rank.armed.is_none() || lapses.fence);
+                if fits {
+                    rank.highest = *version;
+                    if !lapses.fence {
+                        rank.prepared.clear();
+                    }
+                    rank.prepared.push((*version, experts.clone()));
+                }
+                fits
+            }
+            EngineOrder::Arm { version, step: at } => {
+                if rank.armed == Some((*version, *at)) {
+                    return OrderAnswer::Accepted;
+                }
+                let fits = rank.prepared.iter().any(|(v, _)| v == version) && *at > step;
+                if fits {
+                    rank.armed = Some((*version, *at));
+                }
+                fits
+            }
+            EngineOrder::Disarm { version } => {
+                if rank.map.0 == *version {
+                    return OrderAnswer::Refused;
+                }
+                if rank.armed.is_some_and(|(v, _)| v == *version) {
+                    rank.armed = None;
+                }
+                true
+            }
+            EngineOrder::Hold { step: at } => {
+                let fits = *at > step;
+                if fits {
+                    rank.held = Some(*at);
+                }
+                fits
+            }
+            EngineOrder::Go { step: at } => {
+                if rank.held == Some(*at) {
+                    rank.held = None;
+                }
+                true
+            }
+        };
+        rank.sequence += u64::from(fits);
+        if fits {
+            OrderAnswer::Accepted
+        } else {
+            OrderAnswer::Refused
+        }
+    }
+
+    fn report(&self, rank: usize) -> EngineReport {
+        let state = &self.ranks[rank];
+        EngineReport {
+            membership: Some(Membership {
+                group: "g".to_owned(),
+                epoch: EPOCH,
+                rank: rank as u16,
+                open: true,
+            }),
+            size: self.ranks.len() as u16,
+            born: 0,
+            running: 1,
+            waiting: 0,
+            used: 0,
+            memory: 1,
+            pace: 1.0,
+            sequence: state.sequence,
+            step: self.step,
+            map: state.map.0,
+            prepared: state.prepared.last().map(|(v, _)| *v),
+            armed: state.armed.map(|(v, _)| v),
+            held: state.held,
+        }
+    }
+
+    /// Carries an order out, or not, as the trouble has it.
+    fn order(&mut self, rank: usize, order: FencedOrder) -> Option<OrderAnswer> {
+        if self.rng.random_range(0..6) == 0 {
+            self.advance();
+        }
+        let draw = self.rng.random_range(0..1_000_u32);
+        let Trouble {
+            unanswered,
+            late,
+            lost,
+        } = self.trouble;
+        if draw < unanswered {
+            self.carry_out(rank, &order);
+            return None;
+        }
+        if draw < unanswered + late {
+            let at = self.step + self.rng.random_range(1..40);
+            self.late.push((at, rank, order));
+            return None;
+        }
+        if draw < unanswered + late + lost {
+            return None;
+        }
+        Some(self.carry_out(rank, &order))
+    }
+}
+
+impl Ranks for Group {
+    fn size(&self) -> usize {
+        self.state.borrow().ranks.len()
+    }
+
+    async fn report(&self, rank: usize) -> Option<EngineReport> {
+        Some(self.state.borrow().report(rank))
+    }
+
+    async fn order(&self, rank: usize, order: FencedOrder) -> Option<OrderAnswer> {
+        let dead = {
+            let mut state = self.state.borrow_mut();
+            match &mut state.life {
+                Some(0) => true,
+                Some(left) => {
+                    *left -= 1;
+                    false
+                }
+                None => false,
+            }
+        };
+        if dead {
+            std::future::pending::<()>().await;
+        }
+        self.state.borrow_mut().order(rank, order)
+    }
+
+    async fn pause(&self, _length: Duration) {
+        self.state.borrow_mut().advance();
+    }
+}
--- /dev/null
+++ b/decision/experts/tests/it/even_plan.rs
@@ -0,0 +1,97 @@
+//! Plans for engines that share an expert's tokens evenly.
+//!
+//! The pattern: a few experts take most tokens of a layer, and which ones changes
+//! every few seconds.
+
+use std::time::Duration;
+
+use insta::assert_snapshot;
+use pimentotide_experts::{EvenLayout, ExpertDemand, Placement, imbalance_even, plan_even};
+use pimentotide_model::Time;
+use proptest::prelude::*;
+
+const LAYOUT: EvenLayout = EvenLayout {
+    ranks: 12,
+    experts: 72,
+    places: 8,
+    spare: 3,
+};
+
+/// Experts dealt out in turn, as a group starts.
+fn first(layout: &EvenLayout, layers: usize) -> Placement {
+    let rank = |r: usize| (0..layout.experts).filter(|e| e % layout.ranks == r).map(|e| e as u16).collect();
+    let layer: Vec<Vec<u16>> = (0..layout.ranks).map(rank).collect();
+    vec![layer; layers]
+}
+
+/// Popularity that falls with the rank of an expert in a shuffled order.
+fn skewed(layout: &EvenLayout, layers: usize, shift: usize) -> Vec<f64> {
+    let layer = |l: usize| (0..layout.experts).map(move |e| {
+        let place = (e * 31 + shift * 17 + l * 7) % layout.experts;
+        1e6 / (1.0 + place as f64).powf(1.3)
+    });
+    (0..layers).flat_map(layer).collect()
+}
+
+#[test]
+fn a_skewed_demand_is_balanced_by_a_few_changes() {
+    let mut placement = first(&LAYOUT, 4);
+    let counts = skewed(&LAYOUT, 4, 0);
+    let mut told = Vec::new();
+    for _ in 0..3 {
+        let plan = plan_even(&LAYOUT, &placement, &counts, 1.1);
+        told.push(format!("{:.2} -> {:.2}, {} copies", plan.before, plan.after, plan.copies));
+        placement = plan.placement;
+    }
+    assert_snapshot!(told.join("\n"));
+    assert!(imbalance_even(&LAYOUT, &placement, &counts) <= 1.1);
+}
+
+#[test]
+fn a_balanced_layer_is_left_alone() {
+    let placement = first(&LAYOUT, 4);
+    let counts = vec![1_000.0; 4 * LAYOUT.experts];
+    let plan = plan_even(&LAYOUT, &placement, &counts, 1.1);
+    assert_eq!((plan.copies, &plan.placement), (0, &placement));
+}
+
+proptest! {
+    #[test]
+    fn plans_keep_every_expert_and_the_limits(
+        loads in proptest::collection::vec(0.0..1e6_f64, 24),
+        places in 4..7_usize,
+        spare in 1..4_usize,
+    ) {
+        let layout = EvenLayout { ranks: 6, experts: 24, places, spare };
+        let old = first(&layout, 1);
+        let plan = plan_even(&layout, &old, &loads, 1.05);
+        for (rank, held) in plan.placement[0].iter().enumerate() {
+            let fresh = held.iter().filter(|e| !old[0][rank].contains(e)).count();
+            prop_assert!(held.len() <= places && fresh <= spare);
+            let mut unique = held.clone();
+            unique.sort_unstable();
+            unique.dedup();
+            prop_assert_eq!(unique.len(), held.len());
+        }
+        for expert in 0..24_u16 {
+            prop_assert!(plan.placement[0].iter().any(|held| held.contains(&expert)));
+        }
+        prop_assert!(plan.after <= plan.before + 1e-9);
+    }
+}
+
+#[test]
+fn demand_counts_only_what_ranks_add_within_the_window() {
+    let mut demand = ExpertDemand::default();
+    let second = |s: u64| Time::ZERO + Duration::from_secs(s);
+    demand.observe([(1, &[1_000, 0][..])], second(0));
+    assert_eq!(demand.counts(), None);
+    demand.observe([(1, &[1_500, 400][..])], second(1));
+    assert_eq!(demand.counts(), Some(vec![500.0, 400.0]));
+    // The engine has started anew, so its counts have too.
+    demand.observe([(2, &[90, 90][..])], second(2));
+    assert_eq!(demand.newest(), None);
+    assert_eq!(demand.counts(), Some(vec![500.0, 400.0]));
+    demand.observe([(2, &[290, 890][..])], second(3));
+    assert_eq!(demand.counts(), Some(vec![200.0, 800.0]));
+}
--- a/decision/experts/tests/it/main.rs
+++ b/decision/experts/tests/it/main.rs
@@ -3,6 +3,9 @@
 mod budget;
 mod coordinator;
 mod decisions;
+mod even_group;
+mod even_plan;
+mod even_switch;
 mod fencing;
 mod group;
 mod manager;
--- a/decision/fleet/src/balancer.rs
+++ b/decision/fleet/src/balancer.rs
@@ -138,7 +138,9 @@
 
     fn renew(&self, known: Option<Upstream>, record: Record, now: Time) -> Upstream {
         let known = known.filter(|k| k.record.said.born == record.said.born);
-        let chilled = known.as_ref().is_none_or(|k| k.record.chilled != record.chilled);
+        let chilled = known
+            .as_ref()
+            .is_none_or(|k| k.record.chilled != record.chilled);
         let limit = self.colds.get(&record.said.service);
         let mut upstream = match known {
             Some(mut upstream) => {
@@ -199,9 +201,8 @@
             return Err(Refusal::Cold);
         }
         let queue = self.options.queue;
-        let has_room = |u: &Upstream| {
-            now >= u.full && u.outstanding() < f64::from(u.slots()) * (1.0 + queue)
-        };
+        let has_room =
+            |u: &Upstream| now >= u.full && u.outstanding() < f64::from(u.slots()) * (1.0 + queue);
         if fit.iter().any(|u| has_room(u)) {
             fit.retain(|u| has_room(u));
         } else if !ask.patient {
@@ -210,7 +211,11 @@
         let candidates = fit.len();
         let zone = &self.options.zone;
         let mut score = |u: &Upstream| {
-            let away = if u.record.said.zone == *zone { 0.0 } else { ZONE_PENALTY };
+            let away = if u.record.said.zone == *zone {
+                0.0
+            } else {
+                ZONE_PENALTY
+            };
             u.outstanding() / f64::from(u.slots()) + away + rng.random_range(0.0..JITTER)
         };
         let scored = fit.into_iter().map(|u| (score(u), u));
--- a/decision/fleet/src/declaration.rs
+++ b/decision/fleet/src/declaration.rs
@@ -184,7 +184,11 @@
 impl Declaration {
     /// Finds all that makes the configuration invalid.
     pub fn faults(&self) -> Vec<Fault> {
-        let mut faults: Vec<Fault> = self.routes.iter().flat_map(|r| self.route_faults(r)).collect();
+        let mut faults: Vec<Fault> = self
+            .routes
+            .iter()
+            .flat_map(|r| self.route_faults(r))
+            .collect();
         let mut places = BTreeSet::new();
         for route in &self.routes {
             if !places.insert((&route.host, &route.prefix)) {
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -20,7 +20,7 @@
 mod state;
 mod upstream;
 
-pub use balancer::{Balancer, BalancerOptions, Ask, Choice, Refusal, Ticket};
+pub use balancer::{Ask, Balancer, BalancerOptions, Choice, Refusal, Ticket};
 pub use budget::{BudgetOptions, RepeatBudget};
 pub use declaration::{
     ColdLimit, Declaration, Engine, Fault, Limits, Route, RouteKind, Service, Workspace,
--- a/decision/fleet/src/upstream.rs
+++ b/decision/fleet/src/upstream.rs
@@ -92,7 +92,9 @@
 
     /// Requests that run or wait there, as far as this entry can tell.
     pub(crate) fn outstanding(&self) -> f64 {
-        let told = self.told.map_or(0, |(load, _)| i64::from(load.running + load.waiting));
+        let told = self
+            .told
+            .map_or(0, |(load, _)| i64::from(load.running + load.waiting));
         (told + self.since).max(i64::from(self.mine)) as f64
     }
 
--- a/peers/engine/tests/it/ranks.rs
+++ b/peers/engine/tests/it/ranks.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pimentotide_engine::{PlatformError, RankClient, RankOrder, RankRequest};
 use pimentotide_experts::{Change, Epoch, ExpertMap, MapId};
 use pimentotide_model::{Fence, ModelName, VersionName};
-use pimentotide_engine::{PlatformError, RankClient, RankOrder, RankRequest};
 use pimentotide_standin::{RankGroup, RankOptions};
 
 const RANKS: u16 = 2;
--- a/peers/engine/tests/it/weights.rs
+++ b/peers/engine/tests/it/weights.rs
@@ -1,7 +1,7 @@
 //! Reading weights at a leased rate.
 
-use pimentotide_model::{ModelName, VersionName};
 use pimentotide_engine::{PlatformError, WeightsClient, WeightsKey};
+use pimentotide_model::{ModelName, VersionName};
 use pimentotide_standin::{WeightsOptions, WeightsStore};
 
 const RATE: u64 = 64 << 20;
--- a/app/src/fleet/entry/cursor.rs
+++ b/peers/upstream/src/cursor.rs
@@ -6,11 +6,12 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::Display;
-use pimentotide_upstream::{EventError, EventSplitter};
+
+use crate::sse::{EventError, EventSplitter};
 
 /// Why a stream cannot be passed on.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub(super) enum CursorError {
+pub enum CursorError {
     /// An event is too long.
     #[display("{_0}")]
     Event(EventError),
@@ -24,17 +25,19 @@
     },
 }
 
+impl std::error::Error for CursorError {}
+
 /// Position in a stream.
 #[derive(Debug, Default)]
-pub(super) struct Cursor {
+pub struct StreamCursor {
     splitter: EventSplitter,
     last: Option<u64>,
     passed: u64,
 }
 
-impl Cursor {
+impl StreamCursor {
     /// Starts behind the event that the caller has.
-    pub(super) fn new(last: Option<u64>) -> Self {
+    pub fn new(last: Option<u64>) -> Self {
         Self {
             last,
             ..Self::default()
@@ -42,27 +45,31 @@
     }
 
     /// Last event that the caller has.
-    pub(super) fn last(&self) -> Option<u64> {
+    pub fn last(&self) -> Option<u64> {
         self.last
     }
 
     /// Events passed on.
-    pub(super) fn passed(&self) -> u64 {
+    pub fn passed(&self) -> u64 {
         self.passed
     }
 
     /// Whether part of an event has arrived without its end.
-    pub(super) fn is_partial(&self) -> bool {
+    pub fn is_partial(&self) -> bool {
         self.splitter.is_partial()
     }
 
     /// Drops what is left of an unfinished event.
-    pub(super) fn restart(&mut self) {
+    pub fn restart(&mut self) {
         self.splitter = EventSplitter::default();
     }
 
     /// Takes in bytes and returns the whole events that the caller lacks.
-    pub(super) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, CursorError> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if an event is missing or too long.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, CursorError> {
         self.splitter.push(bytes);
         let mut out = BytesMut::new();
         while let Some(event) = self.splitter.next_event().map_err(CursorError::Event)? {
--- a/peers/upstream/src/lib.rs
+++ b/peers/upstream/src/lib.rs
@@ -7,12 +7,14 @@
 //! one token an event, closed by [`STREAM_END`].
 
 mod client;
+mod cursor;
 mod prefix;
 mod sse;
 mod state;
 mod transport;
 
 pub use client::{EngineAnswer, EngineClient, EngineError, EngineRequest, is_hop_header};
+pub use cursor::{CursorError, StreamCursor};
 pub use prefix::{BLOCK_BYTES, block_hashes};
 pub use sse::{Event, EventError, EventSplitter, MAX_EVENT_BYTES};
 pub use state::{CacheChange, CacheEvent, EngineState, LoadedModel};
--- a/standin/src/ranks.rs
+++ b/standin/src/ranks.rs
@@ -8,9 +8,9 @@
 use actix_web::dev::ServerHandle;
 use actix_web::{HttpResponse, web};
 use derive_more::Display;
+use pimentotide_engine::{RankOrder, RankRequest, RankState};
 use pimentotide_experts::{Change, Epoch, Inventory, MapId};
 use pimentotide_model::Fence;
-use pimentotide_engine::{RankOrder, RankRequest, RankState};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
