--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -23,6 +23,8 @@
 ///
 /// If only this one has, the caller loses little; if all have, control has elected a leader by then.
 const RETRY_START: Duration = Duration::from_millis(1_200);
+/// Longest wait for the first configuration; most starts need less, and a caller would come back no sooner.
+const START_WAIT: Duration = Duration::from_millis(600);
 /// When a caller may come back after it met an entry that stops.
 const RETRY_STOPPING: Duration = Duration::from_millis(50);
 /// Largest body while no configuration is known, bytes.
@@ -95,6 +97,7 @@
 
 impl Relay for EntryRelay {
     async fn relay(&self, call: Call) -> Relayed {
+        self.state.wait_for_start(START_WAIT).await;
         match self.prepare(call) {
             Ok((attempt, RouteKind::Streaming)) => streaming::run(attempt).await,
             Ok((attempt, _)) => run_whole(attempt).await,
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -32,6 +32,7 @@
     stopping: AtomicBool,
     refusing: AtomicBool,
     stopped: Notify,
+    started: Notify,
 }
 
 /// Part that changes with the news and with each request.
@@ -73,6 +74,7 @@
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             stopped: Notify::new(),
+            started: Notify::new(),
         }
     }
 
@@ -119,9 +121,22 @@
             known.seen.revision = fleet.revision;
         }
         known.until = known.until.max(asked + self.lease);
+        if known.table.is_some() {
+            self.started.notify_waiters();
+        }
         Ok(())
     }
 
+    /// Waits for the first configuration, at most for `limit`.
+    pub(super) async fn wait_for_start(&self, limit: Duration) {
+        let started = self.started.notified();
+        if self.known().table.is_some() {
+            return;
+        }
+        // Either end of the wait is the reason to go on.
+        let _ = tokio::time::timeout(limit, started).await;
+    }
+
     /// Whether what is known may be acted on.
     pub(super) fn is_current(&self) -> bool {
         let now = self.now();
--- a/decision/fleet/src/balancer.rs
+++ b/decision/fleet/src/balancer.rs
@@ -24,6 +24,8 @@
 const MOST_EJECTED: f64 = 0.4;
 /// Time for which an upstream that refused for want of room is avoided.
 const FULL_PAUSE: Duration = Duration::from_millis(100);
+/// Requests that an entry may send to a cold upstream at once, at least.
+const LEAST_COLD_BURST: f64 = 2.0;
 /// Part of what a cold upstream bears that all entries together use.
 const COLD_PART: f64 = 0.8;
 
@@ -159,7 +161,7 @@
             let rate = limit.rate * COLD_PART / self.entries as f64;
             upstream.cold = Some(Cold {
                 until: now + Duration::from_millis(u64::from(cold_ms)),
-                limit: RateLimit::new((rate / 4.0).max(1.0), rate, now),
+                limit: RateLimit::new((rate / 2.0).max(LEAST_COLD_BURST), rate, now),
             });
         }
         upstream
