--- /dev/null
+++ b/decision/fleet/tests/it/declaration.rs
@@ -0,0 +1,106 @@
+//! Configurations: what makes them invalid, and which route a request takes.
+
+use std::time::Duration;
+
+use insta::assert_snapshot;
+use pimentotide_fleet::{Declaration, Limits, Mismatch, Route, RouteKind, RouteTable, Service, Workspace};
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(300),
+        priority: 2,
+        split: vec![("advice".into(), 90), ("orders".into(), 10)],
+        attempts: 2,
+        public: false,
+        resumable: false,
+        pause: None,
+    }
+}
+
+fn declaration() -> Declaration {
+    let service = Service {
+        health: "/healthz".into(),
+        connections: 10,
+        cold: None,
+        engine: None,
+    };
+    Declaration {
+        version: 1,
+        routes: vec![route("wide", "h.example", "/a/"), route("deep", "h.example", "/a/b/")],
+        services: [("advice".into(), service.clone()), ("orders".into(), service)].into(),
+        limits: Limits::default(),
+        workspaces: Some(vec![
+            Workspace {
+                name: "w1".into(),
+                keys: vec!["k1".into(), "k2".into()],
+                priority: Some(0),
+            },
+            Workspace {
+                name: "w2".into(),
+                keys: vec!["k3".into()],
+                priority: None,
+            },
+        ]),
+    }
+}
+
+#[test]
+fn all_faults_are_told_at_once() {
+    let mut wrong = declaration();
+    wrong.routes[0].split = vec![("advice".into(), 0)];
+    wrong.routes[1].split = vec![("unknown".into(), 1)];
+    wrong.routes[1].timeout = Duration::ZERO;
+    let mut same = route("again", "h.example", "/a/");
+    same.prefix = "/a/".into();
+    wrong.routes.push(same);
+    wrong.routes.push(route("open", "h.example", "/c"));
+    if let Some(workspaces) = &mut wrong.workspaces {
+        workspaces[1].keys.push("k1".into());
+    }
+    let faults: Vec<String> = wrong.faults().iter().map(ToString::to_string).collect();
+    assert_snapshot!(faults.join("\n"));
+    assert!(declaration().faults().is_empty());
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = RouteTable::new(declaration());
+    let find = |host, path, key| match table.find(host, path, key) {
+        Ok(found) => format!("{} for {:?} rank {}", found.route.name, found.workspace, found.priority),
+        Err(mismatch) => format!("{mismatch:?}"),
+    };
+    let told = [
+        find("h.example", "/a/x", Some("k1")),
+        find("H.Example:8080", "/a/b/x", Some("k3")),
+        find("h.example", "/a/bx", Some("k3")),
+        find("h.example", "/a", Some("k1")),
+        find("h.example", "/ab/x", Some("k1")),
+        find("other.example", "/a/x", Some("k1")),
+        find("h.example", "/a/x", Some("k9")),
+        find("h.example", "/a/x", None),
+    ];
+    assert_snapshot!(told.join("\n"));
+}
+
+#[test]
+fn public_routes_need_no_key() {
+    let mut open = declaration();
+    open.routes[0].public = true;
+    let table = RouteTable::new(open);
+    assert!(table.find("h.example", "/a/x", None).is_ok());
+    assert_eq!(table.find("h.example", "/a/b/x", None).unwrap_err(), Mismatch::NoKey);
+}
+
+#[test]
+fn services_are_drawn_by_weight() {
+    let table = RouteTable::new(declaration());
+    let found = table.find("h.example", "/a/x", Some("k1")).unwrap();
+    let count = |name: &str| (0..found.weight()).filter(|d| found.service(*d).is_some_and(|s| s.as_str() == name)).count();
+    assert_eq!((count("advice"), count("orders")), (90, 10));
+    assert_eq!(found.service(found.weight()), None);
+}
--- a/decision/fleet/tests/it/main.rs
+++ b/decision/fleet/tests/it/main.rs
@@ -1,1 +1,8 @@
 //! Tests of the fleet's decisions.
+
+mod balancer;
+mod budget;
+mod declaration;
+mod members;
+mod retry;
+mod state;
--- /dev/null
+++ b/decision/fleet/tests/it/members.rs
@@ -0,0 +1,62 @@
+//! Members of the log are repaired without an operator.
+
+use std::time::Duration;
+
+use pimentotide_consensus::DiskId;
+use pimentotide_fleet::{MemberView, Repair, RepairOptions, repair};
+use pimentotide_model::InstanceName;
+
+const OPTIONS: RepairOptions = RepairOptions {
+    silence: Duration::from_secs(6),
+    floor: 3,
+};
+
+fn member(name: &str, disk: u128, silent: u64) -> MemberView {
+    MemberView {
+        name: name.into(),
+        disk: DiskId(disk),
+        voter: true,
+        silent: Duration::from_secs(silent),
+    }
+}
+
+#[test]
+fn a_lost_disk_is_removed_before_it_joins_again() {
+    let members = [member("a", 1, 0), member("b", 2, 0), member("c", 3, 9)];
+    let name = InstanceName::from("c");
+    let joining = |disk| repair(&members, Some((&name, DiskId(disk))), &OPTIONS);
+    assert_eq!(joining(4), Some(Repair::Remove(name.clone())));
+    assert_eq!(joining(3), None);
+    let new = InstanceName::from("d");
+    assert_eq!(repair(&members, Some((&new, DiskId(9))), &OPTIONS), Some(Repair::Add(new)));
+}
+
+#[test]
+fn a_silent_voter_stays_until_it_is_replaced() {
+    let three = [member("a", 1, 0), member("b", 2, 0), member("c", 3, 60)];
+    assert_eq!(repair(&three, None, &OPTIONS), None);
+    let mut four = three.to_vec();
+    four.push(member("d", 4, 0));
+    assert_eq!(repair(&four, None, &OPTIONS), Some(Repair::Remove("c".into())));
+    four[2].silent = Duration::from_secs(3);
+    assert_eq!(repair(&four, None, &OPTIONS), None);
+}
+
+#[test]
+fn one_member_is_removed_at_a_time_the_longest_silent_first() {
+    let five = [
+        member("a", 1, 0),
+        member("b", 2, 20),
+        member("c", 3, 0),
+        member("d", 4, 10),
+        member("e", 5, 0),
+    ];
+    assert_eq!(repair(&five, None, &OPTIONS), Some(Repair::Remove("b".into())));
+}
+
+#[test]
+fn a_silent_learner_is_removed_whatever_the_number_of_voters() {
+    let mut members = [member("a", 1, 0), member("b", 2, 0), member("c", 3, 0), member("d", 4, 9)];
+    members[3].voter = false;
+    assert_eq!(repair(&members, None, &OPTIONS), Some(Repair::Remove("d".into())));
+}
--- /dev/null
+++ b/decision/fleet/tests/it/retry.rs
@@ -0,0 +1,61 @@
+//! What follows a send, for every way in which it can end.
+
+use std::time::Duration;
+
+use insta::assert_snapshot;
+use pimentotide_fleet::{Ended, Policy, Step, next_step};
+use pimentotide_model::{ErrorKind, Time};
+
+const ENDS: [Ended; 5] = [
+    Ended::Unsent,
+    Ended::Rejected,
+    Ended::Broken,
+    Ended::Failed,
+    Ended::Silent,
+];
+
+fn policy(repeatable: bool, ran: u32, unrun: u32) -> Policy {
+    Policy {
+        repeatable,
+        attempts: 2,
+        ran,
+        unrun,
+        deadline: Time::ZERO + Duration::from_secs(1),
+    }
+}
+
+#[test]
+fn every_end_has_its_step() {
+    let mut told = Vec::new();
+    for repeatable in [false, true] {
+        for (ran, unrun) in [(0, 1), (0, 3), (1, 0), (1, 1), (2, 0)] {
+            let policy = policy(repeatable, ran, unrun);
+            let steps = ENDS.map(|ended| format!("{ended:?} {:?}", next_step(ended, &policy, Time::ZERO)));
+            told.push(format!("repeatable {repeatable} ran {ran} unrun {unrun}: {}", steps.join(", ")));
+        }
+    }
+    assert_snapshot!(told.join("\n"));
+}
+
+/// A request that may have run is never sent again unless it is repeatable, nor called "not run".
+#[test]
+fn a_request_that_may_have_run_is_not_repeated_and_not_called_unrun() {
+    for ended in ENDS {
+        for unrun in 0..4 {
+            let step = next_step(ended, &policy(false, 1, unrun), Time::ZERO);
+            let promises = step == Step::Answer(ErrorKind::NoUpstream);
+            assert!(!promises, "{ended:?}");
+            if matches!(ended, Ended::Broken | Ended::Failed | Ended::Silent) {
+                assert_ne!(step, Step::Again, "{ended:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn nothing_is_sent_again_at_the_deadline() {
+    let late = Time::ZERO + Duration::from_millis(980);
+    for ended in ENDS {
+        assert_ne!(next_step(ended, &policy(true, 0, 1), late), Step::Again);
+    }
+}
