--- a/app/src/fleet/agent/coordinate.rs
+++ b/app/src/fleet/agent/coordinate.rs
@@ -27,6 +27,12 @@
 const LEAST_GAIN: f64 = 0.05;
 /// Most loaded rank over the mean, in the newest sample alone, that shows that demand has moved.
 const MOVED: f64 = 1.6;
+/// Numbers that all ranks together tell in one look, two bytes each.
+const MOST_NUMBERS: usize = 12_000;
+/// Fewest ranks asked for counts in one look.
+const LEAST_COUNTED: usize = 4;
+/// Most ranks asked for counts in one look.
+const MOST_COUNTED: usize = 16;
 /// Versions skipped after a refusal, in case an engine knows a higher one than this clock.
 const VERSION_SKIP: u64 = 10_000;
 
@@ -51,6 +57,8 @@
     clock: Clock,
     /// Seat for which the demand was observed.
     seat: Option<Seat>,
+    /// First rank asked for counts next time.
+    turn: usize,
     /// Versions start above the time of day by this much.
     skip: u64,
     last: u64,
@@ -64,6 +72,7 @@
         demand: ExpertDemand::default(),
         clock: Clock::start(),
         seat: None,
+        turn: 0,
         skip: 0,
         last: 0,
     };
@@ -94,19 +103,20 @@
             rank: 0,
         };
         if self.seat.as_ref() != Some(&seat) {
-            self.demand.clear();
+            self.demand.restart();
             self.seat = Some(seat.clone());
         }
         let Some(group) = self.peers.group(&seat, report.size) else {
             return Ok(());
         };
-        let looks: Result<Vec<Look>, Failure> = group.look().await.into_iter().collect();
+        let counted = self.counted(usize::from(report.size));
+        let looks: Result<Vec<Look>, Failure> = group.look(&counted).await.into_iter().collect();
         let looks = looks?;
         if looks.iter().any(|l| !is_in(&l.report, &seat)) {
             return Ok(());
         }
-        let counts = looks.iter().map(|l| (l.report.born, &l.picked.counts[..]));
-        self.demand.observe(counts, self.clock.now());
+        let chosen = looks.iter().filter_map(|l| l.chosen.as_deref());
+        self.demand.observe(chosen, self.clock.now());
         let placement = placement(&looks);
         let steady = looks
             .iter()
@@ -121,6 +131,17 @@
         Ok(())
     }
 
+    /// Ranks asked for counts this time: as many as the links bear, all in turn.
+    fn counted(&mut self, size: usize) -> Vec<usize> {
+        let numbers = self.demand.len().max(1);
+        let count = (MOST_NUMBERS / numbers)
+            .clamp(LEAST_COUNTED, MOST_COUNTED)
+            .min(size);
+        let first = self.turn;
+        self.turn = (first + count) % size.max(1);
+        (0..count).map(|offset| (first + offset) % size).collect()
+    }
+
     /// Lets a pass go that was left held back.
     async fn release(
         &mut self,
--- a/app/src/fleet/agent/engine.rs
+++ b/app/src/fleet/agent/engine.rs
@@ -29,6 +29,7 @@
 pub(super) struct EngineHandle {
     asks: mpsc::UnboundedSender<Ask>,
     report: Arc<Mutex<Option<EngineReport>>>,
+    last: LastCounts,
 }
 
 /// What an engine tells the coordinator.
@@ -36,15 +37,19 @@
 pub(super) struct Look {
     /// Report.
     pub(super) report: EngineReport,
-    /// Experts that its requests chose.
-    pub(super) picked: PickedExperts,
     /// Experts that it holds.
     pub(super) held: HeldExperts,
+    /// How often its requests chose each expert since the last question for it, layer after layer.
+    pub(super) chosen: Option<Vec<u32>>,
 }
 
+/// Counts of the last question, and the start of the engine that told them.
+type LastCounts = Arc<Mutex<Option<(u64, PickedExperts)>>>;
+
 enum Ask {
     Report(oneshot::Sender<Result<EngineReport, EngineError>>),
-    Look(oneshot::Sender<Result<Look, EngineError>>),
+    Held(oneshot::Sender<Result<HeldExperts, EngineError>>),
+    Picked(oneshot::Sender<Result<PickedExperts, EngineError>>),
     Order(
         FencedOrder,
         oneshot::Sender<Result<OrderAnswer, EngineError>>,
@@ -58,6 +63,7 @@
         let engine = Self {
             asks,
             report: Arc::default(),
+            last: Arc::default(),
         };
         actix_rt::spawn(serve(EngineClient::open(address, TIMEOUT), asked));
         actix_rt::spawn(keep_report(engine.clone()));
@@ -92,9 +98,35 @@
         result
     }
 
-    /// Asks the engine for all that the coordinator needs.
-    pub(super) async fn look(&self) -> Result<Look, Failure> {
-        self.ask(Ask::Look).await
+    /// Asks the engine for what the coordinator needs, with the experts chosen if `counts`.
+    pub(super) async fn look(&self, counts: bool) -> Result<Look, Failure> {
+        let held = self.ask(Ask::Held).await?;
+        let report = self.report().await?;
+        let chosen = if counts {
+            let picked = self.ask(Ask::Picked).await?;
+            self.since_last(report.born, picked)
+        } else {
+            None
+        };
+        Ok(Look {
+            report,
+            held,
+            chosen,
+        })
+    }
+
+    /// Choices since the last counts; none if the engine or its group has started anew.
+    fn since_last(&self, born: u64, picked: PickedExperts) -> Option<Vec<u32>> {
+        let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        let old = last.replace((born, picked.clone()));
+        let (_, old) = old.filter(|(b, old)| *b == born && old.epoch == picked.epoch)?;
+        let pairs = picked.counts.iter().zip(&old.counts);
+        let since = pairs.map(|(new, old)| new.saturating_sub(*old));
+        Some(
+            since
+                .map(|n| u32::try_from(n).unwrap_or(u32::MAX))
+                .collect(),
+        )
     }
 
     /// Gives the engine an order.
@@ -130,7 +162,8 @@
     // Whoever asked may have gone.
     match ask {
         Ask::Report(reply) => drop(reply.send(client.report().await)),
-        Ask::Look(reply) => drop(reply.send(look(&client).await)),
+        Ask::Held(reply) => drop(reply.send(client.held().await)),
+        Ask::Picked(reply) => drop(reply.send(client.picked().await)),
         Ask::Order(given, reply) => drop(reply.send(order(&client, &given).await)),
     }
 }
@@ -147,14 +180,6 @@
     answer
 }
 
-async fn look(client: &EngineClient) -> Result<Look, EngineError> {
-    Ok(Look {
-        picked: client.picked().await?,
-        held: client.held().await?,
-        report: client.report().await?,
-    })
-}
-
 async fn keep_report(engine: EngineHandle) {
     loop {
         if let Err(failure) = engine.report().await {
--- a/app/src/fleet/agent/methods.rs
+++ b/app/src/fleet/agent/methods.rs
@@ -5,6 +5,7 @@
 use pimentotide_experts::FencedOrder;
 use pimentotide_instance::rpc_error;
 
+use super::compact;
 use super::engine::EngineHandle;
 
 /// Method that tells the engine's state.
@@ -17,14 +18,18 @@
 /// Methods of an agent.
 pub(super) fn module(engine: EngineHandle) -> Result<RpcModule<EngineHandle>, RegisterMethodError> {
     let mut module = RpcModule::new(engine);
-    module.register_async_method(LOOK, |_, engine, _| async move {
-        engine.look().await.map_err(|f| rpc_error(&f))
+    module.register_async_method(LOOK, |params, engine, _| async move {
+        let counts: bool = params.one()?;
+        let look = engine.look(counts).await;
+        let text = look.and_then(|look| compact::encode(&look));
+        text.map_err(|f| rpc_error(&f))
     })?;
     module.register_async_method(REPORT, |_, engine, _| async move {
         engine.report().await.map_err(|f| rpc_error(&f))
     })?;
     module.register_async_method(ORDER, |params, engine, _| async move {
-        let order: FencedOrder = params.one()?;
+        let text: String = params.one()?;
+        let order: FencedOrder = compact::decode(&text).map_err(|f| rpc_error(&f))?;
         engine.order(order).await.map_err(|f| rpc_error(&f))
     })?;
     Ok(module)
--- a/app/src/fleet/agent/mod.rs
+++ b/app/src/fleet/agent/mod.rs
@@ -6,6 +6,7 @@
 //! the group to better expert maps. The other agents step in if it leaves the
 //! group held back.
 
+mod compact;
 mod coordinate;
 mod engine;
 mod methods;
--- a/app/src/fleet/agent/ranks.rs
+++ b/app/src/fleet/agent/ranks.rs
@@ -13,6 +13,7 @@
 
 use super::super::beacon::{AgentBeacon, Seat};
 use super::super::news::{Processes, Shape};
+use super::compact;
 use super::engine::{EngineHandle, Look};
 use super::methods::{LOOK, ORDER, REPORT};
 
@@ -126,12 +127,17 @@
 }
 
 impl Group {
-    /// Asks all ranks for all that the coordinator needs, through their agents only.
-    pub(super) async fn look(&self) -> Vec<Result<Look, Failure>> {
-        let looks = self.ways.iter().map(|way| async move {
-            match way {
-                Way::Own => self.engine.look().await,
-                Way::Far(agent, _) => agent.call(LOOK, [0; 0]).await,
+    /// Asks all ranks for what the coordinator needs, and those in `counted` for the experts chosen.
+    ///
+    /// Only through their agents, because counts are dear from anywhere else.
+    pub(super) async fn look(&self, counted: &[usize]) -> Vec<Result<Look, Failure>> {
+        let looks = self.ways.iter().enumerate().map(|(rank, way)| {
+            let counts = counted.contains(&rank);
+            async move {
+                match way {
+                    Way::Own => self.engine.look(counts).await,
+                    Way::Far(agent, _) => far_look(agent, counts).await,
+                }
             }
         });
         join_all(looks).await
@@ -140,8 +146,8 @@
     /// Experts that a rank holds.
     pub(super) async fn held(&self, rank: usize) -> Result<HeldExperts, Failure> {
         match &self.ways[rank] {
-            Way::Own => Ok(self.engine.look().await?.held),
-            Way::Far(agent, engine) => match agent.call::<_, Look>(LOOK, [0; 0]).await {
+            Way::Own => Ok(self.engine.look(false).await?.held),
+            Way::Far(agent, engine) => match far_look(agent, false).await {
                 Ok(look) => Ok(look.held),
                 Err(failure) => {
                     log::info!("rank {rank} is asked straight: {failure}");
@@ -179,7 +185,7 @@
     async fn order(&self, rank: usize, order: FencedOrder) -> Option<OrderAnswer> {
         let answer = match &self.ways[rank] {
             Way::Own => self.engine.order(order.clone()).await,
-            Way::Far(agent, engine) => match agent.call(ORDER, [&order]).await {
+            Way::Far(agent, engine) => match far_order(agent, &order).await {
                 Ok(answer) => Ok(answer),
                 // The engine itself does not answer.
                 Err(failure) if failure.kind == ErrorKind::UpstreamFailed => Err(failure),
@@ -199,3 +205,12 @@
         tokio::time::sleep(length).await;
     }
 }
+
+async fn far_look(agent: &PeerClient, counts: bool) -> Result<Look, Failure> {
+    let text: String = agent.call(LOOK, [counts]).await?;
+    compact::decode(&text)
+}
+
+async fn far_order(agent: &PeerClient, order: &FencedOrder) -> Result<OrderAnswer, Failure> {
+    agent.call(ORDER, [compact::encode(order)?]).await
+}
--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -203,7 +203,10 @@
         Command::Declare { version, .. } => ("declare", version.to_string()),
         Command::Zone { zone, serving } if *serving => ("open_zone", zone.to_string()),
         Command::Zone { zone, .. } => ("close_zone", zone.to_string()),
-        Command::Announce(said) => ("announce", format!("{} {} cold {} ms", said.upstream, said.stage, said.cold_ms)),
+        Command::Announce(said) => (
+            "announce",
+            format!("{} {} cold {} ms", said.upstream, said.stage, said.cold_ms),
+        ),
         Command::Withdraw(upstream) => ("withdraw", upstream.to_string()),
         Command::Expire { upstream, .. } => ("expire", upstream.to_string()),
     }
--- a/decision/experts/src/even/demand.rs
+++ b/decision/experts/src/even/demand.rs
@@ -13,39 +13,24 @@
 /// Choices of the last while.
 #[derive(Debug, Default)]
 pub struct ExpertDemand {
-    /// Counts of each rank since the start of its engine.
-    last: Vec<Option<RankCounts>>,
     recent: VecDeque<(Time, Vec<f64>)>,
-}
-
-#[derive(Clone, Debug)]
-struct RankCounts {
-    born: u64,
-    counts: Vec<u64>,
+    len: usize,
 }
 
 impl ExpertDemand {
-    /// Takes in the counts of all ranks, each with the start of its engine.
+    /// Takes in what ranks have chosen since they were last asked, layer after layer.
     pub fn observe<'a, I>(&mut self, ranks: I, now: Time)
     where
-        I: IntoIterator<Item = (u64, &'a [u64])>,
+        I: IntoIterator<Item = &'a [u32]>,
     {
         let mut sum: Vec<f64> = Vec::new();
-        for (rank, (born, counts)) in ranks.into_iter().enumerate() {
-            if self.last.len() <= rank {
-                self.last.resize(rank + 1, None);
-            }
+        for counts in ranks {
             sum.resize(sum.len().max(counts.len()), 0.0);
-            if let Some(last) = self.last[rank].as_ref().filter(|l| l.born == born) {
-                for ((sum, new), old) in sum.iter_mut().zip(counts).zip(&last.counts) {
-                    *sum += new.saturating_sub(*old) as f64;
-                }
+            for (sum, count) in sum.iter_mut().zip(counts) {
+                *sum += f64::from(*count);
             }
-            self.last[rank] = Some(RankCounts {
-                born,
-                counts: counts.to_vec(),
-            });
         }
+        self.len = self.len.max(sum.len());
         self.recent.push_back((now, sum));
         while self
             .recent
@@ -56,6 +41,16 @@
         }
     }
 
+    /// Experts of all layers, as far as they are known.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether nothing is known.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
     /// Choices of each expert, layer after layer; none if there are too few.
     pub fn counts(&self) -> Option<Vec<f64>> {
         let mut sum: Vec<f64> = Vec::new();
@@ -74,16 +69,10 @@
         is_enough(counts).then_some(&counts[..])
     }
 
-    /// Starts a new window, as after a change whose effect is to be seen.
+    /// Starts a new window, as after a change of the map or of the group.
     pub fn restart(&mut self) {
         self.recent.clear();
     }
-
-    /// Forgets what was chosen, as after the group was formed anew.
-    pub fn clear(&mut self) {
-        self.last.clear();
-        self.recent.clear();
-    }
 }
 
 fn is_enough(counts: &[f64]) -> bool {
--- a/decision/experts/src/even/switch.rs
+++ b/decision/experts/src/even/switch.rs
@@ -143,16 +143,19 @@
         if !self.order_all(ranks, &order).await {
             return false;
         }
+        let mut open: Vec<usize> = (0..ranks.size()).collect();
         for _ in 0..PREPARE_LOOKS {
             ranks.pause(PREPARE_PAUSE).await;
-            let reports = join_all((0..ranks.size()).map(|rank| ranks.report(rank))).await;
+            let reports = join_all(open.iter().map(|rank| ranks.report(*rank))).await;
             if reports.iter().flatten().any(|r| self.is_over(r)) {
                 return false;
             }
-            let ready = |r: &Option<EngineReport>| {
-                r.as_ref().is_some_and(|r| r.prepared == Some(self.version))
+            let lacks = |r: &Option<EngineReport>| {
+                r.as_ref().is_none_or(|r| r.prepared != Some(self.version))
             };
-            if reports.iter().all(ready) {
+            let left = open.iter().zip(&reports).filter(|(_, r)| lacks(r));
+            open = left.map(|(rank, _)| *rank).collect();
+            if open.is_empty() {
                 return true;
             }
         }
