--- a/app/src/fleet/agent/coordinate.rs
+++ b/app/src/fleet/agent/coordinate.rs
@@ -9,6 +9,7 @@
 };
 use pimentotide_instance::Clock;
 use pimentotide_model::Failure;
+use pimentotide_observe::Metrics;
 use serde::Serialize;
 
 use super::super::beacon::Seat;
@@ -53,6 +54,7 @@
 struct Coordinator {
     engine: EngineHandle,
     peers: Arc<Peers>,
+    metrics: Metrics,
     demand: ExpertDemand,
     clock: Clock,
     /// Seat for which the demand was observed.
@@ -65,10 +67,11 @@
 }
 
 /// Coordinates until it is aborted.
-pub(super) async fn coordinate(engine: EngineHandle, peers: Arc<Peers>) {
+pub(super) async fn coordinate(engine: EngineHandle, peers: Arc<Peers>, metrics: Metrics) {
     let mut coordinator = Coordinator {
         engine,
         peers,
+        metrics,
         demand: ExpertDemand::default(),
         clock: Clock::start(),
         seat: None,
@@ -193,6 +196,16 @@
             new: plan.placement,
         };
         let ending = switch.run(group).await;
+        let name = match ending {
+            SwitchEnding::Switched(_) => "switched",
+            SwitchEnding::NotPrepared => "not_prepared",
+            SwitchEnding::NotHeld => "not_held",
+            SwitchEnding::Undone => "undone",
+            SwitchEnding::GivenUp => "given_up",
+        };
+        self.metrics.count("agent.switches", ("ending", name), 1);
+        self.metrics
+            .time("agent.switch", ("ending", name), start.elapsed());
         match ending {
             SwitchEnding::NotPrepared => self.skip += VERSION_SKIP,
             SwitchEnding::Switched(_) => self.demand.restart(),
--- a/app/src/fleet/agent/mod.rs
+++ b/app/src/fleet/agent/mod.rs
@@ -21,6 +21,7 @@
 use actix_rt::task::JoinHandle;
 use pimentotide_instance::{PeerClient, PeerServer, PeerTimeouts, Token};
 use pimentotide_model::{ErrorKind, Failure};
+use pimentotide_observe::Metrics;
 
 use super::beacon::{AgentBeacon, Order};
 use super::datagram::Sender;
@@ -50,7 +51,11 @@
 
 impl AgentRole {
     /// Binds the address for calls and starts to look after the engine.
-    pub(super) async fn spawn(settings: &FleetSettings, path: &Path) -> Result<Self, FleetError> {
+    pub(super) async fn spawn(
+        settings: &FleetSettings,
+        path: &Path,
+        metrics: Metrics,
+    ) -> Result<Self, FleetError> {
         let token = Token::open(&settings.token).map_err(|e| {
             FleetError::Replica(Failure::new(ErrorKind::InvalidRequest, e.to_string()))
         })?;
@@ -70,7 +75,7 @@
             )),
             actix_rt::spawn(learn(replicas, peers.clone(), token, path.to_owned())),
             actix_rt::spawn(rescue::watch(engine.clone(), peers.clone())),
-            actix_rt::spawn(coordinate::coordinate(engine, peers)),
+            actix_rt::spawn(coordinate::coordinate(engine, peers, metrics)),
         ];
         Ok(Self { calls, tasks })
     }
--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -7,6 +7,7 @@
 use pimentotide_fleet::{Announcement, Command, Declaration, FleetState, Record, Reply};
 use pimentotide_instance::replica::ReplicaHandle;
 use pimentotide_model::{ErrorKind, Failure, Time, UpstreamName, ZoneName};
+use pimentotide_observe::Metrics;
 use pimentotide_platform::{Control, Held, read_configuration};
 use serde::Serialize;
 use tokio::time::Instant as Deadline;
@@ -26,6 +27,7 @@
 pub(super) struct Desk {
     replica: ReplicaHandle<FleetState>,
     roster: Roster,
+    metrics: Metrics,
     /// When this replica first saw each record with its present time.
     seen: Arc<Mutex<BTreeMap<UpstreamName, (Time, Instant)>>>,
     /// Room of ranks for experts by the configuration at this position.
@@ -41,10 +43,15 @@
 }
 
 impl Desk {
-    pub(super) fn new(replica: ReplicaHandle<FleetState>, roster: Roster) -> Self {
+    pub(super) fn new(
+        replica: ReplicaHandle<FleetState>,
+        roster: Roster,
+        metrics: Metrics,
+    ) -> Self {
         Self {
             replica,
             roster,
+            metrics,
             seen: Arc::default(),
             shape: Arc::default(),
         }
@@ -64,6 +71,15 @@
             Err(failure) => failure.to_string(),
         };
         let (order, subject) = describe(command);
+        let outcome = if result.is_ok() {
+            "replicated"
+        } else {
+            "failed"
+        };
+        self.metrics
+            .count("control.orders", ("outcome", outcome), 1);
+        self.metrics
+            .time("control.order", ("order", order), start.elapsed());
         let waited_ms = start.elapsed().as_millis();
         let ordered = Ordered {
             order,
--- a/app/src/fleet/control/mod.rs
+++ b/app/src/fleet/control/mod.rs
@@ -15,6 +15,7 @@
 use pimentotide_instance::replica::{Replica, ReplicaHandle, ReplicaOptions, module};
 use pimentotide_instance::{PeerServer, Token};
 use pimentotide_model::{ErrorKind, Failure, InstanceName};
+use pimentotide_observe::Metrics;
 use pimentotide_platform::{ControlServer, DirectoryServer};
 
 use super::{FleetError, FleetSettings, datagram};
@@ -47,7 +48,11 @@
 
 impl ControlRole {
     /// Starts the replica and its servers.
-    pub(super) async fn spawn(settings: &FleetSettings, path: &Path) -> Result<Self, FleetError> {
+    pub(super) async fn spawn(
+        settings: &FleetSettings,
+        path: &Path,
+        metrics: Metrics,
+    ) -> Result<Self, FleetError> {
         let token = Token::open(&settings.token).map_err(|e| {
             FleetError::Replica(Failure::new(ErrorKind::InvalidRequest, e.to_string()))
         })?;
@@ -62,7 +67,7 @@
         let options = replica_options(settings, token.clone())?;
         let replica = Replica::spawn(options, FleetState::default()).await?;
         let roster = Roster::open();
-        let desk = Desk::new(replica.clone(), roster.clone());
+        let desk = Desk::new(replica.clone(), roster.clone(), metrics);
         let members = membership::Members::new(replica.clone(), settings, token.clone());
         let own = module(replica.clone()).map_err(|e| FleetError::Methods(e.to_string()))?;
         let shared = methods::module(desk.clone(), members.clone())
--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -78,6 +78,13 @@
         self.call.received.elapsed().as_millis()
     }
 
+    /// Counts an answer and the time that it took.
+    pub(super) fn count_answer(&self, kind: &str) {
+        let metrics = self.state.metrics();
+        metrics.count("entry.requests", ("outcome", "answered"), 1);
+        metrics.time("entry.answer", ("kind", kind), self.call.received.elapsed());
+    }
+
     /// Instant at which the wait for an upstream ends.
     pub(super) fn limit(&self) -> Instant {
         self.state.clock().instant(self.policy.deadline) + ANSWER_MARGIN
@@ -214,6 +221,10 @@
                 step = give_up(ended, &self.policy);
             }
         }
+        let name = format!("{ended:?}").to_ascii_lowercase();
+        self.state
+            .metrics()
+            .count("entry.interruptions", ("ended", &name), 1);
         pimentotide_observe::event(
             "interrupted",
             &Interrupted {
--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -14,6 +14,7 @@
 use actix_rt::task::JoinHandle;
 use pimentotide_instance::Token;
 use pimentotide_model::{ErrorKind, Failure};
+use pimentotide_observe::Metrics;
 use pimentotide_platform::{FrontendOptions, FrontendServer};
 
 use super::replicas::Replicas;
@@ -48,7 +49,11 @@
 
 impl EntryRole {
     /// Binds the callers' address and follows the control replicas.
-    pub(super) fn spawn(settings: &FleetSettings, path: &Path) -> Result<Self, FleetError> {
+    pub(super) fn spawn(
+        settings: &FleetSettings,
+        path: &Path,
+        metrics: Metrics,
+    ) -> Result<Self, FleetError> {
         let token = Token::open(&settings.token).map_err(|e| {
             FleetError::Replica(Failure::new(ErrorKind::InvalidRequest, e.to_string()))
         })?;
@@ -60,7 +65,7 @@
             .listen
             .ready
             .ok_or(FleetError::NoAddress("listen.ready"))?;
-        let state = Arc::new(EntryState::new(settings));
+        let state = Arc::new(EntryState::new(settings, metrics));
         let options = FrontendOptions {
             callers,
             ready,
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use pimentotide_fleet::{Ended, Mismatch, Outcome, Policy, RouteKind, Step};
 use pimentotide_model::{ErrorKind, Failure, Ran};
+use pimentotide_observe::Metrics;
 use pimentotide_platform::{Call, Relay, Relayed};
 
 use super::attempt::{Attempt, Running, SendError};
@@ -101,7 +102,7 @@
         match self.prepare(call) {
             Ok((attempt, RouteKind::Streaming)) => streaming::run(attempt).await,
             Ok((attempt, _)) => run_whole(attempt).await,
-            Err((call, failure)) => refuse(&call, failure),
+            Err((call, failure)) => refuse(self.state.metrics(), &call, failure),
         }
     }
 
@@ -121,13 +122,15 @@
 }
 
 /// Logs a refusal and returns it.
-pub(super) fn refuse(call: &Call, failure: Failure) -> Relayed {
+pub(super) fn refuse(metrics: &Metrics, call: &Call, failure: Failure) -> Relayed {
+    let kind = failure.kind.to_string();
+    metrics.count("entry.requests", ("outcome", &kind), 1);
     pimentotide_observe::event(
         "refused",
         &Refused {
             request: &call.id,
             path: call.path(),
-            kind: failure.kind.to_string(),
+            kind,
             ran: failure.ran.to_string(),
             detail: &failure.detail,
             retry_ms: failure.retry.map(|r| r.as_millis()),
@@ -176,7 +179,7 @@
             Err(SendError::Refused(failure)) => {
                 return match failed {
                     Some(answer) => answer.into(),
-                    None => refuse(&attempt.call, failure),
+                    None => refuse(attempt.state.metrics(), &attempt.call, failure),
                 };
             }
         };
@@ -185,11 +188,11 @@
             (_, Some(answer)) => return answered(&attempt, &upstream, answer),
             (Step::Answer(kind), None) => {
                 let failure = attempt.failure(kind, &format!("{ended:?} at {upstream}"));
-                return refuse(&attempt.call, failure);
+                return refuse(attempt.state.metrics(), &attempt.call, failure);
             }
             (Step::Pass, None) => {
                 let failure = attempt.failure(ErrorKind::UpstreamFailed, "no answer to pass on");
-                return refuse(&attempt.call, failure);
+                return refuse(attempt.state.metrics(), &attempt.call, failure);
             }
         }
     }
@@ -221,6 +224,7 @@
 }
 
 fn answered(attempt: &Attempt, upstream: &str, answer: WholeAnswer) -> Relayed {
+    attempt.count_answer("whole");
     pimentotide_observe::event(
         "answered",
         &Answered {
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -10,6 +10,7 @@
 };
 use pimentotide_instance::Clock;
 use pimentotide_model::{ErrorKind, Failure, ServiceName, Time, ZoneName};
+use pimentotide_observe::Metrics;
 use pimentotide_platform::read_configuration;
 use tokio::sync::Notify;
 
@@ -26,6 +27,7 @@
 /// What an entry knows.
 pub(super) struct EntryState {
     clock: Clock,
+    metrics: Metrics,
     lease: Duration,
     held: Mutex<Known>,
     open: AtomicUsize,
@@ -47,7 +49,7 @@
 }
 
 impl EntryState {
-    pub(super) fn new(settings: &FleetSettings) -> Self {
+    pub(super) fn new(settings: &FleetSettings, metrics: Metrics) -> Self {
         let bounds = &settings.bounds;
         let budget = BudgetOptions {
             ratio: bounds.repeat_ratio,
@@ -61,6 +63,7 @@
         balancer.set_entries(FIRST_ENTRIES);
         Self {
             clock: Clock::start(),
+            metrics,
             lease: settings.lease(),
             held: Mutex::new(Known {
                 table: None,
@@ -82,6 +85,10 @@
         self.clock.now()
     }
 
+    pub(super) fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     pub(super) fn clock(&self) -> Clock {
         self.clock
     }
@@ -162,12 +169,16 @@
         let now = self.now();
         let ejected = self.known().balancer.ended(ticket, outcome, now);
         if ejected {
+            self.metrics
+                .count("entry.ejections", ("scope", "upstream"), 1);
             log::info!("upstream {} ejected after failures", ticket.upstream);
         }
     }
 
     pub(super) fn enter(self: &Arc<Self>) -> OpenRequest {
-        self.open.fetch_add(1, Ordering::Relaxed);
+        let open = self.open.fetch_add(1, Ordering::Relaxed) + 1;
+        self.metrics
+            .gauge("entry.open", ("scope", "requests"), open as u64);
         OpenRequest(self.clone())
     }
 
--- a/app/src/fleet/entry/streaming.rs
+++ b/app/src/fleet/entry/streaming.rs
@@ -73,6 +73,12 @@
                 run.start(answer.body, answer.unframed, held);
                 match run.next().await {
                     Next::Events(events) => {
+                        let waited = run.attempt.call.received.elapsed();
+                        run.attempt.state.metrics().time(
+                            "entry.first_event",
+                            ("kind", "stream"),
+                            waited,
+                        );
                         run.ready = events;
                         return Relayed::Streamed {
                             status,
@@ -93,7 +99,9 @@
                 }
             }
             Err(SendError::Ended(ended, upstream)) => (ended, upstream),
-            Err(SendError::Refused(failure)) => return refuse(&run.attempt.call, failure),
+            Err(SendError::Refused(failure)) => {
+                return refuse(run.attempt.state.metrics(), &run.attempt.call, failure);
+            }
         };
         match run.attempt.after(ended, &upstream, 0) {
             Step::Again => run.cursor.restart(),
@@ -101,13 +109,13 @@
                 let failure = run
                     .attempt
                     .failure(kind, &format!("{ended:?} at {upstream}"));
-                return refuse(&run.attempt.call, failure);
+                return refuse(run.attempt.state.metrics(), &run.attempt.call, failure);
             }
             Step::Pass => {
                 let failure = run
                     .attempt
                     .failure(ErrorKind::UpstreamFailed, "the stream broke off");
-                return refuse(&run.attempt.call, failure);
+                return refuse(run.attempt.state.metrics(), &run.attempt.call, failure);
             }
         }
     }
@@ -136,6 +144,7 @@
             held.end(Outcome::Failed);
             let detail = format!("{upstream} broke off its answer {status}");
             refuse(
+                attempt.state.metrics(),
                 &attempt.call,
                 attempt.failure(ErrorKind::UpstreamFailed, &detail),
             )
@@ -220,6 +229,7 @@
 
     fn finish(&mut self) {
         if let Some(source) = self.source.take() {
+            self.attempt.count_answer("stream");
             pimentotide_observe::event(
                 "answered",
                 &Answered {
--- a/app/src/fleet/mod.rs
+++ b/app/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod entry;
 mod news;
 mod replicas;
+mod scrape;
 mod settings;
 
 use std::path::{Path, PathBuf};
@@ -75,6 +76,7 @@
     let _logs = Logs::open(&settings.log)?;
     let mut stop = crate::signal::stops();
     actix_rt::spawn(note_reloads(path.to_owned()));
+    let metrics = scrape::serve(settings.metrics)?;
     let ready = Ready {
         instance: &settings.instance,
         zone: &settings.zone,
@@ -82,21 +84,21 @@
     };
     match settings.role {
         RoleKind::Control => {
-            let role = control::ControlRole::spawn(&settings, path).await?;
+            let role = control::ControlRole::spawn(&settings, path, metrics).await?;
             pimentotide_observe::event("ready", &ready);
             stop.recv().await;
             pimentotide_observe::event("stopping", &());
             role.stop().await;
         }
         RoleKind::Entry => {
-            let role = entry::EntryRole::spawn(&settings, path)?;
+            let role = entry::EntryRole::spawn(&settings, path, metrics)?;
             pimentotide_observe::event("ready", &ready);
             stop.recv().await;
             pimentotide_observe::event("stopping", &());
             role.stop().await;
         }
         RoleKind::Agent => {
-            let role = agent::AgentRole::spawn(&settings, path).await?;
+            let role = agent::AgentRole::spawn(&settings, path, metrics).await?;
             pimentotide_observe::event("ready", &ready);
             stop.recv().await;
             pimentotide_observe::event("stopping", &());
--- a/app/src/fleet/settings.rs
+++ b/app/src/fleet/settings.rs
@@ -88,6 +88,9 @@
     pub bounds: Bounds,
     /// Secret of the deployment.
     pub token: String,
+    /// Address at which scrapers read metrics.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
     /// Log levels.
     #[serde(default = "default_log")]
     pub log: String,
--- a/peers/upstream/src/transport.rs
+++ b/peers/upstream/src/transport.rs
@@ -86,7 +86,8 @@
     let text = String::from_utf8_lossy(head).to_ascii_lowercase();
     let status = text.split(' ').nth(1).unwrap_or_default();
     let bodiless = status.starts_with('1') || status == "204" || status == "304";
-    let framed = |line: &str| line.starts_with("content-length:") || line.starts_with("transfer-encoding:");
+    let framed =
+        |line: &str| line.starts_with("content-length:") || line.starts_with("transfer-encoding:");
     head.starts_with(VERSION) && !bodiless && !text.lines().any(framed)
 }
 
--- a/support/observe/src/metrics.rs
+++ b/support/observe/src/metrics.rs
@@ -1,4 +1,4 @@
-//! Counters, gauges and timings for StatsD.
+//! Counters, gauges and timings, for StatsD or for scrapers.
 
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
@@ -7,6 +7,8 @@
 use cadence::{BufferedUdpMetricSink, Counted, Gauged, QueuingMetricSink, StatsdClient, Timed};
 use derive_more::Display;
 
+use crate::Exposition;
+
 /// Prefix of every metric.
 const PREFIX: &str = "pimentotide";
 
@@ -49,6 +51,16 @@
         })
     }
 
+    /// Adds up for scrapers; the second value renders what was added up.
+    pub fn expose() -> (Self, Exposition) {
+        let exposition = Exposition::default();
+        let client = StatsdClient::from_sink(PREFIX, exposition.clone());
+        let metrics = Self {
+            client: Some(Arc::new(client)),
+        };
+        (metrics, exposition)
+    }
+
     /// Adds to a counter.
     pub fn count(&self, name: &str, tag: (&str, &str), by: i64) {
         if let Some(client) = &self.client {
--- /dev/null
+++ b/support/observe/tests/it/main.rs
@@ -0,0 +1,3 @@
+//! Tests of logs and metrics.
+
+mod exposition;
