--- /dev/null
+++ b/app/tests/it/fleet.rs
@@ -0,0 +1,279 @@
+//! Processes of a deployment whose upstreams announce themselves, over loopback sockets.
+//!
+//! Three control replicas and an entry run as processes of their own, upstreams
+//! are stand-ins of this test. What is said on the wire stands in the adapter's
+//! fixtures, because only the adapter knows those names.
+
+use std::fs;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use insta::assert_snapshot;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Longest wait for something that has to come about.
+const PATIENCE: Duration = Duration::from_secs(30);
+const CONTROLS: [u8; 3] = [1, 2, 3];
+const ENTRY: u8 = 4;
+
+fn fixture(name: &str, values: &[(&str, &str)]) -> String {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../platform/tests/fixtures");
+    let mut text = fs::read_to_string(folder.join(name)).unwrap();
+    for (key, value) in values {
+        text = text.replace(&format!("{{{key}}}"), value);
+    }
+    let (head, body) = text.split_once("\n\n").unwrap();
+    let body = body.strip_suffix('\n').unwrap_or(body);
+    let chunked = head.contains("chunked");
+    let body = if chunked {
+        body.replace("\n", "\r\n")
+    } else {
+        body.to_owned()
+    };
+    let head = head
+        .replace("{length}", &body.len().to_string())
+        .replace('\n', "\r\n");
+    format!("{head}\r\n\r\n{body}")
+}
+
+/// A process that is killed when dropped.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+struct Deployment {
+    folder: tempfile::TempDir,
+    port: u16,
+    controls: Vec<Process>,
+    entry: Process,
+}
+
+impl Deployment {
+    /// Starts all processes on addresses of their own.
+    fn start(network: u8) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        // Free on the first address, and so, most likely, on the others of this network.
+        let port = std::net::TcpListener::bind((ip(network, 1), 0)).unwrap();
+        let port = port.local_addr().unwrap().port().clamp(2_000, 60_000);
+        let start = |host: u8, role: &str| {
+            let path = settings(folder.path(), network, host, port, role);
+            Process(spawn(&path))
+        };
+        let controls = CONTROLS.map(|host| start(host, "control")).into();
+        let entry = start(ENTRY, "entry");
+        Self {
+            port,
+            controls,
+            entry,
+            folder,
+        }
+    }
+
+    fn address(&self, network: u8, host: u8, offset: u16) -> SocketAddr {
+        SocketAddr::new(ip(network, host), self.port + offset)
+    }
+}
+
+fn ip(network: u8, host: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 9, network, host))
+}
+
+fn settings(folder: &Path, network: u8, host: u8, port: u16, role: &str) -> PathBuf {
+    let own = ip(network, host);
+    let seeds: Vec<String> = CONTROLS
+        .map(|c| format!("\"{}:{}\"", ip(network, c), port + 2))
+        .into();
+    let text = format!(
+        "role: {role}\ninstance: i{host}\nzone: z1\nip: {own}\nports: [{port}, {}]\nseeds: [{}]\n\
+         first_start: true\ndata: {}\nlisten: {{callers: \"{own}:{}\", ready: \"{own}:{}\", \
+         control: \"{own}:{}\", directory: \"{own}:{}\"}}\ntoken: token-of-this-test\n\
+         bounds: {{revoke_ms: 5000, grace_s: 4}}\n",
+        port + 1,
+        seeds.join(", "),
+        folder.join(format!("data{host}")).display(),
+        port + 4,
+        port + 5,
+        port + 2,
+        port + 3,
+    );
+    let path = folder.join(format!("{role}{host}.yaml"));
+    fs::write(&path, text).unwrap();
+    path
+}
+
+fn spawn(path: &Path) -> Child {
+    let log = fs::File::create(path.with_extension("log")).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_pimentotide"))
+        .arg("serve")
+        .arg(path)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().unwrap())
+        .stderr(log)
+        .spawn()
+        .unwrap()
+}
+
+/// Sends a request and returns the answer without its date.
+async fn ask(address: SocketAddr, request: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    stream.write_all(request.as_bytes()).await.ok()?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.ok()?;
+    let text = String::from_utf8_lossy(&answer).into_owned();
+    let lines = text.split("\r\n").filter(|line| !line.starts_with("date:"));
+    Some(lines.collect::<Vec<_>>().join("\n"))
+}
+
+/// Asks until the answer begins with `start`.
+async fn until(address: SocketAddr, request: &str, start: &str) -> String {
+    let limit = Instant::now() + PATIENCE;
+    loop {
+        let answer = ask(address, request).await;
+        if let Some(answer) = answer.as_ref().filter(|a| a.starts_with(start)) {
+            return answer.clone();
+        }
+        assert!(
+            Instant::now() < limit,
+            "{address} answered {answer:?} instead of {start}"
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Stand-in that gives each connection the answer of its path; notes the requests.
+async fn stand_in(name: &str) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let notes: Arc<Mutex<Vec<String>>> = Arc::default();
+    let (noted, name) = (notes.clone(), name.to_owned());
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut bytes = vec![0; 4_096];
+            let mut length = 0;
+            while !bytes[..length].ends_with(b"hello") {
+                match stream.read(&mut bytes[length..]).await {
+                    Ok(0) | Err(_) => break,
+                    Ok(n) => length += n,
+                }
+            }
+            let request = String::from_utf8_lossy(&bytes[..length]).into_owned();
+            let rest = request.to_ascii_lowercase().contains("last-event-id: 1");
+            let answer = if request.starts_with("POST /a/") {
+                fixture("answer.http", &[("name", &name)])
+            } else if rest {
+                fixture("events_rest.http", &[])
+            } else {
+                fixture("events_cut.http", &[])
+            };
+            noted.lock().unwrap().push(request);
+            // The entry may have gone.
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    (address, notes)
+}
+
+async fn announce(control: SocketAddr, name: &str, address: SocketAddr) {
+    let address = address.to_string();
+    let values = [("name", name), ("address", &address[..]), ("sequence", "1")];
+    until(control, &fixture("announce.http", &values), "HTTP/1.1 200").await;
+}
+
+#[tokio::test]
+async fn a_request_is_served_through_lost_replicas_closed_zones_and_a_stop() {
+    const NETWORK: u8 = 1;
+    let mut deployment = Deployment::start(NETWORK);
+    let port = deployment.port + 2;
+    let control = move |host| SocketAddr::new(ip(NETWORK, host), port);
+    let entry = deployment.address(NETWORK, ENTRY, 4);
+    let declare = |version| fixture("declare.http", &[("version", version)]);
+    let declared = until(control(1), &declare("7"), "HTTP/1.1 200").await;
+    let (address, notes) = stand_in("u1").await;
+    announce(control(2), "u1", address).await;
+
+    let call = fixture("call.http", &[("key", "k1")]);
+    let served = until(entry, &call, "HTTP/1.1 200").await;
+    let unknown = ask(entry, &fixture("call.http", &[("key", "k9")]))
+        .await
+        .unwrap();
+    let resolve = fixture("resolve.http", &[]);
+    let resolved = until(deployment.address(NETWORK, 3, 3), &resolve, "HTTP/1.1 200").await;
+    let resolved = resolved.replace(&entry.to_string(), "ENTRY");
+    assert!(
+        !notes.lock().unwrap().iter().any(|r| r.contains("k1")),
+        "the key was passed on"
+    );
+
+    // One replica of three is lost: orders and requests go on.
+    deployment.controls.pop();
+    until(control(1), &declare("8"), "HTTP/1.1 200").await;
+    let read = until(control(2), &fixture("read.http", &[]), "HTTP/1.1 200").await;
+    assert!(read.contains("\"version\":8"), "{read}");
+    until(entry, &call, "HTTP/1.1 200").await;
+
+    until(control(2), &fixture("close_zone.http", &[]), "HTTP/1.1 200").await;
+    let closed = until(entry, &call, "HTTP/1.1 503").await;
+
+    // A planned stop: not ready at once, and an end in order.
+    let ready = fixture("ready.http", &[]);
+    until(
+        deployment.address(NETWORK, ENTRY, 5),
+        &ready,
+        "HTTP/1.1 200",
+    )
+    .await;
+    let id = deployment.entry.0.id().to_string();
+    assert!(
+        Command::new("kill")
+            .args(["-TERM", &id])
+            .status()
+            .unwrap()
+            .success()
+    );
+    until(
+        deployment.address(NETWORK, ENTRY, 5),
+        &ready,
+        "HTTP/1.1 503",
+    )
+    .await;
+    let ended = tokio::task::spawn_blocking(move || deployment.entry.0.wait().unwrap());
+    let ended = tokio::time::timeout(PATIENCE, ended)
+        .await
+        .unwrap()
+        .unwrap();
+    assert!(ended.success(), "{ended}");
+    assert_snapshot!([declared, served, unknown, resolved, closed].join("\n---\n"));
+}
+
+#[tokio::test]
+async fn a_stream_that_is_cut_goes_on_at_another_upstream() {
+    const NETWORK: u8 = 2;
+    let deployment = Deployment::start(NETWORK);
+    let control = deployment.address(NETWORK, 1, 2);
+    let entry = deployment.address(NETWORK, ENTRY, 4);
+    until(
+        control,
+        &fixture("declare.http", &[("version", "7")]),
+        "HTTP/1.1 200",
+    )
+    .await;
+    let (first, _) = stand_in("u1").await;
+    let (second, _) = stand_in("u2").await;
+    announce(control, "u1", first).await;
+    announce(control, "u2", second).await;
+    let call = fixture("call.http", &[("key", "k1")]);
+    until(entry, &call, "HTTP/1.1 200").await;
+    let stream = ask(entry, &fixture("stream.http", &[])).await.unwrap();
+    assert_snapshot!(stream);
+    assert!(deployment.folder.path().exists());
+}
--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -1,5 +1,7 @@
 //! Integration tests of the binary's library.
 
+mod fleet;
+mod fleet_settings;
 mod local;
 mod operator;
 mod options;
