A request goes back to an upstream that it was sent to if there is no other; events are written before a stream breaks off

Cause: seen by the test of a cut stream: with one upstream known the stream broke off with no_upstream, and the event that had been passed on was dropped with the connection.

--- a/app/src/fleet/entry/streaming.rs
+++ b/app/src/fleet/entry/streaming.rs
@@ -174,6 +174,8 @@
                 run.attempt.call.id,
                 run.cursor.passed()
             );
+            // Lets the server write out the events before the error drops them.
+            tokio::task::yield_now().await;
             return Some((Err(failure), None));
         }
     }
--- a/decision/fleet/src/balancer.rs
+++ b/decision/fleet/src/balancer.rs
@@ -43,7 +43,7 @@
 pub struct Ask<'a> {
     /// Service.
     pub service: &'a ServiceName,
-    /// Upstreams that it was sent to already.
+    /// Upstreams that it was sent to already; chosen only if there is no other.
     pub tried: &'a [UpstreamName],
     /// Whether it may wait at an upstream that is full.
     pub patient: bool,
@@ -189,11 +189,14 @@
             .filter(|u| u.record.said.service == *ask.service)
             .filter(|u| u.record.said.stage == Stage::Ready && !u.gone)
             .filter(|u| !self.closed.contains(&u.record.said.zone))
-            .filter(|u| !ask.tried.contains(&u.record.said.upstream))
             .collect();
         if fit.is_empty() {
             return Err(Refusal::Empty);
         }
+        let is_new = |u: &Upstream| !ask.tried.contains(&u.record.said.upstream);
+        if fit.iter().any(|u| is_new(u)) {
+            fit.retain(|u| is_new(u));
+        }
         let ejected = fit.iter().filter(|u| !u.health.admits(now)).count();
         if ejected < fit.len() && ejected as f64 <= fit.len() as f64 * MOST_EJECTED {
             fit.retain(|u| u.health.admits(now));
