Linter's findings; the test's ports lie below those of outgoing connections

Cause of the test that failed once: a connection of the test to a loopback address takes that address as its source, and took the port that a replica was to bind (log: address already in use).

--- a/app/src/fleet/agent/engine.rs
+++ b/app/src/fleet/agent/engine.rs
@@ -104,7 +104,7 @@
         let report = self.report().await?;
         let chosen = if counts {
             let picked = self.ask(Ask::Picked).await?;
-            self.since_last(report.born, picked)
+            self.since_last(report.born, &picked)
         } else {
             None
         };
@@ -116,7 +116,7 @@
     }
 
     /// Choices since the last counts; none if the engine or its group has started anew.
-    fn since_last(&self, born: u64, picked: PickedExperts) -> Option<Vec<u32>> {
+    fn since_last(&self, born: u64, picked: &PickedExperts) -> Option<Vec<u32>> {
         let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
         let old = last.replace((born, picked.clone()));
         let (_, old) = old.filter(|(b, old)| *b == born && old.epoch == picked.epoch)?;
--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -31,9 +31,12 @@
     /// When this replica first saw each record with its present time.
     seen: Arc<Mutex<BTreeMap<UpstreamName, (Time, Instant)>>>,
     /// Room of ranks for experts by the configuration at this position.
-    shape: Arc<Mutex<Option<(u64, Option<Shape>)>>>,
+    shape: Arc<Mutex<Option<KnownShape>>>,
 }
 
+/// Room for experts by the configuration at a position in the log.
+type KnownShape = (u64, Option<Shape>);
+
 #[derive(Serialize)]
 struct Ordered<'a> {
     order: &'a str,
@@ -153,11 +156,11 @@
         let declaration = read_configuration(&document)
             .map_err(|e| Failure::new(ErrorKind::Internal, e.to_string()))?;
         let engines = declaration.services.values().filter_map(|s| s.engine);
-        let shape = engines.filter(|e| e.experts > 0).map(|e| Shape {
+        let mut shape = engines.filter(|e| e.experts > 0).map(|e| Shape {
             places: usize::from(e.places),
             spare: usize::from(e.spare),
         });
-        let shape = shape.last();
+        let shape = shape.next_back();
         *self.shape.lock().unwrap_or_else(PoisonError::into_inner) = Some((index, shape));
         Ok(shape)
     }
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -42,27 +42,27 @@
         Self { state }
     }
 
-    fn prepare(&self, call: Call) -> Result<(Attempt, RouteKind), (Call, Failure)> {
+    fn prepare(&self, call: Call) -> Result<(Attempt, RouteKind), Box<(Call, Failure)>> {
         if self.state.is_refusing() {
             let failure = Failure::new(ErrorKind::Stopping, "this entry stops");
-            return Err((call, failure.with_retry(RETRY_STOPPING)));
+            return Err(Box::new((call, failure.with_retry(RETRY_STOPPING))));
         }
         let table = match self.state.table() {
             Ok(table) => table,
             Err(failure) => {
                 let known = self.state.known().table.is_some();
                 let retry = if known { RETRY_STALE } else { RETRY_START };
-                return Err((call, failure.with_retry(retry)));
+                return Err(Box::new((call, failure.with_retry(retry))));
             }
         };
         let found = match table.find(&call.host, call.path(), call.key.as_deref()) {
             Ok(found) => found,
-            Err(mismatch) => return Err((call, mismatched(mismatch))),
+            Err(mismatch) => return Err(Box::new((call, mismatched(mismatch)))),
         };
         let draw = rand::random_range(0..found.weight().max(1));
         let Some(service) = found.service(draw).cloned() else {
             let failure = Failure::new(ErrorKind::Internal, "the route has no service");
-            return Err((call, failure.with_ran(Ran::No)));
+            return Err(Box::new((call, failure.with_ran(Ran::No))));
         };
         let patience = call.patience.unwrap_or(PATIENCE).min(found.route.timeout);
         let policy = Policy {
@@ -102,7 +102,10 @@
         match self.prepare(call) {
             Ok((attempt, RouteKind::Streaming)) => streaming::run(attempt).await,
             Ok((attempt, _)) => run_whole(attempt).await,
-            Err((call, failure)) => refuse(self.state.metrics(), &call, failure),
+            Err(refused) => {
+                let (call, failure) = *refused;
+                refuse(self.state.metrics(), &call, failure)
+            }
         }
     }
 
--- a/app/tests/it/fleet.rs
+++ b/app/tests/it/fleet.rs
@@ -43,6 +43,19 @@
 /// A process that is killed when dropped.
 struct Process(Child);
 
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            for entry in fs::read_dir(self.folder.path()).unwrap().flatten() {
+                if entry.path().extension().is_some_and(|e| e == "log") {
+                    let text = fs::read_to_string(entry.path()).unwrap_or_default();
+                    println!("{}:\n{text}", entry.path().display());
+                }
+            }
+        }
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         // It may have ended by itself.
@@ -62,9 +75,7 @@
     /// Starts all processes on addresses of their own.
     fn start(network: u8) -> Self {
         let folder = tempfile::tempdir().unwrap();
-        // Free on the first address, and so, most likely, on the others of this network.
-        let port = std::net::TcpListener::bind((ip(network, 1), 0)).unwrap();
-        let port = port.local_addr().unwrap().port().clamp(2_000, 60_000);
+        let port = free_ports(network);
         let start = |host: u8, role: &str| {
             let path = settings(folder.path(), network, host, port, role);
             Process(spawn(&path))
@@ -84,6 +95,21 @@
     }
 }
 
+/// First of six ports that are free on all addresses of a network.
+///
+/// Below the range from which connections to these addresses take theirs.
+fn free_ports(network: u8) -> u16 {
+    let first = u16::try_from(std::process::id() % 2_000).unwrap();
+    let free = |port: &u16| {
+        let mut places = (1..=ENTRY).flat_map(|host| (0..6).map(move |offset| (host, offset)));
+        places.all(|(host, offset)| {
+            std::net::TcpListener::bind((ip(network, host), port + offset)).is_ok()
+        })
+    };
+    let ports = (0..2_000).map(|n| 10_000 + (first + n) % 2_000 * 10);
+    ports.into_iter().find(free).unwrap()
+}
+
 fn ip(network: u8, host: u8) -> IpAddr {
     IpAddr::V4(Ipv4Addr::new(127, 9, network, host))
 }
