local: reserved ports lie below those of outgoing connections

Cause: a port that was reserved by binding and closing was taken by a connection before its listener bound it (address already in use; seen twice beside load).

--- a/app/src/local/deployment.rs
+++ b/app/src/local/deployment.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use futures_util::StreamExt;
@@ -327,9 +328,19 @@
 }
 
 /// Finds a free port, so that processes can name each other before they start.
-fn reserve_port() -> SocketAddr {
-    let bound = std::net::TcpListener::bind(any_port()).and_then(|l| l.local_addr());
-    bound.unwrap_or_else(|_| any_port())
+///
+/// It lies below the ports that connections take by themselves, so that none takes it meanwhile.
+pub fn reserve_port() -> SocketAddr {
+    const FIRST: u16 = 20_000;
+    const COUNT: u16 = 10_000;
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = (std::process::id() % u32::from(COUNT)) as u16;
+    let mut ports = (0..COUNT).map(|_| {
+        let next = NEXT.fetch_add(1, Ordering::Relaxed) % COUNT;
+        SocketAddr::from(([127, 0, 0, 1], FIRST + (start + next) % COUNT))
+    });
+    let free = ports.find(|port| std::net::TcpListener::bind(port).is_ok());
+    free.unwrap_or_else(any_port)
 }
 
 fn new_token() -> Token {
--- a/app/src/local/mod.rs
+++ b/app/src/local/mod.rs
@@ -17,7 +17,7 @@
 use crate::run::RolesError;
 use crate::signal;
 
-pub use deployment::Deployment;
+pub use deployment::{Deployment, reserve_port};
 
 /// Why a local deployment could not start.
 #[derive(Debug, Display, From)]
--- a/app/tests/it/local.rs
+++ b/app/tests/it/local.rs
@@ -1,11 +1,10 @@
 //! A whole deployment in this process, asked as a caller and an operator would.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use awc::Client;
-use pimentotide::local::Deployment;
+use pimentotide::local::{Deployment, reserve_port};
 use pimentotide::options::LocalOptions;
 use pimentotide_standin::Control;
 use serde_json::{Value, json};
@@ -16,21 +15,8 @@
 /// Time between two looks.
 const POLL: Duration = Duration::from_millis(50);
 
-/// Free port below the range from which connections take theirs, so that none takes it meanwhile.
-fn free_port() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let first = u16::try_from(std::process::id() % 2_500).expect("a small number");
-    let mut ports = (0..2_500).map(|_| {
-        let next = NEXT.fetch_add(1, Ordering::Relaxed);
-        SocketAddr::from(([127, 0, 0, 1], 30_000 + (first + next) % 2_500))
-    });
-    ports
-        .find(|port| std::net::TcpListener::bind(port).is_ok())
-        .expect("a free port")
-}
-
 async fn deployment() -> (Deployment, SocketAddr, SocketAddr) {
-    let (caller, operator) = (free_port(), free_port());
+    let (caller, operator) = (reserve_port(), reserve_port());
     let options = LocalOptions {
         caller,
         operator,
