--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -35,7 +35,7 @@
 /// Callers use the list of entries for up to three times the time that it may be kept.
 const LINGER: Duration = Duration::from_millis(4_500);
 /// Time before the end of the grace at which a process ends in any case.
-const MARGIN: Duration = Duration::from_millis(400);
+const MARGIN: Duration = Duration::from_millis(1_000);
 /// Pause between looks whether requests are under way.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -115,7 +115,7 @@
             task.abort();
         }
         // Connections still open end with the process.
-        let _ = tokio::time::timeout(MARGIN / 2, self.server.stop()).await;
+        let _ = tokio::time::timeout(MARGIN / 4, self.server.stop()).await;
     }
 }
 
