A switch is undone only after older coordinators are shut out

Now the pass is held again under the newer version first. Ruled out: orders carried out late (none was unanswered in the log). Where engines do not check fences nobody steps in.

--- a/app/src/fleet/agent/mod.rs
+++ b/app/src/fleet/agent/mod.rs
@@ -66,7 +66,8 @@
         let calls = PeerServer::bind(settings.calls(), token.clone(), [module]).await?;
         let replicas = Replicas::new(settings);
         let peers = Arc::new(Peers::new(settings.calls(), engine.clone(), token.clone()));
-        let tasks = vec![
+        let rescued = (engine.clone(), peers.clone());
+        let mut tasks = vec![
             actix_rt::spawn(beacons(
                 settings.clone(),
                 address,
@@ -74,9 +75,12 @@
                 engine.clone(),
             )),
             actix_rt::spawn(learn(replicas, peers.clone(), token, path.to_owned())),
-            actix_rt::spawn(rescue::watch(engine.clone(), peers.clone())),
             actix_rt::spawn(coordinate::coordinate(engine, peers, metrics)),
         ];
+        // Without fences a coordinator that wakes up could let a pass go meanwhile.
+        if settings.bounds.fenced {
+            tasks.push(actix_rt::spawn(rescue::watch(rescued.0, rescued.1)));
+        }
         Ok(Self { calls, tasks })
     }
 
--- a/app/src/fleet/settings.rs
+++ b/app/src/fleet/settings.rs
@@ -139,6 +139,8 @@
     pub keep_s: f64,
     /// Time for which a request stalls that depends on a dead upstream, ms.
     pub stall_ms: u64,
+    /// Whether engines refuse orders with an old fencing number.
+    pub fenced: bool,
 }
 
 impl Default for Bounds {
@@ -151,6 +153,7 @@
             repeat_allowance: 50.0,
             keep_s: 5.0,
             stall_ms: 1_500,
+            fenced: false,
         }
     }
 }
--- a/decision/experts/src/even/switch.rs
+++ b/decision/experts/src/even/switch.rs
@@ -10,8 +10,9 @@
 //!    pass begins nowhere.
 //! 3. Every rank is armed for that pass.
 //! 4. If all have confirmed, the pass is let go: all switch as it begins.
-//! 5. Otherwise every rank is disarmed and prepares the old map under a newer
-//!    version. An arming still under way then names a version that is no longer
+//! 5. Otherwise the pass is held back again under a newer version, which shuts
+//!    older coordinators out, and every rank is disarmed and prepares the old map
+//!    under that version. An arming still under way then names a version that is no longer
 //!    prepared and a fencing number that is too low, so it can not be carried
 //!    out any more. Only when all have confirmed is the pass let go.
 //!
@@ -256,6 +257,9 @@
     where
         R: Ranks,
     {
+        if !self.take_over(ranks, step).await {
+            return Ending::GivenUp;
+        }
         let mut open: Vec<usize> = (0..ranks.size()).collect();
         for _ in 0..UNDO_ATTEMPTS {
             let settled = join_all(open.iter().map(|rank| self.settle(ranks, *rank))).await;
@@ -276,6 +280,24 @@
         Ending::GivenUp
     }
 
+    /// Holds the pass back under this version, which shuts every older coordinator out.
+    ///
+    /// Only then may a rank be disarmed: otherwise an older one could let the pass go
+    /// meanwhile. Fails if the pass has begun or a newer coordinator has taken over.
+    async fn take_over<R>(&self, ranks: &R, step: u64) -> bool
+    where
+        R: Ranks,
+    {
+        for _ in 0..UNDO_ATTEMPTS {
+            let hold = self.fenced(EngineOrder::Hold { step });
+            match ranks.order(OWN, hold).await {
+                Some(answer) => return answer == OrderAnswer::Accepted,
+                None => ranks.pause(PAUSE).await,
+            }
+        }
+        false
+    }
+
     /// Disarms one rank and has it prepare the map in use under this version.
     async fn settle<R>(&self, ranks: &R, rank: usize) -> Settled
     where
--- a/decision/experts/tests/it/even_group.rs
+++ b/decision/experts/tests/it/even_group.rs
@@ -49,6 +49,8 @@
     lapses: Lapses,
     /// Orders after which the coordinator stands still.
     life: Option<u32>,
+    /// Whether orders take a random number of turns to arrive.
+    slow: bool,
     broken: Option<String>,
     most_held: u64,
     waited: u64,
@@ -82,6 +84,7 @@
                 trouble,
                 lapses,
                 life: None,
+                slow: false,
                 broken: None,
                 most_held: 0,
                 waited: 0,
@@ -94,6 +97,34 @@
         self.state.borrow_mut().life = orders;
     }
 
+    /// Orders and reports take turns, so that two coordinators interleave.
+    pub(crate) fn set_slow(&self) {
+        self.state.borrow_mut().slow = true;
+    }
+
+    /// Waits for a random number of turns.
+    async fn travel(&self) {
+        let turns = {
+            let mut state = self.state.borrow_mut();
+            if state.slow {
+                state.rng.random_range(0..6)
+            } else {
+                0
+            }
+        };
+        for _ in 0..turns {
+            let mut waited = false;
+            std::future::poll_fn(|_| {
+                if std::mem::replace(&mut waited, true) {
+                    std::task::Poll::Ready(())
+                } else {
+                    std::task::Poll::Pending
+                }
+            })
+            .await;
+        }
+    }
+
     /// Lets `passes` passes begin if none is held back.
     pub(crate) fn run(&self, passes: u64) {
         let mut state = self.state.borrow_mut();
@@ -311,7 +342,9 @@
     }
 
     async fn report(&self, rank: usize) -> Option<EngineReport> {
-        Some(self.state.borrow().report(rank))
+        let report = self.state.borrow().report(rank);
+        self.travel().await;
+        Some(report)
     }
 
     async fn order(&self, rank: usize, order: FencedOrder) -> Option<OrderAnswer> {
@@ -329,7 +362,10 @@
         if dead {
             std::future::pending::<()>().await;
         }
-        self.state.borrow_mut().order(rank, order)
+        self.travel().await;
+        let answer = self.state.borrow_mut().order(rank, order);
+        self.travel().await;
+        answer
     }
 
     async fn pause(&self, _length: Duration) {
--- a/decision/experts/tests/it/even_switch.rs
+++ b/decision/experts/tests/it/even_switch.rs
@@ -1,8 +1,12 @@
 //! No pass begins under two maps, whatever becomes of the orders of a switch.
 
+use std::future::Future;
+
 use futures_util::FutureExt;
 use insta::assert_snapshot;
 use pimentotide_experts::{Placement, Switch, SwitchEnding};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 use crate::even_group::{Group, Lapses, Trouble};
 
@@ -138,3 +142,65 @@
     assert!(breaks(no_hold) > 0);
     assert!(breaks(no_fence) > 0);
 }
+
+/// A coordinator wakes up while another agent undoes its switch; their orders interleave.
+///
+/// Seen in an incident: some ranks were disarmed when the old coordinator let the pass go.
+#[test]
+fn a_coordinator_that_wakes_up_meets_the_one_that_undoes_its_switch() {
+    let (mut undone, mut switched) = (0, 0);
+    for seed in 0..6_000 {
+        let trouble = if seed % 2 == 0 { CALM } else { ROUGH };
+        let group = group(seed, trouble, Lapses::default());
+        group.set_slow();
+        let mut rng = ChaCha8Rng::seed_from_u64(seed + 1_000_000);
+        let (old, _) = maps();
+        let forth = switch(7);
+        let back = Switch {
+            version: 200,
+            new: old,
+            ..switch(7)
+        };
+        let mut first = Some(Box::pin(forth.run(&group)));
+        let mut second = None;
+        let mut waker = std::task::Context::from_waker(std::task::Waker::noop());
+        for _ in 0..400 {
+            // The first stands still at times, so that the second gets ahead.
+            if rng.random_range(0..3) == 0
+                && let Some(running) = &mut first
+                && running.as_mut().poll(&mut waker).is_ready()
+            {
+                first = None;
+            }
+            if second.is_none()
+                && let Some(step) = group.held()
+                && rng.random_range(0..30) == 0
+            {
+                second = Some(Box::pin(back.undo(&group, step)));
+            }
+            if let Some(running) = &mut second
+                && let std::task::Poll::Ready(ending) = running.as_mut().poll(&mut waker)
+            {
+                undone += u32::from(ending == SwitchEnding::Undone);
+                break;
+            }
+            if rng.random_range(0..4) == 0 {
+                group.run(1);
+            }
+        }
+        if let Some(running) = &mut first {
+            for _ in 0..2_000 {
+                if running.as_mut().poll(&mut waker).is_ready() {
+                    break;
+                }
+            }
+        }
+        group.run(80);
+        switched += u32::from(group.version() == Some(7));
+        assert_eq!(group.broken(), None, "seed {seed}");
+    }
+    assert!(
+        undone > 500 && switched > 500,
+        "undone {undone}, switched {switched}"
+    );
+}
