--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -1,12 +1,13 @@
 //! What an entry knows, shared by its requests.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use pimentotide_fleet::{
-    Balancer, BalancerOptions, BudgetOptions, ColdLimit, Outcome, RepeatBudget, RouteTable, Ticket,
+    Balancer, BalancerOptions, BudgetOptions, ColdLimit, EntryCount, Outcome, RepeatBudget,
+    RouteTable, Ticket,
 };
 use pimentotide_instance::Clock;
 use pimentotide_model::{ErrorKind, Failure, ServiceName, Time, ZoneName};
@@ -19,11 +20,6 @@
 
 /// Requests that may wait at an upstream for each of its slots.
 const QUEUE: f64 = 2.0;
-/// Time for which the largest number of entries told counts, so that a replica that has just started does not widen limits.
-const ENTRIES_WINDOW: Duration = Duration::from_secs(20);
-/// Entries assumed before any replica has told their number.
-const FIRST_ENTRIES: usize = 16;
-
 /// What an entry knows.
 pub(super) struct EntryState {
     clock: Clock,
@@ -45,7 +41,7 @@
     seen: Seen,
     /// Time until which what is known may be acted on.
     until: Time,
-    entries: VecDeque<(Time, usize)>,
+    entries: EntryCount,
 }
 
 impl EntryState {
@@ -60,18 +56,21 @@
             zone: ZoneName::from(settings.zone.as_str()),
             queue: QUEUE,
         });
-        balancer.set_entries(FIRST_ENTRIES);
+        let clock = Clock::start();
+        let entries = EntryCount::new(clock.now());
+        let first = entries.get(clock.now());
+        balancer.set_entries(first, clock.now());
         Self {
-            clock: Clock::start(),
+            clock,
             metrics,
             lease: settings.lease(),
             held: Mutex::new(Known {
                 table: None,
                 balancer,
-                budget: RepeatBudget::new(budget, FIRST_ENTRIES),
+                budget: RepeatBudget::new(budget, first),
                 seen: Seen::default(),
                 until: Time::ZERO,
-                entries: VecDeque::new(),
+                entries,
             }),
             open: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
@@ -211,23 +210,11 @@
 }
 
 impl Known {
-    fn count_entries(&mut self, entries: usize, now: Time) {
-        self.entries.push_back((now, entries));
-        while self
-            .entries
-            .front()
-            .is_some_and(|(at, _)| now.since(*at) > ENTRIES_WINDOW)
-        {
-            self.entries.pop_front();
-        }
-        let most = self
-            .entries
-            .iter()
-            .map(|(_, n)| *n)
-            .max()
-            .unwrap_or(FIRST_ENTRIES);
-        self.balancer.set_entries(most);
-        self.budget.set_entries(most, now);
+    fn count_entries(&mut self, told: usize, now: Time) {
+        self.entries.tell(told, now);
+        let entries = self.entries.get(now);
+        self.balancer.set_entries(entries, now);
+        self.budget.set_entries(entries, now);
     }
 }
 
--- a/decision/fleet/src/balancer.rs
+++ b/decision/fleet/src/balancer.rs
@@ -24,8 +24,8 @@
 const MOST_EJECTED: f64 = 0.4;
 /// Time for which an upstream that refused for want of room is avoided.
 const FULL_PAUSE: Duration = Duration::from_millis(100);
-/// Requests that an entry may send to a cold upstream at once, at least.
-const LEAST_COLD_BURST: f64 = 2.0;
+/// Requests that an entry may send to a cold upstream at once, at least and at most.
+const COLD_BURST: (f64, f64) = (1.0, 2.0);
 /// Part of what a cold upstream bears that all entries together use.
 const COLD_PART: f64 = 0.8;
 
@@ -108,8 +108,17 @@
     }
 
     /// Number of entries among which limits are divided.
-    pub fn set_entries(&mut self, entries: usize) {
+    pub fn set_entries(&mut self, entries: usize, now: Time) {
+        if self.entries == entries.max(1) {
+            return;
+        }
         self.entries = entries.max(1);
+        for upstream in self.upstreams.values_mut() {
+            if let Some(cold) = &mut upstream.cold {
+                let (size, rate) = cold_share(cold.bears, self.entries);
+                cold.limit.resize(size, rate, now);
+            }
+        }
     }
 
     /// What upstreams of each service bear while they are cold.
@@ -158,10 +167,11 @@
         if cold_ms == 0 {
             upstream.cold = None;
         } else if let (true, Some(limit)) = (chilled, limit) {
-            let rate = limit.rate * COLD_PART / self.entries as f64;
+            let (size, rate) = cold_share(limit.rate, self.entries);
             upstream.cold = Some(Cold {
                 until: now + Duration::from_millis(u64::from(cold_ms)),
-                limit: RateLimit::new((rate / 2.0).max(LEAST_COLD_BURST), rate, now),
+                bears: limit.rate,
+                limit: RateLimit::new(size, rate, now),
             });
         }
         upstream
@@ -276,3 +286,9 @@
         ready.count()
     }
 }
+
+/// Requests at once and a second that one of `entries` may send to a cold upstream that bears `rate`.
+fn cold_share(rate: f64, entries: usize) -> (f64, f64) {
+    let share = rate * COLD_PART / entries as f64;
+    (share.clamp(COLD_BURST.0, COLD_BURST.1), share)
+}
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 mod balancer;
 mod budget;
 mod declaration;
+mod entries;
 mod members;
 mod rate;
 mod retry;
@@ -25,6 +26,7 @@
 pub use declaration::{
     ColdLimit, Declaration, Engine, Fault, Limits, Route, RouteKind, Service, Workspace,
 };
+pub use entries::EntryCount;
 pub use members::{MemberView, Repair, RepairOptions, repair};
 pub use rate::RateLimit;
 pub use retry::{Ended, Policy, Step, give_up, next_step};
--- a/decision/fleet/src/upstream.rs
+++ b/decision/fleet/src/upstream.rs
@@ -65,6 +65,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Cold {
     pub(crate) until: Time,
+    /// Requests a second that it bears from all entries together.
+    pub(crate) bears: f64,
     pub(crate) limit: RateLimit,
 }
 
--- a/decision/fleet/tests/it/balancer.rs
+++ b/decision/fleet/tests/it/balancer.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use pimentotide_fleet::{
-    Ask, Balancer, BalancerOptions, ColdLimit, Command, Load, Outcome, Refusal, Stage,
+    Ask, Balancer, BalancerOptions, ColdLimit, Command, EntryCount, Load, Outcome, Refusal, Stage,
 };
 use pimentotide_model::{Time, UpstreamName};
 use rand::SeedableRng;
@@ -186,6 +186,29 @@
 /// Nine entries together stay within what a cold upstream bears in every second.
 #[test]
 fn entries_together_spare_a_cold_upstream() {
+    let sent = spare_a_cold_upstream(|_, _| 9);
+    assert!(sent > 60, "{sent}");
+}
+
+/// After all processes were killed, replicas tell too few entries for a while.
+///
+/// Seen on a day of a hunt: one cold upstream was known, and got 65 requests in a second.
+#[test]
+fn a_number_of_entries_that_is_told_too_low_at_first_does_no_harm() {
+    let mut counts = vec![EntryCount::new(at(0)); 9];
+    let sent = spare_a_cold_upstream(move |entry, ms| {
+        let told = 1 + ms as usize / 200;
+        counts[entry].tell(told.min(9), at(ms));
+        counts[entry].get(at(ms))
+    });
+    assert!(sent > 20, "{sent}");
+}
+
+/// Plays nine entries that all want to send to one cold upstream; returns the requests sent.
+fn spare_a_cold_upstream<F>(mut entries_at: F) -> usize
+where
+    F: FnMut(usize, u64) -> usize,
+{
     let mut log = Log::default();
     let mut cold = said("u0", 80, 1, 1);
     cold.cold_ms = 3_000;
@@ -200,8 +223,8 @@
                 zone: "a".into(),
                 queue: 1_000.0,
             });
-            balancer.set_entries(9);
             balancer.set_colds([("advice".into(), limit)].into());
+            balancer.set_entries(32, at(0));
             balancer.learn_state(&log.state, at(0));
             balancer
         })
@@ -210,7 +233,8 @@
     let service = "advice".into();
     let mut sent = Vec::new();
     for ms in 0..2_900 {
-        for entry in &mut entries {
+        for (index, entry) in entries.iter_mut().enumerate() {
+            entry.set_entries(entries_at(index, ms), at(ms));
             let ask = Ask {
                 service: &service,
                 tried: &[],
@@ -234,5 +258,5 @@
         most.is_some_and(|most| most as f64 <= bound),
         "{most:?} > {bound}"
     );
-    assert!(sent.len() > 60, "{}", sent.len());
+    sent.len()
 }
