--- a/app/src/fleet/agent/mod.rs
+++ b/app/src/fleet/agent/mod.rs
@@ -20,7 +20,6 @@
 
 use actix_rt::task::JoinHandle;
 use pimentotide_instance::{PeerClient, PeerServer, PeerTimeouts, Token};
-use pimentotide_model::{ErrorKind, Failure};
 use pimentotide_observe::Metrics;
 
 use super::beacon::{AgentBeacon, Order};
@@ -56,9 +55,7 @@
         path: &Path,
         metrics: Metrics,
     ) -> Result<Self, FleetError> {
-        let token = Token::open(&settings.token).map_err(|e| {
-            FleetError::Replica(Failure::new(ErrorKind::InvalidRequest, e.to_string()))
-        })?;
+        let token = settings.secret()?;
         let address = settings.engine.ok_or(FleetError::NoAddress("engine"))?;
         let engine = EngineHandle::spawn(address);
         let module =
@@ -100,12 +97,8 @@
     replicas: Replicas,
     engine: EngineHandle,
 ) {
-    let sender = match Sender::bind(settings.ip).await {
-        Ok(sender) => sender,
-        Err(e) => {
-            log::error!("cannot send beacons: {e}");
-            return;
-        }
+    let Some(sender) = Sender::bind(settings.ip).await else {
+        return;
     };
     let mut order = Order::start();
     loop {
--- a/app/src/fleet/control/mod.rs
+++ b/app/src/fleet/control/mod.rs
@@ -14,7 +14,7 @@
 use pimentotide_fleet::FleetState;
 use pimentotide_instance::replica::{Replica, ReplicaHandle, ReplicaOptions, module};
 use pimentotide_instance::{PeerServer, Token};
-use pimentotide_model::{ErrorKind, Failure, InstanceName};
+use pimentotide_model::InstanceName;
 use pimentotide_observe::Metrics;
 use pimentotide_platform::{ControlServer, DirectoryServer};
 
@@ -53,9 +53,7 @@
         path: &Path,
         metrics: Metrics,
     ) -> Result<Self, FleetError> {
-        let token = Token::open(&settings.token).map_err(|e| {
-            FleetError::Replica(Failure::new(ErrorKind::InvalidRequest, e.to_string()))
-        })?;
+        let token = settings.secret()?;
         let control = settings
             .listen
             .control
--- a/app/src/fleet/datagram.rs
+++ b/app/src/fleet/datagram.rs
@@ -43,14 +43,15 @@
 }
 
 impl Sender {
-    /// Binds a free port of the instance.
-    ///
-    /// # Errors
-    ///
-    /// Fails if there is none.
-    pub(super) async fn bind(ip: IpAddr) -> std::io::Result<Self> {
-        let socket = UdpSocket::bind(SocketAddr::new(ip, 0)).await?;
-        Ok(Self { socket })
+    /// Binds a free port of the instance; none, with a log line, if that fails.
+    pub(super) async fn bind(ip: IpAddr) -> Option<Self> {
+        match UdpSocket::bind(SocketAddr::new(ip, 0)).await {
+            Ok(socket) => Some(Self { socket }),
+            Err(e) => {
+                log::error!("cannot send beacons: {e}");
+                None
+            }
+        }
     }
 
     /// Sends a beacon to all addresses; a lost one is made up for by the next.
--- a/app/src/fleet/entry/follow.rs
+++ b/app/src/fleet/entry/follow.rs
@@ -88,12 +88,8 @@
     callers: SocketAddr,
     settings: FleetSettings,
 ) {
-    let sender = match Sender::bind(settings.ip).await {
-        Ok(sender) => sender,
-        Err(e) => {
-            log::error!("cannot send beacons: {e}");
-            return;
-        }
+    let Some(sender) = Sender::bind(settings.ip).await else {
+        return;
     };
     let mut order = Order::start();
     loop {
--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -12,8 +12,6 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
-use pimentotide_instance::Token;
-use pimentotide_model::{ErrorKind, Failure};
 use pimentotide_observe::Metrics;
 use pimentotide_platform::{FrontendOptions, FrontendServer};
 
@@ -54,9 +52,7 @@
         path: &Path,
         metrics: Metrics,
     ) -> Result<Self, FleetError> {
-        let token = Token::open(&settings.token).map_err(|e| {
-            FleetError::Replica(Failure::new(ErrorKind::InvalidRequest, e.to_string()))
-        })?;
+        let token = settings.secret()?;
         let callers = settings
             .listen
             .callers
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -16,6 +16,8 @@
 use super::state::EntryState;
 use super::streaming;
 
+/// Rank of the least urgent requests at an upstream.
+const LEAST_URGENT: u8 = 9;
 /// Patience of a caller that does not tell it.
 const PATIENCE: Duration = Duration::from_secs(30);
 /// When a caller may come back to an entry that is not current; it will find another one.
@@ -76,7 +78,7 @@
         let attempt = Attempt {
             route: found.route.name.clone(),
             workspace: found.workspace.cloned(),
-            priority: None,
+            priority: Some(found.priority.min(LEAST_URGENT)),
             state: self.state.clone(),
             _open: self.state.enter(),
             service,
--- a/app/src/fleet/mod.rs
+++ b/app/src/fleet/mod.rs
@@ -31,6 +31,8 @@
 pub enum FleetError {
     /// Logging could not start.
     Logs(LogError),
+    /// The settings cannot be used.
+    Settings(FleetSettingsError),
     /// The settings lack an address that the role needs.
     #[display("the settings lack the address `{_0}`")]
     #[from(ignore)]
--- a/app/src/fleet/settings.rs
+++ b/app/src/fleet/settings.rs
@@ -184,7 +184,7 @@
             [first, last] if first < last => {}
             _ => return Err(FleetSettingsError::Ports(settings.ports)),
         }
-        Token::open(&settings.token).map_err(FleetSettingsError::Token)?;
+        settings.secret()?;
         Ok(settings)
     }
 
@@ -205,6 +205,15 @@
         needed.iter().find(|(_, lacks)| *lacks).map(|(key, _)| *key)
     }
 
+    /// Secret of the deployment.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it cannot be used, which [`parse`](Self::parse) has checked.
+    pub fn secret(&self) -> Result<Token, FleetSettingsError> {
+        Token::open(&self.token).map_err(FleetSettingsError::Token)
+    }
+
     /// Address for calls of the deployment's other processes.
     pub fn calls(&self) -> SocketAddr {
         self.calls_at(self.ip)
--- a/decision/fleet/src/balancer.rs
+++ b/decision/fleet/src/balancer.rs
@@ -267,24 +267,6 @@
         }
         eject
     }
-
-    /// Whether a request may still be sent on to this upstream.
-    pub fn is_in_service(&self, ticket: &Ticket) -> bool {
-        self.upstreams.get(&ticket.upstream).is_some_and(|u| {
-            u.record.said.born == ticket.born && !self.closed.contains(&u.record.said.zone)
-        })
-    }
-
-    /// Upstreams of a service that take new work.
-    pub fn count(&self, service: &ServiceName) -> usize {
-        let upstreams = self.upstreams.values();
-        let ready = upstreams.filter(|u| {
-            u.record.said.service == *service
-                && u.record.said.stage == Stage::Ready
-                && !self.closed.contains(&u.record.said.zone)
-        });
-        ready.count()
-    }
 }
 
 /// Requests at once and a second that one of `entries` may send to a cold upstream that bears `rate`.
