--- a/app/src/fleet/agent/coordinate.rs
+++ b/app/src/fleet/agent/coordinate.rs
@@ -115,17 +115,18 @@
         let counted = self.counted(usize::from(report.size));
         let looks: Result<Vec<Look>, Failure> = group.look(&counted).await.into_iter().collect();
         let looks = looks?;
+        let Some(first) = looks.first() else {
+            return Ok(());
+        };
         if looks.iter().any(|l| !is_in(&l.report, &seat)) {
             return Ok(());
         }
         let chosen = looks.iter().filter_map(|l| l.chosen.as_deref());
         self.demand.observe(chosen, self.clock.now());
         let placement = placement(&looks);
-        let steady = looks
-            .iter()
-            .all(|l| l.held.version == looks[0].held.version);
+        let steady = looks.iter().all(|l| l.held.version == first.held.version);
         let armed = looks.iter().any(|l| l.report.armed.is_some());
-        if let Some(step) = looks[0].report.held {
+        if let Some(step) = first.report.held {
             return self.release(&group, &looks, placement, step).await;
         }
         if steady && !armed {
