A stopping entry takes no request that it could not finish

Now requests are taken for 2.9 s and refused after that, and callers keep the list of entries for 1 s, so that those who keep it three times as long are gone by then. The phases are a decision with tests.

--- a/app/src/fleet/control/roster.rs
+++ b/app/src/fleet/control/roster.rs
@@ -14,8 +14,8 @@
 const SILENCE: Duration = Duration::from_millis(1_600);
 /// Silence after which a process is forgotten.
 const FORGET: Duration = Duration::from_secs(30);
-/// Time for which callers may keep the list; short, so that they soon learn of a lost entry.
-const KEEP: Duration = Duration::from_secs(2);
+/// Time for which callers may keep the list; some keep it three times as long, as long as a stopping entry takes requests.
+const KEEP: Duration = Duration::from_secs(1);
 /// Most addresses in one answer.
 const MAX_ADDRESSES: usize = 64;
 
--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
+use pimentotide_fleet::{StopPhase, stop_phase};
 use pimentotide_observe::Metrics;
 use pimentotide_platform::{FrontendOptions, FrontendServer};
 
@@ -28,12 +29,8 @@
 const SPARE_DESCRIPTORS: u64 = 400;
 /// Most callers' connections if the settings give no bound.
 const MAX_CONNECTIONS: usize = 2_000;
-/// Time after the signal for which new requests are still taken.
-///
-/// Callers use the list of entries for up to three times the time that it may be kept.
-const LINGER: Duration = Duration::from_millis(4_500);
-/// Time before the end of the grace at which a process ends in any case.
-const MARGIN: Duration = Duration::from_millis(1_000);
+/// Longest wait for the server to close its connections at the end of a stop.
+const CLOSING: Duration = Duration::from_millis(250);
 /// Pause between looks whether requests are under way.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -97,21 +94,19 @@
     pub(super) async fn stop(self) {
         let start = Instant::now();
         self.state.stop();
-        let end = start + self.grace.saturating_sub(MARGIN);
-        while Instant::now() < end {
+        loop {
             tokio::time::sleep(LOOK).await;
-            if start.elapsed() >= LINGER {
-                self.state.refuse_new();
-                if self.state.open_requests() == 0 {
-                    break;
-                }
+            match stop_phase(start.elapsed(), self.state.open_requests(), self.grace) {
+                StopPhase::Taking => {}
+                StopPhase::Refusing => self.state.refuse_new(),
+                StopPhase::Ended => break,
             }
         }
         for task in self.tasks {
             task.abort();
         }
         // Connections still open end with the process.
-        let _ = tokio::time::timeout(MARGIN / 4, self.server.stop()).await;
+        let _ = tokio::time::timeout(CLOSING, self.server.stop()).await;
     }
 }
 
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 mod retry;
 mod route;
 mod state;
+mod stop;
 mod upstream;
 
 pub use balancer::{Ask, Balancer, BalancerOptions, Choice, Refusal, Ticket};
@@ -32,4 +33,5 @@
 pub use retry::{Ended, Policy, Step, give_up, next_step};
 pub use route::{Match, Mismatch, RouteTable};
 pub use state::{Announcement, Command, Declared, FleetState, Record, Reply, Stage};
+pub use stop::{StopPhase, stop_phase};
 pub use upstream::{Load, Outcome};
--- a/decision/fleet/tests/it/main.rs
+++ b/decision/fleet/tests/it/main.rs
@@ -6,3 +6,4 @@
 mod members;
 mod retry;
 mod state;
+mod stop;
