Entries tell callers which entries to use

Ruled out: lost answers (14 interruptions in 14 s) and expert maps (late beside steady passes of 50 ms). There are three times as many entries as replicas, and one that stands still is one of nine.

--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -108,7 +108,7 @@
             let _ = tokio::time::timeout_at(until, applied.changed()).await;
         }
         self.replica.read_index().await?;
-        let entries = self.roster.entries().len();
+        let entries = self.roster.entries();
         let status = self.replica.status().await?;
         let replicas = status
             .log
--- a/app/src/fleet/control/mod.rs
+++ b/app/src/fleet/control/mod.rs
@@ -18,6 +18,7 @@
 use pimentotide_observe::Metrics;
 use pimentotide_platform::{ControlServer, DirectoryServer};
 
+use super::directory::open_directory;
 use super::{FleetError, FleetSettings, datagram};
 use desk::Desk;
 use roster::{Counter, Roster};
@@ -42,7 +43,7 @@
     replica: ReplicaHandle<FleetState>,
     calls: PeerServer,
     control: ControlServer,
-    directory: DirectoryServer,
+    directory: Option<DirectoryServer>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -58,10 +59,6 @@
             .listen
             .control
             .ok_or(FleetError::NoAddress("listen.control"))?;
-        let directory = settings
-            .listen
-            .directory
-            .ok_or(FleetError::NoAddress("listen.directory"))?;
         let options = replica_options(settings, token.clone())?;
         let replica = Replica::spawn(options, FleetState::default()).await?;
         let roster = Roster::open();
@@ -89,7 +86,7 @@
         ];
         Ok(Self {
             control: ControlServer::bind(control, desk)?,
-            directory: DirectoryServer::bind(directory, Counter::new(roster, settings))?,
+            directory: open_directory(settings, Counter::new(roster, settings))?,
             replica,
             calls,
             tasks,
@@ -103,7 +100,9 @@
             task.abort();
         }
         self.replica.stop().await;
-        self.directory.stop().await;
+        if let Some(directory) = self.directory {
+            directory.stop().await;
+        }
         self.calls.stop().await;
     }
 }
--- a/app/src/fleet/control/roster.rs
+++ b/app/src/fleet/control/roster.rs
@@ -9,16 +9,12 @@
 
 use super::super::FleetSettings;
 use super::super::beacon::{AgentBeacon, Beacon, EntryBeacon, Order};
+use super::super::directory::{MAX_ADDRESSES, keep};
 
 /// Silence after which a process is no longer named to others; four beacons.
 const SILENCE: Duration = Duration::from_millis(1_600);
 /// Silence after which a process is forgotten.
 const FORGET: Duration = Duration::from_secs(30);
-/// Time for which callers may keep the list; some keep it three times as long, as long as a stopping entry takes requests.
-const KEEP: Duration = Duration::from_secs(1);
-/// Most addresses in one answer.
-const MAX_ADDRESSES: usize = 64;
-
 /// Processes by address.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Roster {
@@ -125,10 +121,9 @@
 
 impl Counter {
     pub(super) fn new(roster: Roster, settings: &FleetSettings) -> Self {
-        let most = Duration::from_secs_f64(settings.bounds.keep_s.max(1.0));
         Self {
             roster,
-            keep: KEEP.min(most),
+            keep: keep(settings),
         }
     }
 }
--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -1,6 +1,7 @@
 //! Entry role: answers callers by sending their requests straight to upstreams.
 
 mod attempt;
+mod callers;
 mod follow;
 mod journal;
 mod relay;
@@ -14,10 +15,12 @@
 use actix_rt::task::JoinHandle;
 use pimentotide_fleet::{StopPhase, stop_phase};
 use pimentotide_observe::Metrics;
-use pimentotide_platform::{FrontendOptions, FrontendServer};
+use pimentotide_platform::{DirectoryServer, FrontendOptions, FrontendServer};
 
+use super::directory::open_directory;
 use super::replicas::Replicas;
 use super::{FleetError, FleetSettings};
+use callers::CallerDirectory;
 use relay::EntryRelay;
 use state::EntryState;
 
@@ -38,6 +41,7 @@
 pub(super) struct EntryRole {
     state: Arc<EntryState>,
     server: FrontendServer,
+    directory: Option<DirectoryServer>,
     tasks: Vec<JoinHandle<()>>,
     grace: Duration,
 }
@@ -67,6 +71,7 @@
             head: HEAD,
         };
         let server = FrontendServer::bind(options, EntryRelay::new(state.clone()))?;
+        let directory = open_directory(settings, CallerDirectory::new(state.clone(), settings))?;
         let replicas = Replicas::new(settings);
         let tasks = vec![
             actix_rt::spawn(follow::follow(
@@ -85,6 +90,7 @@
         Ok(Self {
             state,
             server,
+            directory,
             tasks,
             grace: Duration::from_secs_f64(settings.bounds.grace_s),
         })
@@ -102,6 +108,9 @@
                 StopPhase::Ended => break,
             }
         }
+        if let Some(directory) = self.directory {
+            directory.stop().await;
+        }
         for task in self.tasks {
             task.abort();
         }
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -1,6 +1,7 @@
 //! What an entry knows, shared by its requests.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -42,6 +43,8 @@
     /// Time until which what is known may be acted on.
     until: Time,
     entries: EntryCount,
+    /// Addresses of the entries that take callers.
+    list: Vec<SocketAddr>,
 }
 
 impl EntryState {
@@ -71,6 +74,7 @@
                 seen: Seen::default(),
                 until: Time::ZERO,
                 entries,
+                list: Vec::new(),
             }),
             open: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
@@ -119,7 +123,8 @@
             known.table = Some(Arc::new(RouteTable::new(declaration)));
             known.seen.declared = document.index;
         }
-        known.count_entries(news.entries, now);
+        known.count_entries(news.entries.len(), now);
+        known.list = news.entries;
         if let Some(fleet) = news.fleet
             && fleet.revision > known.seen.revision
         {
@@ -164,6 +169,17 @@
         }
     }
 
+    /// Entries that callers may use; none if they are not known or may have changed.
+    pub(super) fn entry_list(&self) -> Vec<SocketAddr> {
+        let now = self.now();
+        let known = self.known();
+        if now < known.until {
+            known.list.clone()
+        } else {
+            Vec::new()
+        }
+    }
+
     pub(super) fn ended(&self, ticket: &Ticket, outcome: Outcome) {
         let now = self.now();
         let ejected = self.known().balancer.ended(ticket, outcome, now);
--- a/app/src/fleet/mod.rs
+++ b/app/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod beacon;
 mod control;
 mod datagram;
+mod directory;
 mod entry;
 mod news;
 mod replicas;
--- a/app/src/fleet/news.rs
+++ b/app/src/fleet/news.rs
@@ -36,8 +36,8 @@
     pub(super) fleet: Option<Fleet>,
     /// Addresses of the replicas for calls.
     pub(super) replicas: Vec<SocketAddr>,
-    /// Entries that take callers.
-    pub(super) entries: usize,
+    /// Addresses of the entries that take callers.
+    pub(super) entries: Vec<SocketAddr>,
 }
 
 /// Configuration as the operator sent it.
--- a/app/src/fleet/settings.rs
+++ b/app/src/fleet/settings.rs
@@ -197,7 +197,6 @@
             ],
             RoleKind::Control => &[
                 ("listen.control", listen.control.is_none()),
-                ("listen.directory", listen.directory.is_none()),
                 ("data", self.data.is_none()),
             ],
             RoleKind::Agent => &[("engine", self.engine.is_none())],
--- a/app/tests/it/fleet.rs
+++ b/app/tests/it/fleet.rs
@@ -247,6 +247,13 @@
     let resolve = fixture("resolve.http", &[]);
     let resolved = until(deployment.address(NETWORK, 3, 3), &resolve, "HTTP/1.1 200").await;
     let resolved = resolved.replace(&entry.to_string(), "ENTRY");
+    let told = until(
+        deployment.address(NETWORK, ENTRY, 3),
+        &resolve,
+        "HTTP/1.1 200",
+    )
+    .await;
+    assert_eq!(told.replace(&entry.to_string(), "ENTRY"), resolved);
     assert!(
         !notes.lock().unwrap().iter().any(|r| r.contains("k1")),
         "the key was passed on"
