--- a/app/src/fleet/agent/coordinate.rs
+++ b/app/src/fleet/agent/coordinate.rs
@@ -1,7 +1,7 @@
 //! Coordinates the group whose rank 0 is the engine beside this agent.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
 use pimentotide_experts::{
     EngineReport, EvenLayout, ExpertDemand, Membership, Placement, Switch, SwitchEnding,
@@ -13,8 +13,9 @@
 use serde::Serialize;
 
 use super::super::beacon::Seat;
+use super::super::unix_millis;
 use super::engine::{EngineHandle, Look};
-use super::ranks::{Group, Peers};
+use super::ranks::{Group, Peers, placement};
 
 /// Pause between looks at the demand.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -123,7 +124,7 @@
         }
         let chosen = looks.iter().filter_map(|l| l.chosen.as_deref());
         self.demand.observe(chosen, self.clock.now());
-        let placement = placement(&looks);
+        let placement = placement(looks.iter().map(|l| &l.held));
         let steady = looks.iter().all(|l| l.held.version == first.held.version);
         let armed = looks.iter().any(|l| l.report.armed.is_some());
         if let Some(step) = first.report.held {
@@ -227,9 +228,7 @@
 
     /// Version above all that were ever used, by the clock and by what ranks report.
     fn version(&mut self, looks: &[Look]) -> u64 {
-        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-        // Without a clock the reported versions decide alone.
-        let clock = since.map_or(0, |d| d.as_millis() as u64) + self.skip;
+        let clock = unix_millis() + self.skip;
         let used = looks
             .iter()
             .flat_map(|l| [l.report.map, l.report.prepared.unwrap_or(0)]);
@@ -244,19 +243,3 @@
     let membership = report.membership.as_ref();
     membership.is_some_and(|m| m.group == seat.group && m.epoch == seat.epoch && m.open)
 }
-
-/// Experts by layer and rank.
-fn placement(looks: &[Look]) -> Placement {
-    let layers = looks
-        .iter()
-        .map(|l| l.held.experts.len())
-        .min()
-        .unwrap_or(0);
-    let layer = |index: usize| {
-        looks
-            .iter()
-            .map(|l| l.held.experts[index].clone())
-            .collect()
-    };
-    (0..layers).map(layer).collect()
-}
--- a/app/src/fleet/agent/ranks.rs
+++ b/app/src/fleet/agent/ranks.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use pimentotide_experts::{EngineReport, FencedOrder, HeldExperts, OrderAnswer, Ranks};
+use pimentotide_experts::{EngineReport, FencedOrder, HeldExperts, OrderAnswer, Placement, Ranks};
 use pimentotide_instance::{PeerClient, PeerTimeouts, Token};
 use pimentotide_model::{ErrorKind, Failure};
 use pimentotide_platform::EngineClient;
@@ -214,3 +214,14 @@
 async fn far_order(agent: &PeerClient, order: &FencedOrder) -> Result<OrderAnswer, Failure> {
     agent.call(ORDER, [compact::encode(order)?]).await
 }
+
+/// Experts by layer and rank, from what each rank holds.
+pub(super) fn placement<'a, I>(held: I) -> Placement
+where
+    I: IntoIterator<Item = &'a HeldExperts>,
+{
+    let held: Vec<&HeldExperts> = held.into_iter().collect();
+    let layers = held.iter().map(|h| h.experts.len()).min().unwrap_or(0);
+    let layer = |index: usize| held.iter().map(|h| h.experts[index].clone()).collect();
+    (0..layers).map(layer).collect()
+}
--- a/app/src/fleet/agent/rescue.rs
+++ b/app/src/fleet/agent/rescue.rs
@@ -5,15 +5,16 @@
 //! which shuts the old coordinator out, and lets the pass go.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
-use pimentotide_experts::{EngineReport, Placement, Ranks, Switch};
+use pimentotide_experts::{EngineReport, Ranks, Switch};
 use pimentotide_model::Failure;
 
 use super::super::beacon::Seat;
+use super::super::unix_millis;
 use super::engine::EngineHandle;
-use super::ranks::{Group, Peers};
+use super::ranks::{Group, Peers, placement};
 
 /// Pause between looks at the own engine.
 const PAUSE: Duration = Duration::from_millis(150);
@@ -69,19 +70,14 @@
     };
     let held = join_all((0..group.size()).map(|rank| group.held(rank))).await;
     let held = held.into_iter().collect::<Result<Vec<_>, _>>()?;
-    let layers = held.iter().map(|h| h.experts.len()).min().unwrap_or(0);
-    let layer = |index: usize| held.iter().map(|h| h.experts[index].clone()).collect();
-    let placement: Placement = (0..layers).map(layer).collect();
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    // Without a clock the version is above what the first rank knows.
-    let clock = since.map_or(0, |d| d.as_millis() as u64);
+    let placement = placement(&held);
     let known = first
         .map
         .max(first.armed.unwrap_or(0))
         .max(first.prepared.unwrap_or(0));
     let switch = Switch {
         epoch: group.seat.epoch,
-        version: clock.max(known + VERSION_LEAD),
+        version: unix_millis().max(known + VERSION_LEAD),
         old: placement.clone(),
         new: placement,
     };
--- a/app/src/fleet/beacon.rs
+++ b/app/src/fleet/beacon.rs
@@ -10,6 +10,8 @@
 use pimentotide_fleet::Load;
 use serde::{Deserialize, Serialize};
 
+use super::unix_millis;
+
 /// Largest beacon, bytes.
 pub(super) const MAX_BEACON_BYTES: usize = 512;
 
@@ -86,10 +88,8 @@
 impl Order {
     /// Place before the first beacon of a process that starts now.
     pub(super) fn start() -> Self {
-        let since = std::time::SystemTime::now().duration_since(std::time::SystemTime::UNIX_EPOCH);
         Self {
-            // A clock before the epoch would make this start the oldest of all.
-            born: since.map_or(0, |d| d.as_millis() as u64),
+            born: unix_millis(),
             sequence: 0,
         }
     }
--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -1,6 +1,7 @@
 //! Orders, announcements and questions at one replica.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -109,13 +110,7 @@
         }
         self.replica.read_index().await?;
         let entries = self.roster.entries();
-        let status = self.replica.status().await?;
-        let replicas = status
-            .log
-            .config
-            .members()
-            .map(|(_, m)| m.address)
-            .collect();
+        let replicas = self.members().await?;
         let (declared, fleet) = self.replica.query(move |s, _| excerpt(s, seen)).await?;
         Ok(News {
             declared,
@@ -125,16 +120,17 @@
         })
     }
 
+    /// Addresses of all members of the log.
+    async fn members(&self) -> Result<Vec<SocketAddr>, Failure> {
+        let status = self.replica.status().await?;
+        let members = status.log.config.members();
+        Ok(members.map(|(_, m)| m.address).collect())
+    }
+
     /// Processes that are alive, as this replica knows them.
     pub(super) async fn processes(&self) -> Result<Processes, Failure> {
-        let status = self.replica.status().await?;
         Ok(Processes {
-            replicas: status
-                .log
-                .config
-                .members()
-                .map(|(_, m)| m.address)
-                .collect(),
+            replicas: self.members().await?,
             entries: self.roster.entries(),
             agents: self.roster.agents(),
             shape: self.shape().await?,
--- a/app/src/fleet/mod.rs
+++ b/app/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::SystemTime;
 
 use derive_more::{Display, From};
 use pimentotide_model::Failure;
@@ -50,6 +51,12 @@
 
 impl std::error::Error for FleetError {}
 
+/// Time of day, ms of the Unix epoch; zero for a clock before it.
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |d| d.as_millis() as u64)
+}
+
 #[derive(Serialize)]
 struct Ready<'a> {
     instance: &'a str,
--- a/decision/fleet/src/state.rs
+++ b/decision/fleet/src/state.rs
@@ -169,11 +169,6 @@
         self.revision
     }
 
-    /// Time of the last entry of the log.
-    pub fn now(&self) -> Time {
-        self.now
-    }
-
     /// Whether an announcement would change what entries know.
     pub fn is_news(&self, said: &Announcement) -> bool {
         if self.is_stale(said) {
