Agent: an announcement under way when the upstream dies does not hide its death

Cause: after a connection broke, the agent took the next announcement for a sign of life. One that the upstream had sent before it died said its old start, so the crash was not reported and its content ran again, unlimited.

Now two announcements of the same start are needed: an upstream sends the second one only after the first was answered, so after the break.

--- a/app/src/agent/core.rs
+++ b/app/src/agent/core.rs
@@ -14,7 +14,7 @@
     RequestId, Revision, Time, Warmth,
 };
 use pimentotide_observe::Metrics;
-use pimentotide_outcome::{Conclusion, Finding, LedgerEpoch};
+use pimentotide_outcome::{Conclusion, Finding, LedgerEpoch, SignOfLife};
 use pimentotide_routing::{Completed, GatePolicy, Grant, Permit as GatePermit};
 use pimentotide_upstream::{CacheChange, CacheEvent, EngineState};
 use rand::RngExt;
@@ -35,8 +35,8 @@
     options: AgentOptions,
     clock: Clock,
     epoch: LedgerEpoch,
-    /// Start that the upstream announced last.
-    starts: watch::Sender<u64>,
+    /// Announcements of the upstream.
+    life: watch::Sender<SignOfLife>,
     /// Signs that the upstream is at work.
     signs: watch::Sender<u64>,
     announce: watch::Sender<Option<Announcement>>,
@@ -75,7 +75,7 @@
             options,
             clock: Clock::start(),
             epoch: LedgerEpoch(rand::rng().random()),
-            starts: watch::Sender::new(0),
+            life: watch::Sender::default(),
             signs: watch::Sender::new(0),
             warmth: watch::Sender::new(Warmth::Cold),
             heard: watch::Sender::new(Revision::default()),
@@ -88,9 +88,9 @@
         &self.options
     }
 
-    /// Start that the upstream announced last.
-    pub(super) fn starts(&self) -> watch::Receiver<u64> {
-        self.starts.subscribe()
+    /// Announcements of the upstream.
+    pub(super) fn life(&self) -> watch::Receiver<SignOfLife> {
+        self.life.subscribe()
     }
 
     /// Changes with each sign that the upstream is at work.
@@ -157,7 +157,8 @@
         let now = self.now();
         let mut inner = self.lock();
         let leaving = inner.leaving;
-        self.starts.send_replace(state.started);
+        self.life
+            .send_modify(|l| l.announced(Incarnation(state.started)));
         let before = inner.slot.as_ref().and_then(|slot| slot.engine.progress);
         // An upstream that tells nothing of its progress is at work while it announces itself.
         if state.progress.is_none() || state.progress != before {
--- a/app/src/agent/crash.rs
+++ b/app/src/agent/crash.rs
@@ -6,7 +6,7 @@
 use pimentotide_control::Command;
 use pimentotide_instance::work::WorkOrder;
 use pimentotide_model::{Failure, Incarnation};
-use pimentotide_outcome::{Crash, Witness};
+use pimentotide_outcome::{Crash, SignOfLife, Witness};
 use tokio::sync::OnceCell;
 
 use super::core::Core;
@@ -62,13 +62,17 @@
         Some((crash, Arc::clone(&slot.death.reported)))
     }
 
-    /// Whether the upstream has died, judged by its next sign of life.
+    /// Whether the upstream has died, judged by what it announces from now on.
     async fn has_died(&self, incarnation: Incarnation) -> bool {
-        let mut starts = self.starts();
-        starts.mark_unchanged();
-        let next = tokio::time::timeout(SIGN_OF_LIFE, starts.changed()).await;
-        let started = Incarnation(*starts.borrow());
-        next.is_err() || started > incarnation
+        let mut life = self.life();
+        let at_break = *life.borrow_and_update();
+        let told = |latest: &SignOfLife| latest.has_died(at_break, incarnation);
+        let decided = life.wait_for(|latest| told(latest).is_some());
+        match tokio::time::timeout(SIGN_OF_LIFE, decided).await {
+            Ok(Ok(latest)) => told(&latest).unwrap_or(true),
+            // Silence for that long, or no announcement to come.
+            Ok(Err(_)) | Err(_) => true,
+        }
     }
 
     async fn report_crash(&self, crash: Crash) {
--- a/decision/outcome/src/lib.rs
+++ b/decision/outcome/src/lib.rs
@@ -7,8 +7,9 @@
 //! entry that is asked for the key finds the claim and asks the agent about it.
 //!
 //! Streamed answers are put in order by an [`Assembly`], and a stream whose
-//! engine dies is resumed or ended by [`after_break`]. Requests that crash what
-//! runs them are found by content with [`Suspicion`].
+//! engine dies is resumed or ended by [`after_break`]. A [`SignOfLife`] tells the
+//! death of an upstream from a lost connection, and requests that crash what runs
+//! them are found by content with [`Suspicion`].
 
 mod assembly;
 mod attempt;
@@ -17,6 +18,7 @@
 mod claim;
 mod journal;
 mod ledger;
+mod life;
 mod resume;
 mod suspicion;
 mod window;
@@ -31,6 +33,7 @@
 };
 pub use journal::{Command, Journal, Reply};
 pub use ledger::{AgentLedger, Begin, Conclusion, Finding, LedgerLimits, NotRun};
+pub use life::SignOfLife;
 pub use resume::{Break, KvSource, ResumePlan, after_break};
 pub use suspicion::{Crash, Suspicion, Verdict, Witness};
 pub use window::Limits;
