--- a/app/src/entry/decision.rs
+++ b/app/src/entry/decision.rs
@@ -1,33 +1,9 @@
 //! One log line for each routing decision.
 
 use pimentotide_model::{RequestMeta, Revision};
-use serde::Serialize;
 
 use super::placing::Placed;
-
-#[derive(Serialize)]
-struct Line<'a> {
-    request: String,
-    workspace: &'a str,
-    service: &'a str,
-    profile: &'a str,
-    priority: u8,
-    attempt: u32,
-    considered: Vec<Considered<'a>>,
-    choice: Option<&'a str>,
-    reason: String,
-    waited_ms: u128,
-    revision: Revision,
-}
-
-#[derive(Serialize)]
-struct Considered<'a> {
-    upstream: &'a str,
-    score_us: u64,
-    load: u64,
-    allowance: u32,
-    cached_blocks: u32,
-}
+use crate::lines::{Considered, Routed};
 
 /// Logs where a request goes.
 pub(super) fn log_placed(meta: &RequestMeta, profile: &str, attempt: u32, placed: &Placed) {
@@ -38,7 +14,7 @@
         allowance: c.allowance,
         cached_blocks: c.hit,
     });
-    let line = Line {
+    let line = Routed {
         considered: considered.collect(),
         choice: Some(&placed.upstream),
         reason: placed.reason.to_string(),
@@ -46,7 +22,7 @@
         revision: placed.revision,
         ..line(meta, profile, attempt)
     };
-    pimentotide_observe::event("route", &line);
+    pimentotide_observe::event(&line);
 }
 
 /// Logs that a request goes nowhere.
@@ -57,16 +33,16 @@
     reason: &str,
     revision: Revision,
 ) {
-    let refused = Line {
+    let refused = Routed {
         reason: reason.to_owned(),
         revision,
         ..line(meta, profile, attempt)
     };
-    pimentotide_observe::event("route", &refused);
+    pimentotide_observe::event(&refused);
 }
 
-fn line<'a>(meta: &'a RequestMeta, profile: &'a str, attempt: u32) -> Line<'a> {
-    Line {
+fn line<'a>(meta: &'a RequestMeta, profile: &'a str, attempt: u32) -> Routed<'a> {
+    Routed {
         request: meta.id.to_string(),
         workspace: &meta.workspace,
         service: &meta.service,
--- a/app/src/fleet/agent/coordinate.rs
+++ b/app/src/fleet/agent/coordinate.rs
@@ -10,12 +10,12 @@
 use pimentotide_instance::Clock;
 use pimentotide_model::Failure;
 use pimentotide_observe::Metrics;
-use serde::Serialize;
 
 use super::super::beacon::Seat;
 use super::super::unix_millis;
 use super::engine::{EngineHandle, Look};
 use super::ranks::{Group, Peers, placement};
+use crate::lines::{ExpertsMoved, GroupReleased};
 
 /// Pause between looks at the demand.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -38,19 +38,6 @@
 /// Versions skipped after a refusal, in case an engine knows a higher one than this clock.
 const VERSION_SKIP: u64 = 10_000;
 
-/// Numbers of a plan that led to a switch.
-#[derive(Serialize)]
-struct Planned {
-    group: String,
-    epoch: u64,
-    version: u64,
-    before: f64,
-    after: f64,
-    copies: usize,
-    ending: String,
-    took_ms: u128,
-}
-
 /// Coordinator of one group.
 struct Coordinator {
     engine: EngineHandle,
@@ -162,7 +149,11 @@
             new: placement,
         };
         let ending = switch.undo(group, step).await;
-        log::warn!("pass {step} was left held back: {ending}");
+        pimentotide_observe::event(&GroupReleased {
+            step,
+            ending: ending.to_string(),
+            reason: "left held back",
+        });
         Ok(())
     }
 
@@ -213,7 +204,7 @@
             SwitchEnding::Switched(_) => self.demand.restart(),
             SwitchEnding::NotHeld | SwitchEnding::Undone | SwitchEnding::GivenUp => {}
         }
-        let planned = Planned {
+        let moved = ExpertsMoved {
             group: group.seat.group.clone(),
             epoch: group.seat.epoch,
             version: switch.version,
@@ -223,7 +214,7 @@
             ending: ending.to_string(),
             took_ms: start.elapsed().as_millis(),
         };
-        pimentotide_observe::event("experts_moved", &planned);
+        pimentotide_observe::event(&moved);
     }
 
     /// Version above all that were ever used, by the clock and by what ranks report.
--- a/app/src/fleet/agent/engine.rs
+++ b/app/src/fleet/agent/engine.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::super::beacon::Seat;
+use crate::lines::EngineOrdered;
 
 /// Longest wait for the engine beside the agent.
 const TIMEOUT: Duration = Duration::from_millis(300);
@@ -131,12 +132,16 @@
 
     /// Gives the engine an order.
     pub(super) async fn order(&self, order: FencedOrder) -> Result<OrderAnswer, Failure> {
-        let text = format!("{} fence {}", order.order, order.fence);
+        let (text, fence) = (order.order.to_string(), order.fence);
         let answer = self.ask(|reply| Ask::Order(order, reply)).await;
-        match &answer {
-            Ok(answer) => log::info!("order {text}: {answer}"),
-            Err(failure) => log::warn!("order {text}: {failure}"),
-        }
+        pimentotide_observe::event(&EngineOrdered {
+            order: text,
+            fence,
+            answer: match &answer {
+                Ok(answer) => answer.to_string(),
+                Err(failure) => failure.to_string(),
+            },
+        });
         answer.map_err(|f| f.with_ran(Ran::Unknown))
     }
 
--- a/app/src/fleet/agent/mod.rs
+++ b/app/src/fleet/agent/mod.rs
@@ -20,13 +20,14 @@
 
 use actix_rt::task::JoinHandle;
 use pimentotide_instance::{PeerClient, PeerServer, PeerTimeouts, Token};
-use pimentotide_observe::Metrics;
 
 use super::beacon::{AgentBeacon, Order};
 use super::datagram::Sender;
 use super::news::{PROCESSES, Processes};
 use super::replicas::Replicas;
+use super::scrape::Scraped;
 use super::{FleetError, FleetSettings};
+use crate::lines::{ReplicaFollowed, ReplicaLost};
 use engine::EngineHandle;
 use ranks::Peers;
 
@@ -53,7 +54,7 @@
     pub(super) async fn spawn(
         settings: &FleetSettings,
         path: &Path,
-        metrics: Metrics,
+        scraped: &Scraped,
     ) -> Result<Self, FleetError> {
         let token = settings.secret()?;
         let address = settings.engine.ok_or(FleetError::NoAddress("engine"))?;
@@ -72,7 +73,11 @@
                 engine.clone(),
             )),
             actix_rt::spawn(learn(replicas, peers.clone(), token, path.to_owned())),
-            actix_rt::spawn(coordinate::coordinate(engine, peers, metrics)),
+            actix_rt::spawn(coordinate::coordinate(
+                engine,
+                peers,
+                scraped.metrics().clone(),
+            )),
         ];
         // Without fences a coordinator that wakes up could let a pass go meanwhile.
         if settings.bounds.fenced {
@@ -121,17 +126,29 @@
 async fn learn(replicas: Replicas, peers: Arc<Peers>, token: Token, path: PathBuf) {
     let mut turn = rand::random_range(0..64_usize);
     let mut client: Option<PeerClient> = None;
+    let mut answered = false;
     loop {
         let asked = client.get_or_insert_with(|| {
             PeerClient::with_timeouts(pick(&replicas, turn), token.clone(), TIMEOUTS)
         });
         match asked.call::<_, Processes>(PROCESSES, [0; 0]).await {
             Ok(processes) => {
+                if !answered {
+                    pimentotide_observe::event(&ReplicaFollowed {
+                        replica: asked.address().to_string(),
+                    });
+                    answered = true;
+                }
                 replicas.replace(&processes.replicas);
                 peers.learn(processes);
             }
             Err(failure) => {
-                log::info!("replica {} does not answer: {failure}", asked.address());
+                pimentotide_observe::event(&ReplicaLost {
+                    replica: asked.address().to_string(),
+                    followed: answered,
+                    detail: failure.to_string(),
+                });
+                answered = false;
                 client = None;
                 turn += 1;
                 replicas.add_seeds(&path);
--- a/app/src/fleet/agent/rescue.rs
+++ b/app/src/fleet/agent/rescue.rs
@@ -15,6 +15,7 @@
 use super::super::unix_millis;
 use super::engine::EngineHandle;
 use super::ranks::{Group, Peers, placement};
+use crate::lines::GroupReleased;
 
 /// Pause between looks at the own engine.
 const PAUSE: Duration = Duration::from_millis(150);
@@ -82,7 +83,11 @@
         new: placement,
     };
     let ending = switch.undo(group, step).await;
-    log::warn!("pass {step} was held back by a coordinator that is silent: {ending}");
+    pimentotide_observe::event(&GroupReleased {
+        step,
+        ending: ending.to_string(),
+        reason: "the coordinator is silent",
+    });
     Ok(())
 }
 
--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -10,11 +10,11 @@
 use pimentotide_model::{ErrorKind, Failure, Time, UpstreamName, ZoneName};
 use pimentotide_observe::Metrics;
 use pimentotide_platform::{Control, Held, read_configuration};
-use serde::Serialize;
 use tokio::time::Instant as Deadline;
 
 use super::super::news::{Document, Fleet, News, Processes, Seen, Shape};
 use super::roster::Roster;
+use crate::lines::Ordered;
 
 /// Longest time for which a question waits for something new.
 ///
@@ -38,14 +38,6 @@
 /// Room for experts by the configuration at a position in the log.
 type KnownShape = (u64, Option<Shape>);
 
-#[derive(Serialize)]
-struct Ordered<'a> {
-    order: &'a str,
-    subject: String,
-    reply: String,
-    waited_ms: u128,
-}
-
 impl Desk {
     pub(super) fn new(
         replica: ReplicaHandle<FleetState>,
@@ -91,7 +83,7 @@
             reply,
             waited_ms,
         };
-        pimentotide_observe::event("order", &ordered);
+        pimentotide_observe::event(&ordered);
         result
     }
 
--- a/app/src/fleet/control/membership.rs
+++ b/app/src/fleet/control/membership.rs
@@ -11,9 +11,11 @@
 use pimentotide_instance::replica::{DiskHealth, ReplicaHandle, ReplicaStatus};
 use pimentotide_instance::{PeerClient, PeerTimeouts, Token};
 use pimentotide_model::{ErrorKind, Failure, InstanceName};
+use pimentotide_observe::Metrics;
 
 use super::super::FleetSettings;
 use super::super::news::{JOIN, Joining};
+use crate::lines::{MemberChanged, RoleChanged};
 
 /// Pause between looks.
 const PAUSE: Duration = Duration::from_millis(500);
@@ -33,6 +35,9 @@
     silence: Duration::from_millis(1_500),
 };
 
+/// Role, term and leader of a replica.
+type Standing = (RoleKind, u64, Option<String>);
+
 /// Members of the log as one replica sees and changes them.
 #[derive(Clone)]
 pub(super) struct Members {
@@ -41,6 +46,9 @@
     data: PathBuf,
     token: Token,
     repairs: RepairOptions,
+    metrics: Metrics,
+    /// Role, term and leader that were logged last.
+    told: Arc<Mutex<Option<Standing>>>,
     /// When each member was last heard of, while this replica leads.
     heard: Arc<Mutex<BTreeMap<InstanceName, Instant>>>,
 }
@@ -50,6 +58,7 @@
         replica: ReplicaHandle<FleetState>,
         settings: &FleetSettings,
         token: Token,
+        metrics: Metrics,
     ) -> Self {
         Self {
             replica,
@@ -60,6 +69,8 @@
                 silence: SILENCE,
                 floor: 2 * settings.loss + 1,
             },
+            metrics,
+            told: Arc::default(),
             heard: Arc::default(),
         }
     }
@@ -73,14 +84,14 @@
         let asked = Some((&joining.name, joining.disk));
         match repair(&self.views(&status), asked, &self.repairs) {
             Some(Repair::Remove(name)) => {
-                log::info!("removing {name}, whose disk was lost");
+                note_member(&name, "remove", "its disk was lost");
                 self.replica.remove(name).await?;
             }
             Some(Repair::Add(_)) | None => {}
         }
         let held = self.replica.status().await?;
         if held.log.config.member(&joining.name).is_none() {
-            log::info!("adding {} at {}", joining.name, joining.address);
+            note_member(&joining.name, "add", "it asked to join");
             self.replica.add(joining.name, joining.address).await?;
         }
         Ok(())
@@ -118,13 +129,14 @@
 
     async fn look(&self, others: &[SocketAddr]) -> Result<(), Failure> {
         let status = self.replica.status().await?;
+        self.note_role(&status);
         if let DiskHealth::Failed(detail) = &status.disk {
             return self.end_if_writable(detail).await;
         }
         let me = &status.log.identity;
         if status.log.role == RoleKind::Leader {
             if let Some(Repair::Remove(name)) = repair(&self.views(&status), None, &self.repairs) {
-                log::info!("removing {name}, which has been silent");
+                note_member(&name, "remove", "it has been silent");
                 self.replica.remove(name).await?;
             }
             return Ok(());
@@ -147,6 +159,35 @@
         Ok(())
     }
 
+    /// Logs a change of role or leader, and measures the log.
+    fn note_role(&self, status: &ReplicaStatus) {
+        let log = &status.log;
+        let leader = log.leader.as_ref().map(|l| l.name.to_string());
+        let now = Some((log.role, log.term.0, leader.clone()));
+        let mut told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
+        if *told != now {
+            *told = now;
+            pimentotide_observe::event(&RoleChanged {
+                role: log.role.to_string(),
+                term: log.term.0,
+                leader,
+                commit: log.commit.0,
+            });
+        }
+        let gauges = [
+            ("leads", u64::from(log.role == RoleKind::Leader)),
+            ("led", u64::from(log.leader.is_some())),
+            ("term", log.term.0),
+            ("committed", log.commit.0),
+            ("unsynced", log.last.index.0.saturating_sub(log.durable.0)),
+            ("unapplied", log.commit.0.saturating_sub(status.applied.0)),
+            ("members", log.config.members().count() as u64),
+        ];
+        for (name, value) in gauges {
+            self.metrics.gauge("control.log", ("figure", name), value);
+        }
+    }
+
     /// Ends the process, to be started anew, once the disk takes writes again.
     async fn end_if_writable(&self, detail: &str) -> Result<(), Failure> {
         let probe = self.data.join(PROBE_FILE);
@@ -176,6 +217,14 @@
     }
 }
 
+fn note_member(member: &InstanceName, change: &'static str, reason: &'static str) {
+    pimentotide_observe::event(&MemberChanged {
+        member: member.to_string(),
+        change,
+        reason,
+    });
+}
+
 /// Looks after the members until it is aborted.
 pub(super) async fn keep(members: Members, path: PathBuf) {
     loop {
--- a/app/src/fleet/control/mod.rs
+++ b/app/src/fleet/control/mod.rs
@@ -15,10 +15,10 @@
 use pimentotide_instance::replica::{Replica, ReplicaHandle, ReplicaOptions, module};
 use pimentotide_instance::{PeerServer, Token};
 use pimentotide_model::InstanceName;
-use pimentotide_observe::Metrics;
 use pimentotide_platform::{ControlServer, DirectoryServer};
 
 use super::directory::open_directory;
+use super::scrape::Scraped;
 use super::{FleetError, FleetSettings, datagram};
 use desk::Desk;
 use roster::{Counter, Roster};
@@ -52,7 +52,7 @@
     pub(super) async fn spawn(
         settings: &FleetSettings,
         path: &Path,
-        metrics: Metrics,
+        scraped: &Scraped,
     ) -> Result<Self, FleetError> {
         let token = settings.secret()?;
         let control = settings
@@ -62,8 +62,13 @@
         let options = replica_options(settings, token.clone())?;
         let replica = Replica::spawn(options, FleetState::default()).await?;
         let roster = Roster::open();
-        let desk = Desk::new(replica.clone(), roster.clone(), metrics);
-        let members = membership::Members::new(replica.clone(), settings, token.clone());
+        let desk = Desk::new(replica.clone(), roster.clone(), scraped.metrics().clone());
+        let members = membership::Members::new(
+            replica.clone(),
+            settings,
+            token.clone(),
+            scraped.metrics().clone(),
+        );
         let own = module(replica.clone()).map_err(|e| FleetError::Methods(e.to_string()))?;
         let shared = methods::module(desk.clone(), members.clone())
             .map_err(|e| FleetError::Methods(e.to_string()))?;
--- a/app/src/fleet/control/roster.rs
+++ b/app/src/fleet/control/roster.rs
@@ -10,6 +10,7 @@
 use super::super::FleetSettings;
 use super::super::beacon::{AgentBeacon, Beacon, EntryBeacon, Order};
 use super::super::directory::{MAX_ADDRESSES, keep};
+use crate::lines::ProcessSeen;
 
 /// Silence after which a process is no longer named to others; four beacons.
 const SILENCE: Duration = Duration::from_millis(1_600);
@@ -74,14 +75,24 @@
                 let states = |b: &EntryBeacon| (b.accepting, b.stopping);
                 if take(&mut known.entries, callers, entry, |b| b.order, states) {
                     let (accepting, stopping) = state;
-                    log::info!("entry {callers} accepting {accepting} stopping {stopping}");
+                    pimentotide_observe::event(&ProcessSeen {
+                        process: callers.to_string(),
+                        role: "entry",
+                        accepting,
+                        stopping,
+                    });
                 }
             }
             Beacon::Agent(agent) => {
                 let calls = agent.calls;
                 let states = |b: &AgentBeacon| (b.seat.is_some(), false);
                 if take(&mut known.agents, calls, agent, |b| b.order, states) {
-                    log::info!("agent {calls} is there");
+                    pimentotide_observe::event(&ProcessSeen {
+                        process: calls.to_string(),
+                        role: "agent",
+                        accepting: false,
+                        stopping: false,
+                    });
                 }
             }
             Beacon::Load(load) => log::warn!("load of {} told to a replica", load.upstream),
--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -4,13 +4,13 @@
 use std::time::{Duration, Instant};
 
 use pimentotide_fleet::{
-    Ask, Choice, Ended, Outcome, Policy, Refusal, Step, Ticket, give_up, next_step,
+    Ask, Choice, Ended, Limit, Outcome, Policy, Refusal, Step, Ticket, give_up, limit,
 };
 use pimentotide_model::{ErrorKind, Failure, Ran, ServiceName, Time, UpstreamName, WorkspaceName};
 use pimentotide_platform::{Answer, AnswerError, Call, Send, UpstreamClient};
 
-use super::journal::{Interrupted, Placed};
 use super::state::{EntryState, OpenRequest};
+use crate::lines::{Interrupted, Placed};
 
 /// Longest wait for a connection to an upstream.
 const CONNECT: Duration = Duration::from_millis(300);
@@ -30,6 +30,8 @@
     pub(super) state: Arc<EntryState>,
     pub(super) call: Call,
     pub(super) route: Arc<str>,
+    /// Version of the configuration that routed it.
+    pub(super) version: u64,
     pub(super) service: ServiceName,
     pub(super) workspace: Option<WorkspaceName>,
     pub(super) priority: Option<u8>,
@@ -99,18 +101,17 @@
         let choice = self.choose().map_err(SendError::Refused)?;
         self.sends += 1;
         let left = self.left();
-        pimentotide_observe::event(
-            "placed",
-            &Placed {
-                request: &self.call.id,
-                route: &self.route,
-                upstream: &choice.ticket.upstream,
-                send: self.sends,
-                outstanding: choice.outstanding,
-                candidates: choice.candidates,
-                left_ms: left.as_millis(),
-            },
-        );
+        pimentotide_observe::event(&Placed {
+            request: &self.call.id,
+            route: &self.route,
+            upstream: &choice.ticket.upstream,
+            send: self.sends,
+            outstanding: choice.outstanding,
+            candidates: choice.candidates,
+            version: self.version,
+            age_ms: self.state.age().as_millis(),
+            left_ms: left.as_millis(),
+        });
         let upstream = choice.ticket.upstream.clone();
         self.tried.push(upstream.clone());
         let held = HeldTicket {
@@ -214,28 +215,30 @@
             Ended::Broken | Ended::Failed | Ended::Silent => self.policy.ran += 1,
         }
         let now: Time = self.state.now();
-        let mut step = next_step(ended, &self.policy, now);
-        if step == Step::Again && ended != Ended::Unsent {
-            let afforded = self.state.known().budget.spend(&self.service, now);
-            if !afforded {
-                step = give_up(ended, &self.policy);
-            }
+        let mut limited = limit(ended, &self.policy, now);
+        if limited.is_none()
+            && ended != Ended::Unsent
+            && !self.state.known().budget.spend(&self.service, now)
+        {
+            limited = Some(Limit::Budget);
         }
+        let step = match limited {
+            None => Step::Again,
+            Some(_) => give_up(ended, &self.policy),
+        };
         let name = format!("{ended:?}").to_ascii_lowercase();
         self.state
             .metrics()
             .count("entry.interruptions", ("ended", &name), 1);
-        pimentotide_observe::event(
-            "interrupted",
-            &Interrupted {
-                request: &self.call.id,
-                upstream,
-                ended: format!("{ended:?}"),
-                events,
-                next: format!("{step:?}"),
-                after_ms: self.elapsed_ms(),
-            },
-        );
+        pimentotide_observe::event(&Interrupted {
+            request: &self.call.id,
+            upstream,
+            ended: format!("{ended:?}"),
+            events,
+            next: format!("{step:?}"),
+            reason: &limited.map(|l| l.to_string()).unwrap_or_default(),
+            after_ms: self.elapsed_ms(),
+        });
         step
     }
 }
--- a/app/src/fleet/entry/follow.rs
+++ b/app/src/fleet/entry/follow.rs
@@ -13,6 +13,7 @@
 use super::super::news::{FOLLOW, News};
 use super::super::replicas::Replicas;
 use super::state::EntryState;
+use crate::lines::{ReplicaFollowed, ReplicaLost};
 
 /// Pause between beacons.
 const BEACON_PAUSE: Duration = Duration::from_millis(400);
@@ -58,16 +59,18 @@
         let news: News = match client.call(FOLLOW, [state.seen()]).await {
             Ok(news) => news,
             Err(failure) => {
-                if answered {
-                    log::warn!("replica {} lost: {failure}", client.address());
-                } else {
-                    log::info!("replica {} does not answer: {failure}", client.address());
-                }
+                pimentotide_observe::event(&ReplicaLost {
+                    replica: client.address().to_string(),
+                    followed: answered,
+                    detail: failure.to_string(),
+                });
                 return answered;
             }
         };
         if !answered {
-            log::info!("following replica {}", client.address());
+            pimentotide_observe::event(&ReplicaFollowed {
+                replica: client.address().to_string(),
+            });
             answered = true;
         }
         replicas.replace(&news.replicas);
--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -3,7 +3,6 @@
 mod attempt;
 mod callers;
 mod follow;
-mod journal;
 mod relay;
 mod state;
 mod streaming;
@@ -14,11 +13,11 @@
 
 use actix_rt::task::JoinHandle;
 use pimentotide_fleet::{StopPhase, stop_phase};
-use pimentotide_observe::Metrics;
 use pimentotide_platform::{DirectoryServer, FrontendOptions, FrontendServer};
 
 use super::directory::open_directory;
 use super::replicas::Replicas;
+use super::scrape::Scraped;
 use super::{FleetError, FleetSettings};
 use callers::CallerDirectory;
 use relay::EntryRelay;
@@ -51,7 +50,7 @@
     pub(super) fn spawn(
         settings: &FleetSettings,
         path: &Path,
-        metrics: Metrics,
+        scraped: &Scraped,
     ) -> Result<Self, FleetError> {
         let token = settings.secret()?;
         let callers = settings
@@ -62,7 +61,9 @@
             .listen
             .ready
             .ok_or(FleetError::NoAddress("listen.ready"))?;
-        let state = Arc::new(EntryState::new(settings, metrics));
+        let state = Arc::new(EntryState::new(settings, scraped.metrics().clone()));
+        let probed = state.clone();
+        scraped.add(move |metrics| probed.measure(metrics));
         let options = FrontendOptions {
             callers,
             ready,
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -8,13 +8,12 @@
 use bytes::Bytes;
 use pimentotide_fleet::{Ended, Mismatch, Outcome, Policy, RouteKind, Step};
 use pimentotide_model::{ErrorKind, Failure, Ran};
-use pimentotide_observe::Metrics;
 use pimentotide_platform::{Call, Relay, Relayed};
 
 use super::attempt::{Attempt, Running, SendError};
-use super::journal::{Answered, Refused};
 use super::state::EntryState;
 use super::streaming;
+use crate::lines::{Answered, Refused};
 
 /// Rank of the least urgent requests at an upstream.
 const LEAST_URGENT: u8 = 9;
@@ -77,6 +76,7 @@
         let kind = found.route.kind;
         let attempt = Attempt {
             route: found.route.name.clone(),
+            version: table.declaration().version,
             workspace: found.workspace.cloned(),
             priority: Some(found.priority.min(LEAST_URGENT)),
             state: self.state.clone(),
@@ -106,7 +106,7 @@
             Ok((attempt, _)) => run_whole(attempt).await,
             Err(refused) => {
                 let (call, failure) = *refused;
-                refuse(self.state.metrics(), &call, failure)
+                refuse(&self.state, &call, failure)
             }
         }
     }
@@ -127,21 +127,22 @@
 }
 
 /// Logs a refusal and returns it.
-pub(super) fn refuse(metrics: &Metrics, call: &Call, failure: Failure) -> Relayed {
+pub(super) fn refuse(state: &EntryState, call: &Call, failure: Failure) -> Relayed {
     let kind = failure.kind.to_string();
-    metrics.count("entry.requests", ("outcome", &kind), 1);
-    pimentotide_observe::event(
-        "refused",
-        &Refused {
-            request: &call.id,
-            path: call.path(),
-            kind,
-            ran: failure.ran.to_string(),
-            detail: &failure.detail,
-            retry_ms: failure.retry.map(|r| r.as_millis()),
-            after_ms: call.received.elapsed().as_millis(),
-        },
-    );
+    state
+        .metrics()
+        .count("entry.requests", ("outcome", &kind), 1);
+    pimentotide_observe::event(&Refused {
+        request: &call.id,
+        path: call.path(),
+        kind,
+        ran: failure.ran.to_string(),
+        detail: &failure.detail,
+        retry_ms: failure.retry.map(|r| r.as_millis()),
+        version: state.version(),
+        age_ms: state.age().as_millis(),
+        after_ms: call.received.elapsed().as_millis(),
+    });
     Relayed::Refused(failure)
 }
 
@@ -184,7 +185,7 @@
             Err(SendError::Refused(failure)) => {
                 return match failed {
                     Some(answer) => answer.into(),
-                    None => refuse(attempt.state.metrics(), &attempt.call, failure),
+                    None => refuse(&attempt.state, &attempt.call, failure),
                 };
             }
         };
@@ -193,11 +194,11 @@
             (_, Some(answer)) => return answered(&attempt, &upstream, answer),
             (Step::Answer(kind), None) => {
                 let failure = attempt.failure(kind, &format!("{ended:?} at {upstream}"));
-                return refuse(attempt.state.metrics(), &attempt.call, failure);
+                return refuse(&attempt.state, &attempt.call, failure);
             }
             (Step::Pass, None) => {
                 let failure = attempt.failure(ErrorKind::UpstreamFailed, "no answer to pass on");
-                return refuse(attempt.state.metrics(), &attempt.call, failure);
+                return refuse(&attempt.state, &attempt.call, failure);
             }
         }
     }
@@ -230,16 +231,13 @@
 
 fn answered(attempt: &Attempt, upstream: &str, answer: WholeAnswer) -> Relayed {
     attempt.count_answer("whole");
-    pimentotide_observe::event(
-        "answered",
-        &Answered {
-            request: &attempt.call.id,
-            upstream,
-            status: answer.status.as_u16(),
-            sends: attempt.sends,
-            events: 0,
-            after_ms: attempt.elapsed_ms(),
-        },
-    );
+    pimentotide_observe::event(&Answered {
+        request: &attempt.call.id,
+        upstream,
+        status: answer.status.as_u16(),
+        sends: attempt.sends,
+        events: 0,
+        after_ms: attempt.elapsed_ms(),
+    });
     answer.into()
 }
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -17,7 +17,8 @@
 use tokio::sync::Notify;
 
 use super::super::FleetSettings;
-use super::super::news::{News, Seen};
+use super::super::news::{Fleet, News, Seen};
+use crate::lines::{Declared, Ejected, LeaseLost, LeaseWon, UpstreamChanged, ZonesClosed};
 
 /// Requests that may wait at an upstream for each of its slots.
 const QUEUE: f64 = 2.0;
@@ -42,6 +43,10 @@
     seen: Seen,
     /// Time until which what is known may be acted on.
     until: Time,
+    /// Time of the newest question whose answer confirmed what is known.
+    confirmed: Time,
+    /// Whether it may be acted on, as it was logged last.
+    current: bool,
     entries: EntryCount,
     /// Addresses of the entries that take callers.
     list: Vec<SocketAddr>,
@@ -73,6 +78,8 @@
                 budget: RepeatBudget::new(budget, first),
                 seen: Seen::default(),
                 until: Time::ZERO,
+                confirmed: Time::ZERO,
+                current: false,
                 entries,
                 list: Vec::new(),
             }),
@@ -113,7 +120,12 @@
         {
             let declaration = read_configuration(document.text.as_bytes())
                 .map_err(|e| Failure::new(ErrorKind::Internal, e.to_string()))?;
-            log::info!("configuration {} taken over", declaration.version);
+            let before = known.table.as_ref().map(|t| t.declaration().version);
+            pimentotide_observe::event(&Declared {
+                version: declaration.version,
+                before,
+                routes: declaration.routes.len(),
+            });
             let colds: BTreeMap<ServiceName, ColdLimit> = declaration
                 .services
                 .iter()
@@ -128,13 +140,14 @@
         if let Some(fleet) = news.fleet
             && fleet.revision > known.seen.revision
         {
-            known.balancer.learn(fleet.closed, fleet.upstreams, now);
-            known.seen.revision = fleet.revision;
+            known.follow(fleet, now);
         }
         known.until = known.until.max(asked + self.lease);
+        known.confirmed = known.confirmed.max(asked);
         if known.table.is_some() {
             self.started.notify_waiters();
         }
+        known.note_lease(now);
         Ok(())
     }
 
@@ -151,14 +164,63 @@
     /// Whether what is known may be acted on.
     pub(super) fn is_current(&self) -> bool {
         let now = self.now();
+        self.known().note_lease(now)
+    }
+
+    /// Time since what is known was last confirmed.
+    pub(super) fn age(&self) -> Duration {
+        self.now().since(self.known().confirmed)
+    }
+
+    /// Version of the configuration in use; none before the first.
+    pub(super) fn version(&self) -> Option<u64> {
+        let known = self.known();
+        known.table.as_ref().map(|t| t.declaration().version)
+    }
+
+    /// Sets gauges to what is known now.
+    pub(super) fn measure(&self, metrics: &Metrics) {
+        let now = self.now();
+        let current = self.is_current();
         let known = self.known();
-        known.table.is_some() && now < known.until
+        let census = known.balancer.census(now);
+        let states = [
+            ("usable", census.usable),
+            ("cold", census.cold),
+            ("ejected", census.ejected),
+            ("out", census.out),
+        ];
+        for (state, count) in states {
+            metrics.gauge("entry.upstreams", ("state", state), count as u64);
+        }
+        for (service, left) in known.budget.left(now) {
+            metrics.gauge("entry.repeats_left", ("service", service), left);
+        }
+        let age = now.since(known.confirmed).as_millis() as u64;
+        let version = known.table.as_ref().map_or(0, |t| t.declaration().version);
+        let figures = [
+            ("current", u64::from(current)),
+            ("age_ms", age),
+            ("version", version),
+            ("revision", known.seen.revision),
+            ("entries", known.entries.get(now) as u64),
+        ];
+        for (figure, value) in figures {
+            metrics.gauge("entry.knowledge", ("figure", figure), value);
+        }
+        metrics.gauge(
+            "entry.open",
+            ("scope", "requests"),
+            self.open_requests() as u64,
+        );
+        metrics.gauge("entry.open", ("scope", "sends"), census.sent as u64);
     }
 
     /// Routes, if they may be acted on.
     pub(super) fn table(&self) -> Result<Arc<RouteTable>, Failure> {
         let now = self.now();
-        let known = self.known();
+        let mut known = self.known();
+        known.note_lease(now);
         match &known.table {
             Some(table) if now < known.until => Ok(table.clone()),
             Some(_) => Err(Failure::new(
@@ -186,7 +248,9 @@
         if ejected {
             self.metrics
                 .count("entry.ejections", ("scope", "upstream"), 1);
-            log::info!("upstream {} ejected after failures", ticket.upstream);
+            pimentotide_observe::event(&Ejected {
+                upstream: ticket.upstream.to_string(),
+            });
         }
     }
 
@@ -226,6 +290,45 @@
 }
 
 impl Known {
+    /// Takes over zones and upstreams and logs what is new of them.
+    fn follow(&mut self, fleet: Fleet, now: Time) {
+        let revision = fleet.revision;
+        if *self.balancer.closed() != fleet.closed {
+            pimentotide_observe::event(&ZonesClosed {
+                zones: fleet.closed.iter().map(ToString::to_string).collect(),
+                revision,
+            });
+        }
+        for news in self.balancer.learn(fleet.closed, fleet.upstreams, now) {
+            pimentotide_observe::event(&UpstreamChanged {
+                upstream: news.upstream.to_string(),
+                zone: news.zone.to_string(),
+                change: news.change.to_string(),
+                revision,
+            });
+        }
+        self.seen.revision = revision;
+    }
+
+    /// Whether what is known may be acted on; logs a change of that.
+    fn note_lease(&mut self, now: Time) -> bool {
+        let current = self.table.is_some() && now < self.until;
+        if current != self.current {
+            self.current = current;
+            if current {
+                pimentotide_observe::event(&LeaseWon {
+                    version: self.table.as_ref().map_or(0, |t| t.declaration().version),
+                    revision: self.seen.revision,
+                });
+            } else {
+                pimentotide_observe::event(&LeaseLost {
+                    age_ms: now.since(self.confirmed).as_millis(),
+                });
+            }
+        }
+        current
+    }
+
     fn count_entries(&mut self, told: usize, now: Time) {
         self.entries.tell(told, now);
         let entries = self.entries.get(now);
--- a/app/src/fleet/entry/streaming.rs
+++ b/app/src/fleet/entry/streaming.rs
@@ -17,8 +17,8 @@
 use tokio::time::Instant;
 
 use super::attempt::{Attempt, HeldTicket, Running, SendError};
-use super::journal::Answered;
 use super::relay::refuse;
+use crate::lines::{Answered, BrokenOff};
 
 /// Silence in a stream after which it is continued elsewhere; longer than a group stalls for a lost rank.
 const SILENCE: Duration = Duration::from_millis(1_700);
@@ -100,7 +100,7 @@
             }
             Err(SendError::Ended(ended, upstream)) => (ended, upstream),
             Err(SendError::Refused(failure)) => {
-                return refuse(run.attempt.state.metrics(), &run.attempt.call, failure);
+                return refuse(&run.attempt.state, &run.attempt.call, failure);
             }
         };
         match run.attempt.after(ended, &upstream, 0) {
@@ -109,13 +109,13 @@
                 let failure = run
                     .attempt
                     .failure(kind, &format!("{ended:?} at {upstream}"));
-                return refuse(run.attempt.state.metrics(), &run.attempt.call, failure);
+                return refuse(&run.attempt.state, &run.attempt.call, failure);
             }
             Step::Pass => {
                 let failure = run
                     .attempt
                     .failure(ErrorKind::UpstreamFailed, "the stream broke off");
-                return refuse(run.attempt.state.metrics(), &run.attempt.call, failure);
+                return refuse(&run.attempt.state, &run.attempt.call, failure);
             }
         }
     }
@@ -144,7 +144,7 @@
             held.end(Outcome::Failed);
             let detail = format!("{upstream} broke off its answer {status}");
             refuse(
-                attempt.state.metrics(),
+                &attempt.state,
                 &attempt.call,
                 attempt.failure(ErrorKind::UpstreamFailed, &detail),
             )
@@ -169,11 +169,13 @@
             Next::Ended(ended) => ended,
         };
         if let Err(failure) = run.resume(ended).await {
-            log::info!(
-                "request {}: stream broken off after {} events: {failure}",
-                run.attempt.call.id,
-                run.cursor.passed()
-            );
+            pimentotide_observe::event(&BrokenOff {
+                request: &run.attempt.call.id,
+                events: run.cursor.passed(),
+                kind: failure.kind.to_string(),
+                detail: &failure.detail,
+                after_ms: run.attempt.elapsed_ms(),
+            });
             // Lets the server write out the events before the error drops them.
             tokio::task::yield_now().await;
             return Some((Err(failure), None));
@@ -232,17 +234,14 @@
     fn finish(&mut self) {
         if let Some(source) = self.source.take() {
             self.attempt.count_answer("stream");
-            pimentotide_observe::event(
-                "answered",
-                &Answered {
-                    request: &self.attempt.call.id,
-                    upstream: &source.held.upstream,
-                    status: 200,
-                    sends: self.attempt.sends,
-                    events: self.cursor.passed(),
-                    after_ms: self.attempt.elapsed_ms(),
-                },
-            );
+            pimentotide_observe::event(&Answered {
+                request: &self.attempt.call.id,
+                upstream: &source.held.upstream,
+                status: 200,
+                sends: self.attempt.sends,
+                events: self.cursor.passed(),
+                after_ms: self.attempt.elapsed_ms(),
+            });
             source.held.end(Outcome::Good);
         }
     }
--- a/app/src/fleet/mod.rs
+++ b/app/src/fleet/mod.rs
@@ -22,9 +22,10 @@
 use derive_more::{Display, From};
 use pimentotide_model::Failure;
 use pimentotide_observe::{LogError, Logs};
-use serde::Serialize;
 
+use crate::lines::{Ready, Reloaded, Stopped, Stopping};
 use crate::options::EXIT_USAGE;
+use scrape::Scraped;
 
 pub use settings::{FleetSettings, FleetSettingsError, RoleKind};
 
@@ -57,13 +58,6 @@
     since.map_or(0, |d| d.as_millis() as u64)
 }
 
-#[derive(Serialize)]
-struct Ready<'a> {
-    instance: &'a str,
-    zone: &'a str,
-    role: RoleKind,
-}
-
 /// Runs the role that a settings file gives until the process is told to stop.
 pub fn run(path: &Path) -> ExitCode {
     let settings = match FleetSettings::open(path) {
@@ -83,49 +77,83 @@
 }
 
 async fn serve(path: &Path, settings: FleetSettings) -> Result<(), FleetError> {
-    let _logs = Logs::open(&settings.log)?;
+    let logs = Logs::open(&settings.log)?;
     let mut stop = crate::signal::stops();
     actix_rt::spawn(note_reloads(path.to_owned()));
-    let metrics = scrape::serve(settings.metrics)?;
-    let ready = Ready {
-        instance: &settings.instance,
-        zone: &settings.zone,
-        role: settings.role,
-    };
-    match settings.role {
-        RoleKind::Control => {
-            let role = control::ControlRole::spawn(&settings, path, metrics).await?;
-            pimentotide_observe::event("ready", &ready);
-            stop.recv().await;
-            pimentotide_observe::event("stopping", &());
-            role.stop().await;
-        }
-        RoleKind::Entry => {
-            let role = entry::EntryRole::spawn(&settings, path, metrics)?;
-            pimentotide_observe::event("ready", &ready);
-            stop.recv().await;
-            pimentotide_observe::event("stopping", &());
-            role.stop().await;
-        }
-        RoleKind::Agent => {
-            let role = agent::AgentRole::spawn(&settings, path, metrics).await?;
-            pimentotide_observe::event("ready", &ready);
-            stop.recv().await;
-            pimentotide_observe::event("stopping", &());
-            role.stop().await;
+    let scraped = scrape::serve(settings.metrics, logs.drops())?;
+    let role = Role::spawn(&settings, path, &scraped).await?;
+    pimentotide_observe::event(&ready(&settings));
+    stop.recv().await;
+    pimentotide_observe::event(&Stopping {});
+    role.stop().await;
+    pimentotide_observe::event(&Stopped {});
+    Ok(())
+}
+
+/// The role that a process runs.
+enum Role {
+    Entry(entry::EntryRole),
+    Control(Box<control::ControlRole>),
+    Agent(agent::AgentRole),
+}
+
+impl Role {
+    async fn spawn(
+        settings: &FleetSettings,
+        path: &Path,
+        scraped: &Scraped,
+    ) -> Result<Self, FleetError> {
+        Ok(match settings.role {
+            RoleKind::Entry => Self::Entry(entry::EntryRole::spawn(settings, path, scraped)?),
+            RoleKind::Control => {
+                let role = control::ControlRole::spawn(settings, path, scraped).await?;
+                Self::Control(Box::new(role))
+            }
+            RoleKind::Agent => Self::Agent(agent::AgentRole::spawn(settings, path, scraped).await?),
+        })
+    }
+
+    async fn stop(self) {
+        match self {
+            Self::Entry(role) => role.stop().await,
+            Self::Control(role) => role.stop().await,
+            Self::Agent(role) => role.stop().await,
         }
     }
-    pimentotide_observe::event("stopped", &());
-    Ok(())
+}
+
+fn ready(settings: &FleetSettings) -> Ready {
+    let listen = &settings.listen;
+    let served = [
+        ("callers", listen.callers),
+        ("ready", listen.ready),
+        ("control", listen.control),
+        ("directory", listen.directory),
+        ("calls", Some(settings.calls())),
+        ("metrics", settings.metrics),
+    ];
+    let addresses = served
+        .into_iter()
+        .filter_map(|(name, address)| Some((name.to_owned(), address?.to_string())));
+    Ready {
+        instance: settings.instance.clone(),
+        zone: settings.zone.clone(),
+        roles: vec![settings.role.to_string()],
+        addresses: addresses.collect(),
+    }
 }
 
 /// Checks changed settings and says so; the roles read what may change when they need it.
 async fn note_reloads(path: PathBuf) {
     let mut reloads = crate::signal::reloads();
     while reloads.recv().await.is_some() {
-        match FleetSettings::open(&path) {
-            Ok(settings) => log::info!("settings reloaded, seeds {:?}", settings.seeds),
-            Err(e) => log::error!("changed settings are not used: {}: {e}", path.display()),
-        }
+        let read = FleetSettings::open(&path);
+        pimentotide_observe::event(&Reloaded {
+            valid: read.is_ok(),
+            detail: match read {
+                Ok(settings) => format!("seeds {:?}", settings.seeds),
+                Err(e) => e.to_string(),
+            },
+        });
     }
 }
--- a/app/src/fleet/scrape.rs
+++ b/app/src/fleet/scrape.rs
@@ -1,23 +1,64 @@
 //! Serves a process's metrics to scrapers.
+//!
+//! Counters and durations add up as they happen. What only has a present value,
+//! such as memory or the age of what is known, is measured when a scraper asks.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use actix_web::web::{self, Data};
 use actix_web::{App, HttpResponse, HttpServer};
-use pimentotide_observe::{Exposition, Metrics};
+use pimentotide_observe::{Drops, Exposition, Metrics, memory_bytes, open_descriptors};
 
 /// Path of the metrics.
 const PATH: &str = "/metrics";
 
+/// Sets gauges to their present values.
+type Probe = Box<dyn Fn(&Metrics) + Send>;
+
+/// Metrics of a process and what measures them when a scraper asks.
+#[derive(Clone)]
+pub(super) struct Scraped {
+    metrics: Metrics,
+    probes: Arc<Mutex<Vec<Probe>>>,
+}
+
+impl Scraped {
+    pub(super) fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// Calls `probe` before each answer to a scraper.
+    pub(super) fn add<F>(&self, probe: F)
+    where
+        F: Fn(&Metrics) + Send + 'static,
+    {
+        let mut probes = self.probes.lock().unwrap_or_else(PoisonError::into_inner);
+        probes.push(Box::new(probe));
+    }
+
+    fn measure(&self) {
+        let probes = self.probes.lock().unwrap_or_else(PoisonError::into_inner);
+        for probe in probes.iter() {
+            probe(&self.metrics);
+        }
+    }
+}
+
 /// Serves metrics at `address`, if there is one; without it they go nowhere.
-pub(super) fn serve(address: Option<SocketAddr>) -> std::io::Result<Metrics> {
+pub(super) fn serve(address: Option<SocketAddr>, drops: Drops) -> std::io::Result<Scraped> {
+    let probes = Arc::default();
     let Some(address) = address else {
-        return Ok(Metrics::none());
+        let metrics = Metrics::none();
+        return Ok(Scraped { metrics, probes });
     };
     let (metrics, exposition) = Metrics::expose();
+    let scraped = Scraped { metrics, probes };
+    scraped.add(move |metrics| measure_process(metrics, &drops));
+    let data = (scraped.clone(), exposition);
     let server = HttpServer::new(move || {
         App::new()
-            .app_data(Data::new(exposition.clone()))
+            .app_data(Data::new(data.clone()))
             .route(PATH, web::get().to(render))
     })
     .workers(1)
@@ -26,10 +67,24 @@
     .bind(address)?
     .run();
     actix_rt::spawn(server);
-    Ok(metrics)
+    Ok(scraped)
+}
+
+fn measure_process(metrics: &Metrics, drops: &Drops) {
+    let dropped = drops.count();
+    metrics.gauge("log.dropped_lines", ("class", "routine"), dropped.routine);
+    metrics.gauge("log.dropped_lines", ("class", "other"), dropped.other);
+    if let Some(bytes) = memory_bytes() {
+        metrics.gauge("process.memory_bytes", ("kind", "resident"), bytes);
+    }
+    if let Some(count) = open_descriptors() {
+        metrics.gauge("process.descriptors", ("state", "open"), count);
+    }
 }
 
-async fn render(exposition: Data<Exposition>) -> HttpResponse {
+async fn render(data: Data<(Scraped, Exposition)>) -> HttpResponse {
+    let (scraped, exposition) = data.get_ref();
+    scraped.measure();
     HttpResponse::Ok()
         .content_type("text/plain; version=0.0.4")
         .body(exposition.render())
--- a/app/src/lib.rs
+++ b/app/src/lib.rs
@@ -3,7 +3,9 @@
 pub mod agent;
 pub mod control;
 pub mod entry;
+pub mod explain;
 pub mod fleet;
+pub mod lines;
 pub mod local;
 pub mod operator;
 pub mod options;
--- a/app/src/local/mod.rs
+++ b/app/src/local/mod.rs
@@ -13,6 +13,7 @@
 use pimentotide_observe::{LogError, Logs};
 use pimentotide_standin::EngineError;
 
+use crate::lines::{Ready, Stopped, Stopping};
 use crate::options::LocalOptions;
 use crate::run::RolesError;
 use crate::signal;
@@ -60,10 +61,26 @@
     let _logs = Logs::open(&options.log)?;
     let mut stop = signal::stops();
     let deployment = Deployment::spawn(options).await?;
-    pimentotide_observe::event("ready", &deployment.addresses());
+    pimentotide_observe::event(&ready(&deployment.addresses()));
     stop.recv().await;
-    pimentotide_observe::event("stopping", &());
+    pimentotide_observe::event(&Stopping {});
     deployment.stop().await;
-    pimentotide_observe::event("stopped", &());
+    pimentotide_observe::event(&Stopped {});
     Ok(())
 }
+
+fn ready(addresses: &deployment::Addresses) -> Ready {
+    let entries = addresses.entries.iter().enumerate();
+    let entries = entries.map(|(n, a)| (format!("entry-{}", n + 1), a.to_string()));
+    let upstreams = addresses.upstreams.iter().enumerate();
+    let upstreams = upstreams.map(|(n, a)| (format!("upstream-{}", n + 1), a.to_string()));
+    let operator = addresses
+        .operator
+        .map(|a| ("operator".to_owned(), a.to_string()));
+    Ready {
+        instance: "local".to_owned(),
+        zone: String::new(),
+        roles: vec!["local".to_owned()],
+        addresses: entries.chain(upstreams).chain(operator).collect(),
+    }
+}
--- a/app/src/options/help.rs
+++ b/app/src/options/help.rs
@@ -11,6 +11,9 @@
   serve FILE   Run the entry or control role of a deployment whose upstreams announce themselves
   check FILE   Check a settings file and say all that is wrong with it
 
+Logs:
+  explain ID   Tell the story of one request from the log lines of any number of processes
+
 Operators:
   profile      Apply, compare, show and list profiles
   service      Set, list and remove services
@@ -56,6 +59,22 @@
 Stops gracefully on SIGTERM and Ctrl-C: sends callers away, lets running requests end and hands
 leadership over. Exits with 2 if the settings are wrong.";
 
+pub(super) const EXPLAIN: &str = "\
+Tell the story of one request from the log lines of any number of processes: the lines on the
+request (marked *), those on what it met at that time, and why it went as it did.
+
+Usage: pimentotide explain ID [FILE]...
+
+Reads standard input without files. Words before the JSON object of a line name its process;
+otherwise the file does. Lines that cannot be read are told on standard error.
+
+Options:
+      --around MS  Time before and after the request from which other lines are shown [2000]
+  -h, --help       Show this help
+
+Exits with 0 if the request is found, with 1 if no line tells of it and with 2 if a file cannot
+be opened.";
+
 pub(super) const CHECK: &str = "\
 Check a settings file and say all that is wrong with it.
 
--- a/app/src/options/mod.rs
+++ b/app/src/options/mod.rs
@@ -35,6 +35,7 @@
         Command::Run(path) => crate::run::run(&path),
         Command::Serve(path) => crate::fleet::run(&path),
         Command::Local(options) => crate::local::run(&options),
+        Command::Explain(options) => crate::explain::run(&options),
         Command::Operate(name, words) => {
             crate::operator::run(&name, lexopt::Parser::from_args(words))
         }
--- a/app/src/options/parse.rs
+++ b/app/src/options/parse.rs
@@ -3,11 +3,13 @@
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use derive_more::{Display, From};
 use lexopt::{Arg, Parser, ValueExt};
 
 use super::help;
+use crate::explain::ExplainOptions;
 use crate::operator;
 
 /// What the command line asks for.
@@ -25,6 +27,8 @@
     Serve(PathBuf),
     /// Run a whole small deployment.
     Local(LocalOptions),
+    /// Tell the story of one request from log lines.
+    Explain(ExplainOptions),
     /// Carry out a command of an operator.
     Operate(String, Vec<OsString>),
 }
@@ -66,6 +70,9 @@
     #[display("unknown command {_0:?}")]
     #[from(ignore)]
     UnknownCommand(String),
+    /// The command needs a request id.
+    #[display("expected a request id")]
+    NoRequest,
     /// The command needs a file.
     #[display("expected the path of a settings file")]
     NoFile,
@@ -93,6 +100,7 @@
         "local" => local(parser),
         "run" => file(parser, help::RUN, Command::Run),
         "serve" => file(parser, help::SERVE, Command::Serve),
+        "explain" => explain(parser),
         "check" => file(parser, help::CHECK, Command::Check),
         name if operator::SUBCOMMANDS.contains(&name) => Ok(Command::Operate(
             name.to_owned(),
@@ -118,6 +126,24 @@
     Ok(Command::Local(options))
 }
 
+fn explain(parser: &mut Parser) -> Result<Command, UsageError> {
+    let mut options = ExplainOptions::default();
+    let mut request = None;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Command::Help(help::EXPLAIN)),
+            Arg::Long("around") => {
+                options.around = Duration::from_millis(parser.value()?.parse()?);
+            }
+            Arg::Value(value) if request.is_none() => request = Some(value.string()?),
+            Arg::Value(value) => options.files.push(PathBuf::from(value)),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    options.request = request.ok_or(UsageError::NoRequest)?;
+    Ok(Command::Explain(options))
+}
+
 fn file<F>(parser: &mut Parser, help: &'static str, build: F) -> Result<Command, UsageError>
 where
     F: FnOnce(PathBuf) -> Command,
--- a/app/src/run/roles.rs
+++ b/app/src/run/roles.rs
@@ -14,12 +14,12 @@
 use pimentotide_instance::{PeerClient, Submitter};
 use pimentotide_model::{Fence, Incarnation, Revision, UpstreamName};
 use pimentotide_observe::{LogError, Logs, Metrics, MetricsError};
-use serde::Serialize;
 use tokio::sync::watch;
 
 use crate::agent::{Agent, AgentError, AgentOptions};
 use crate::control::{Control, ControlError, ControlOptions};
 use crate::entry::{Entry, EntryOptions};
+use crate::lines::{Ready, Stopped, Stopping};
 use crate::settings::{AgentSettings, EntrySettings, ReplicaSettings, Settings};
 use crate::signal;
 
@@ -60,16 +60,6 @@
     _reporter: AgentReporter,
 }
 
-#[derive(Serialize)]
-struct Ready<'a> {
-    instance: &'a str,
-    zone: &'a str,
-    entry: Option<String>,
-    agent: Option<String>,
-    replica: Option<String>,
-    operator: Option<String>,
-}
-
 /// Runs all roles that the settings give until the process is told to stop.
 pub(super) fn run(settings: Settings) -> ExitCode {
     match actix_rt::System::new().block_on(run_until_stopped(settings)) {
@@ -90,11 +80,11 @@
     let mut stop = signal::stops();
     let (instance, zone) = (settings.instance.clone(), settings.zone.clone());
     let roles = Roles::spawn(settings, &metrics).await?;
-    pimentotide_observe::event("ready", &roles.ready(&instance, &zone));
+    pimentotide_observe::event(&roles.ready(&instance, &zone));
     stop.recv().await;
-    pimentotide_observe::event("stopping", &());
+    pimentotide_observe::event(&Stopping {});
     roles.stop().await;
-    pimentotide_observe::event("stopped", &());
+    pimentotide_observe::event(&Stopped {});
     Ok(())
 }
 
@@ -161,14 +151,27 @@
         }
     }
 
-    fn ready<'a>(&self, instance: &'a str, zone: &'a str) -> Ready<'a> {
+    fn ready(&self, instance: &str, zone: &str) -> Ready {
+        let entry = self.entry().map(|e| ("entry", e.address()));
+        let agent = self.agent().map(|a| ("agent", a.address()));
+        let replica = self.control().map(|c| ("replica", c.address()));
+        let operator = self.control().map(|c| ("operator", c.operator_address()));
+        let served: Vec<_> = [entry, agent, replica, operator]
+            .into_iter()
+            .flatten()
+            .collect();
         Ready {
-            instance,
-            zone,
-            entry: self.entry().map(|e| e.address().to_string()),
-            agent: self.agent().map(|a| a.address().to_string()),
-            replica: self.control().map(|c| c.address().to_string()),
-            operator: self.control().map(|c| c.operator_address().to_string()),
+            instance: instance.to_owned(),
+            zone: zone.to_owned(),
+            roles: served
+                .iter()
+                .filter(|(name, _)| *name != "operator")
+                .map(|(name, _)| (*name).to_owned())
+                .collect(),
+            addresses: served
+                .iter()
+                .map(|(name, address)| ((*name).to_owned(), address.to_string()))
+                .collect(),
         }
     }
 }
--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -1,7 +1,9 @@
 //! Integration tests of the binary's library.
 
+mod explain;
 mod fleet;
 mod fleet_settings;
+mod lines;
 mod local;
 mod operator;
 mod options;
--- a/decision/fleet/src/balancer.rs
+++ b/decision/fleet/src/balancer.rs
@@ -14,7 +14,7 @@
 use rand::{Rng, RngExt};
 
 use crate::upstream::{Cold, Upstream};
-use crate::{ColdLimit, FleetState, Load, Outcome, RateLimit, Record, Stage};
+use crate::{ColdLimit, FleetState, Load, Outcome, RateLimit, Record, Stage, UpstreamNews};
 
 /// Load by which an upstream in another availability zone counts as more loaded.
 const ZONE_PENALTY: f64 = 0.02;
@@ -85,6 +85,21 @@
     Cold,
 }
 
+/// Number of upstreams in each state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Census {
+    /// Takes new work.
+    pub usable: usize,
+    /// Takes little, since it is cold.
+    pub cold: usize,
+    /// Avoided after failures.
+    pub ejected: usize,
+    /// Draining, or in a zone out of service.
+    pub out: usize,
+    /// Requests of this entry under way at all of them.
+    pub sent: usize,
+}
+
 /// Upstreams as one entry sees them.
 #[derive(Debug)]
 pub struct Balancer {
@@ -126,25 +141,62 @@
         self.colds = colds;
     }
 
-    /// Takes over the shared state of zones and upstreams.
-    pub fn learn<I>(&mut self, closed: BTreeSet<ZoneName>, records: I, now: Time)
+    /// Takes over the shared state of zones and upstreams; returns what is new of each upstream.
+    pub fn learn<I>(
+        &mut self,
+        closed: BTreeSet<ZoneName>,
+        records: I,
+        now: Time,
+    ) -> Vec<UpstreamNews>
     where
         I: IntoIterator<Item = Record>,
     {
         self.closed = closed;
         let mut old = std::mem::take(&mut self.upstreams);
+        let mut news = Vec::new();
         for record in records {
             let known = old.remove(&record.said.upstream);
+            let before = known.as_ref().map(|k| &k.record);
+            news.extend(UpstreamNews::between(before, Some(&record)));
             let upstream = self.renew(known, record, now);
             self.upstreams
                 .insert(upstream.record.said.upstream.clone(), upstream);
         }
+        let left = old.values().map(|k| &k.record);
+        news.extend(left.filter_map(|k| UpstreamNews::between(Some(k), None)));
+        news
+    }
+
+    /// Availability zones out of service.
+    pub fn closed(&self) -> &BTreeSet<ZoneName> {
+        &self.closed
+    }
+
+    /// Upstreams known, by what may be sent to them.
+    pub fn census(&self, now: Time) -> Census {
+        let mut census = Census::default();
+        for upstream in self.upstreams.values() {
+            let said = &upstream.record.said;
+            let count = if said.stage == Stage::Draining || self.closed.contains(&said.zone) {
+                &mut census.out
+            } else if upstream.is_ejected(now) {
+                &mut census.ejected
+            } else if upstream.is_cold(now) {
+                &mut census.cold
+            } else {
+                &mut census.usable
+            };
+            *count += 1;
+            census.sent += upstream.mine as usize;
+        }
+        census
     }
 
     /// Takes over the whole shared state, as [`learn`](Self::learn).
     pub fn learn_state(&mut self, state: &FleetState, now: Time) {
         let records: Vec<Record> = state.upstreams().values().cloned().collect();
-        self.learn(state.closed().clone(), records, now);
+        // What is new is told only where the state is followed.
+        let _ = self.learn(state.closed().clone(), records, now);
     }
 
     fn renew(&self, known: Option<Upstream>, record: Record, now: Time) -> Upstream {
@@ -207,9 +259,9 @@
         if fit.iter().any(|u| is_new(u)) {
             fit.retain(|u| is_new(u));
         }
-        let ejected = fit.iter().filter(|u| !u.health.admits(now)).count();
+        let ejected = fit.iter().filter(|u| u.is_ejected(now)).count();
         if ejected < fit.len() && ejected as f64 <= fit.len() as f64 * MOST_EJECTED {
-            fit.retain(|u| u.health.admits(now));
+            fit.retain(|u| !u.is_ejected(now));
         }
         fit.retain_mut(|u| !u.is_saturated(now));
         if fit.is_empty() {
--- a/decision/fleet/src/budget.rs
+++ b/decision/fleet/src/budget.rs
@@ -62,6 +62,13 @@
         self.bucket(service, now).add(earned);
     }
 
+    /// Whole sends that the budget of each service still allows.
+    pub fn left(&self, now: Time) -> impl Iterator<Item = (&ServiceName, u64)> {
+        self.services
+            .iter()
+            .map(move |(name, bucket)| (name, bucket.clone().held(now).max(0.0) as u64))
+    }
+
     /// Takes the budget of one more send; false if there is none left.
     pub fn spend(&mut self, service: &ServiceName, now: Time) -> bool {
         self.bucket(service, now).take(now)
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod balancer;
 mod budget;
+mod change;
 mod declaration;
 mod entries;
 mod members;
@@ -22,15 +23,16 @@
 mod stop;
 mod upstream;
 
-pub use balancer::{Ask, Balancer, BalancerOptions, Choice, Refusal, Ticket};
+pub use balancer::{Ask, Balancer, BalancerOptions, Census, Choice, Refusal, Ticket};
 pub use budget::{BudgetOptions, RepeatBudget};
+pub use change::{UpstreamChange, UpstreamNews};
 pub use declaration::{
     ColdLimit, Declaration, Engine, Fault, Limits, Route, RouteKind, Service, Workspace,
 };
 pub use entries::EntryCount;
 pub use members::{MemberView, Repair, RepairOptions, repair};
 pub use rate::RateLimit;
-pub use retry::{Ended, Policy, Step, give_up, next_step};
+pub use retry::{Ended, Limit, Policy, Step, give_up, limit, next_step};
 pub use route::{Match, Mismatch, RouteTable};
 pub use state::{Announcement, Command, Declared, FleetState, Record, Reply, Stage};
 pub use stop::{StopPhase, stop_phase};
--- a/decision/fleet/src/retry.rs
+++ b/decision/fleet/src/retry.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use pimentotide_model::{ErrorKind, Time};
 
 /// Sends of one request that were proved not to have run, after which it is given up.
@@ -50,23 +51,45 @@
     Pass,
 }
 
-/// Decides what follows a send.
-pub fn next_step(ended: Ended, policy: &Policy, now: Time) -> Step {
-    if now + LEAST_LEFT < policy.deadline && may_repeat(ended, policy) {
-        return Step::Again;
-    }
-    give_up(ended, policy)
+/// Why a request is not sent again.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Limit {
+    /// The caller or the route gives up first.
+    #[display("no time left")]
+    Time,
+    /// It may have run and must not run twice.
+    #[display("may have run")]
+    Once,
+    /// Its attempts are used up.
+    #[display("no attempts left")]
+    Attempts,
+    /// The deployment's budget of repeats is used up.
+    #[display("no budget left")]
+    Budget,
 }
 
-fn may_repeat(ended: Ended, policy: &Policy) -> bool {
+/// Says why a request may not be sent again; none if it may.
+pub fn limit(ended: Ended, policy: &Policy, now: Time) -> Option<Limit> {
+    if now + LEAST_LEFT >= policy.deadline {
+        return Some(Limit::Time);
+    }
     match ended {
-        Ended::Unsent | Ended::Rejected => policy.unrun < MAX_UNRUN,
+        Ended::Unsent | Ended::Rejected => (policy.unrun >= MAX_UNRUN).then_some(Limit::Attempts),
+        Ended::Broken | Ended::Silent | Ended::Failed if !policy.repeatable => Some(Limit::Once),
         Ended::Broken | Ended::Silent | Ended::Failed => {
-            policy.repeatable && policy.ran < policy.attempts
+            (policy.ran >= policy.attempts).then_some(Limit::Attempts)
         }
     }
 }
 
+/// Decides what follows a send.
+pub fn next_step(ended: Ended, policy: &Policy, now: Time) -> Step {
+    match limit(ended, policy, now) {
+        None => Step::Again,
+        Some(_) => give_up(ended, policy),
+    }
+}
+
 /// Final answer after a send; says "not run" only if no send may have run.
 pub fn give_up(ended: Ended, policy: &Policy) -> Step {
     match ended {
--- a/decision/fleet/src/upstream.rs
+++ b/decision/fleet/src/upstream.rs
@@ -143,6 +143,16 @@
         }
     }
 
+    /// Whether it is avoided after failures.
+    pub(crate) fn is_ejected(&self, now: Time) -> bool {
+        !self.health.admits(now)
+    }
+
+    /// Whether it takes little, since it is cold.
+    pub(crate) fn is_cold(&self, now: Time) -> bool {
+        self.cold.as_ref().is_some_and(|c| now < c.until)
+    }
+
     /// Whether it is cold and has had its share of requests for now.
     pub(crate) fn is_saturated(&mut self, now: Time) -> bool {
         let cold = self.cold.as_mut().filter(|c| now < c.until);
--- /dev/null
+++ b/decision/fleet/tests/it/change.rs
@@ -0,0 +1,71 @@
+//! What an entry tells of upstreams whose records change.
+
+use insta::assert_snapshot;
+use pimentotide_fleet::{Command, Record, Stage, UpstreamNews};
+
+use crate::state::{Log, said};
+
+fn record(change: impl FnOnce(&mut pimentotide_fleet::Announcement)) -> Record {
+    let mut log = Log::default();
+    let mut announcement = said("u1", 80, 1, 1);
+    change(&mut announcement);
+    log.apply(&Command::Announce(announcement));
+    let mut records = log.state.upstreams().values().cloned();
+    records.next().expect("a record")
+}
+
+#[test]
+fn every_change_has_its_name() {
+    let first = record(|_| {});
+    let cases = [
+        ("first seen", None, Some(first.clone())),
+        ("the same again", Some(first.clone()), Some(first.clone())),
+        (
+            "started anew",
+            Some(first.clone()),
+            Some(record(|a| a.born = 9)),
+        ),
+        (
+            "another address",
+            Some(first.clone()),
+            Some(record(|a| a.address.set_port(81))),
+        ),
+        (
+            "draining",
+            Some(first.clone()),
+            Some(record(|a| a.stage = Stage::Draining)),
+        ),
+        (
+            "back from draining",
+            Some(record(|a| a.stage = Stage::Draining)),
+            Some(first.clone()),
+        ),
+        (
+            "cold again",
+            Some(first.clone()),
+            Some(Record {
+                chilled: first.chilled + 1,
+                ..first.clone()
+            }),
+        ),
+        ("left", Some(first), None),
+    ];
+    let told: Vec<String> = cases
+        .iter()
+        .map(|(name, before, after)| {
+            let news = UpstreamNews::between(before.as_ref(), after.as_ref());
+            let change = news.map_or("nothing".to_owned(), |n| n.change.to_string());
+            format!("{name}: {change}")
+        })
+        .collect();
+    assert_snapshot!(told.join("\n"), @r"
+    first seen: new
+    the same again: nothing
+    started anew: restarted
+    another address: moved
+    draining: draining
+    back from draining: ready
+    cold again: cold
+    left: gone
+    ");
+}
--- a/decision/fleet/tests/it/main.rs
+++ b/decision/fleet/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod balancer;
 mod budget;
+mod change;
 mod declaration;
 mod members;
 mod retry;
--- a/decision/fleet/tests/it/retry.rs
+++ b/decision/fleet/tests/it/retry.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use insta::assert_snapshot;
-use pimentotide_fleet::{Ended, Policy, Step, next_step};
+use pimentotide_fleet::{Ended, Policy, Step, limit, next_step};
 use pimentotide_model::{ErrorKind, Time};
 
 const ENDS: [Ended; 5] = [
@@ -63,3 +63,47 @@
         assert_ne!(next_step(ended, &policy(true, 0, 1), late), Step::Again);
     }
 }
+
+#[test]
+fn what_keeps_a_request_from_another_send_is_named() {
+    let late = Time::ZERO + Duration::from_millis(980);
+    let cases = [
+        (
+            "may run again",
+            Ended::Broken,
+            policy(true, 1, 0),
+            Time::ZERO,
+        ),
+        ("ran twice", Ended::Broken, policy(true, 2, 0), Time::ZERO),
+        (
+            "may run once only",
+            Ended::Silent,
+            policy(false, 1, 0),
+            Time::ZERO,
+        ),
+        (
+            "refused three times",
+            Ended::Rejected,
+            policy(false, 0, 3),
+            Time::ZERO,
+        ),
+        ("near its deadline", Ended::Unsent, policy(true, 0, 1), late),
+    ];
+    let told: Vec<String> = cases
+        .iter()
+        .map(|(name, ended, policy, now)| {
+            let limit = limit(*ended, policy, *now);
+            format!(
+                "{name}: {}",
+                limit.map_or("again".to_owned(), |l| l.to_string())
+            )
+        })
+        .collect();
+    assert_snapshot!(told.join("\n"), @r"
+    may run again: again
+    ran twice: no attempts left
+    may run once only: may have run
+    refused three times: no attempts left
+    near its deadline: no time left
+    ");
+}
--- /dev/null
+++ b/support/observe/src/line.rs
@@ -0,0 +1,45 @@
+//! Lines of the structured log.
+
+use log::Level;
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+/// Target of records whose message is the rest of a JSON object.
+pub(crate) const EVENT_TARGET: &str = "pimentotide::event";
+/// Target of such records that tell of nothing unusual.
+pub(crate) const ROUTINE_TARGET: &str = "pimentotide::routine";
+
+/// One kind of line; its fields are those of the object that it serializes to.
+pub trait Line: Serialize {
+    /// Name of the event.
+    const EVENT: &'static str;
+    /// Level at which it is logged.
+    const LEVEL: Level = Level::Info;
+    /// Whether it tells of nothing unusual; such lines are the first to be dropped under load.
+    const ROUTINE: bool = false;
+}
+
+/// Logs one line.
+pub fn event<T>(line: &T)
+where
+    T: Line,
+{
+    let target = if T::ROUTINE {
+        ROUTINE_TARGET
+    } else {
+        EVENT_TARGET
+    };
+    if !log::log_enabled!(target: target, T::LEVEL) {
+        return;
+    }
+    let fields = match serde_json::to_value(line) {
+        Ok(Value::Object(fields)) => fields,
+        Ok(Value::Null) => Map::new(),
+        Ok(other) => Map::from_iter([("value".to_owned(), other)]),
+        Err(e) => Map::from_iter([("unserializable".to_owned(), Value::from(e.to_string()))]),
+    };
+    let fields = Value::Object(fields).to_string();
+    let rest = if fields == "{}" { "}" } else { &fields[1..] };
+    let comma = if fields == "{}" { "" } else { "," };
+    log::log!(target: target, T::LEVEL, "\"event\":{}{comma}{rest}", Value::from(T::EVENT));
+}
--- a/support/observe/src/logs.rs
+++ b/support/observe/src/logs.rs
@@ -1,10 +1,25 @@
-//! JSON lines on standard output.
+//! JSON lines on standard output, written by a thread of their own.
+
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle, WriteMode};
+use flexi_logger::writers::LogWriter;
+use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
 use log::Record;
-use serde::Serialize;
-use serde_json::{Map, Value, json};
+use serde_json::json;
+
+use crate::line::{EVENT_TARGET, ROUTINE_TARGET};
+use crate::queue::{Dropped, LineQueue, pieces};
+
+/// Most bytes in one write; pipes take as many whole, so that lines of several writers do not mix.
+const MAX_WRITE: usize = 4_096;
+/// Pause between two writes; lines that come meanwhile share one system call.
+const WRITE_PAUSE: Duration = Duration::from_millis(20);
+/// Longest wait for the reader of the log at the end of the process.
+const FLUSH_LIMIT: Duration = Duration::from_millis(500);
 
 /// Why logging could not start.
 #[derive(Debug, Display)]
@@ -13,8 +28,9 @@
 
 impl std::error::Error for LogError {}
 
-/// Running logger; flushes what is buffered when dropped.
+/// Running logger; writes out what waits when dropped.
 pub struct Logs {
+    outlet: Outlet,
     _handle: LoggerHandle,
 }
 
@@ -25,53 +41,143 @@
     ///
     /// Fails if the level is not valid or a logger runs already.
     pub fn open(level: &str) -> Result<Self, LogError> {
+        let outlet = Outlet::open();
         let handle = Logger::try_with_str(level)
-            .and_then(|l| {
-                l.log_to_stdout()
-                    .format(write_line)
-                    .write_mode(WriteMode::Direct)
-                    .start()
-            })
+            .and_then(|l| l.log_to_writer(Box::new(outlet.clone())).start())
             .map_err(LogError)?;
-        Ok(Self { _handle: handle })
+        let writer = outlet.clone();
+        // The thread runs until the process ends; `flush` waits for its work.
+        std::thread::spawn(move || writer.write_out());
+        Ok(Self {
+            outlet,
+            _handle: handle,
+        })
+    }
+
+    /// Counts the lines that were dropped; clones count the same.
+    pub fn drops(&self) -> Drops {
+        Drops(self.outlet.clone())
+    }
+}
+
+impl Drop for Logs {
+    fn drop(&mut self) {
+        self.outlet.drain(FLUSH_LIMIT);
+    }
+}
+
+/// Counter of dropped lines.
+#[derive(Clone)]
+pub struct Drops(Outlet);
+
+impl Drops {
+    /// Lines dropped since the start.
+    pub fn count(&self) -> Dropped {
+        self.0.queue().dropped()
+    }
+}
+
+/// Queue of lines and what wakes its writer.
+#[derive(Clone)]
+struct Outlet(Arc<Shared>);
+
+struct Shared {
+    queue: Mutex<LineQueue>,
+    filled: Condvar,
+    writing: AtomicBool,
+}
+
+impl Outlet {
+    fn open() -> Self {
+        Self(Arc::new(Shared {
+            queue: Mutex::new(LineQueue::new(Instant::now())),
+            filled: Condvar::new(),
+            writing: AtomicBool::new(false),
+        }))
+    }
+
+    fn queue(&self) -> MutexGuard<'_, LineQueue> {
+        self.0.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Writes lines as they come, for ever.
+    fn write_out(&self) {
+        loop {
+            let text = self.next_lines();
+            for piece in pieces(&text, MAX_WRITE) {
+                if let Err(e) = io::stdout().lock().write_all(piece.as_bytes()) {
+                    // The log itself cannot tell it.
+                    eprintln!("{} bytes of the log are lost: {e}", piece.len());
+                }
+            }
+            self.0.writing.store(false, Ordering::SeqCst);
+            std::thread::sleep(WRITE_PAUSE);
+        }
+    }
+
+    fn next_lines(&self) -> String {
+        let mut queue = self.queue();
+        while queue.is_empty() {
+            let filled = self.0.filled.wait(queue);
+            queue = filled.unwrap_or_else(PoisonError::into_inner);
+        }
+        let mut text = queue.take();
+        if let Some(dropped) = queue.report(Instant::now()) {
+            text.push_str(&dropped_line(dropped));
+        }
+        self.0.writing.store(true, Ordering::SeqCst);
+        text
+    }
+
+    /// Waits until all lines are written, at most for `limit`.
+    fn drain(&self, limit: Duration) {
+        let end = Instant::now() + limit;
+        while Instant::now() < end {
+            if self.queue().is_empty() && !self.0.writing.load(Ordering::SeqCst) {
+                return;
+            }
+            self.0.filled.notify_one();
+            std::thread::sleep(Duration::from_millis(1));
+        }
     }
 }
 
-/// Logs one event with its fields at level info.
-///
-/// `fields` must serialize to an object; anything else is logged under `value`.
-pub fn event<T>(name: &str, fields: &T)
-where
-    T: Serialize,
-{
-    if !log::log_enabled!(target: EVENT_TARGET, log::Level::Info) {
-        return;
+impl LogWriter for Outlet {
+    fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+        let line = line_of(&now.format(TIME_FORMAT).to_string(), record);
+        let routine = record.target() == ROUTINE_TARGET;
+        let mut queue = self.queue();
+        let idle = queue.is_empty();
+        queue.push(&line, routine, Instant::now());
+        drop(queue);
+        if idle {
+            self.0.filled.notify_one();
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        self.drain(FLUSH_LIMIT);
+        Ok(())
     }
-    let fields = match serde_json::to_value(fields) {
-        Ok(Value::Object(fields)) => fields,
-        Ok(Value::Null) => Map::new(),
-        Ok(other) => Map::from_iter([("value".to_owned(), other)]),
-        Err(e) => Map::from_iter([("unserializable".to_owned(), Value::from(e.to_string()))]),
-    };
-    let fields = Value::Object(fields).to_string();
-    let rest = if fields == "{}" { "}" } else { &fields[1..] };
-    let comma = if fields == "{}" { "" } else { "," };
-    log::info!(target: EVENT_TARGET, "\"event\":{}{comma}{rest}", Value::from(name));
 }
 
-/// Target of records whose message is the rest of a JSON object.
-const EVENT_TARGET: &str = "pimentotide::event";
+/// Time of day of a line, UTC.
+const TIME_FORMAT: &str = "%Y-%m-%dT%H:%M:%S%.6fZ";
+
+fn dropped_line(dropped: Dropped) -> String {
+    let time = DeferredNow::new().format(TIME_FORMAT).to_string();
+    let Dropped { routine, other } = dropped;
+    format!(
+        "{{\"time\":\"{time}\",\"level\":\"warn\",\"event\":\"lines_dropped\",\"routine\":{routine},\"other\":{other}}}\n"
+    )
+}
 
-fn write_line(
-    out: &mut dyn std::io::Write,
-    now: &mut DeferredNow,
-    record: &Record<'_>,
-) -> Result<(), std::io::Error> {
-    let time = now.format("%Y-%m-%dT%H:%M:%S%.6fZ").to_string();
+fn line_of(time: &str, record: &Record<'_>) -> String {
     let level = record.level().as_str().to_ascii_lowercase();
     let message = record.args().to_string();
-    if record.target() == EVENT_TARGET {
-        return write!(out, r#"{{"time":"{time}","level":"{level}",{message}"#);
+    if [EVENT_TARGET, ROUTINE_TARGET].contains(&record.target()) {
+        return format!(r#"{{"time":"{time}","level":"{level}",{message}"#);
     }
     let line = json!({
         "time": time,
@@ -80,5 +186,5 @@
         "target": record.target(),
         "message": message,
     });
-    write!(out, "{line}")
+    line.to_string()
 }
--- a/support/observe/tests/it/main.rs
+++ b/support/observe/tests/it/main.rs
@@ -1,3 +1,4 @@
 //! Tests of logs and metrics.
 
 mod exposition;
+mod queue;
--- /dev/null
+++ b/support/observe/tests/it/queue.rs
@@ -0,0 +1,80 @@
+//! What the bounded queue of log lines keeps and drops.
+
+use std::time::{Duration, Instant};
+
+use pimentotide_observe::{Dropped, LineQueue, pieces};
+
+const LONG: usize = 1 << 10;
+
+#[test]
+fn lines_come_out_in_order() {
+    let now = Instant::now();
+    let mut queue = LineQueue::new(now);
+    queue.push("one", true, now);
+    queue.push("two", false, now);
+    assert_eq!(
+        (queue.take().as_str(), queue.is_empty()),
+        ("one\ntwo\n", true)
+    );
+}
+
+#[test]
+fn a_reader_that_stands_still_costs_routine_lines_first() {
+    let start = Instant::now();
+    let mut queue = LineQueue::new(start);
+    let line = "x".repeat(LONG);
+    for second in 0..4 {
+        let now = start + Duration::from_secs(second);
+        for _ in 0..80 {
+            queue.push(&line, true, now);
+        }
+        queue.push("a refusal", false, now);
+    }
+    let dropped = queue.dropped();
+    assert!(dropped.routine > 0, "{dropped:?}");
+    assert_eq!(dropped.other, 0);
+    assert_eq!(queue.take().matches("a refusal").count(), 4);
+}
+
+#[test]
+fn a_reader_that_never_reads_bounds_memory() {
+    let start = Instant::now();
+    let mut queue = LineQueue::new(start);
+    let line = "x".repeat(LONG);
+    for second in 0..100 {
+        for _ in 0..100 {
+            queue.push(&line, false, start + Duration::from_secs(second));
+        }
+    }
+    assert!(queue.dropped().other > 9_000);
+    assert!(queue.take().len() <= 256 << 10);
+}
+
+#[test]
+fn a_flood_is_cut_each_second_and_told() {
+    let start = Instant::now();
+    let mut queue = LineQueue::new(start);
+    for second in 0..2 {
+        let now = start + Duration::from_secs(second);
+        for _ in 0..1_000 {
+            queue.push("a", true, now);
+            queue.push("b", false, now);
+        }
+    }
+    let total = Dropped {
+        routine: 2 * 640,
+        other: 2 * 280,
+    };
+    assert_eq!(queue.dropped(), total);
+    let later = start + Duration::from_secs(3);
+    assert_eq!(queue.report(start + Duration::from_millis(1_100)), None);
+    assert_eq!(queue.report(later), Some(total));
+    assert_eq!(queue.report(later), None);
+}
+
+#[test]
+fn writes_hold_whole_lines() {
+    let text = "aaa\nbb\ncccccccccc\nd\n";
+    assert_eq!(pieces(text, 7), ["aaa\nbb\n", "cccccccccc\n", "d\n"]);
+    assert_eq!(pieces("", 7), Vec::<&str>::new());
+}
