Soak: randomized faults on real processes

Three replicas and three entries as processes of their own; callers, an operator and stand-in upstreams around them, with a proxy on every connection from outside. A seed draws kills, stops, pauses, reloads, lost disks, links that delay, reset, silence or cut one way, upstreams that crash, hang, refuse, cut or leave, and versions of the configuration, in series and overlapping. Nine promises are checked on what was seen; the checks have tests of their own, each shown to find its fault.

Clocks cannot be set here, and connections between the deployment's own processes have no proxy: they are disturbed by pausing and killing processes.

The handle of a process is now one piece for the rig and the soak (support/process).

--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -8,3 +8,4 @@
 mod operator;
 mod options;
 mod settings;
+mod soak;
--- /dev/null
+++ b/app/tests/it/soak.rs
@@ -0,0 +1,30 @@
+//! A short soak of real processes, with a seed of its own.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use pimentotide_soak::{SoakOptions, run};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_soak_breaks_no_promise() {
+    let options = SoakOptions {
+        binary: PathBuf::from(env!("CARGO_BIN_EXE_pimentotide")),
+        seed: 7,
+        faults: Duration::from_secs(6),
+        network: 200,
+    };
+    let report = run(&options).await.expect("the deployment serves");
+    assert!(
+        report.broken.is_empty(),
+        "{:?}\n{:#?}\nlogs: {:?}",
+        report.broken,
+        report.faults,
+        report.logs
+    );
+    let served = report.endings.iter().find(|(ending, _)| ending == "Whole");
+    assert!(
+        served.is_some_and(|(_, count)| *count > 100),
+        "{:?}",
+        report.endings
+    );
+}
--- a/dev/rig/src/deployment.rs
+++ b/dev/rig/src/deployment.rs
@@ -11,8 +11,8 @@
 use serde_json::Value;
 
 use crate::options::Options;
-use crate::process::{Process, Usage};
 use crate::settings::{DECLARATIONS, Instance, Role, instances, text, zones};
+use pimentotide_process::{Process, Usage};
 
 /// Longest time until a deployment serves.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -89,7 +89,7 @@
         for instance in &self.instances {
             if !self.processes.contains_key(&instance.name) {
                 let settings = self.folder.path().join(format!("{}.yaml", instance.name));
-                let process = Process::spawn(&self.binary, &settings)?;
+                let process = Process::spawn(&self.binary, "run", &settings)?;
                 self.processes
                     .insert(instance.name.clone(), (process, Instant::now()));
             }
--- a/dev/rig/src/main.rs
+++ b/dev/rig/src/main.rs
@@ -9,7 +9,6 @@
 mod deployment;
 mod fault;
 mod options;
-mod process;
 mod report;
 mod settings;
 mod verdict;
--- a/dev/rig/src/report.rs
+++ b/dev/rig/src/report.rs
@@ -11,8 +11,8 @@
 
 use crate::caller::{End, Job, Sample};
 use crate::options::Options;
-use crate::process::Usage;
 use crate::verdict::Verdict;
+use pimentotide_process::Usage;
 
 /// Length of one row of the time series.
 const ROW: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/dev/soak/src/caller.rs
@@ -0,0 +1,191 @@
+//! Callers that keep connections, pick entries and note what they get.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+use crate::cluster::Cluster;
+use crate::history::{Call, Ending, Kind, Notes};
+use crate::upstream::{EVENTS, body_of, event_of};
+use crate::wire::{Message, Template, read_message};
+
+/// Longest wait for an answer; longer than any deadline that is sent.
+const PATIENCE: Duration = Duration::from_millis(4_600);
+/// Longest wait for a connection.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Time between two requests of a caller, ms.
+const PAUSE_MS: std::ops::Range<u64> = 5..60;
+/// Part of the requests for which a kept connection is used if there is one.
+const KEPT: f64 = 0.8;
+
+/// Running callers.
+pub(crate) struct Callers {
+    stop: Arc<AtomicBool>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Callers {
+    /// Waits until all have their last answer.
+    pub(crate) async fn stop(self) {
+        self.stop.store(true, Ordering::SeqCst);
+        for task in self.tasks {
+            // A caller that panicked has printed why.
+            let _ = task.await;
+        }
+    }
+}
+
+/// Number of requests so far, of all callers.
+#[derive(Debug, Default)]
+pub(crate) struct Requests(AtomicU64);
+
+impl Requests {
+    fn next(&self) -> u64 {
+        self.0.fetch_add(1, Ordering::SeqCst) + 1
+    }
+}
+
+/// Starts `count` callers.
+pub(crate) fn spawn_all(cluster: &Arc<Cluster>, count: usize, seed: u64) -> Callers {
+    let stop = Arc::new(AtomicBool::new(false));
+    let tasks = (0..count).map(|number| {
+        let mut caller = Caller::new(cluster, seed.wrapping_add(number as u64));
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            while !stop.load(Ordering::SeqCst) {
+                caller.call().await;
+                let pause = caller.rng.random_range(PAUSE_MS);
+                tokio::time::sleep(Duration::from_millis(pause)).await;
+            }
+        })
+    });
+    let tasks = tasks.collect();
+    Callers { stop, tasks }
+}
+
+/// One caller.
+pub(crate) struct Caller {
+    notes: Arc<Notes>,
+    requests: Arc<Requests>,
+    entries: Vec<SocketAddr>,
+    template: Template,
+    kept: BTreeMap<usize, TcpStream>,
+    rng: ChaCha8Rng,
+}
+
+impl Caller {
+    pub(crate) fn new(cluster: &Cluster, seed: u64) -> Self {
+        Self {
+            notes: cluster.notes.clone(),
+            requests: cluster.requests.clone(),
+            entries: cluster.entry_addresses(),
+            template: cluster.call.clone(),
+            kept: BTreeMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Sends one request and notes how it ends; true if it was served.
+    pub(crate) async fn call(&mut self) -> bool {
+        let kind = self.draw_kind();
+        let entry = self.rng.random_range(0..self.entries.len());
+        let id = self.requests.next();
+        let sent = self.notes.now();
+        let ending = match tokio::time::timeout(PATIENCE, self.exchange(entry, id, kind)).await {
+            Ok(ending) => ending,
+            Err(_) => Ending::Late,
+        };
+        let ended = self.notes.now();
+        let served = ending == Ending::Whole;
+        self.notes.history().calls.push(Call {
+            id,
+            kind,
+            entry,
+            sent,
+            ended,
+            ending,
+        });
+        served
+    }
+
+    fn draw_kind(&mut self) -> Kind {
+        match self.rng.random_range(0..10) {
+            0..3 => Kind::Repeatable,
+            3..6 => Kind::Once,
+            6..9 => Kind::Stream,
+            _ => Kind::Parity(self.rng.random_bool(0.5)),
+        }
+    }
+
+    async fn exchange(&mut self, entry: usize, id: u64, kind: Kind) -> Ending {
+        let kept = self.kept.remove(&entry);
+        let kept = kept.filter(|_| self.rng.random_bool(KEPT));
+        let mut stream = match kept.filter(is_open) {
+            Some(stream) => stream,
+            None => {
+                let connecting = TcpStream::connect(self.entries[entry]);
+                match tokio::time::timeout(CONNECT, connecting).await {
+                    Ok(Ok(stream)) => stream,
+                    Ok(Err(_)) | Err(_) => return Ending::Unconnected,
+                }
+            }
+        };
+        let path = match kind {
+            Kind::Repeatable => "/a/x",
+            Kind::Once => "/n/x",
+            Kind::Stream => "/s/x",
+            Kind::Parity(true) => "/odd/x",
+            Kind::Parity(false) => "/even/x",
+        };
+        let (body, attempt) = (id.to_string(), format!("a{id}"));
+        let values = [("path", path), ("attempt", &attempt), ("body", &body)];
+        let request = self.template.fill(&values);
+        if stream.write_all(request.as_bytes()).await.is_err() {
+            return Ending::Broken;
+        }
+        let Some(answer) = read_message(&mut stream).await else {
+            return Ending::Broken;
+        };
+        if answer.keeps_connection() {
+            self.kept.insert(entry, stream);
+        }
+        judge(&answer, id, kind)
+    }
+}
+
+/// Whether the entry has neither closed a kept connection nor sent anything.
+fn is_open(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    matches!(stream.try_read(&mut byte), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+}
+
+/// Compares an answer with the one that belongs to the request.
+fn judge(answer: &Message, id: u64, kind: Kind) -> Ending {
+    if answer.status() != 200 {
+        return if answer.whole {
+            Ending::Refused(answer.status())
+        } else {
+            Ending::Broken
+        };
+    }
+    let expected = match kind {
+        Kind::Stream => (1..=EVENTS).map(|n| event_of(id, n)).collect(),
+        Kind::Repeatable | Kind::Once | Kind::Parity(_) => body_of(id),
+    };
+    if answer.whole && answer.body == expected {
+        return Ending::Whole;
+    }
+    if !answer.whole && expected.starts_with(&answer.body) {
+        return Ending::Broken;
+    }
+    let shown: String = answer.body.chars().take(120).collect();
+    Ending::Wrong(format!("whole {}: {shown:?}", answer.whole))
+}
--- /dev/null
+++ b/dev/soak/src/cluster.rs
@@ -0,0 +1,296 @@
+//! The processes under test and what stands around them.
+
+use std::fs;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use pimentotide_process::Process;
+use rand::RngExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+
+use crate::caller::{Caller, Requests};
+use crate::history::{Disturbance, History, Notes, Target};
+use crate::proxy::{Passing, Proxy};
+use crate::upstream::{Mood, StandIn};
+use crate::wire::{Message, Template, read_message};
+use crate::{SoakError, SoakOptions, operator};
+
+/// Control replicas, entries and upstreams.
+pub(crate) const CONTROLS: usize = 3;
+pub(crate) const ENTRIES: usize = 3;
+pub(crate) const UPSTREAMS: usize = 5;
+/// Longest wait for an operator's answer.
+const ASK_LIMIT: Duration = Duration::from_secs(1);
+/// Time that a stop may take, as the settings say, seconds.
+const GRACE_S: u64 = 4;
+/// Longest wait for the end of a process that stops.
+const STOP_LIMIT: Duration = Duration::from_secs(15);
+
+/// A process that is started anew on the same settings.
+#[derive(Debug)]
+pub(crate) struct Member {
+    pub(crate) process: Process,
+    settings: PathBuf,
+    /// Settings of all later starts.
+    again: String,
+    pub(crate) data: PathBuf,
+}
+
+/// The deployment under test.
+#[derive(Debug)]
+pub(crate) struct Cluster {
+    binary: PathBuf,
+    folder: tempfile::TempDir,
+    pub(crate) notes: Arc<Notes>,
+    pub(crate) requests: Arc<Requests>,
+    pub(crate) call: Template,
+    declare: Template,
+    read: Template,
+    pub(crate) controls: Vec<Mutex<Member>>,
+    pub(crate) entries: Vec<Mutex<Member>>,
+    pub(crate) upstreams: Vec<StandIn>,
+    pub(crate) control_proxies: Vec<Proxy>,
+    pub(crate) entry_proxies: Vec<Proxy>,
+}
+
+impl Cluster {
+    /// Starts all processes and upstreams.
+    pub(crate) async fn spawn(options: &SoakOptions) -> Result<Self, SoakError> {
+        let folder = tempfile::tempdir()?;
+        let port = free_ports(options.network);
+        let plan = Plan {
+            folder: folder.path(),
+            network: options.network,
+            port,
+        };
+        let (mut controls, mut entries) = (Vec::new(), Vec::new());
+        let (mut control_proxies, mut entry_proxies) = (Vec::new(), Vec::new());
+        for number in 0..CONTROLS {
+            let (member, listener) = plan.member(&options.binary, "control", number)?;
+            controls.push(Mutex::new(member));
+            control_proxies.push(Proxy::bind(listener).await?);
+        }
+        for number in 0..ENTRIES {
+            let (member, listener) = plan.member(&options.binary, "entry", number)?;
+            entries.push(Mutex::new(member));
+            entry_proxies.push(Proxy::bind(listener).await?);
+        }
+        let notes = Arc::new(Notes::new());
+        let addresses: Vec<SocketAddr> = control_proxies.iter().map(Proxy::address).collect();
+        let mut upstreams = Vec::new();
+        for number in 0..UPSTREAMS {
+            upstreams.push(StandIn::spawn(number, addresses.clone(), notes.clone()).await?);
+        }
+        Ok(Self {
+            binary: options.binary.clone(),
+            folder,
+            notes,
+            requests: Arc::default(),
+            call: Template::open("call.http")?,
+            declare: Template::open("declare.http")?,
+            read: Template::open("read.http")?,
+            controls,
+            entries,
+            upstreams,
+            control_proxies,
+            entry_proxies,
+        })
+    }
+
+    pub(crate) fn entry_addresses(&self) -> Vec<SocketAddr> {
+        self.entry_proxies.iter().map(Proxy::address).collect()
+    }
+
+    /// Order to take a version over; odd versions have another route than even ones.
+    pub(crate) fn declaration(&self, version: u64) -> String {
+        let parity = if version % 2 == 1 { "odd" } else { "even" };
+        let version = version.to_string();
+        self.declare
+            .fill(&[("version", &version), ("parity", parity)])
+    }
+
+    pub(crate) fn read_request(&self) -> String {
+        self.read.fill(&[])
+    }
+
+    /// Asks some replica, as an operator.
+    pub(crate) async fn ask_control(&self, message: &str) -> Option<Message> {
+        let number = rand::rng().random_range(0..CONTROLS);
+        let address = self.control_proxies[number].address();
+        let asking = async {
+            let mut stream = TcpStream::connect(address).await.ok()?;
+            stream.write_all(message.as_bytes()).await.ok()?;
+            read_message(&mut stream).await.filter(|m| m.whole)
+        };
+        tokio::time::timeout(ASK_LIMIT, asking).await.ok().flatten()
+    }
+
+    /// Starts a process anew on its settings.
+    pub(crate) fn restart(&self, member: &mut Member) -> Result<(), String> {
+        fs::write(&member.settings, &member.again).map_err(|e| e.to_string())?;
+        member.process = Process::spawn(&self.binary, "serve", &member.settings)?;
+        Ok(())
+    }
+
+    /// Notes a fault or planned work that began at `from` and is over now.
+    pub(crate) fn note(&self, name: &'static str, target: Target, planned: bool, from: u64) {
+        let until = self.notes.now();
+        self.notes.history().disturbances.push(Disturbance {
+            name,
+            target,
+            planned,
+            from,
+            until,
+        });
+    }
+
+    /// Whether each entry serves a request within `limit`.
+    pub(crate) async fn serves_within(&self, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        let mut caller = Caller::new(self, 0);
+        let mut served = 0;
+        while Instant::now() < end {
+            served = if caller.call().await { served + 1 } else { 0 };
+            if served > 2 * ENTRIES {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        false
+    }
+
+    /// Ends what still disturbs connections and upstreams.
+    pub(crate) async fn heal(&self) {
+        for proxy in self.control_proxies.iter().chain(&self.entry_proxies) {
+            proxy.set(Passing::Plain);
+        }
+        for upstream in &self.upstreams {
+            upstream.proxy.set(Passing::Plain);
+            upstream.set(Mood::Sound);
+        }
+        let now = self.notes.now();
+        self.notes.history().healed = now;
+    }
+
+    /// Reads the configuration at the end until some replica tells it.
+    pub(crate) async fn read_back(&self) {
+        let end = Instant::now() + STOP_LIMIT;
+        while Instant::now() < end && !operator::read(self).await {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// Ends all processes; planned for entries, whose ends are noted.
+    pub(crate) async fn stop(&self) -> History {
+        for entry in &self.entries {
+            self.stop_entry(&mut *entry.lock().await).await;
+        }
+        for control in &self.controls {
+            control.lock().await.process.kill();
+        }
+        self.notes.history().clone()
+    }
+
+    /// Tells an entry to stop, waits until it has and notes that.
+    pub(crate) async fn stop_entry(&self, entry: &mut Member) {
+        let told = self.notes.now();
+        entry.process.terminate();
+        let end = Instant::now() + STOP_LIMIT;
+        while Instant::now() < end && !entry.process.has_ended() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let code = entry.process.exit_code();
+        entry.process.kill();
+        let ended = self.notes.now();
+        self.notes.history().stops.push((told, ended, code));
+    }
+
+    /// Copies the logs to a folder that stays.
+    pub(crate) fn keep_logs(&self) -> PathBuf {
+        let kept = std::env::temp_dir().join(format!("soak-{}", std::process::id()));
+        let copied = fs::create_dir_all(&kept).and_then(|()| {
+            for entry in fs::read_dir(self.folder.path())?.flatten() {
+                if entry.path().is_file() {
+                    fs::copy(entry.path(), kept.join(entry.file_name()))?;
+                }
+            }
+            Ok(())
+        });
+        if let Err(e) = copied {
+            eprintln!("the logs are not kept whole: {e}");
+        }
+        kept
+    }
+}
+
+/// Where processes find their addresses and files.
+struct Plan<'a> {
+    folder: &'a Path,
+    network: u8,
+    port: u16,
+}
+
+impl Plan<'_> {
+    /// Starts a process; returns it and the address that others use.
+    fn member(
+        &self,
+        binary: &Path,
+        role: &str,
+        number: usize,
+    ) -> Result<(Member, SocketAddr), SoakError> {
+        let (host, offset) = match role {
+            "control" => (1 + number, 2),
+            _ => (1 + CONTROLS + number, 4),
+        };
+        let own = ip(self.network, host);
+        let data = self.folder.join(format!("data{host}"));
+        let port = self.port;
+        let seeds: Vec<String> = (1..=CONTROLS)
+            .map(|c| format!("\"{}:{}\"", ip(self.network, c), port + 2))
+            .collect();
+        let text = format!(
+            "role: {role}\ninstance: {role}-{number}\nzone: z1\nip: {own}\n\
+             ports: [{port}, {}]\nseeds: [{}]\nfirst_start: true\ndata: {}\n\
+             listen: {{callers: \"{own}:{}\", ready: \"{own}:{}\", control: \"{own}:{}\"}}\n\
+             token: token-of-this-soak\nbounds: {{revoke_ms: 5000, grace_s: {GRACE_S}}}\n",
+            port + 1,
+            seeds.join(", "),
+            data.display(),
+            port + 4,
+            port + 5,
+            port + 2,
+        );
+        let settings = self.folder.join(format!("{role}-{number}.yaml"));
+        fs::write(&settings, &text)?;
+        let process = Process::spawn(binary, "serve", &settings).map_err(SoakError::Process)?;
+        let member = Member {
+            process,
+            settings,
+            again: text.replace("first_start: true", "first_start: false"),
+            data,
+        };
+        Ok((member, SocketAddr::new(own, port + offset)))
+    }
+}
+
+fn ip(network: u8, host: usize) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 10, network, host as u8))
+}
+
+/// First of ten ports that are free on all addresses of a network.
+///
+/// Below the range from which connections take theirs.
+fn free_ports(network: u8) -> u16 {
+    let hosts = 1..=CONTROLS + ENTRIES;
+    let free = |port: &u16| {
+        let mut places = hosts.clone().flat_map(|h| (0..6).map(move |o| (h, o)));
+        places.all(|(h, o)| std::net::TcpListener::bind((ip(network, h), port + o)).is_ok())
+    };
+    let first = (std::process::id() % 2_000) as u16;
+    let mut ports = (0..2_000).map(|n| 10_000 + (first + n) % 2_000 * 10);
+    ports.find(free).unwrap_or(10_000)
+}
--- /dev/null
+++ b/dev/soak/tests/it/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the soak's own checks.
+
+mod promise;
--- /dev/null
+++ b/dev/soak/tests/it/promise.rs
@@ -0,0 +1,161 @@
+//! Every promise is found broken where it is, and only there.
+
+use insta::assert_snapshot;
+use pimentotide_soak::{
+    Bounds, Call, Disturbance, Ending, History, Kind, Order, Run, Target, broken,
+};
+
+fn call(id: u64, kind: Kind, ending: Ending) -> Call {
+    Call {
+        id,
+        kind,
+        entry: 0,
+        sent: 10_000,
+        ended: 10_500,
+        ending,
+    }
+}
+
+fn run(upstream: &str, at: u64) -> Run {
+    Run {
+        upstream: upstream.to_owned(),
+        at,
+    }
+}
+
+fn disturbed(planned: bool, target: Target) -> Disturbance {
+    Disturbance {
+        name: "something",
+        target,
+        planned,
+        from: 8_000,
+        until: 9_000,
+    }
+}
+
+fn order(version: u64, sent: u64, acked: u64) -> Order {
+    Order {
+        version,
+        sent,
+        acked: Some(acked),
+    }
+}
+
+fn history(calls: Vec<Call>) -> History {
+    History {
+        calls,
+        healed: 11_000,
+        recovered: Some(11_500),
+        ..History::default()
+    }
+}
+
+fn found(history: &History) -> String {
+    let broken = broken(history, &Bounds::default());
+    let lines: Vec<String> = broken.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+#[test]
+fn nothing_is_found_where_nothing_is_broken() {
+    let mut history = history(vec![
+        call(1, Kind::Once, Ending::Whole),
+        call(2, Kind::Repeatable, Ending::Whole),
+        call(3, Kind::Stream, Ending::Refused(503)),
+        call(4, Kind::Parity(true), Ending::Whole),
+        call(5, Kind::Parity(false), Ending::Refused(404)),
+        call(6, Kind::Repeatable, Ending::Broken),
+    ]);
+    history.runs.insert(1, vec![run("u1", 10_100)]);
+    history
+        .runs
+        .insert(2, vec![run("u1", 10_100), run("u2", 10_200)]);
+    history.orders = vec![order(7, 1_000, 1_200)];
+    history.disturbances = vec![disturbed(false, Target::Entry(0))];
+    history.stops = vec![(1_000, 4_000, Some(0))];
+    history.reads = vec![(2_000, 7)];
+    assert_eq!(found(&history), "");
+}
+
+#[test]
+fn runs_beyond_what_is_allowed_are_found() {
+    let mut history = history(vec![
+        call(1, Kind::Once, Ending::Whole),
+        call(2, Kind::Repeatable, Ending::Whole),
+        call(3, Kind::Stream, Ending::Refused(503)),
+        call(4, Kind::Stream, Ending::Wrong("another".to_owned())),
+    ]);
+    history.runs.insert(1, vec![run("u1", 1), run("u2", 2)]);
+    history
+        .runs
+        .insert(2, vec![run("u1", 1), run("u2", 2), run("u3", 3)]);
+    history.runs.insert(3, vec![run("u1", 1)]);
+    assert_snapshot!(found(&history), @r"
+    request 1 ran 2 times and must run once at most
+    request 2 ran 3 times, more than its attempts
+    request 3 was refused with 503, which says that it has not run, and it had
+    request 4 got a wrong answer: another
+    ");
+}
+
+#[test]
+fn a_cut_counts_only_where_nothing_but_planned_work_went_on() {
+    let mut history = history(vec![call(1, Kind::Once, Ending::Broken)]);
+    history.disturbances = vec![disturbed(true, Target::Entry(0))];
+    assert_snapshot!(found(&history), @"request 1 at entry 0 was cut at 10500 ms with planned work only");
+    history
+        .disturbances
+        .push(disturbed(false, Target::Upstream(1)));
+    assert_eq!(found(&history), "");
+}
+
+#[test]
+fn a_request_that_crosses_a_close_may_be_cut_unless_it_was_passed_on() {
+    let mut crossing = call(1, Kind::Once, Ending::Broken);
+    crossing.ended = crossing.sent + 150;
+    let mut history = history(vec![crossing]);
+    assert_eq!(found(&history), "");
+    history.runs.insert(1, vec![run("u1", 10_100)]);
+    assert_snapshot!(found(&history), @"request 1 at entry 0 was cut at 10150 ms with planned work only");
+}
+
+#[test]
+fn a_configuration_that_is_not_in_force_in_time_is_found() {
+    let mut history = history(vec![
+        call(1, Kind::Parity(true), Ending::Whole),
+        call(2, Kind::Parity(false), Ending::Refused(404)),
+    ]);
+    history.orders = vec![order(7, 1_000, 1_200), order(8, 5_000, 5_200)];
+    history.reads = vec![(6_000, 7), (5_100, 7)];
+    assert_snapshot!(found(&history), @r"
+    request 1 at 10000 ms was handled by another version than 8
+    request 2 at 10000 ms was handled by another version than 8
+    a read at 6000 ms gave version 7 after 8 had been acknowledged
+    ");
+    // A version that may be in force already explains it.
+    history.orders.push(order(9, 9_900, 12_000));
+    history.reads.clear();
+    assert_eq!(found(&history), "");
+}
+
+#[test]
+fn an_upstream_that_left_gets_nothing_from_entries_in_touch() {
+    let mut history = history(vec![call(1, Kind::Repeatable, Ending::Whole)]);
+    history.runs.insert(1, vec![run("u1.1", 10_100)]);
+    history.drains = vec![("u1.1".to_owned(), 7_500)];
+    assert_snapshot!(found(&history), @"request 1 reached u1.1, which was leaving, 600 ms too late");
+    history.disturbances = vec![disturbed(false, Target::Control(2))];
+    assert_eq!(found(&history), "");
+}
+
+#[test]
+fn a_slow_recovery_and_a_failed_stop_are_found() {
+    let mut history = history(Vec::new());
+    history.recovered = None;
+    history.stops = vec![(1_000, 7_000, Some(0)), (1_000, 2_000, None)];
+    assert_snapshot!(found(&history), @r"
+    no request was served within 12000 ms after the last fault
+    an entry that was told to stop ended after 6000 ms with Some(0)
+    an entry that was told to stop ended after 1000 ms with None
+    ");
+}
--- /dev/null
+++ b/support/process/src/lib.rs
@@ -0,0 +1,8 @@
+//! Processes that tests start, signal and end.
+//!
+//! Only processes that were started here are signalled, by their ids, and each
+//! is killed when its handle is dropped.
+
+mod process;
+
+pub use process::{Process, Usage};
--- a/support/process/src/process.rs
+++ b/support/process/src/process.rs
@@ -1,4 +1,4 @@
-//! One process of the deployment under test.
+//! One process of a deployment under test.
 
 use std::fs::File;
 use std::path::{Path, PathBuf};
@@ -12,24 +12,29 @@
 const STOP_POLL: Duration = Duration::from_millis(20);
 
 /// A running process; killed when dropped.
-pub(crate) struct Process {
+#[derive(Debug)]
+pub struct Process {
     child: Child,
 }
 
 /// Processor time and memory that a process has used.
 #[derive(Clone, Copy, Debug, Default, serde::Serialize)]
-pub(crate) struct Usage {
+pub struct Usage {
     /// Processor time, in seconds.
-    pub(crate) cpu_seconds: f64,
+    pub cpu_seconds: f64,
     /// Resident memory, in bytes.
-    pub(crate) memory_bytes: u64,
+    pub memory_bytes: u64,
     /// Age of the process, in seconds.
-    pub(crate) age_seconds: f64,
+    pub age_seconds: f64,
 }
 
 impl Process {
-    /// Starts `binary run SETTINGS`; what it logs goes to a file beside the settings.
-    pub(crate) fn spawn(binary: &Path, settings: &Path) -> Result<Self, String> {
+    /// Starts `binary COMMAND SETTINGS`; what it logs goes to a file beside the settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the binary cannot be started or the log cannot be opened.
+    pub fn spawn(binary: &Path, command: &str, settings: &Path) -> Result<Self, String> {
         let failed = |e: std::io::Error| format!("{}: {e}", binary.display());
         let log: PathBuf = settings.with_extension("log");
         let log = File::options()
@@ -38,7 +43,7 @@
             .open(log)
             .map_err(failed)?;
         let child = Command::new(binary)
-            .arg("run")
+            .arg(command)
             .arg(settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone().map_err(failed)?)
@@ -49,19 +54,34 @@
     }
 
     /// Whether the process has ended by itself.
-    pub(crate) fn has_ended(&mut self) -> bool {
+    pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
 
     /// Ends the process at once.
-    pub(crate) fn kill(&mut self) {
+    pub fn kill(&mut self) {
         // It may have ended by itself.
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
 
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Tells the process that its settings have changed.
+    pub fn reload(&self) {
+        self.signal("HUP");
+    }
+
+    /// Exit code, if the process has ended with one.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child.try_wait().ok().flatten()?.code()
+    }
+
     /// Asks the process to stop and waits until it has; returns its exit code.
-    pub(crate) async fn stop(&mut self) -> Option<i32> {
+    pub async fn stop(&mut self) -> Option<i32> {
         self.signal("TERM");
         let end = Instant::now() + STOP_TIMEOUT;
         while Instant::now() < end {
@@ -75,17 +95,17 @@
     }
 
     /// Freezes the process.
-    pub(crate) fn pause(&self) {
+    pub fn pause(&self) {
         self.signal("STOP");
     }
 
     /// Lets a frozen process go on.
-    pub(crate) fn resume(&self) {
+    pub fn resume(&self) {
         self.signal("CONT");
     }
 
     /// Processor time and memory so far; none once it has ended.
-    pub(crate) fn usage(&self, age: Duration) -> Option<Usage> {
+    pub fn usage(&self, age: Duration) -> Option<Usage> {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).ok()?;
         let fields: Vec<&str> = stat.rsplit_once(") ")?.1.split(' ').collect();
         let ticks = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
