Limits are divided by the number of entries on record; callers come back one by one

Cold engines got a third of what they bear, most of an entry's engines counted as used up (one or two candidates left), and 98 requests had no budget of repeats left. Callers refused within half a second were all told 1.5 or 2 s and came back together.

The leader now records the number of entries in the log, which outlasts a restart of everything; 32 counts only before the first record. Callers that are refused get places in a row, at the pace that is left beside usual load. A request with no time left is refused instead of sent (one was, left_ms 0).

--- a/app/src/explain/record.rs
+++ b/app/src/explain/record.rs
@@ -53,7 +53,8 @@
         };
         let since = since_midnight(time).ok_or(LineError::Incomplete)?;
         let (time, event) = (time.to_owned(), event.to_owned());
-        let named = before.split_whitespace().find(|w| w.contains('-'));
+        let mut words = before.split_whitespace();
+        let named = words.rfind(|w| w.parse::<f64>().is_err());
         let mut fields = fields;
         fields.retain(|name, _| !["time", "event", "level"].contains(&name.as_str()));
         Ok(Self {
--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -103,15 +103,25 @@
         self.replica.read_index().await?;
         let entries = self.roster.entries();
         let replicas = self.members().await?;
-        let (declared, fleet) = self.replica.query(move |s, _| excerpt(s, seen)).await?;
+        let told = self
+            .replica
+            .query(move |s, _| (excerpt(s, seen), s.entries()));
+        let ((declared, fleet), recorded) = told.await?;
         Ok(News {
             declared,
             fleet,
             replicas,
             entries,
+            recorded,
         })
     }
 
+    /// Entries that this replica hears of, and those on record.
+    pub(super) async fn entry_counts(&self) -> Result<(usize, usize), Failure> {
+        let recorded = self.replica.query(|s, _| s.entries()).await?;
+        Ok((self.roster.entry_count(), recorded))
+    }
+
     /// Addresses of all members of the log.
     async fn members(&self) -> Result<Vec<SocketAddr>, Failure> {
         let status = self.replica.status().await?;
@@ -216,6 +226,7 @@
         ),
         Command::Withdraw(upstream) => ("withdraw", upstream.to_string()),
         Command::Expire { upstream, .. } => ("expire", upstream.to_string()),
+        Command::Entries(entries) => ("record_entries", entries.to_string()),
     }
 }
 
--- a/app/src/fleet/control/mod.rs
+++ b/app/src/fleet/control/mod.rs
@@ -88,6 +88,7 @@
             )),
             actix_rt::spawn(membership::keep(members, path.to_owned())),
             actix_rt::spawn(upkeep::expire(desk.clone())),
+            actix_rt::spawn(upkeep::count_entries(desk.clone())),
         ];
         Ok(Self {
             control: ControlServer::bind(control, desk)?,
--- a/app/src/fleet/control/roster.rs
+++ b/app/src/fleet/control/roster.rs
@@ -117,6 +117,11 @@
         accepting
     }
 
+    /// Number of entries that are alive.
+    pub(super) fn entry_count(&self) -> usize {
+        fresh(&self.known().entries).count()
+    }
+
     /// Agents that are alive.
     pub(super) fn agents(&self) -> Vec<AgentBeacon> {
         fresh(&self.known().agents).cloned().collect()
--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use pimentotide_fleet::{
-    Ask, Choice, Ended, Limit, Outcome, Policy, Refusal, Step, Ticket, give_up, limit,
+    Ask, Choice, Ended, Limit, Outcome, Policy, Refusal, Return, RouteKind, Step, Ticket, give_up,
+    is_in_time, limit,
 };
 use pimentotide_model::{ErrorKind, Failure, Ran, ServiceName, Time, UpstreamName, WorkspaceName};
 use pimentotide_platform::{Answer, AnswerError, Call, Send, UpstreamClient};
@@ -16,10 +17,18 @@
 const CONNECT: Duration = Duration::from_millis(300);
 /// Time that an upstream's own answer at its deadline has to arrive.
 const ANSWER_MARGIN: Duration = Duration::from_millis(60);
-/// When a caller may come back if there was no upstream.
-const RETRY_NONE: Duration = Duration::from_millis(1_500);
-/// When a caller may come back if all upstreams were full.
-const RETRY_FULL: Duration = Duration::from_millis(800);
+/// When a caller may come back at the earliest if no upstream was there; a group forms in less.
+const RETURN_NONE: Duration = Duration::from_millis(1_000);
+/// When a caller may come back at the earliest if all upstreams were full.
+const RETURN_FULL: Duration = Duration::from_millis(800);
+/// When a caller is told to come back at the latest.
+const MOST_RETURN: Duration = Duration::from_millis(3_500);
+/// Part of a caller's time after which coming back leaves too little to be served.
+const RETURN_PART: f64 = 0.5;
+/// Time that a stream takes at an engine that is full.
+const USUAL_STREAM: Duration = Duration::from_millis(1_500);
+/// Time that a whole answer takes at a service that is full.
+const USUAL_WHOLE: Duration = Duration::from_millis(150);
 
 thread_local! {
     static CLIENT: UpstreamClient = UpstreamClient::open(CONNECT);
@@ -30,6 +39,7 @@
     pub(super) state: Arc<EntryState>,
     pub(super) call: Call,
     pub(super) route: Arc<str>,
+    pub(super) kind: RouteKind,
     /// Version of the configuration that routed it.
     pub(super) version: u64,
     pub(super) service: ServiceName,
@@ -176,36 +186,53 @@
 
     fn choose(&mut self) -> Result<Choice, Failure> {
         let now = self.state.now();
-        let mut known = self.state.known();
+        if !is_in_time(&self.policy, now) {
+            return Err(self.failure(ErrorKind::DeadlineExceeded, "no time left to send it"));
+        }
         let ask = Ask {
             service: &self.service,
             tried: &self.tried,
             patient: false,
         };
+        let mut known = self.state.known();
         let choice = known.balancer.choose(&ask, now, &mut rand::rng());
-        let choice = choice.map_err(|refusal| self.refusal(refusal))?;
-        if self.sends == 0 {
+        if choice.is_ok() && self.sends == 0 {
             known.budget.earn(&self.service, now);
         }
-        Ok(choice)
-    }
-
-    fn refusal(&self, refusal: Refusal) -> Failure {
-        let (kind, retry) = match refusal {
-            Refusal::Empty => (ErrorKind::NoUpstream, RETRY_NONE),
-            Refusal::Full | Refusal::Cold => (ErrorKind::Overloaded, RETRY_FULL),
-        };
-        self.failure(kind, &refusal.to_string()).with_retry(retry)
+        drop(known);
+        choice.map_err(|refusal| {
+            let kind = match refusal {
+                Refusal::Empty => ErrorKind::NoUpstream,
+                Refusal::Full | Refusal::Cold => ErrorKind::Overloaded,
+            };
+            self.failure(kind, &refusal.to_string())
+        })
     }
 
-    /// Failure that tells truly whether the request has run.
+    /// Failure that tells truly whether the request has run, and when to come back.
     pub(super) fn failure(&self, kind: ErrorKind, detail: &str) -> Failure {
-        let ran = if self.policy.ran == 0 {
-            Ran::No
-        } else {
-            Ran::Unknown
+        if self.policy.ran > 0 {
+            return Failure::new(kind, detail).with_ran(Ran::Unknown);
+        }
+        let failure = Failure::new(kind, detail).with_ran(Ran::No);
+        let least = match kind {
+            ErrorKind::NoUpstream => RETURN_NONE,
+            ErrorKind::Overloaded => RETURN_FULL,
+            _ => return failure,
+        };
+        let now = self.state.now();
+        let mut known = self.state.known();
+        let usual = match self.kind {
+            RouteKind::Streaming => USUAL_STREAM,
+            RouteKind::Idempotent | RouteKind::NonIdempotent => USUAL_WHOLE,
+        };
+        let back = Return {
+            least,
+            most: MOST_RETURN.min(self.left().mul_f64(RETURN_PART)).max(least),
+            rate: known.balancer.spare_rate(&self.service, usual, now),
         };
-        Failure::new(kind, detail).with_ran(ran)
+        let row = known.returns.entry(self.service.clone()).or_default();
+        failure.with_retry(row.place(&back, now, &mut rand::rng()))
     }
 
     /// Decides what follows a send and logs it.
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -76,6 +76,7 @@
         let kind = found.route.kind;
         let attempt = Attempt {
             route: found.route.name.clone(),
+            kind,
             version: table.declaration().version,
             workspace: found.workspace.cloned(),
             priority: Some(found.priority.min(LEAST_URGENT)),
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -8,7 +8,7 @@
 
 use pimentotide_fleet::{
     Balancer, BalancerOptions, BudgetOptions, ColdLimit, EntryCount, Outcome, RepeatBudget,
-    RouteTable, Ticket,
+    ReturnRow, RouteTable, Ticket,
 };
 use pimentotide_instance::Clock;
 use pimentotide_model::{ErrorKind, Failure, ServiceName, Time, ZoneName};
@@ -40,6 +40,8 @@
     pub(super) table: Option<Arc<RouteTable>>,
     pub(super) balancer: Balancer,
     pub(super) budget: RepeatBudget,
+    /// Callers that were sent away, by service.
+    pub(super) returns: BTreeMap<ServiceName, ReturnRow>,
     seen: Seen,
     /// Time until which what is known may be acted on.
     until: Time,
@@ -76,6 +78,7 @@
                 table: None,
                 balancer,
                 budget: RepeatBudget::new(budget, first),
+                returns: BTreeMap::new(),
                 seen: Seen::default(),
                 until: Time::ZERO,
                 confirmed: Time::ZERO,
@@ -135,7 +138,7 @@
             known.table = Some(Arc::new(RouteTable::new(declaration)));
             known.seen.declared = document.index;
         }
-        known.count_entries(news.entries.len(), now);
+        known.count_entries(news.entries.len(), news.recorded, now);
         known.list = news.entries;
         if let Some(fleet) = news.fleet
             && fleet.revision > known.seen.revision
@@ -329,8 +332,8 @@
         current
     }
 
-    fn count_entries(&mut self, told: usize, now: Time) {
-        self.entries.tell(told, now);
+    fn count_entries(&mut self, heard: usize, recorded: usize, now: Time) {
+        self.entries.tell(heard, recorded, now);
         let entries = self.entries.get(now);
         self.balancer.set_entries(entries, now);
         self.budget.set_entries(entries, now);
--- a/app/src/fleet/news.rs
+++ b/app/src/fleet/news.rs
@@ -38,6 +38,8 @@
     pub(super) replicas: Vec<SocketAddr>,
     /// Addresses of the entries that take callers.
     pub(super) entries: Vec<SocketAddr>,
+    /// Entries among which limits are divided; zero before any was recorded.
+    pub(super) recorded: usize,
 }
 
 /// Configuration as the operator sent it.
--- a/decision/fleet/src/balancer.rs
+++ b/decision/fleet/src/balancer.rs
@@ -26,6 +26,8 @@
 const FULL_PAUSE: Duration = Duration::from_millis(100);
 /// Requests that an entry may send to a cold upstream at once, at least and at most.
 const COLD_BURST: (f64, f64) = (1.0, 2.0);
+/// Part of what upstreams bear that is left beside the usual load.
+const SPARE_PART: f64 = 0.4;
 /// Part of what a cold upstream bears that all entries together use.
 const COLD_PART: f64 = 0.8;
 
@@ -192,6 +194,22 @@
         census
     }
 
+    /// Requests a second that this entry may send a service beside the usual load.
+    ///
+    /// `usual` is the time that a request takes there.
+    pub fn spare_rate(&self, service: &ServiceName, usual: Duration, now: Time) -> f64 {
+        let serving = self.upstreams.values().filter(|u| {
+            let said = &u.record.said;
+            said.service == *service && !u.gone && !self.closed.contains(&said.zone)
+        });
+        let rates = serving.map(|u| {
+            let warm = f64::from(u.slots()) / usual.as_secs_f64().max(f64::EPSILON);
+            let cold = u.cold.as_ref().filter(|c| now < c.until);
+            cold.map_or(warm, |c| warm.min(c.bears * COLD_PART))
+        });
+        rates.sum::<f64>() * SPARE_PART / self.entries as f64
+    }
+
     /// Takes over the whole shared state, as [`learn`](Self::learn).
     pub fn learn_state(&mut self, state: &FleetState, now: Time) {
         let records: Vec<Record> = state.upstreams().values().cloned().collect();
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 mod members;
 mod rate;
 mod retry;
+mod returns;
 mod route;
 mod state;
 mod stop;
@@ -29,10 +30,11 @@
 pub use declaration::{
     ColdLimit, Declaration, Engine, Fault, Limits, Route, RouteKind, Service, Workspace,
 };
-pub use entries::EntryCount;
+pub use entries::{EntryCount, EntryRecord};
 pub use members::{MemberView, Repair, RepairOptions, repair};
 pub use rate::RateLimit;
-pub use retry::{Ended, Limit, Policy, Step, give_up, limit, next_step};
+pub use retry::{Ended, Limit, Policy, Step, give_up, is_in_time, limit, next_step};
+pub use returns::{Return, ReturnRow};
 pub use route::{Match, Mismatch, RouteTable};
 pub use state::{Announcement, Command, Declared, FleetState, Record, Reply, Stage};
 pub use stop::{StopPhase, stop_phase};
--- a/decision/fleet/src/retry.rs
+++ b/decision/fleet/src/retry.rs
@@ -68,9 +68,14 @@
     Budget,
 }
 
+/// Whether there is time left for which a send is worth it.
+pub fn is_in_time(policy: &Policy, now: Time) -> bool {
+    now + LEAST_LEFT < policy.deadline
+}
+
 /// Says why a request may not be sent again; none if it may.
 pub fn limit(ended: Ended, policy: &Policy, now: Time) -> Option<Limit> {
-    if now + LEAST_LEFT >= policy.deadline {
+    if !is_in_time(policy, now) {
         return Some(Limit::Time);
     }
     match ended {
--- a/decision/fleet/src/state.rs
+++ b/decision/fleet/src/state.rs
@@ -102,6 +102,8 @@
         /// Its last announcement in the log.
         heard: Time,
     },
+    /// Records the number of entries among which limits are divided.
+    Entries(u32),
 }
 
 /// Answer to a command.
@@ -146,6 +148,8 @@
     /// Position of the last change to zones or upstreams.
     revision: u64,
     now: Time,
+    /// Entries among which limits are divided; zero before any was recorded.
+    entries: u32,
 }
 
 impl FleetState {
@@ -169,6 +173,11 @@
         self.revision
     }
 
+    /// Entries among which limits are divided; zero before any was recorded.
+    pub fn entries(&self) -> usize {
+        self.entries as usize
+    }
+
     /// Whether an announcement would change what entries know.
     pub fn is_news(&self, said: &Announcement) -> bool {
         if self.is_stale(said) {
@@ -251,6 +260,14 @@
         Reply::Done
     }
 
+    fn record_entries(&mut self, entries: u32) -> Reply {
+        if self.entries == entries {
+            return Reply::NotNewer;
+        }
+        self.entries = entries;
+        Reply::Done
+    }
+
     fn expire(&mut self, index: u64, upstream: &UpstreamName, heard: Time) -> Reply {
         match self.upstreams.get(upstream) {
             Some(record) if record.heard == heard => self.depart(index, upstream),
@@ -293,6 +310,7 @@
             Ok(Command::Announce(said)) => self.announce(index.0, said),
             Ok(Command::Withdraw(upstream)) => self.depart(index.0, &upstream),
             Ok(Command::Expire { upstream, heard }) => self.expire(index.0, &upstream, heard),
+            Ok(Command::Entries(entries)) => self.record_entries(entries),
             Err(_) => Reply::Malformed,
         };
         postcard::to_stdvec(&reply).unwrap_or(NO_REPLY)
--- a/decision/fleet/tests/it/balancer.rs
+++ b/decision/fleet/tests/it/balancer.rs
@@ -198,7 +198,7 @@
     let mut counts = vec![EntryCount::new(at(0)); 9];
     let sent = spare_a_cold_upstream(move |entry, ms| {
         let told = 1 + ms as usize / 200;
-        counts[entry].tell(told.min(9), at(ms));
+        counts[entry].tell(told.min(9), 0, at(ms));
         counts[entry].get(at(ms))
     });
     assert!(sent > 20, "{sent}");
