Expert maps: every way in which the orders of a switch can fare, with three troubles anywhere

Exploration was drawn at random so far. For three ranks each order of a switch is now carried out, lost, unanswered, late (1, 5 or 30 passes), carried out twice, delayed by passes, or meets a crash of its rank before or after it, or a coordinator that stands still: all scripts with up to three of these, more than 50,000. Afterwards another coordinator lets the group go if it is held and switches once more. Two maps in one pass and a held group were found in none. Left out one by one, hold, fence and epoch each lead to two maps.

--- a/decision/experts/tests/it/even_group.rs
+++ b/decision/experts/tests/it/even_group.rs
@@ -9,6 +9,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::even_script::{Fate, Script};
+
 /// What engines leave out, to show what the protections are for.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Lapses {
@@ -16,6 +18,8 @@
     pub(crate) hold: bool,
     /// A prepared map stays armable after another one was prepared, and fences are not checked.
     pub(crate) fence: bool,
+    /// Orders of an earlier epoch are carried out.
+    pub(crate) epoch: bool,
 }
 
 /// How orders fare, in parts of a thousand.
@@ -51,6 +55,9 @@
     life: Option<u32>,
     /// Whether orders take a random number of turns to arrive.
     slow: bool,
+    epoch: u64,
+    first: Placement,
+    script: Option<Script>,
     broken: Option<String>,
     most_held: u64,
     waited: u64,
@@ -61,7 +68,7 @@
     state: RefCell<State>,
 }
 
-const EPOCH: u64 = 1;
+const FIRST_EPOCH: u64 = 1;
 
 impl Group {
     pub(crate) fn new(
@@ -85,6 +92,9 @@
                 lapses,
                 life: None,
                 slow: false,
+                epoch: FIRST_EPOCH,
+                first: old.clone(),
+                script: None,
                 broken: None,
                 most_held: 0,
                 waited: 0,
@@ -92,6 +102,21 @@
         }
     }
 
+    /// What becomes of orders is taken from a script instead of being drawn.
+    pub(crate) fn follow(&self, script: Script) {
+        self.state.borrow_mut().script = Some(script);
+    }
+
+    /// Ends the script, after which orders fare well.
+    pub(crate) fn take_script(&self) -> Script {
+        self.state.borrow_mut().script.take().unwrap_or_default()
+    }
+
+    /// Number of times that the group was formed.
+    pub(crate) fn epoch(&self) -> u64 {
+        self.state.borrow().epoch
+    }
+
     /// The coordinator stands still after so many orders.
     pub(crate) fn set_life(&self, orders: Option<u32>) {
         self.state.borrow_mut().life = orders;
@@ -221,7 +246,7 @@
     fn carry_out(&mut self, rank: usize, fenced: &FencedOrder) -> OrderAnswer {
         let (step, lapses) = (self.step, self.lapses);
         let rank = &mut self.ranks[rank];
-        if fenced.epoch != EPOCH {
+        if fenced.epoch != self.epoch && !lapses.epoch {
             return OrderAnswer::Refused;
         }
         if fenced.fence < rank.fence && !lapses.fence {
@@ -289,7 +314,7 @@
         EngineReport {
             membership: Some(Membership {
                 group: "g".to_owned(),
-                epoch: EPOCH,
+                epoch: self.epoch,
                 rank: rank as u16,
                 open: true,
             }),
@@ -309,6 +334,63 @@
         }
     }
 
+    /// A rank starts anew, and the group is formed anew with the first map.
+    fn crash(&mut self, rank: usize) {
+        self.epoch += 1;
+        let first = self.first.clone();
+        for (number, rank_state) in self.ranks.iter_mut().enumerate() {
+            rank_state.map = (0, first.clone());
+            rank_state.prepared.clear();
+            rank_state.armed = None;
+            rank_state.held = None;
+            if number == rank {
+                rank_state.highest = 0;
+                rank_state.fence = 0;
+                rank_state.sequence = 0;
+            }
+        }
+    }
+
+    /// Lets an order fare as a script has it; outer none if the coordinator stands still.
+    fn act(&mut self, fate: Fate, rank: usize, order: FencedOrder) -> Option<Option<OrderAnswer>> {
+        let late = |state: &mut Self, passes: u64, order: FencedOrder| {
+            let at = state.step + passes;
+            state.late.push((at, rank, order));
+        };
+        Some(match fate {
+            Fate::Fine => Some(self.carry_out(rank, &order)),
+            Fate::Unanswered => {
+                self.carry_out(rank, &order);
+                None
+            }
+            Fate::Lost => None,
+            Fate::Late(passes) => {
+                late(self, passes, order);
+                None
+            }
+            Fate::Twice(passes) => {
+                late(self, passes, order.clone());
+                Some(self.carry_out(rank, &order))
+            }
+            Fate::AfterPasses => {
+                for _ in 0..4 {
+                    self.advance();
+                }
+                Some(self.carry_out(rank, &order))
+            }
+            Fate::CrashBefore => {
+                self.crash(rank);
+                None
+            }
+            Fate::CrashAfter => {
+                self.carry_out(rank, &order);
+                self.crash(rank);
+                None
+            }
+            Fate::StandStill => return None,
+        })
+    }
+
     /// Carries an order out, or not, as the trouble has it.
     fn order(&mut self, rank: usize, order: FencedOrder) -> Option<OrderAnswer> {
         if self.rng.random_range(0..6) == 0 {
@@ -348,6 +430,16 @@
     }
 
     async fn order(&self, rank: usize, order: FencedOrder) -> Option<OrderAnswer> {
+        let scripted = {
+            let mut state = self.state.borrow_mut();
+            let fate = state.script.as_mut().map(Script::next);
+            fate.map(|fate| state.act(fate, rank, order.clone()))
+        };
+        match scripted {
+            Some(Some(answer)) => return answer,
+            Some(None) => std::future::pending().await,
+            None => {}
+        }
         let dead = {
             let mut state = self.state.borrow_mut();
             match &mut state.life {
--- a/decision/experts/tests/it/even_switch.rs
+++ b/decision/experts/tests/it/even_switch.rs
@@ -133,11 +133,11 @@
     };
     let no_hold = Lapses {
         hold: true,
-        fence: false,
+        ..Lapses::default()
     };
     let no_fence = Lapses {
-        hold: false,
         fence: true,
+        ..Lapses::default()
     };
     assert!(breaks(no_hold) > 0);
     assert!(breaks(no_fence) > 0);
--- a/decision/experts/tests/it/main.rs
+++ b/decision/experts/tests/it/main.rs
@@ -3,8 +3,10 @@
 mod budget;
 mod coordinator;
 mod decisions;
+mod even_exhaustive;
 mod even_group;
 mod even_plan;
+mod even_script;
 mod even_switch;
 mod fencing;
 mod group;
