Requests wait while all upstreams refuse them

Cause: after a loss of power callers return before the group of engines is formed; each engine refuses at once, three refusals used the request up, and its caller had no other try.

After three refusals in a row one request at a time tries, each 120 ms; the others wait for up to 1.2 s or 0.3 of their time, as they do if no upstream is known or all are cold. Tested in decision/fleet/tests/it/gate.rs on that pattern.

--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use pimentotide_fleet::{
-    Ask, Choice, Ended, Limit, Outcome, Policy, Refusal, Return, RouteKind, Step, Ticket, give_up,
-    is_in_time, limit,
+    Admission, Ask, Choice, Ended, Limit, Outcome, Policy, Refusal, Return, RouteKind, Step,
+    Ticket, give_up, is_in_time, limit,
 };
 use pimentotide_model::{ErrorKind, Failure, Ran, ServiceName, Time, UpstreamName, WorkspaceName};
 use pimentotide_platform::{Answer, AnswerError, Call, Send, UpstreamClient};
@@ -17,6 +17,12 @@
 const CONNECT: Duration = Duration::from_millis(300);
 /// Time that an upstream's own answer at its deadline has to arrive.
 const ANSWER_MARGIN: Duration = Duration::from_millis(60);
+/// Longest wait for an upstream; a group forms in less.
+const MOST_WAIT: Duration = Duration::from_millis(1_200);
+/// Part of a caller's time that is spent on that at most.
+const WAIT_PART: f64 = 0.3;
+/// Pause between looks for an upstream.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
 /// When a caller may come back at the earliest if no upstream was there; a group forms in less.
 const RETURN_NONE: Duration = Duration::from_millis(1_000);
 /// When a caller may come back at the earliest if all upstreams were full.
@@ -108,7 +114,7 @@
     ///
     /// Fails with how the send ended, or with a refusal if no upstream was chosen.
     pub(super) async fn send(&mut self, last_event: Option<String>) -> Result<Running, SendError> {
-        let choice = self.choose().map_err(SendError::Refused)?;
+        let choice = self.place().await.map_err(SendError::Refused)?;
         self.sends += 1;
         let left = self.left();
         pimentotide_observe::event(&Placed {
@@ -176,6 +182,10 @@
             held.end(outcome);
             return Err(SendError::Ended(Ended::Rejected, upstream));
         }
+        let mut known = self.state.known();
+        let gate = known.gates.entry(self.service.clone()).or_default();
+        gate.accepted();
+        drop(known);
         if matches!(answer.status.as_u16(), 408 | 421 | 429 | 503) {
             // It does not say that the request did not run, so the status cannot be passed on.
             held.end(Outcome::Failed);
@@ -184,28 +194,51 @@
         Ok(Running { answer, held })
     }
 
-    fn choose(&mut self) -> Result<Choice, Failure> {
+    /// Waits for a place at an upstream while there is none, for a part of the time that is left.
+    async fn place(&mut self) -> Result<Choice, Failure> {
+        let start = self.state.now();
+        let most = MOST_WAIT.min(self.left().mul_f64(WAIT_PART));
+        loop {
+            let (kind, detail, pause) = match self.choose() {
+                Ok(choice) => return Ok(choice),
+                Err(blocked) => blocked,
+            };
+            let over = self.state.now().since(start) + pause >= most;
+            if kind == ErrorKind::DeadlineExceeded || over {
+                return Err(self.failure(kind, &detail));
+            }
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Chooses an upstream; otherwise says why there is none and when to look again.
+    fn choose(&mut self) -> Result<Choice, (ErrorKind, String, Duration)> {
         let now = self.state.now();
         if !is_in_time(&self.policy, now) {
-            return Err(self.failure(ErrorKind::DeadlineExceeded, "no time left to send it"));
+            let detail = "no time left to send it".to_owned();
+            return Err((ErrorKind::DeadlineExceeded, detail, Duration::ZERO));
+        }
+        let mut known = self.state.known();
+        let gate = known.gates.entry(self.service.clone()).or_default();
+        if let Admission::Wait(pause) = gate.admit(now) {
+            let detail = "all upstreams refuse requests".to_owned();
+            return Err((ErrorKind::NoUpstream, detail, pause));
         }
         let ask = Ask {
             service: &self.service,
             tried: &self.tried,
             patient: false,
         };
-        let mut known = self.state.known();
         let choice = known.balancer.choose(&ask, now, &mut rand::rng());
         if choice.is_ok() && self.sends == 0 {
             known.budget.earn(&self.service, now);
         }
-        drop(known);
         choice.map_err(|refusal| {
             let kind = match refusal {
                 Refusal::Empty => ErrorKind::NoUpstream,
                 Refusal::Full | Refusal::Cold => ErrorKind::Overloaded,
             };
-            self.failure(kind, &refusal.to_string())
+            (kind, refusal.to_string(), LOOK_PAUSE)
         })
     }
 
@@ -238,7 +271,14 @@
     /// Decides what follows a send and logs it.
     pub(super) fn after(&mut self, ended: Ended, upstream: &UpstreamName, events: u64) -> Step {
         match ended {
-            Ended::Unsent | Ended::Rejected => self.policy.unrun += 1,
+            Ended::Unsent => self.policy.unrun += 1,
+            Ended::Rejected => {
+                self.policy.unrun += 1;
+                let now = self.state.now();
+                let mut known = self.state.known();
+                let gate = known.gates.entry(self.service.clone()).or_default();
+                gate.refused(now);
+            }
             Ended::Broken | Ended::Failed | Ended::Silent => self.policy.ran += 1,
         }
         let now: Time = self.state.now();
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -8,7 +8,7 @@
 
 use pimentotide_fleet::{
     Balancer, BalancerOptions, BudgetOptions, ColdLimit, EntryCount, Outcome, RepeatBudget,
-    ReturnRow, RouteTable, Ticket,
+    ReturnRow, RouteTable, ServiceGate, Ticket,
 };
 use pimentotide_instance::Clock;
 use pimentotide_model::{ErrorKind, Failure, ServiceName, Time, ZoneName};
@@ -42,6 +42,8 @@
     pub(super) budget: RepeatBudget,
     /// Callers that were sent away, by service.
     pub(super) returns: BTreeMap<ServiceName, ReturnRow>,
+    /// Refusals of upstreams, by service.
+    pub(super) gates: BTreeMap<ServiceName, ServiceGate>,
     seen: Seen,
     /// Time until which what is known may be acted on.
     until: Time,
@@ -79,6 +81,7 @@
                 balancer,
                 budget: RepeatBudget::new(budget, first),
                 returns: BTreeMap::new(),
+                gates: BTreeMap::new(),
                 seen: Seen::default(),
                 until: Time::ZERO,
                 confirmed: Time::ZERO,
--- a/decision/experts/tests/it/even_script.rs
+++ b/decision/experts/tests/it/even_script.rs
@@ -62,16 +62,16 @@
 where
     F: FnMut(Script) -> Script,
 {
-    explore_from(Vec::new(), troubles, play)
+    explore_from(&[], troubles, play)
 }
 
-fn explore_from<F>(fates: Vec<Fate>, troubles: u32, play: &mut F) -> usize
+fn explore_from<F>(fates: &[Fate], troubles: u32, play: &mut F) -> usize
 where
     F: FnMut(Script) -> Script,
 {
     let start = fates.len();
     let played = play(Script {
-        fates: fates.clone(),
+        fates: fates.to_vec(),
         given: 0,
     });
     let mut count = 1;
@@ -80,10 +80,10 @@
     }
     for position in start..played.given {
         for trouble in TROUBLES {
-            let mut next = fates.clone();
+            let mut next = fates.to_vec();
             next.resize(position, Fate::Fine);
             next.push(trouble);
-            count += explore_from(next, troubles - 1, play);
+            count += explore_from(&next, troubles - 1, play);
         }
     }
     count
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 mod change;
 mod declaration;
 mod entries;
+mod gate;
 mod members;
 mod rate;
 mod retry;
@@ -31,6 +32,7 @@
     ColdLimit, Declaration, Engine, Fault, Limits, Route, RouteKind, Service, Workspace,
 };
 pub use entries::{EntryCount, EntryRecord};
+pub use gate::{Admission, ServiceGate};
 pub use members::{MemberView, Repair, RepairOptions, repair};
 pub use rate::RateLimit;
 pub use retry::{Ended, Limit, Policy, Step, give_up, is_in_time, limit, next_step};
--- /dev/null
+++ b/decision/fleet/tests/it/gate.rs
@@ -0,0 +1,82 @@
+//! Requests held back while all upstreams refuse them.
+//!
+//! Pattern: power comes back after an outage. Callers return before the group of
+//! engines is formed, and each has no other try.
+
+use std::time::Duration;
+
+use pimentotide_fleet::{Admission, ServiceGate};
+use pimentotide_model::Time;
+
+fn at(ms: u64) -> Time {
+    Time::ZERO + Duration::from_millis(ms)
+}
+
+/// Requests that each look every 40 ms whether they may be sent, until `ends`, ms.
+///
+/// Upstreams refuse within 2 ms until `opens`. Returns the refusals, and the time
+/// at which each request was taken.
+fn play(requests: u64, opens: u64, ends: u64) -> (u32, Vec<u64>) {
+    let mut gate = ServiceGate::default();
+    let (mut refusals, mut taken) = (0, Vec::new());
+    let mut waiting: Vec<u64> = (0..requests).collect();
+    for ms in 0..ends {
+        let mut left = Vec::new();
+        for offset in waiting {
+            if (ms + offset) % 40 != 0 || gate.admit(at(ms)) != Admission::Send {
+                left.push(offset);
+            } else if ms < opens {
+                gate.refused(at(ms + 2));
+                refusals += 1;
+                left.push(offset);
+            } else {
+                taken.push(ms);
+            }
+        }
+        waiting = left;
+    }
+    (refusals, taken)
+}
+
+#[test]
+fn callers_that_come_before_the_group_is_formed_are_served_once_it_is() {
+    let (refusals, taken) = play(60, 600, 1_200);
+    assert_eq!(taken.len(), 60);
+    assert!(refusals <= 9, "{refusals}");
+    assert!(taken.iter().all(|ms| *ms <= 900), "{taken:?}");
+}
+
+#[test]
+fn a_service_that_takes_requests_holds_none_back() {
+    let (refusals, taken) = play(60, 0, 60);
+    assert_eq!((refusals, taken.len()), (0, 60));
+}
+
+#[test]
+fn refusals_between_successes_hold_nothing_back() {
+    let mut gate = ServiceGate::default();
+    for ms in 0..100 {
+        assert_eq!(gate.admit(at(ms)), Admission::Send);
+        if ms % 3 == 0 {
+            gate.accepted();
+        } else {
+            gate.refused(at(ms));
+        }
+    }
+}
+
+#[test]
+fn one_request_at_a_time_tries_while_others_wait() {
+    let mut gate = ServiceGate::default();
+    for _ in 0..3 {
+        gate.refused(at(0));
+    }
+    assert!(matches!(gate.admit(at(10)), Admission::Wait(_)));
+    assert_eq!(gate.admit(at(130)), Admission::Send, "one tries");
+    assert!(matches!(gate.admit(at(131)), Admission::Wait(_)));
+    gate.refused(at(132));
+    assert!(matches!(gate.admit(at(200)), Admission::Wait(_)));
+    assert_eq!(gate.admit(at(260)), Admission::Send, "the next one tries");
+    assert_eq!(gate.admit(at(400)), Admission::Send, "it was not refused");
+    assert_eq!(gate.admit(at(400)), Admission::Send, "so nobody waits");
+}
--- a/decision/fleet/tests/it/main.rs
+++ b/decision/fleet/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod change;
 mod declaration;
 mod entries;
+mod gate;
 mod members;
 mod retry;
 mod returns;
--- /dev/null
+++ b/dev/bench/src/bin/even_plan.rs
@@ -0,0 +1,70 @@
+//! Time of one plan for engines that share evenly, by ranks, layers and experts.
+
+use std::time::{Duration, Instant};
+
+use pimentotide_experts::{EvenLayout, Placement, plan_even};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Timed runs of each size.
+const RUNS: usize = 21;
+/// Most loaded rank over the mean that a plan aims at.
+const GOAL: f64 = 1.1;
+/// How steeply popularity falls with rank.
+const SKEW: f64 = 1.3;
+
+/// Experts dealt to the ranks in turn, as in the first map.
+fn first_map(layout: &EvenLayout, layers: usize) -> Placement {
+    let rank = |r: usize| {
+        let experts = (0..layout.experts).filter(|e| e % layout.ranks == r);
+        experts.map(|e| e as u16).collect()
+    };
+    vec![(0..layout.ranks).map(rank).collect(); layers]
+}
+
+/// Popularity that falls by a power, in a random order in each layer.
+fn counts(layout: &EvenLayout, layers: usize, rng: &mut ChaCha8Rng) -> Vec<f64> {
+    let mut counts = Vec::new();
+    for _ in 0..layers {
+        let mut layer: Vec<f64> = (1..=layout.experts)
+            .map(|n| 10_000.0 / (n as f64).powf(SKEW / 2.0))
+            .collect();
+        for n in (1..layer.len()).rev() {
+            layer.swap(n, rng.random_range(0..=n));
+        }
+        counts.extend(layer);
+    }
+    counts
+}
+
+fn main() {
+    println!("ranks layers experts: min median max of {RUNS}, before, after, copies");
+    let sizes = [
+        (12, 4, 72, 8, 3),
+        (63, 8, 252, 5, 2),
+        (63, 8, 252, 5, 3),
+        (256, 8, 256, 2, 1),
+    ];
+    for (ranks, layers, experts, places, spare) in sizes {
+        let layout = EvenLayout {
+            ranks,
+            experts,
+            places,
+            spare,
+        };
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        let current = first_map(&layout, layers);
+        let mut times: Vec<Duration> = Vec::new();
+        let mut last = None;
+        for _ in 0..RUNS {
+            let counts = counts(&layout, layers, &mut rng);
+            let start = Instant::now();
+            let plan = plan_even(&layout, &current, &counts, GOAL);
+            times.push(start.elapsed());
+            last = Some((plan.before, plan.after, plan.copies));
+        }
+        times.sort_unstable();
+        let (min, median, max) = (times[0], times[RUNS / 2], times[RUNS - 1]);
+        println!("{ranks} {layers} {experts}: {min:?} {median:?} {max:?}, {last:.2?}");
+    }
+}
