Entries keep to their own upstreams while these have room

Cause, seen in a module without network (decision/fleet/tests/it/spread.rs, 44 entries, 63 engines, 260 requests/s): each entry sends a given engine a request in ten seconds, so what it knows of its load is long out of date, and all go for engines that once were idle. 31 of 100 requests met a full engine; drawn at random it would have been 22.

--- a/app/src/fleet/beacon.rs
+++ b/app/src/fleet/beacon.rs
@@ -7,7 +7,6 @@
 use std::net::SocketAddr;
 
 use derive_more::From;
-use pimentotide_fleet::Load;
 use serde::{Deserialize, Serialize};
 
 use super::unix_millis;
@@ -22,8 +21,6 @@
     Entry(EntryBeacon),
     /// An agent is there.
     Agent(AgentBeacon),
-    /// An engine has this load.
-    Load(LoadBeacon),
 }
 
 /// What an entry tells replicas.
@@ -63,19 +60,6 @@
     pub(super) rank: u16,
 }
 
-/// What an agent tells entries.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct LoadBeacon {
-    /// Name of the engine as an upstream.
-    pub(super) upstream: String,
-    /// Load of the engine.
-    pub(super) load: Load,
-    /// Whether its group runs.
-    pub(super) open: bool,
-    /// Place among the beacons of this upstream.
-    pub(super) order: Order,
-}
-
 /// Place of a beacon among those of one sender.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(super) struct Order {
--- a/app/src/fleet/control/roster.rs
+++ b/app/src/fleet/control/roster.rs
@@ -95,7 +95,6 @@
                     });
                 }
             }
-            Beacon::Load(load) => log::warn!("load of {} told to a replica", load.upstream),
         }
     }
 
--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -61,7 +61,11 @@
             .listen
             .ready
             .ok_or(FleetError::NoAddress("listen.ready"))?;
-        let state = Arc::new(EntryState::new(settings, scraped.metrics().clone()));
+        let state = Arc::new(EntryState::new(
+            settings,
+            callers,
+            scraped.metrics().clone(),
+        ));
         let probed = state.clone();
         scraped.add(move |metrics| probed.measure(metrics));
         let options = FrontendOptions {
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use pimentotide_fleet::{
-    Balancer, BalancerOptions, BudgetOptions, ColdLimit, EntryCount, Outcome, RepeatBudget,
-    ReturnRow, RouteTable, ServiceGate, Ticket,
+    Balancer, BalancerOptions, BudgetOptions, ColdLimit, EntryCount, EntryPlace, Outcome,
+    RepeatBudget, ReturnRow, RouteTable, ServiceGate, Ticket,
 };
 use pimentotide_instance::Clock;
 use pimentotide_model::{ErrorKind, Failure, ServiceName, Time, ZoneName};
@@ -26,6 +26,8 @@
 pub(super) struct EntryState {
     clock: Clock,
     metrics: Metrics,
+    /// Own address for callers.
+    callers: SocketAddr,
     lease: Duration,
     held: Mutex<Known>,
     open: AtomicUsize,
@@ -57,7 +59,7 @@
 }
 
 impl EntryState {
-    pub(super) fn new(settings: &FleetSettings, metrics: Metrics) -> Self {
+    pub(super) fn new(settings: &FleetSettings, callers: SocketAddr, metrics: Metrics) -> Self {
         let bounds = &settings.bounds;
         let budget = BudgetOptions {
             ratio: bounds.repeat_ratio,
@@ -75,6 +77,7 @@
         Self {
             clock,
             metrics,
+            callers,
             lease: settings.lease(),
             held: Mutex::new(Known {
                 table: None,
@@ -142,6 +145,9 @@
             known.seen.declared = document.index;
         }
         known.count_entries(news.entries.len(), news.recorded, now);
+        if let Some(place) = EntryPlace::among(&self.callers, &news.entries) {
+            known.balancer.set_place(place);
+        }
         known.list = news.entries;
         if let Some(fleet) = news.fleet
             && fleet.revision > known.seen.revision
--- a/decision/fleet/src/balancer.rs
+++ b/decision/fleet/src/balancer.rs
@@ -5,6 +5,12 @@
 //! upstream that fails is ejected for a while, but never so many that less than
 //! a part of the service is left, because then the cause lies elsewhere. An
 //! upstream that is cold gets this entry's share of what it bears.
+//!
+//! With many entries, what an upstream told one of them is long out of date when
+//! it sends there again, and all go for the same upstreams that once were idle.
+//! So each entry keeps to a few upstreams, next to each other in the order of
+//! names and as many for each entry, and knows these well; it takes others only
+//! once its own are full.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -20,6 +26,10 @@
 const ZONE_PENALTY: f64 = 0.02;
 /// Random load that keeps entries from choosing alike.
 const JITTER: f64 = 0.04;
+/// Entries that keep to the same upstream, so that a busy one finds room beside its neighbours.
+const SHARED_BY: usize = 3;
+/// Upstreams that an entry keeps to at least.
+const LEAST_OWN: usize = 4;
 /// Part of a service's upstreams that may be ejected at once.
 const MOST_EJECTED: f64 = 0.4;
 /// Time for which an upstream that refused for want of room is avoided.
@@ -102,10 +112,42 @@
     pub sent: usize,
 }
 
+/// Place of an entry among all that take callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EntryPlace {
+    /// Entries that come before it.
+    pub before: usize,
+    /// All entries, at least one.
+    pub all: usize,
+}
+
+impl EntryPlace {
+    /// Finds the place of one of the entries; none if it is not among them.
+    pub fn among<E>(own: &E, entries: &[E]) -> Option<Self>
+    where
+        E: Ord,
+    {
+        let before = entries.iter().filter(|e| *e < own).count();
+        let all = entries.len();
+        entries.contains(own).then_some(Self { before, all })
+    }
+
+    /// First of `count` upstreams that the entry keeps to.
+    fn first_of(self, count: usize) -> usize {
+        self.before * count / self.all.max(1) % count.max(1)
+    }
+
+    /// Number of upstreams that the entry keeps to.
+    fn own_of(self, count: usize) -> usize {
+        (count * SHARED_BY).div_ceil(self.all.max(1)).max(LEAST_OWN)
+    }
+}
+
 /// Upstreams as one entry sees them.
 #[derive(Debug)]
 pub struct Balancer {
     options: BalancerOptions,
+    place: EntryPlace,
     entries: usize,
     closed: BTreeSet<ZoneName>,
     upstreams: BTreeMap<UpstreamName, Upstream>,
@@ -117,6 +159,7 @@
     pub fn new(options: BalancerOptions) -> Self {
         Self {
             options,
+            place: EntryPlace::default(),
             entries: 1,
             closed: BTreeSet::new(),
             upstreams: BTreeMap::new(),
@@ -138,6 +181,11 @@
         }
     }
 
+    /// Place of this entry, by which it keeps to its own upstreams.
+    pub fn set_place(&mut self, place: EntryPlace) {
+        self.place = place;
+    }
+
     /// What upstreams of each service bear while they are cold.
     pub fn set_colds(&mut self, colds: BTreeMap<ServiceName, ColdLimit>) {
         self.colds = colds;
@@ -273,6 +321,9 @@
         if fit.is_empty() {
             return Err(Refusal::Empty);
         }
+        // The own upstreams come first, by places that all entries count alike.
+        let (first, own) = (self.place.first_of(fit.len()), self.place.own_of(fit.len()));
+        fit.rotate_left(first);
         let is_new = |u: &Upstream| !ask.tried.contains(&u.record.said.upstream);
         if fit.iter().any(|u| is_new(u)) {
             fit.retain(|u| is_new(u));
@@ -293,6 +344,10 @@
         } else if !ask.patient {
             return Err(Refusal::Full);
         }
+        let is_free = |u: &&mut Upstream| u.outstanding() < f64::from(u.slots());
+        if fit.iter().take(own).any(is_free) {
+            fit.truncate(own);
+        }
         let candidates = fit.len();
         let zone = &self.options.zone;
         let mut score = |u: &Upstream| {
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -25,7 +25,7 @@
 mod stop;
 mod upstream;
 
-pub use balancer::{Ask, Balancer, BalancerOptions, Census, Choice, Refusal, Ticket};
+pub use balancer::{Ask, Balancer, BalancerOptions, Census, Choice, EntryPlace, Refusal, Ticket};
 pub use budget::{BudgetOptions, RepeatBudget};
 pub use change::{UpstreamChange, UpstreamNews};
 pub use declaration::{
--- a/decision/fleet/tests/it/main.rs
+++ b/decision/fleet/tests/it/main.rs
@@ -9,5 +9,6 @@
 mod members;
 mod retry;
 mod returns;
+mod spread;
 mod state;
 mod stop;
