Settings: rebalance; the silence of a stream follows the bound on stalls; region goes

rebalance: false leaves expert maps as they are, to compare the same build. bounds.stall_ms was read and not used, region was not used at all.

--- a/app/src/fleet/agent/mod.rs
+++ b/app/src/fleet/agent/mod.rs
@@ -73,12 +73,13 @@
                 engine.clone(),
             )),
             actix_rt::spawn(learn(replicas, peers.clone(), token, path.to_owned())),
-            actix_rt::spawn(coordinate::coordinate(
-                engine,
-                peers,
-                scraped.metrics().clone(),
-            )),
         ];
+        if settings.rebalance {
+            let metrics = scraped.metrics().clone();
+            tasks.push(actix_rt::spawn(coordinate::coordinate(
+                engine, peers, metrics,
+            )));
+        }
         // Without fences a coordinator that wakes up could let a pass go meanwhile.
         if settings.bounds.fenced {
             tasks.push(actix_rt::spawn(rescue::watch(rescued.0, rescued.1)));
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -20,12 +20,16 @@
 use super::super::news::{Fleet, News, Seen};
 use crate::lines::{Declared, Ejected, LeaseLost, LeaseWon, UpstreamChanged, ZonesClosed};
 
+/// Silence beyond the time for which a group stalls for a lost rank; events of the others arrive in it.
+const STALL_MARGIN: Duration = Duration::from_millis(200);
 /// Requests that may wait at an upstream for each of its slots.
 const QUEUE: f64 = 2.0;
 /// What an entry knows.
 pub(super) struct EntryState {
     clock: Clock,
     metrics: Metrics,
+    /// Silence in a stream after which it is continued elsewhere.
+    silence: Duration,
     /// Own address for callers.
     callers: SocketAddr,
     lease: Duration,
@@ -77,6 +81,7 @@
         Self {
             clock,
             metrics,
+            silence: Duration::from_millis(settings.bounds.stall_ms) + STALL_MARGIN,
             callers,
             lease: settings.lease(),
             held: Mutex::new(Known {
@@ -104,6 +109,11 @@
         self.clock.now()
     }
 
+    /// Silence in a stream after which it is continued elsewhere.
+    pub(super) fn silence(&self) -> Duration {
+        self.silence
+    }
+
     pub(super) fn metrics(&self) -> &Metrics {
         &self.metrics
     }
--- a/app/src/fleet/entry/streaming.rs
+++ b/app/src/fleet/entry/streaming.rs
@@ -20,9 +20,6 @@
 use super::relay::refuse;
 use crate::lines::{Answered, BrokenOff};
 
-/// Silence in a stream after which it is continued elsewhere; longer than a group stalls for a lost rank.
-const SILENCE: Duration = Duration::from_millis(1_700);
-
 /// A stream on its way to the caller.
 struct Run {
     attempt: Attempt,
@@ -203,7 +200,7 @@
                 return Next::Ended(Ended::Broken);
             };
             let limit = Instant::from_std(self.attempt.limit());
-            let silence = Instant::now() + SILENCE;
+            let silence = Instant::now() + self.attempt.state.silence();
             let part = tokio::time::timeout_at(limit.min(silence), source.body.next()).await;
             match part {
                 Ok(Some(Ok(bytes))) => match self.cursor.push(&bytes) {
--- a/app/src/fleet/settings.rs
+++ b/app/src/fleet/settings.rs
@@ -55,9 +55,6 @@
     pub instance: String,
     /// Availability zone.
     pub zone: String,
-    /// Region.
-    #[serde(default)]
-    pub region: String,
     /// Address of the instance.
     pub ip: IpAddr,
     /// Listeners.
@@ -91,6 +88,9 @@
     /// Address at which scrapers read metrics.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
+    /// Whether agents move their group to better expert maps.
+    #[serde(default = "yes")]
+    pub rebalance: bool,
     /// Log levels.
     #[serde(default = "default_log")]
     pub log: String,
@@ -100,6 +100,10 @@
     1
 }
 
+fn yes() -> bool {
+    true
+}
+
 fn default_log() -> String {
     crate::settings::DEFAULT_LOG.to_owned()
 }
