--- a/app/src/fleet/entry/streaming.rs
+++ b/app/src/fleet/entry/streaming.rs
@@ -5,8 +5,6 @@
 //! at another upstream behind the last event that the caller has, under the head
 //! of the first one.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream;
