--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -3,11 +3,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use pimentotide_fleet::{
-    Admission, Ask, Choice, Ended, Limit, Outcome, Policy, Refusal, Return, RouteKind, Step,
-    Ticket, give_up, is_in_time, limit,
-};
-use pimentotide_model::{ErrorKind, Failure, Ran, ServiceName, Time, UpstreamName, WorkspaceName};
+use pimentotide_fleet::{Ended, Limit, Outcome, Policy, RouteKind, Step, Ticket, give_up, limit};
+use pimentotide_model::{Failure, ServiceName, Time, UpstreamName, WorkspaceName};
 use pimentotide_platform::{Answer, AnswerError, Call, Send, UpstreamClient};
 
 use super::state::{EntryState, OpenRequest};
@@ -17,25 +14,6 @@
 const CONNECT: Duration = Duration::from_millis(300);
 /// Time that an upstream's own answer at its deadline has to arrive.
 const ANSWER_MARGIN: Duration = Duration::from_millis(60);
-/// Longest wait for an upstream; a group forms in less.
-const MOST_WAIT: Duration = Duration::from_millis(1_200);
-/// Part of a caller's time that is spent on that at most.
-const WAIT_PART: f64 = 0.3;
-/// Pause between looks for an upstream.
-const LOOK_PAUSE: Duration = Duration::from_millis(50);
-/// When a caller may come back at the earliest if no upstream was there; a group forms in less.
-const RETURN_NONE: Duration = Duration::from_millis(1_000);
-/// When a caller may come back at the earliest if all upstreams were full.
-const RETURN_FULL: Duration = Duration::from_millis(800);
-/// When a caller is told to come back at the latest.
-const MOST_RETURN: Duration = Duration::from_millis(3_500);
-/// Part of a caller's time after which coming back leaves too little to be served.
-const RETURN_PART: f64 = 0.5;
-/// Time that a stream takes at an engine that is full.
-const USUAL_STREAM: Duration = Duration::from_millis(1_500);
-/// Time that a whole answer takes at a service that is full.
-const USUAL_WHOLE: Duration = Duration::from_millis(150);
-
 thread_local! {
     static CLIENT: UpstreamClient = UpstreamClient::open(CONNECT);
 }
@@ -182,10 +160,7 @@
             held.end(outcome);
             return Err(SendError::Ended(Ended::Rejected, upstream));
         }
-        let mut known = self.state.known();
-        let gate = known.gates.entry(self.service.clone()).or_default();
-        gate.accepted();
-        drop(known);
+        self.state.known().gate(&self.service).accepted();
         if matches!(answer.status.as_u16(), 408 | 421 | 429 | 503) {
             // It does not say that the request did not run, so the status cannot be passed on.
             held.end(Outcome::Failed);
@@ -194,80 +169,6 @@
         Ok(Running { answer, held })
     }
 
-    /// Waits for a place at an upstream while there is none, for a part of the time that is left.
-    async fn place(&mut self) -> Result<Choice, Failure> {
-        let start = self.state.now();
-        let most = MOST_WAIT.min(self.left().mul_f64(WAIT_PART));
-        loop {
-            let (kind, detail, pause) = match self.choose() {
-                Ok(choice) => return Ok(choice),
-                Err(blocked) => blocked,
-            };
-            let over = self.state.now().since(start) + pause >= most;
-            if kind == ErrorKind::DeadlineExceeded || over {
-                return Err(self.failure(kind, &detail));
-            }
-            tokio::time::sleep(pause).await;
-        }
-    }
-
-    /// Chooses an upstream; otherwise says why there is none and when to look again.
-    fn choose(&mut self) -> Result<Choice, (ErrorKind, String, Duration)> {
-        let now = self.state.now();
-        if !is_in_time(&self.policy, now) {
-            let detail = "no time left to send it".to_owned();
-            return Err((ErrorKind::DeadlineExceeded, detail, Duration::ZERO));
-        }
-        let mut known = self.state.known();
-        let gate = known.gates.entry(self.service.clone()).or_default();
-        if let Admission::Wait(pause) = gate.admit(now) {
-            let detail = "all upstreams refuse requests".to_owned();
-            return Err((ErrorKind::NoUpstream, detail, pause));
-        }
-        let ask = Ask {
-            service: &self.service,
-            tried: &self.tried,
-            patient: false,
-        };
-        let choice = known.balancer.choose(&ask, now, &mut rand::rng());
-        if choice.is_ok() && self.sends == 0 {
-            known.budget.earn(&self.service, now);
-        }
-        choice.map_err(|refusal| {
-            let kind = match refusal {
-                Refusal::Empty => ErrorKind::NoUpstream,
-                Refusal::Full | Refusal::Cold => ErrorKind::Overloaded,
-            };
-            (kind, refusal.to_string(), LOOK_PAUSE)
-        })
-    }
-
-    /// Failure that tells truly whether the request has run, and when to come back.
-    pub(super) fn failure(&self, kind: ErrorKind, detail: &str) -> Failure {
-        if self.policy.ran > 0 {
-            return Failure::new(kind, detail).with_ran(Ran::Unknown);
-        }
-        let failure = Failure::new(kind, detail).with_ran(Ran::No);
-        let least = match kind {
-            ErrorKind::NoUpstream => RETURN_NONE,
-            ErrorKind::Overloaded => RETURN_FULL,
-            _ => return failure,
-        };
-        let now = self.state.now();
-        let mut known = self.state.known();
-        let usual = match self.kind {
-            RouteKind::Streaming => USUAL_STREAM,
-            RouteKind::Idempotent | RouteKind::NonIdempotent => USUAL_WHOLE,
-        };
-        let back = Return {
-            least,
-            most: MOST_RETURN.min(self.left().mul_f64(RETURN_PART)).max(least),
-            rate: known.balancer.spare_rate(&self.service, usual, now),
-        };
-        let row = known.returns.entry(self.service.clone()).or_default();
-        failure.with_retry(row.place(&back, now, &mut rand::rng()))
-    }
-
     /// Decides what follows a send and logs it.
     pub(super) fn after(&mut self, ended: Ended, upstream: &UpstreamName, events: u64) -> Step {
         match ended {
@@ -275,9 +176,7 @@
             Ended::Rejected => {
                 self.policy.unrun += 1;
                 let now = self.state.now();
-                let mut known = self.state.known();
-                let gate = known.gates.entry(self.service.clone()).or_default();
-                gate.refused(now);
+                self.state.known().gate(&self.service).refused(now);
             }
             Ended::Broken | Ended::Failed | Ended::Silent => self.policy.ran += 1,
         }
--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod callers;
 mod follow;
+mod placing;
 mod relay;
 mod state;
 mod streaming;
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -49,7 +49,7 @@
     /// Callers that were sent away, by service.
     pub(super) returns: BTreeMap<ServiceName, ReturnRow>,
     /// Refusals of upstreams, by service.
-    pub(super) gates: BTreeMap<ServiceName, ServiceGate>,
+    gates: BTreeMap<ServiceName, ServiceGate>,
     seen: Seen,
     /// Time until which what is known may be acted on.
     until: Time,
@@ -312,6 +312,11 @@
 }
 
 impl Known {
+    /// Refusals of the upstreams of a service.
+    pub(super) fn gate(&mut self, service: &ServiceName) -> &mut ServiceGate {
+        self.gates.entry(service.clone()).or_default()
+    }
+
     /// Takes over zones and upstreams and logs what is new of them.
     fn follow(&mut self, fleet: Fleet, now: Time) {
         let revision = fleet.revision;
