Expert maps are told to other ranks as changes

Cause: with 63 ranks, 8 layers and 5 places an order to prepare is 5.6 KB, and 62 of them take 0.33 s on rank 0's link of 8 Mbit/s, two thirds of a switch; passes after a shift of demand are over 120 ms for as long, which makes every stream under way late.

An agent remembers the placement that its engine was told last; the coordinator sends what changes from the one that all switched to last, with the identity of both. An agent that knows another one says so and gets it whole.

On 12 ranks the order is 0.5 KB either way.

--- a/app/src/fleet/agent/coordinate.rs
+++ b/app/src/fleet/agent/coordinate.rs
@@ -52,6 +52,8 @@
     /// Versions start above the time of day by this much.
     skip: u64,
     last: u64,
+    /// Placement that all ranks have switched to last.
+    sent: Option<Placement>,
 }
 
 /// Coordinates until it is aborted.
@@ -66,6 +68,7 @@
         turn: 0,
         skip: 0,
         last: 0,
+        sent: None,
     };
     loop {
         tokio::time::sleep(PAUSE).await;
@@ -100,6 +103,7 @@
         let Some(group) = self.peers.group(&seat, report.size) else {
             return Ok(());
         };
+        let group = group.with_base(self.sent.clone());
         let counted = self.counted(usize::from(report.size));
         let looks: Result<Vec<Look>, Failure> = group.look(&counted).await.into_iter().collect();
         let looks = looks?;
@@ -204,6 +208,8 @@
             SwitchEnding::Switched(_) => self.demand.restart(),
             SwitchEnding::NotHeld | SwitchEnding::Undone | SwitchEnding::GivenUp => {}
         }
+        let switched = matches!(ending, SwitchEnding::Switched(_));
+        self.sent = switched.then(|| switch.new.clone());
         let moved = ExpertsMoved {
             group: group.seat.group.clone(),
             epoch: group.seat.epoch,
--- a/app/src/fleet/agent/ranks.rs
+++ b/app/src/fleet/agent/ranks.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use pimentotide_experts::{EngineReport, FencedOrder, HeldExperts, OrderAnswer, Placement, Ranks};
+use pimentotide_experts::{
+    EngineOrder, EngineReport, FencedOrder, HeldExperts, OrderAnswer, Placement, PlacementChange,
+    Ranks,
+};
 use pimentotide_instance::{PeerClient, PeerTimeouts, Token};
 use pimentotide_model::{ErrorKind, Failure};
 use pimentotide_platform::EngineClient;
@@ -15,7 +18,7 @@
 use super::super::news::{Processes, Shape};
 use super::compact;
 use super::engine::{EngineHandle, Look};
-use super::methods::{LOOK, ORDER, REPORT};
+use super::methods::{LOOK, ORDER, REPORT, RankOrder};
 
 /// How long the coordinator waits for another agent, which waits for its engine.
 const TIMEOUTS: PeerTimeouts = PeerTimeouts {
@@ -49,6 +52,8 @@
     pub(super) seat: Seat,
     engine: EngineHandle,
     ways: Vec<Way>,
+    /// Placement that ranks have probably been told last; only its changes are sent.
+    base: Option<Placement>,
 }
 
 /// How a rank is reached.
@@ -122,11 +127,17 @@
             seat: seat.clone(),
             engine: self.engine.clone(),
             ways: ways?,
+            base: None,
         })
     }
 }
 
 impl Group {
+    /// Sends only changes from `base` to the ranks that were told it last.
+    pub(super) fn with_base(self, base: Option<Placement>) -> Self {
+        Self { base, ..self }
+    }
+
     /// Asks all ranks for what the coordinator needs, and those in `counted` for the experts chosen.
     ///
     /// Only through their agents, because counts are dear from anywhere else.
@@ -185,7 +196,7 @@
     async fn order(&self, rank: usize, order: FencedOrder) -> Option<OrderAnswer> {
         let answer = match &self.ways[rank] {
             Way::Own => self.engine.order(order.clone()).await,
-            Way::Far(agent, engine) => match far_order(agent, &order).await {
+            Way::Far(agent, engine) => match far_order(agent, &order, self.base.as_ref()).await {
                 Ok(answer) => Ok(answer),
                 // The engine itself does not answer.
                 Err(failure) if failure.kind == ErrorKind::UpstreamFailed => Err(failure),
@@ -211,8 +222,33 @@
     compact::decode(&text)
 }
 
-async fn far_order(agent: &PeerClient, order: &FencedOrder) -> Result<OrderAnswer, Failure> {
-    agent.call(ORDER, [compact::encode(order)?]).await
+/// Gives an order through an agent; a placement as its change from `base` if the agent knows that.
+async fn far_order(
+    agent: &PeerClient,
+    order: &FencedOrder,
+    base: Option<&Placement>,
+) -> Result<OrderAnswer, Failure> {
+    if let Some(changed) = base.and_then(|base| changed(order, base)) {
+        match agent.call(ORDER, [compact::encode(&changed)?]).await {
+            Err(failure) if failure.kind == ErrorKind::RevisionConflict => {}
+            answer => return answer,
+        }
+    }
+    let whole = RankOrder::Whole(order.clone());
+    agent.call(ORDER, [compact::encode(&whole)?]).await
+}
+
+/// Order to prepare a placement, told by what changes; none for any other order.
+fn changed(order: &FencedOrder, base: &Placement) -> Option<RankOrder> {
+    let EngineOrder::Prepare { version, experts } = &order.order else {
+        return None;
+    };
+    Some(RankOrder::Changed {
+        epoch: order.epoch,
+        fence: order.fence,
+        version: *version,
+        change: PlacementChange::between(base, experts)?,
+    })
 }
 
 /// Experts by layer and rank, from what each rank holds.
--- a/decision/experts/src/even/mod.rs
+++ b/decision/experts/src/even/mod.rs
@@ -6,6 +6,7 @@
 //! over only a few new experts in one change, so a large drift of popularity
 //! takes several changes, the most useful first.
 
+mod change;
 mod demand;
 mod layer;
 mod rank;
@@ -13,6 +14,7 @@
 
 use layer::Layer;
 
+pub use change::{PlacementChange, PlacementId};
 pub use demand::ExpertDemand;
 pub use rank::{
     EngineOrder, EngineReport, FencedOrder, HeldExperts, Membership, OrderAnswer, PickedExperts,
--- a/decision/experts/src/lib.rs
+++ b/decision/experts/src/lib.rs
@@ -22,8 +22,8 @@
 pub use decisions::{DecidedMap, Decisions, GroupState, StagedMap};
 pub use even::{
     Ending as SwitchEnding, EngineOrder, EngineReport, EvenLayout, EvenPlan, ExpertDemand,
-    FencedOrder, HeldExperts, Membership, OrderAnswer, PickedExperts, Placement, Ranks, Switch,
-    imbalance_even, plan_even,
+    FencedOrder, HeldExperts, Membership, OrderAnswer, PickedExperts, Placement, PlacementChange,
+    PlacementId, Ranks, Switch, imbalance_even, plan_even,
 };
 pub use manager::{Manager, ManagerLimits};
 pub use map::{ExpertMap, Layout, MAX_MAP_SLOTS, MapError, MapId, RankShape, Slot};
--- a/decision/experts/tests/it/main.rs
+++ b/decision/experts/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod coordinator;
 mod decisions;
+mod even_change;
 mod even_exhaustive;
 mod even_group;
 mod even_plan;
