Entry: one request at a time tries after a start, too

The gate now begins closed: one request tries, and the others go once it is answered or not refused within 120 ms.

--- a/decision/fleet/src/gate.rs
+++ b/decision/fleet/src/gate.rs
@@ -4,7 +4,8 @@
 //! request at once. Sending all that wait again and again would use up the budget
 //! of repeats and have callers refused who would be served a moment later. After
 //! some refusals in a row only one request at a time is sent, and the others wait
-//! until one is not refused.
+//! until one is not refused. A process begins like that, because the requests
+//! that waited for its start would all be sent at once.
 
 use std::time::Duration;
 
@@ -25,7 +26,7 @@
 }
 
 /// What one entry knows of the refusals of a service.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct ServiceGate {
     /// Refusals since the last request that was not refused.
     refused: u32,
@@ -64,6 +65,18 @@
 
     /// Notes that an upstream took a request.
     pub fn accepted(&mut self) {
-        *self = Self::default();
+        self.refused = 0;
+        self.tried = None;
+    }
+}
+
+impl Default for ServiceGate {
+    /// Holds back all requests but the first until that is not refused.
+    fn default() -> Self {
+        Self {
+            refused: MOST_REFUSED,
+            last: Time::ZERO,
+            tried: None,
+        }
     }
 }
