Control: orders and announcements wait for the first leader

A replica that knows no leader now waits up to 0.7 s for one, below the second after which upstreams and operators turn to another.

--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -20,6 +20,8 @@
 ///
 /// A fraction of the entries' lease, so that they can ask several replicas in time.
 const HOLD: Duration = Duration::from_millis(400);
+/// Longest wait for a leader; upstreams and operators turn to another replica after a second.
+const LEADER_WAIT: Duration = Duration::from_millis(700);
 /// Age at which an upstream's record is refreshed in the log.
 const REFRESH: Duration = Duration::from_secs(5);
 
@@ -60,7 +62,8 @@
     /// Replicates a command and logs what became of it.
     pub(super) async fn order(&self, command: &Command) -> Result<Reply, Failure> {
         let start = Instant::now();
-        let result = self.replica.propose(command.encode()).await;
+        let result = self.replica.propose_when_led(command.encode(), LEADER_WAIT);
+        let result = result.await;
         let result = result.map(|(_, reply)| Reply::decode(&reply));
         let reply = match &result {
             Ok(reply) => reply.to_string(),
--- a/peers/instance/src/replica/handle.rs
+++ b/peers/instance/src/replica/handle.rs
@@ -255,6 +255,32 @@
         self.applied.clone()
     }
 
+    /// Replicates a command as [`propose`](Self::propose), waiting for a leader at most for `limit`.
+    ///
+    /// For a caller that would otherwise be sent away while an election is under way.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`propose`](Self::propose), with `not_leader` if none is known in time.
+    pub async fn propose_when_led(
+        &self,
+        command: Vec<u8>,
+        limit: Duration,
+    ) -> Result<(Index, Vec<u8>), Failure> {
+        let mut leader = self.leader.clone();
+        match self.propose(command.clone()).await {
+            Err(failure) if failure.kind == ErrorKind::NotLeader => {
+                let led = leader.wait_for(|view| view.leader.is_some());
+                match tokio::time::timeout(limit, led).await {
+                    Ok(Ok(_)) => {}
+                    Ok(Err(_)) | Err(_) => return Err(failure),
+                }
+            }
+            result => return result,
+        }
+        self.propose(command).await
+    }
+
     /// Who leads, to be woken by.
     pub fn leader(&self) -> watch::Receiver<LeaderView> {
         self.leader.clone()
--- a/peers/instance/tests/it/replica.rs
+++ b/peers/instance/tests/it/replica.rs
@@ -163,6 +163,29 @@
     second.stop().await;
 }
 
+/// Pattern: power comes back, and upstreams announce themselves before there is a leader.
+#[actix_rt::test]
+async fn a_command_that_comes_before_there_is_a_leader_waits_for_one() {
+    let place = Place::new(3);
+    let first = place.start(0).await;
+    let short = Duration::from_millis(50);
+    let alone = first
+        .handle
+        .propose_when_led(b"alone".to_vec(), short)
+        .await;
+    assert_eq!(alone.unwrap_err().kind, ErrorKind::NotLeader);
+    let waiting = first.handle.clone();
+    let proposed =
+        actix_rt::spawn(async move { waiting.propose_when_led(b"early".to_vec(), PATIENCE).await });
+    let second = place.start(1).await;
+    let third = place.start(2).await;
+    let (_, answer) = proposed.await.unwrap().unwrap();
+    assert_eq!(answer, b"1");
+    for running in [first, second, third] {
+        running.stop().await;
+    }
+}
+
 #[actix_rt::test]
 async fn three_replicas_outlive_a_planned_stop_and_a_lost_disk() {
     let place = Place::new(3);
