Agents: the change of a placement is worked out once, and one piece lets a held pass go

Coordinator and rescue let a held pass go by the same steps; both call Group::release. No change of behaviour.

--- a/app/src/fleet/agent/coordinate.rs
+++ b/app/src/fleet/agent/coordinate.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use pimentotide_experts::{
-    EngineReport, EvenLayout, ExpertDemand, Membership, Placement, Switch, SwitchEnding,
-    imbalance_even, plan_even,
+    EngineReport, EvenLayout, ExpertDemand, Membership, Placement, PlacementChange, Switch,
+    SwitchEnding, imbalance_even, plan_even,
 };
 use pimentotide_instance::Clock;
 use pimentotide_model::Failure;
@@ -15,7 +15,7 @@
 use super::super::unix_millis;
 use super::engine::{EngineHandle, Look};
 use super::ranks::{Group, Peers, placement};
-use crate::lines::{ExpertsMoved, GroupReleased};
+use crate::lines::ExpertsMoved;
 
 /// Pause between looks at the demand.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -103,7 +103,6 @@
         let Some(group) = self.peers.group(&seat, report.size) else {
             return Ok(());
         };
-        let group = group.with_base(self.sent.clone());
         let counted = self.counted(usize::from(report.size));
         let looks: Result<Vec<Look>, Failure> = group.look(&counted).await.into_iter().collect();
         let looks = looks?;
@@ -119,10 +118,12 @@
         let steady = looks.iter().all(|l| l.held.version == first.held.version);
         let armed = looks.iter().any(|l| l.report.armed.is_some());
         if let Some(step) = first.report.held {
-            return self.release(&group, &looks, placement, step).await;
-        }
-        if steady && !armed {
-            self.improve(&group, &looks, placement).await;
+            let version = self.version(&looks);
+            group
+                .release(step, version, placement, "left held back")
+                .await;
+        } else if steady && !armed {
+            self.improve(group, &looks, placement).await;
         }
         Ok(())
     }
@@ -138,31 +139,8 @@
         (0..count).map(|offset| (first + offset) % size).collect()
     }
 
-    /// Lets a pass go that was left held back.
-    async fn release(
-        &mut self,
-        group: &Group,
-        looks: &[Look],
-        placement: Placement,
-        step: u64,
-    ) -> Result<(), Failure> {
-        let switch = Switch {
-            epoch: group.seat.epoch,
-            version: self.version(looks),
-            old: placement.clone(),
-            new: placement,
-        };
-        let ending = switch.undo(group, step).await;
-        pimentotide_observe::event(&GroupReleased {
-            step,
-            ending: ending.to_string(),
-            reason: "left held back",
-        });
-        Ok(())
-    }
-
     /// Moves the group to a better map if there is one.
-    async fn improve(&mut self, group: &Group, looks: &[Look], old: Placement) {
+    async fn improve(&mut self, group: Group, looks: &[Look], old: Placement) {
         let (Some(counts), Some(shape)) = (self.demand.counts(), self.peers.shape()) else {
             return;
         };
@@ -192,7 +170,13 @@
             old,
             new: plan.placement,
         };
-        let ending = switch.run(group).await;
+        let sent = self.sent.take();
+        let change = sent.and_then(|sent| PlacementChange::between(&sent, &switch.new));
+        let group = match change {
+            Some(change) => group.with_change(switch.version, change),
+            None => group,
+        };
+        let ending = switch.run(&group).await;
         let name = match ending {
             SwitchEnding::Switched(_) => "switched",
             SwitchEnding::NotPrepared => "not_prepared",
@@ -205,11 +189,12 @@
             .time("agent.switch", ("ending", name), start.elapsed());
         match ending {
             SwitchEnding::NotPrepared => self.skip += VERSION_SKIP,
-            SwitchEnding::Switched(_) => self.demand.restart(),
+            SwitchEnding::Switched(_) => {
+                self.demand.restart();
+                self.sent = Some(switch.new);
+            }
             SwitchEnding::NotHeld | SwitchEnding::Undone | SwitchEnding::GivenUp => {}
         }
-        let switched = matches!(ending, SwitchEnding::Switched(_));
-        self.sent = switched.then(|| switch.new.clone());
         let moved = ExpertsMoved {
             group: group.seat.group.clone(),
             epoch: group.seat.epoch,
--- a/app/src/fleet/agent/ranks.rs
+++ b/app/src/fleet/agent/ranks.rs
@@ -8,7 +8,7 @@
 use futures_util::future::join_all;
 use pimentotide_experts::{
     EngineOrder, EngineReport, FencedOrder, HeldExperts, OrderAnswer, Placement, PlacementChange,
-    Ranks,
+    Ranks, Switch,
 };
 use pimentotide_instance::{PeerClient, PeerTimeouts, Token};
 use pimentotide_model::{ErrorKind, Failure};
@@ -19,6 +19,7 @@
 use super::compact;
 use super::engine::{EngineHandle, Look};
 use super::methods::{LOOK, ORDER, REPORT, RankOrder};
+use crate::lines::GroupReleased;
 
 /// How long the coordinator waits for another agent, which waits for its engine.
 const TIMEOUTS: PeerTimeouts = PeerTimeouts {
@@ -52,8 +53,8 @@
     pub(super) seat: Seat,
     engine: EngineHandle,
     ways: Vec<Way>,
-    /// Placement that ranks have probably been told last; only its changes are sent.
-    base: Option<Placement>,
+    /// Version of a placement, and its change from the one that ranks were told last.
+    change: Option<(u64, PlacementChange)>,
 }
 
 /// How a rank is reached.
@@ -127,15 +128,52 @@
             seat: seat.clone(),
             engine: self.engine.clone(),
             ways: ways?,
-            base: None,
+            change: None,
         })
     }
 }
 
 impl Group {
-    /// Sends only changes from `base` to the ranks that were told it last.
-    pub(super) fn with_base(self, base: Option<Placement>) -> Self {
-        Self { base, ..self }
+    /// Tells ranks the placement of `version` by what changes, if they were told its base last.
+    pub(super) fn with_change(self, version: u64, change: PlacementChange) -> Self {
+        let change = Some((version, change));
+        Self { change, ..self }
+    }
+
+    /// Lets a pass go that was left held back, under a version that outranks all before.
+    pub(super) async fn release(
+        &self,
+        step: u64,
+        version: u64,
+        placement: Placement,
+        reason: &'static str,
+    ) {
+        let switch = Switch {
+            epoch: self.seat.epoch,
+            version,
+            old: placement.clone(),
+            new: placement,
+        };
+        let ending = switch.undo(self, step).await;
+        pimentotide_observe::event(&GroupReleased {
+            step,
+            ending: ending.to_string(),
+            reason,
+        });
+    }
+
+    /// Order to prepare a placement, told by what changes; none for any other order.
+    fn changed(&self, order: &FencedOrder) -> Option<RankOrder> {
+        let EngineOrder::Prepare { version, .. } = &order.order else {
+            return None;
+        };
+        let (_, change) = self.change.as_ref().filter(|(v, _)| v == version)?;
+        Some(RankOrder::Changed {
+            epoch: order.epoch,
+            fence: order.fence,
+            version: *version,
+            change: change.clone(),
+        })
     }
 
     /// Asks all ranks for what the coordinator needs, and those in `counted` for the experts chosen.
@@ -196,7 +234,7 @@
     async fn order(&self, rank: usize, order: FencedOrder) -> Option<OrderAnswer> {
         let answer = match &self.ways[rank] {
             Way::Own => self.engine.order(order.clone()).await,
-            Way::Far(agent, engine) => match far_order(agent, &order, self.base.as_ref()).await {
+            Way::Far(agent, engine) => match far_order(agent, &order, self.changed(&order)).await {
                 Ok(answer) => Ok(answer),
                 // The engine itself does not answer.
                 Err(failure) if failure.kind == ErrorKind::UpstreamFailed => Err(failure),
@@ -222,13 +260,13 @@
     compact::decode(&text)
 }
 
-/// Gives an order through an agent; a placement as its change from `base` if the agent knows that.
+/// Gives an order through an agent; as `changed` if the agent knows what that is a change from.
 async fn far_order(
     agent: &PeerClient,
     order: &FencedOrder,
-    base: Option<&Placement>,
+    changed: Option<RankOrder>,
 ) -> Result<OrderAnswer, Failure> {
-    if let Some(changed) = base.and_then(|base| changed(order, base)) {
+    if let Some(changed) = changed {
         match agent.call(ORDER, [compact::encode(&changed)?]).await {
             Err(failure) if failure.kind == ErrorKind::RevisionConflict => {}
             answer => return answer,
@@ -238,19 +276,6 @@
     agent.call(ORDER, [compact::encode(&whole)?]).await
 }
 
-/// Order to prepare a placement, told by what changes; none for any other order.
-fn changed(order: &FencedOrder, base: &Placement) -> Option<RankOrder> {
-    let EngineOrder::Prepare { version, experts } = &order.order else {
-        return None;
-    };
-    Some(RankOrder::Changed {
-        epoch: order.epoch,
-        fence: order.fence,
-        version: *version,
-        change: PlacementChange::between(base, experts)?,
-    })
-}
-
 /// Experts by layer and rank, from what each rank holds.
 pub(super) fn placement<'a, I>(held: I) -> Placement
 where
--- a/app/src/fleet/agent/rescue.rs
+++ b/app/src/fleet/agent/rescue.rs
@@ -8,14 +8,13 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
-use pimentotide_experts::{EngineReport, Ranks, Switch};
+use pimentotide_experts::{EngineReport, Ranks};
 use pimentotide_model::Failure;
 
 use super::super::beacon::Seat;
 use super::super::unix_millis;
 use super::engine::EngineHandle;
 use super::ranks::{Group, Peers, placement};
-use crate::lines::GroupReleased;
 
 /// Pause between looks at the own engine.
 const PAUSE: Duration = Duration::from_millis(150);
@@ -76,18 +75,10 @@
         .map
         .max(first.armed.unwrap_or(0))
         .max(first.prepared.unwrap_or(0));
-    let switch = Switch {
-        epoch: group.seat.epoch,
-        version: unix_millis().max(known + VERSION_LEAD),
-        old: placement.clone(),
-        new: placement,
-    };
-    let ending = switch.undo(group, step).await;
-    pimentotide_observe::event(&GroupReleased {
-        step,
-        ending: ending.to_string(),
-        reason: "the coordinator is silent",
-    });
+    let version = unix_millis().max(known + VERSION_LEAD);
+    group
+        .release(step, version, placement, "the coordinator is silent")
+        .await;
     Ok(())
 }
 
