Retries: next_step decides with the budget, and says why not

The entry had taken over the decision when it began to log its reason, and only tests called next_step. It now takes the budget as a function and returns the step with what limits it; the entry calls it again. The tests keep their expectations, and two cover the budget.

--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use pimentotide_fleet::{Ended, Limit, Outcome, Policy, RouteKind, Step, Ticket, give_up, limit};
+use pimentotide_fleet::{Ended, Next, Outcome, Policy, RouteKind, Step, Ticket, next_step};
 use pimentotide_model::{Failure, ServiceName, Time, UpstreamName, WorkspaceName};
 use pimentotide_platform::{Answer, AnswerError, Call, Send, UpstreamClient};
 
@@ -181,17 +181,9 @@
             Ended::Broken | Ended::Failed | Ended::Silent => self.policy.ran += 1,
         }
         let now: Time = self.state.now();
-        let mut limited = limit(ended, &self.policy, now);
-        if limited.is_none()
-            && ended != Ended::Unsent
-            && !self.state.known().budget.spend(&self.service, now)
-        {
-            limited = Some(Limit::Budget);
-        }
-        let step = match limited {
-            None => Step::Again,
-            Some(_) => give_up(ended, &self.policy),
-        };
+        let Next { step, limit } = next_step(ended, &self.policy, now, || {
+            self.state.known().budget.spend(&self.service, now)
+        });
         let name = format!("{ended:?}").to_ascii_lowercase();
         self.state
             .metrics()
@@ -202,7 +194,7 @@
             ended: format!("{ended:?}"),
             events,
             next: format!("{step:?}"),
-            reason: &limited.map(|l| l.to_string()).unwrap_or_default(),
+            reason: &limit.map(|l| l.to_string()).unwrap_or_default(),
             after_ms: self.elapsed_ms(),
         });
         step
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -35,7 +35,7 @@
 pub use gate::{Admission, ServiceGate};
 pub use members::{MemberView, Repair, RepairOptions, repair};
 pub use rate::RateLimit;
-pub use retry::{Ended, Limit, Policy, Step, give_up, is_in_time, limit, next_step};
+pub use retry::{Ended, Limit, Next, Policy, Step, is_in_time, next_step};
 pub use returns::{Return, ReturnRow};
 pub use route::{Match, Mismatch, RouteTable};
 pub use state::{Announcement, Command, Declared, FleetState, Record, Reply, Stage};
--- a/decision/fleet/src/retry.rs
+++ b/decision/fleet/src/retry.rs
@@ -43,7 +43,7 @@
 /// What to do next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
-    /// Send it to another upstream, if the budget of repeats allows it.
+    /// Send it to another upstream.
     Again,
     /// Answer the caller with this kind of error.
     Answer(ErrorKind),
@@ -73,8 +73,8 @@
     now + LEAST_LEFT < policy.deadline
 }
 
-/// Says why a request may not be sent again; none if it may.
-pub fn limit(ended: Ended, policy: &Policy, now: Time) -> Option<Limit> {
+/// Says what keeps a request from another send, but for the budget.
+fn limit(ended: Ended, policy: &Policy, now: Time) -> Option<Limit> {
     if !is_in_time(policy, now) {
         return Some(Limit::Time);
     }
@@ -87,16 +87,35 @@
     }
 }
 
+/// What follows a send, and why not another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Next {
+    /// What to do.
+    pub step: Step,
+    /// Why it is not sent again; none if it is.
+    pub limit: Option<Limit>,
+}
+
 /// Decides what follows a send.
-pub fn next_step(ended: Ended, policy: &Policy, now: Time) -> Step {
-    match limit(ended, policy, now) {
+///
+/// `spend` takes the budget of a repeat, if there is any left. It is asked only if
+/// nothing else keeps the request from another send, and not if the upstream was
+/// never reached, since that is no repeat.
+pub fn next_step<S>(ended: Ended, policy: &Policy, now: Time, spend: S) -> Next
+where
+    S: FnOnce() -> bool,
+{
+    let affords = || ended == Ended::Unsent || spend();
+    let limit = limit(ended, policy, now).or_else(|| (!affords()).then_some(Limit::Budget));
+    let step = match limit {
         None => Step::Again,
         Some(_) => give_up(ended, policy),
-    }
+    };
+    Next { step, limit }
 }
 
 /// Final answer after a send; says "not run" only if no send may have run.
-pub fn give_up(ended: Ended, policy: &Policy) -> Step {
+fn give_up(ended: Ended, policy: &Policy) -> Step {
     match ended {
         Ended::Failed => Step::Pass,
         Ended::Unsent | Ended::Rejected if policy.ran == 0 => Step::Answer(ErrorKind::NoUpstream),
--- a/decision/fleet/tests/it/retry.rs
+++ b/decision/fleet/tests/it/retry.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use insta::assert_snapshot;
-use pimentotide_fleet::{Ended, Policy, Step, limit, next_step};
+use pimentotide_fleet::{Ended, Limit, Next, Policy, Step};
 use pimentotide_model::{ErrorKind, Time};
 
 const ENDS: [Ended; 5] = [
@@ -14,6 +14,15 @@
     Ended::Silent,
 ];
 
+/// What follows a send while there is budget.
+fn next_step(ended: Ended, policy: &Policy, now: Time) -> Step {
+    next(ended, policy, now).step
+}
+
+fn next(ended: Ended, policy: &Policy, now: Time) -> Next {
+    pimentotide_fleet::next_step(ended, policy, now, || true)
+}
+
 fn policy(repeatable: bool, ran: u32, unrun: u32) -> Policy {
     Policy {
         repeatable,
@@ -92,7 +101,7 @@
     let told: Vec<String> = cases
         .iter()
         .map(|(name, ended, policy, now)| {
-            let limit = limit(*ended, policy, *now);
+            let limit = next(*ended, policy, *now).limit;
             format!(
                 "{name}: {}",
                 limit.map_or("again".to_owned(), |l| l.to_string())
@@ -107,3 +116,25 @@
     near its deadline: no time left
     ");
 }
+
+#[test]
+fn without_budget_only_what_never_arrived_is_sent_again() {
+    let policy = policy(true, 1, 1);
+    for ended in ENDS {
+        let next = pimentotide_fleet::next_step(ended, &policy, Time::ZERO, || false);
+        if ended == Ended::Unsent {
+            assert_eq!((next.step, next.limit), (Step::Again, None));
+        } else {
+            assert_ne!(next.step, Step::Again, "{ended:?}");
+            assert_eq!(next.limit, Some(Limit::Budget), "{ended:?}");
+        }
+    }
+}
+
+/// The budget is not touched by a request that is given up for another reason.
+#[test]
+fn budget_is_spent_only_on_a_send_that_follows() {
+    let spend = || panic!("the budget was asked");
+    pimentotide_fleet::next_step(Ended::Broken, &policy(false, 1, 0), Time::ZERO, spend);
+    pimentotide_fleet::next_step(Ended::Unsent, &policy(true, 0, 1), Time::ZERO, spend);
+}
