Logs: dropped lines are a line like any other, explain names events by their types

Read-through. lines_dropped was written by hand in two places, and explain repeated the names of events as text beside the vocabulary.

--- a/app/src/explain/cause.rs
+++ b/app/src/explain/cause.rs
@@ -1,6 +1,9 @@
 //! Says why a request went as it did.
 
+use pimentotide_observe::{Dropped, Line};
+
 use super::Record;
+use crate::lines::{Answered, BrokenOff, Ejected, Interrupted, Ready, Refused};
 
 /// Sentences on the lines of a request, in order, given the lines on what it met.
 pub(super) fn causes(own: &[&Record], near: &[&Record]) -> Vec<String> {
@@ -13,19 +16,19 @@
 
 /// Whether an event ends a request.
 fn is_end(event: &str) -> bool {
-    ["answered", "refused", "broken_off"].contains(&event)
+    [Answered::EVENT, Refused::EVENT, BrokenOff::EVENT].contains(&event)
 }
 
 fn sentence(record: &Record, near: &[&Record]) -> Option<String> {
     match record.event.as_str() {
-        "interrupted" => Some(interrupted(record, near)),
-        "refused" => Some(refused(record)),
-        "broken_off" => Some(format!(
+        Interrupted::EVENT => Some(interrupted(record, near)),
+        Refused::EVENT => Some(refused(record)),
+        BrokenOff::EVENT => Some(format!(
             "The caller had {} events when the stream was broken off: {}.",
             record.number("events"),
             record.text("detail")
         )),
-        "answered" => Some(format!(
+        Answered::EVENT => Some(format!(
             "Upstream {} answered with {} after {} ms, on send {}.",
             record.text("upstream"),
             record.number("status"),
@@ -65,7 +68,7 @@
         .iter()
         .filter(|r| r.text("upstream") == upstream)
         .map(|r| match r.event.as_str() {
-            "ejected" => "ejected after failures",
+            Ejected::EVENT => "ejected after failures",
             _ => r.text("change"),
         })
         .filter(|change| !change.is_empty())
@@ -104,10 +107,10 @@
     let process = own.last().map_or("", |r| r.process.as_str());
     let restarted = near
         .iter()
-        .any(|r| r.process == process && r.event == "ready");
+        .any(|r| r.process == process && r.event == Ready::EVENT);
     let dropped = near
         .iter()
-        .any(|r| r.process == process && r.event == "lines_dropped");
+        .any(|r| r.process == process && r.event == Dropped::EVENT);
     let guess = if restarted {
         "the process started anew, so the request was lost with the one before"
     } else if dropped {
--- a/app/src/explain/story.rs
+++ b/app/src/explain/story.rs
@@ -4,30 +4,36 @@
 use std::fmt;
 use std::time::Duration;
 
+use pimentotide_observe::{Dropped, Line};
+
 use super::Record;
 use super::cause::causes;
+use crate::lines::{
+    Declared, Ejected, ExpertsMoved, GroupReleased, LeaseLost, LeaseWon, Ordered, Ready,
+    ReplicaFollowed, ReplicaLost, RoleChanged, Stopped, Stopping, UpstreamChanged, ZonesClosed,
+};
 
 /// Events on the whole deployment that may bear on any request.
-const SHARED: [&str; 4] = [
-    "experts_moved",
-    "group_released",
-    "role_changed",
-    "zones_closed",
+const SHARED: [&str; 3] = [
+    ExpertsMoved::EVENT,
+    GroupReleased::EVENT,
+    RoleChanged::EVENT,
 ];
 /// Events on a process that bear on the requests it handles.
-const LOCAL: [&str; 9] = [
-    "ready",
-    "stopping",
-    "stopped",
-    "lease_lost",
-    "lease_won",
-    "replica_lost",
-    "replica_followed",
-    "declared",
-    "lines_dropped",
+const LOCAL: [&str; 10] = [
+    Ready::EVENT,
+    Stopping::EVENT,
+    Stopped::EVENT,
+    LeaseLost::EVENT,
+    LeaseWon::EVENT,
+    ReplicaLost::EVENT,
+    ReplicaFollowed::EVENT,
+    Declared::EVENT,
+    ZonesClosed::EVENT,
+    Dropped::EVENT,
 ];
-/// Events on one upstream.
-const UPSTREAM: [&str; 3] = ["ejected", "upstream_changed", "order"];
+/// Events on one upstream, as a process sees it.
+const UPSTREAM: [&str; 2] = [Ejected::EVENT, UpstreamChanged::EVENT];
 
 /// What became of one request.
 #[derive(Clone, Debug)]
@@ -84,18 +90,13 @@
     fn bears(&self, record: &Record) -> bool {
         let event = record.event.as_str();
         let here = self.processes.contains(record.process.as_str());
-        if SHARED.contains(&event) {
-            // Every entry tells of zones; one of them is enough.
-            return event != "zones_closed" || here;
-        }
-        if LOCAL.contains(&event) {
-            return here;
-        }
-        if !UPSTREAM.contains(&event) || (event != "order" && !here) {
-            return false;
+        if event == Ordered::EVENT {
+            let subject = record.text("subject").split(' ').next().unwrap_or("");
+            return self.upstreams.contains(subject);
         }
-        let subject = record.text("subject").split(' ').next().unwrap_or("");
-        self.upstreams.contains(record.text("upstream")) || self.upstreams.contains(subject)
+        let met = self.upstreams.contains(record.text("upstream"));
+        SHARED.contains(&event)
+            || here && (LOCAL.contains(&event) || met && UPSTREAM.contains(&event))
     }
 }
 
--- a/app/src/lines/mod.rs
+++ b/app/src/lines/mod.rs
@@ -7,7 +7,7 @@
 mod process;
 mod request;
 
-use pimentotide_observe::Line;
+use pimentotide_observe::{Dropped, Line};
 use serde_json::Value;
 
 pub use process::{
@@ -54,10 +54,7 @@
         kind::<ExpertsMoved>(),
         kind::<EngineOrdered>(),
         kind::<GroupReleased>(),
-        Kind {
-            event: "lines_dropped",
-            fields: vec!["other".to_owned(), "routine".to_owned()],
-        },
+        kind::<Dropped>(),
         Kind {
             event: "message",
             fields: vec!["message".to_owned(), "target".to_owned()],
--- a/support/observe/src/line.rs
+++ b/support/observe/src/line.rs
@@ -32,6 +32,14 @@
     if !log::log_enabled!(target: target, T::LEVEL) {
         return;
     }
+    log::log!(target: target, T::LEVEL, "{}", body(line));
+}
+
+/// The object of a line without its opening brace, so that time and level can stand first.
+pub(crate) fn body<T>(line: &T) -> String
+where
+    T: Line,
+{
     let fields = match serde_json::to_value(line) {
         Ok(Value::Object(fields)) => fields,
         Ok(Value::Null) => Map::new(),
@@ -41,5 +49,5 @@
     let fields = Value::Object(fields).to_string();
     let rest = if fields == "{}" { "}" } else { &fields[1..] };
     let comma = if fields == "{}" { "" } else { "," };
-    log::log!(target: target, T::LEVEL, "\"event\":{}{comma}{rest}", Value::from(T::EVENT));
+    format!("\"event\":{}{comma}{rest}", Value::from(T::EVENT))
 }
--- a/support/observe/src/logs.rs
+++ b/support/observe/src/logs.rs
@@ -8,10 +8,10 @@
 use derive_more::Display;
 use flexi_logger::writers::LogWriter;
 use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
-use log::Record;
+use log::{Level, Record};
 use serde_json::json;
 
-use crate::line::{EVENT_TARGET, ROUTINE_TARGET};
+use crate::line::{EVENT_TARGET, Line, ROUTINE_TARGET, body};
 use crate::queue::{Dropped, LineQueue, pieces};
 
 /// Most bytes in one write; pipes take as many whole, so that lines of several writers do not mix.
@@ -167,18 +167,21 @@
 
 fn dropped_line(dropped: Dropped) -> String {
     let time = DeferredNow::new().format(TIME_FORMAT).to_string();
-    let Dropped { routine, other } = dropped;
-    format!(
-        "{{\"time\":\"{time}\",\"level\":\"warn\",\"event\":\"lines_dropped\",\"routine\":{routine},\"other\":{other}}}\n"
-    )
+    with_head(&time, Dropped::LEVEL, &body(&dropped)) + "\n"
+}
+
+/// A whole line from the body of one.
+fn with_head(time: &str, level: Level, body: &str) -> String {
+    let level = level.as_str().to_ascii_lowercase();
+    format!(r#"{{"time":"{time}","level":"{level}",{body}"#)
 }
 
 fn line_of(time: &str, record: &Record<'_>) -> String {
-    let level = record.level().as_str().to_ascii_lowercase();
     let message = record.args().to_string();
     if [EVENT_TARGET, ROUTINE_TARGET].contains(&record.target()) {
-        return format!(r#"{{"time":"{time}","level":"{level}",{message}"#);
+        return with_head(time, record.level(), &message);
     }
+    let level = record.level().as_str().to_ascii_lowercase();
     let line = json!({
         "time": time,
         "level": level,
--- a/support/observe/src/queue.rs
+++ b/support/observe/src/queue.rs
@@ -7,6 +7,11 @@
 
 use std::time::{Duration, Instant};
 
+use log::Level;
+use serde::Serialize;
+
+use crate::Line;
+
 /// Lines that wait, bytes; a second of the heaviest day of an entry.
 const MAX_BYTES: usize = 256 << 10;
 /// Bytes from which on routine lines are dropped, so that room is left for the others.
@@ -19,7 +24,7 @@
 const SPAN: Duration = Duration::from_secs(1);
 
 /// Lines that were dropped.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Dropped {
     /// Lines that told of nothing unusual.
     pub routine: u64,
@@ -27,6 +32,11 @@
     pub other: u64,
 }
 
+impl Line for Dropped {
+    const EVENT: &'static str = "lines_dropped";
+    const LEVEL: Level = Level::Warn;
+}
+
 /// Lines on their way out.
 #[derive(Debug)]
 pub struct LineQueue {
