Tests: fixtures, processes and ports have one home each

The soak had brought a second copy of the fixture reader, of a process that is killed when dropped and of the search for free ports; the order of headers stood in two tests. support/wire and support/process serve the soak, the whole-path test and the adapter's tests now. The assertions are the same. The bench of plans uses the timer that the other benches use.

--- a/app/tests/it/fleet.rs
+++ b/app/tests/it/fleet.rs
@@ -7,11 +7,12 @@
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use insta::assert_snapshot;
+use pimentotide_process::{Process, free_ports};
+use pimentotide_wire::{Template, in_order};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -21,28 +22,9 @@
 const ENTRY: u8 = 4;
 
 fn fixture(name: &str, values: &[(&str, &str)]) -> String {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../platform/tests/fixtures");
-    let mut text = fs::read_to_string(folder.join(name)).unwrap();
-    for (key, value) in values {
-        text = text.replace(&format!("{{{key}}}"), value);
-    }
-    let (head, body) = text.split_once("\n\n").unwrap();
-    let body = body.strip_suffix('\n').unwrap_or(body);
-    let chunked = head.contains("chunked");
-    let body = if chunked {
-        body.replace("\n", "\r\n")
-    } else {
-        body.to_owned()
-    };
-    let head = head
-        .replace("{length}", &body.len().to_string())
-        .replace('\n', "\r\n");
-    format!("{head}\r\n\r\n{body}")
+    Template::open(name).unwrap().fill(values)
 }
 
-/// A process that is killed when dropped.
-struct Process(Child);
-
 impl Drop for Deployment {
     fn drop(&mut self) {
         if std::thread::panicking() {
@@ -56,14 +38,6 @@
     }
 }
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        // It may have ended by itself.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 struct Deployment {
     folder: tempfile::TempDir,
     port: u16,
@@ -75,10 +49,12 @@
     /// Starts all processes on addresses of their own.
     fn start(network: u8) -> Self {
         let folder = tempfile::tempdir().unwrap();
-        let port = free_ports(network);
+        let hosts: Vec<IpAddr> = (1..=ENTRY).map(|host| ip(network, host)).collect();
+        let port = free_ports(&hosts).unwrap();
         let start = |host: u8, role: &str| {
             let path = settings(folder.path(), network, host, port, role);
-            Process(spawn(&path))
+            let binary = Path::new(env!("CARGO_BIN_EXE_pimentotide"));
+            Process::spawn(binary, "serve", &path).unwrap()
         };
         let controls = CONTROLS.map(|host| start(host, "control")).into();
         let entry = start(ENTRY, "entry");
@@ -95,21 +71,6 @@
     }
 }
 
-/// First of six ports that are free on all addresses of a network.
-///
-/// Below the range from which connections to these addresses take theirs.
-fn free_ports(network: u8) -> u16 {
-    let first = u16::try_from(std::process::id() % 2_000).unwrap();
-    let free = |port: &u16| {
-        let mut places = (1..=ENTRY).flat_map(|host| (0..6).map(move |offset| (host, offset)));
-        places.all(|(host, offset)| {
-            std::net::TcpListener::bind((ip(network, host), port + offset)).is_ok()
-        })
-    };
-    let ports = (0..2_000).map(|n| 10_000 + (first + n) % 2_000 * 10);
-    ports.into_iter().find(free).unwrap()
-}
-
 fn ip(network: u8, host: u8) -> IpAddr {
     IpAddr::V4(Ipv4Addr::new(127, 9, network, host))
 }
@@ -137,18 +98,6 @@
     path
 }
 
-fn spawn(path: &Path) -> Child {
-    let log = fs::File::create(path.with_extension("log")).unwrap();
-    Command::new(env!("CARGO_BIN_EXE_pimentotide"))
-        .arg("serve")
-        .arg(path)
-        .stdin(Stdio::null())
-        .stdout(log.try_clone().unwrap())
-        .stderr(log)
-        .spawn()
-        .unwrap()
-}
-
 /// Sends a request and returns the answer without its date.
 async fn ask(address: SocketAddr, request: &str) -> Option<String> {
     let mut stream = TcpStream::connect(address).await.ok()?;
@@ -159,19 +108,6 @@
     Some(in_order(&text))
 }
 
-/// Answer with its headers in order and without its date.
-fn in_order(text: &str) -> String {
-    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((text, ""));
-    let mut lines: Vec<&str> = head
-        .lines()
-        .filter(|line| !line.starts_with("date:"))
-        .collect();
-    if let Some(headers) = lines.get_mut(1..) {
-        headers.sort_unstable();
-    }
-    format!("{}\n\n{}", lines.join("\n"), body.replace("\r\n", "\n"))
-}
-
 /// Asks until the answer begins with `start`.
 async fn until(address: SocketAddr, request: &str, start: &str) -> String {
     let limit = Instant::now() + PATIENCE;
@@ -286,26 +222,19 @@
         "HTTP/1.1 200",
     )
     .await;
-    let id = deployment.entry.0.id().to_string();
-    assert!(
-        Command::new("kill")
-            .args(["-TERM", &id])
-            .status()
-            .unwrap()
-            .success()
-    );
+    deployment.entry.terminate();
     until(
         deployment.address(NETWORK, ENTRY, 5),
         &ready,
         "HTTP/1.1 503",
     )
     .await;
-    let ended = tokio::task::spawn_blocking(move || deployment.entry.0.wait().unwrap());
-    let ended = tokio::time::timeout(PATIENCE, ended)
-        .await
-        .unwrap()
-        .unwrap();
-    assert!(ended.success(), "{ended}");
+    let limit = Instant::now() + PATIENCE;
+    while !deployment.entry.has_ended() {
+        assert!(Instant::now() < limit, "the entry does not end");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(deployment.entry.exit_code(), Some(0));
     assert_snapshot!([declared, served, unknown, resolved, closed].join("\n---\n"));
 }
 
--- a/dev/bench/src/bin/even_plan.rs
+++ b/dev/bench/src/bin/even_plan.rs
@@ -1,13 +1,14 @@
 //! Time of one plan for engines that share evenly, by ranks, layers and experts.
 
-use std::time::{Duration, Instant};
+use std::hint::black_box;
 
+use pimentotide_bench::measure::{RUNS, nanos};
 use pimentotide_experts::{EvenLayout, Placement, plan_even};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// Timed runs of each size.
-const RUNS: usize = 21;
+/// Plans in each timed run.
+const PLANS: usize = 3;
 /// Most loaded rank over the mean that a plan aims at.
 const GOAL: f64 = 1.1;
 /// How steeply popularity falls with rank.
@@ -38,7 +39,7 @@
 }
 
 fn main() {
-    println!("ranks layers experts: min median max of {RUNS}, before, after, copies");
+    println!("ranks layers experts: ns a plan, min/median/max of {RUNS}, before, after, copies");
     let sizes = [
         (12, 4, 72, 8, 3),
         (63, 8, 252, 5, 2),
@@ -54,17 +55,14 @@
         };
         let mut rng = ChaCha8Rng::seed_from_u64(1);
         let current = first_map(&layout, layers);
-        let mut times: Vec<Duration> = Vec::new();
-        let mut last = None;
-        for _ in 0..RUNS {
-            let counts = counts(&layout, layers, &mut rng);
-            let start = Instant::now();
-            let plan = plan_even(&layout, &current, &counts, GOAL);
-            times.push(start.elapsed());
-            last = Some((plan.before, plan.after, plan.copies));
-        }
-        times.sort_unstable();
-        let (min, median, max) = (times[0], times[RUNS / 2], times[RUNS - 1]);
-        println!("{ranks} {layers} {experts}: {min:?} {median:?} {max:?}, {last:.2?}");
+        let counts: Vec<Vec<f64>> = (0..=PLANS)
+            .map(|_| counts(&layout, layers, &mut rng))
+            .collect();
+        let time = nanos(PLANS, |n| {
+            black_box(plan_even(&layout, &current, &counts[n], GOAL));
+        });
+        let plan = plan_even(&layout, &current, &counts[PLANS], GOAL);
+        let told = (plan.before, plan.after, plan.copies);
+        println!("{ranks} {layers} {experts}: {time}, {told:.2?}");
     }
 }
--- a/dev/soak/src/caller.rs
+++ b/dev/soak/src/caller.rs
@@ -15,7 +15,7 @@
 use crate::cluster::Cluster;
 use crate::history::{Call, Ending, Kind, Notes};
 use crate::upstream::{EVENTS, body_of, event_of};
-use crate::wire::{Message, Template, read_message};
+use pimentotide_wire::{Message, Template, read_message};
 
 /// Longest wait for an answer; longer than any deadline that is sent.
 const PATIENCE: Duration = Duration::from_millis(4_600);
--- a/dev/soak/src/cluster.rs
+++ b/dev/soak/src/cluster.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use pimentotide_process::Process;
+use pimentotide_process::{Process, free_ports};
 use rand::RngExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -16,8 +16,8 @@
 use crate::history::{Disturbance, History, Notes, Target};
 use crate::proxy::{Passing, Proxy};
 use crate::upstream::{Mood, StandIn};
-use crate::wire::{Message, Template, read_message};
 use crate::{SoakError, SoakOptions, operator};
+use pimentotide_wire::{Message, Template, read_message};
 
 /// Control replicas, entries and upstreams.
 pub(crate) const CONTROLS: usize = 3;
@@ -61,7 +61,11 @@
     /// Starts all processes and upstreams.
     pub(crate) async fn spawn(options: &SoakOptions) -> Result<Self, SoakError> {
         let folder = tempfile::tempdir()?;
-        let port = free_ports(options.network);
+        let hosts: Vec<IpAddr> = (1..=CONTROLS + ENTRIES)
+            .map(|host| ip(options.network, host))
+            .collect();
+        let port = free_ports(&hosts);
+        let port = port.ok_or_else(|| SoakError::Process("no free ports".to_owned()))?;
         let plan = Plan {
             folder: folder.path(),
             network: options.network,
@@ -90,9 +94,9 @@
             folder,
             notes,
             requests: Arc::default(),
-            call: Template::open("call.http")?,
-            declare: Template::open("declare.http")?,
-            read: Template::open("read.http")?,
+            call: Template::open("soak/call.http")?,
+            declare: Template::open("soak/declare.http")?,
+            read: Template::open("soak/read.http")?,
             controls,
             entries,
             upstreams,
@@ -280,17 +284,3 @@
 fn ip(network: u8, host: usize) -> IpAddr {
     IpAddr::V4(Ipv4Addr::new(127, 10, network, host as u8))
 }
-
-/// First of ten ports that are free on all addresses of a network.
-///
-/// Below the range from which connections take theirs.
-fn free_ports(network: u8) -> u16 {
-    let hosts = 1..=CONTROLS + ENTRIES;
-    let free = |port: &u16| {
-        let mut places = hosts.clone().flat_map(|h| (0..6).map(move |o| (h, o)));
-        places.all(|(h, o)| std::net::TcpListener::bind((ip(network, h), port + o)).is_ok())
-    };
-    let first = (std::process::id() % 2_000) as u16;
-    let mut ports = (0..2_000).map(|n| 10_000 + (first + n) % 2_000 * 10);
-    ports.find(free).unwrap_or(10_000)
-}
--- a/dev/soak/src/lib.rs
+++ b/dev/soak/src/lib.rs
@@ -21,7 +21,6 @@
 mod proxy;
 mod schedule;
 mod upstream;
-mod wire;
 
 use std::path::PathBuf;
 use std::sync::Arc;
--- a/dev/soak/src/operator.rs
+++ b/dev/soak/src/operator.rs
@@ -9,7 +9,7 @@
 
 use crate::cluster::Cluster;
 use crate::history::Order;
-use crate::wire::Message;
+use pimentotide_wire::Message;
 
 /// Pause between two versions, and before an order is sent again.
 const PAUSE: Duration = Duration::from_millis(1_500);
--- a/dev/soak/src/upstream.rs
+++ b/dev/soak/src/upstream.rs
@@ -14,7 +14,7 @@
 
 use crate::history::{Notes, Run};
 use crate::proxy::Proxy;
-use crate::wire::{Message, Template, read_message};
+use pimentotide_wire::{Message, Template, read_message};
 
 /// Pause between announcements.
 const ANNOUNCE: Duration = Duration::from_millis(500);
@@ -82,11 +82,11 @@
         notes: Arc<Notes>,
     ) -> io::Result<Self> {
         let words = Words {
-            announce: Template::open("announce.http")?,
-            leave: Template::open("leave.http")?,
-            answer: Template::open("answer.http")?,
-            events: Template::open("events.http")?,
-            full: Template::open("full.http")?,
+            announce: Template::open("soak/announce.http")?,
+            leave: Template::open("soak/leave.http")?,
+            answer: Template::open("soak/answer.http")?,
+            events: Template::open("soak/events.http")?,
+            full: Template::open("soak/full.http")?,
         };
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
         let stand_in = Self {
--- a/dev/soak/src/wire.rs
+++ b/support/wire/src/lib.rs
@@ -13,25 +13,34 @@
 
 /// A message with places to fill in.
 #[derive(Clone, Debug)]
-pub(crate) struct Template(String);
+pub struct Template(String);
 
 impl Template {
     /// Reads a fixture.
-    pub(crate) fn open(name: &str) -> io::Result<Self> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none of this name.
+    pub fn open(name: &str) -> io::Result<Self> {
         let folder = Path::new(env!("CARGO_MANIFEST_DIR"))
-            .join("../../platform/tests/fixtures/soak")
+            .join("../../platform/tests/fixtures")
             .join(name);
         std::fs::read_to_string(folder).map(Self)
     }
 
     /// Fills in the places and the length of the body.
-    pub(crate) fn fill(&self, values: &[(&str, &str)]) -> String {
+    pub fn fill(&self, values: &[(&str, &str)]) -> String {
         let mut text = self.0.clone();
         for (name, value) in values {
             text = text.replace(&format!("{{{name}}}"), value);
         }
         let (head, body) = text.split_once("\n\n").unwrap_or((text.trim_end(), ""));
         let body = body.strip_suffix('\n').unwrap_or(body);
+        let body = if head.contains("chunked") {
+            body.replace('\n', "\r\n")
+        } else {
+            body.to_owned()
+        };
         let head = head
             .replace("{length}", &body.len().to_string())
             .replace('\n', "\r\n");
@@ -39,7 +48,7 @@
     }
 
     /// Name of the header whose value is the place `name`.
-    pub(crate) fn header(&self, name: &str) -> String {
+    pub fn header(&self, name: &str) -> String {
         let place = format!("{{{name}}}");
         let line = self.0.lines().find(|l| l.ends_with(&place));
         let header = line.and_then(|l| l.split_once(':')).map(|(h, _)| h);
@@ -49,41 +58,41 @@
 
 /// A request or answer.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Message {
+pub struct Message {
     head: String,
     /// Body as far as it came, without its framing.
-    pub(crate) body: String,
+    pub body: String,
     /// Whether it came to its end.
-    pub(crate) whole: bool,
+    pub whole: bool,
 }
 
 impl Message {
     /// Status of an answer; zero if it has none.
-    pub(crate) fn status(&self) -> u16 {
+    pub fn status(&self) -> u16 {
         let status = self.head.split(' ').nth(1);
         status.and_then(|s| s.parse().ok()).unwrap_or(0)
     }
 
     /// First line.
-    pub(crate) fn first_line(&self) -> &str {
+    pub fn first_line(&self) -> &str {
         self.head.lines().next().unwrap_or("")
     }
 
     /// Value of a header; empty if it has none.
-    pub(crate) fn header(&self, name: &str) -> &str {
+    pub fn header(&self, name: &str) -> &str {
         let mut lines = self.head.lines().filter_map(|l| l.split_once(':'));
         let line = lines.find(|(n, _)| n.eq_ignore_ascii_case(name));
         line.map_or("", |(_, value)| value.trim())
     }
 
     /// Whether the connection may be used again.
-    pub(crate) fn keeps_connection(&self) -> bool {
+    pub fn keeps_connection(&self) -> bool {
         self.whole && !self.header("connection").eq_ignore_ascii_case("close")
     }
 }
 
 /// Reads a message; none if the connection ended before its head was whole.
-pub(crate) async fn read_message<S>(stream: &mut S) -> Option<Message>
+pub async fn read_message<S>(stream: &mut S) -> Option<Message>
 where
     S: AsyncRead + Unpin,
 {
@@ -114,6 +123,19 @@
     Some(message)
 }
 
+/// An answer as text, with its headers in order and without its date.
+pub fn in_order(text: &str) -> String {
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((text, ""));
+    let mut lines: Vec<&str> = head
+        .lines()
+        .filter(|line| !line.starts_with("date:"))
+        .collect();
+    if let Some(headers) = lines.get_mut(1..) {
+        headers.sort_unstable();
+    }
+    format!("{}\n\n{}", lines.join("\n"), body.replace("\r\n", "\n"))
+}
+
 async fn more<S>(stream: &mut S, bytes: &mut Vec<u8>) -> bool
 where
     S: AsyncRead + Unpin,
