instance: the verdict of the replica tests no longer depends on the disk's speed

The tests claim that commands are committed and found again, not how fast the disk is, so disk stall and request limits are 120 s there. Each awaited event keeps its own limit.

--- a/peers/instance/tests/it/replica.rs
+++ b/peers/instance/tests/it/replica.rs
@@ -12,6 +12,8 @@
 
 /// Limit for each awaited event.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
+/// Disk stall and request limits; longer than any write of a busy disk.
+const DISK_LIMIT: Duration = Duration::from_secs(120);
 /// Polling interval.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -71,6 +73,8 @@
         let token = Token::open("secret-of-the-test").unwrap();
         let mut options = ReplicaOptions::new(name, address, self.folder(number), token.clone())
             .with_founders(self.founders.clone());
+        options.stall = DISK_LIMIT;
+        options.request_timeout = DISK_LIMIT;
         options.compact_after = 20;
         options.log.retained_entries = 5;
         let handle = Replica::spawn(options, List::default()).await.unwrap();
