--- a/app/src/fleet/agent/coordinate.rs
+++ b/app/src/fleet/agent/coordinate.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use pimentotide_experts::{
-    EngineReport, EvenLayout, ExpertDemand, Membership, Placement, PlacementChange, Switch,
+    EngineReport, EvenLayout, ExpertDemand, HeldExperts, Placement, PlacementChange, Switch,
     SwitchEnding, imbalance_even, plan_even,
 };
 use pimentotide_instance::Clock;
@@ -12,31 +12,34 @@
 use pimentotide_observe::Metrics;
 
 use super::super::beacon::Seat;
+use super::super::rpc::RankCapacity;
 use super::super::unix_millis;
 use super::engine::{EngineHandle, RankState};
-use super::ranks::{Group, Peers, placement};
+use super::ranks::{Group, Peers, Survey, placement};
 use crate::lines::ExpertsMoved;
 
 /// Time between checks of the expert demand.
-const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between checks in a group whose messages are relayed.
+const RELAYED_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Ratio of maximum to mean rank load from which experts are moved.
 ///
-/// Lower values are noise of a one-second window, and copies cost more than they save.
+/// Lower values are noise, and copies cost more than they save.
 const TRIGGER_IMBALANCE: f64 = 1.3;
+/// Ratio of maximum to mean rank load from which experts are moved after [`SHORT_WINDOW`].
+const URGENT_IMBALANCE: f64 = 1.8;
+/// Time over which demand is observed before an urgent change.
+const SHORT_WINDOW: Duration = Duration::from_millis(180);
+/// Time over which demand is observed before any other change, so that noise triggers none.
+const LONG_WINDOW: Duration = Duration::from_millis(500);
 /// Ratio of maximum to mean rank load that a new placement aims for.
 const TARGET_IMBALANCE: f64 = 1.1;
 /// Minimum relative reduction of the maximum rank load for which experts are moved.
 const MIN_GAIN_RATIO: f64 = 0.05;
-/// Ratio of maximum to mean rank load that, in the newest sample alone, indicates a shift of demand.
-const SHIFT_IMBALANCE: f64 = 1.6;
-/// Maximum counts that all ranks together report per check, two bytes each.
+/// Maximum time in which the ranks receive the experts of one change.
 ///
-/// Exceeded only if the minimum number of ranks already reports more.
-const MAX_COUNTS: usize = 12_000;
-/// Minimum ranks asked for counts per check.
-const MIN_COUNTED_RANKS: usize = 4;
-/// Maximum ranks asked for counts per check.
-const MAX_COUNTED_RANKS: usize = 16;
+/// A longer change ends when demand has moved on; what is left follows in further changes.
+const MAX_COPY_TIME: Duration = Duration::from_millis(500);
 /// Versions skipped after a refusal, in case an engine has a higher version than this clock yields.
 const VERSION_SKIP: u64 = 10_000;
 
@@ -49,13 +52,20 @@
     clock: Clock,
     /// Seat for which the demand was observed; `None` while not coordinating.
     seat: Option<Seat>,
-    /// First rank asked for counts in the next check.
-    next_rank: usize,
     /// Offset of versions above the time of day in ms.
     version_offset: u64,
     last_version: u64,
-    /// Last placement that all ranks switched to; base of incremental orders.
-    current: Option<Placement>,
+    /// Placement that all ranks use, as last read or switched to.
+    known: Option<KnownPlacement>,
+    /// Whether the agents of the ranks received the known placement, so that changes apply to it.
+    ranks_have_known: bool,
+}
+
+/// Placement of a group, identified by epoch and version.
+struct KnownPlacement {
+    epoch: u64,
+    version: u64,
+    placement: Placement,
 }
 
 /// Checks the placement periodically until the task is aborted.
@@ -67,58 +77,55 @@
         demand: ExpertDemand::default(),
         clock: Clock::start(),
         seat: None,
-        next_rank: 0,
         version_offset: 0,
         last_version: 0,
-        current: None,
+        known: None,
+        ranks_have_known: false,
     };
+    let mut interval = CHECK_INTERVAL;
     loop {
-        tokio::time::sleep(CHECK_INTERVAL).await;
-        if let Err(failure) = coordinator.check().await {
-            log::info!("experts not rebalanced: {failure}");
+        tokio::time::sleep(interval).await;
+        match coordinator.check().await {
+            Ok(next) => interval = next,
+            Err(failure) => log::info!("experts not rebalanced: {failure}"),
         }
     }
 }
 
 impl Coordinator {
-    async fn check(&mut self) -> Result<(), Failure> {
-        let report = self.engine.report().await?;
-        let Some(Membership {
-            group,
-            epoch,
-            rank: 0,
-            open: true,
-        }) = report.membership.clone()
-        else {
+    /// Surveys the group and switches it if needed; returns the time until the next check.
+    async fn check(&mut self) -> Result<Duration, Failure> {
+        let leads = |report: &EngineReport, seat: &Seat| seat.rank == 0 && is_from(report, seat);
+        let latest = self.engine.latest_report();
+        let Some((report, seat)) = latest.filter(|(report, seat)| leads(report, seat)) else {
             self.seat = None;
-            return Ok(());
-        };
-        let seat = Seat {
-            group,
-            epoch,
-            rank: 0,
+            return Ok(CHECK_INTERVAL);
         };
         if self.seat.as_ref() != Some(&seat) {
             self.demand.restart();
             self.seat = Some(seat.clone());
         }
         let Some(group) = self.peers.group(&seat, report.size) else {
-            return Ok(());
+            return Ok(CHECK_INTERVAL);
         };
-        let counted = self.counted_ranks(usize::from(report.size));
-        let states: Result<Vec<RankState>, Failure> =
-            group.states(&counted).await.into_iter().collect();
-        let states = states?;
+        let interval = if group.is_relayed() {
+            RELAYED_CHECK_INTERVAL
+        } else {
+            CHECK_INTERVAL
+        };
+        let known = self.known.as_ref().filter(|k| k.epoch == seat.epoch);
+        let Survey { states, chosen } = group.survey(known.is_none()).await?;
         let Some(first) = states.first() else {
-            return Ok(());
+            return Ok(interval);
         };
         if states.iter().any(|s| !is_from(&s.report, &seat)) {
-            return Ok(());
+            return Ok(interval);
         }
-        let chosen = states.iter().filter_map(|s| s.chosen.as_deref());
-        self.demand.observe(chosen, self.clock.now());
-        let placement = placement(states.iter().map(|s| &s.held));
-        let steady = states.iter().all(|s| s.held.version == first.held.version);
+        self.demand.observe(&chosen, self.clock.now());
+        let steady = states.iter().all(|s| s.report.map == first.report.map);
+        let Some(placement) = self.placement(&seat, &states, steady) else {
+            return Ok(interval);
+        };
         let armed = states.iter().any(|s| s.report.armed.is_some());
         if let Some(step) = first.report.held {
             let version = self.next_version(&states);
@@ -128,20 +135,31 @@
         } else if steady && !armed {
             self.rebalance(group, &states, placement).await;
         }
-        Ok(())
+        Ok(interval)
     }
 
-    /// Returns the ranks asked for counts in this check.
-    ///
-    /// The capacity of the links bounds their number, so the ranks are asked in turn.
-    fn counted_ranks(&mut self, size: usize) -> Vec<usize> {
-        let counts_per_rank = self.demand.len().max(1);
-        let count = (MAX_COUNTS / counts_per_rank)
-            .clamp(MIN_COUNTED_RANKS, MAX_COUNTED_RANKS)
-            .min(size);
-        let first = self.next_rank;
-        self.next_rank = (first + count) % size.max(1);
-        (0..count).map(|offset| (first + offset) % size).collect()
+    /// Returns the placement in use; `None` if it has to be read first.
+    fn placement(&mut self, seat: &Seat, states: &[RankState], steady: bool) -> Option<Placement> {
+        let version = states.first()?.report.map;
+        if let Some(known) = &self.known
+            && steady
+            && (known.epoch, known.version) == (seat.epoch, version)
+        {
+            return Some(known.placement.clone());
+        }
+        self.known = None;
+        self.ranks_have_known = false;
+        let held: Option<Vec<&HeldExperts>> = states.iter().map(|s| s.held.as_ref()).collect();
+        let held = held?;
+        let placement = placement(held.iter().copied());
+        if held.iter().all(|h| h.version == version) {
+            self.known = Some(KnownPlacement {
+                epoch: seat.epoch,
+                version,
+                placement: placement.clone(),
+            });
+        }
+        Some(placement)
     }
 
     /// Switches the group to a better placement if there is one.
@@ -155,13 +173,13 @@
             experts: counts.len() / layers,
             places: capacity.places,
             spare: capacity.spare,
+            copies: max_copies(&capacity, layers),
+        };
+        let (trigger, window) = match imbalance_even(&layout, &old, &counts) {
+            imbalance if imbalance >= URGENT_IMBALANCE => (true, SHORT_WINDOW),
+            imbalance => (imbalance >= TRIGGER_IMBALANCE, LONG_WINDOW),
         };
-        let recent = self
-            .demand
-            .newest()
-            .filter(|c| imbalance_even(&layout, &old, c) >= SHIFT_IMBALANCE);
-        let counts = recent.map_or(counts, <[f64]>::to_vec);
-        if imbalance_even(&layout, &old, &counts) < TRIGGER_IMBALANCE {
+        if !trigger || self.demand.span() < window {
             return;
         }
         let plan = plan_even(&layout, &old, &counts, TARGET_IMBALANCE);
@@ -175,12 +193,12 @@
             old,
             new: plan.placement,
         };
-        let previous = self.current.take();
-        let change = previous.and_then(|old| PlacementChange::between(&old, &switch.new));
-        let group = match change {
-            Some(change) => group.with_change(switch.version, change),
-            None => group,
-        };
+        let change = PlacementChange::between(&switch.old, &switch.new);
+        let change = change.filter(|_| self.ranks_have_known);
+        let reverse = PlacementChange::between(&switch.new, &switch.old);
+        let group = group
+            .with_change(switch.version, change)
+            .with_change(switch.rollback_version(), reverse);
         let ending = switch.run(&group).await;
         let name = match ending {
             SwitchEnding::Switched(_) => "switched",
@@ -195,10 +213,16 @@
         match ending {
             SwitchEnding::NotPrepared => self.version_offset += VERSION_SKIP,
             SwitchEnding::Switched(_) => {
-                self.demand.restart();
-                self.current = Some(switch.new);
+                self.known = Some(KnownPlacement {
+                    epoch: switch.epoch,
+                    version: switch.version,
+                    placement: switch.new,
+                });
+                self.ranks_have_known = true;
+            }
+            SwitchEnding::NotHeld | SwitchEnding::Undone | SwitchEnding::GivenUp => {
+                self.known = None;
             }
-            SwitchEnding::NotHeld | SwitchEnding::Undone | SwitchEnding::GivenUp => {}
         }
         let moved = ExpertsMoved {
             group: group.seat.group.clone(),
@@ -227,6 +251,15 @@
     }
 }
 
+/// Returns the number of experts that a rank can receive within [`MAX_COPY_TIME`], at least one.
+fn max_copies(capacity: &RankCapacity, layers: usize) -> usize {
+    let most = capacity.spare * layers;
+    let copies = MAX_COPY_TIME.as_nanos() / capacity.copy_time.as_nanos().max(1);
+    usize::try_from(copies)
+        .unwrap_or(most)
+        .clamp(1, most.max(1))
+}
+
 /// Returns whether a report comes from the group and epoch of `seat`, with the group open.
 fn is_from(report: &EngineReport, seat: &Seat) -> bool {
     let membership = report.membership.as_ref();
--- a/app/src/fleet/agent/engine.rs
+++ b/app/src/fleet/agent/engine.rs
@@ -38,14 +38,23 @@
 pub(super) struct RankState {
     /// Latest report of the engine.
     pub(super) report: EngineReport,
-    /// Experts that the rank holds.
-    pub(super) held: HeldExperts,
+    /// Experts that the rank holds; `None` if they were not requested.
+    pub(super) held: Option<HeldExperts>,
     /// Times that each expert was chosen since the last counts, layer after layer.
     ///
     /// `None` if no counts were requested, or there are no earlier ones to compare with.
     pub(super) chosen: Option<Vec<u32>>,
 }
 
+/// Parts of the state of a rank that are read on request.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(super) struct StateRequest {
+    /// Whether to read the experts that the rank holds.
+    pub(super) held: bool,
+    /// Whether to read the expert choices.
+    pub(super) counts: bool,
+}
+
 /// Last counts, with the start time of the engine that reported them.
 type LastCounts = Arc<Mutex<Option<(u64, PickedExperts)>>>;
 
@@ -101,11 +110,15 @@
         result
     }
 
-    /// Reads the state that the coordinator needs, including expert choices if `counts`.
-    pub(super) async fn state(&self, counts: bool) -> Result<RankState, Failure> {
-        let held = self.request(EngineRequest::Held).await?;
+    /// Reads the state that the coordinator needs.
+    pub(super) async fn state(&self, request: StateRequest) -> Result<RankState, Failure> {
+        let held = if request.held {
+            Some(self.request(EngineRequest::Held).await?)
+        } else {
+            None
+        };
         let report = self.report().await?;
-        let chosen = if counts {
+        let chosen = if request.counts {
             let picked = self.request(EngineRequest::Picked).await?;
             self.counts_since_last(report.born, &picked)
         } else {
--- a/app/src/fleet/agent/methods.rs
+++ b/app/src/fleet/agent/methods.rs
@@ -4,13 +4,14 @@
 
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::RegisterMethodError;
-use pimentotide_experts::{EngineOrder, FencedOrder, Placement, PlacementChange};
+use pimentotide_experts::{EngineOrder, FencedOrder, OrderAnswer, Placement, PlacementChange};
 use pimentotide_instance::rpc_error;
 use pimentotide_model::{ErrorKind, Failure};
 use serde::{Deserialize, Serialize};
 
 use super::compact;
-use super::engine::EngineHandle;
+use super::engine::{EngineHandle, StateRequest};
+use super::relay::{AgentLinks, RelayCall, relay};
 
 /// Method that returns the encoded [`RankState`](super::engine::RankState) of the engine.
 pub(super) const STATE: &str = "rank_look";
@@ -18,6 +19,8 @@
 pub(super) const REPORT: &str = "rank_report";
 /// Method that forwards an encoded [`RankOrder`] to the engine.
 pub(super) const ORDER: &str = "rank_order";
+/// Method that handles an encoded [`RelayCall`] and forwards it to other agents.
+pub(super) const RELAY: &str = "rank_relay";
 
 /// Order sent to another rank.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -40,18 +43,38 @@
 /// State of the RPC methods of an agent.
 pub(super) struct RankService {
     engine: EngineHandle,
+    links: AgentLinks,
     /// Last placement that the engine was ordered to prepare.
     last_placement: Mutex<Option<Placement>>,
 }
 
 impl RankService {
-    pub(super) fn new(engine: EngineHandle) -> Self {
+    pub(super) fn new(engine: EngineHandle, links: AgentLinks) -> Self {
         Self {
             engine,
+            links,
             last_placement: Mutex::default(),
         }
     }
 
+    pub(super) fn engine(&self) -> &EngineHandle {
+        &self.engine
+    }
+
+    pub(super) fn links(&self) -> &AgentLinks {
+        &self.links
+    }
+
+    /// Completes an order and sends it to the engine.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `RevisionConflict` if a change does not apply to the last placement.
+    pub(super) async fn order(&self, order: RankOrder) -> Result<OrderAnswer, Failure> {
+        let order = self.complete(order)?;
+        self.engine.order(order).await
+    }
+
     /// Completes an order for the engine.
     ///
     /// # Errors
@@ -90,11 +113,14 @@
 }
 
 /// Registers the methods of an agent.
-pub(super) fn module(engine: EngineHandle) -> Result<RpcModule<RankService>, RegisterMethodError> {
-    let mut module = RpcModule::new(RankService::new(engine));
+pub(super) fn module(
+    engine: EngineHandle,
+    links: AgentLinks,
+) -> Result<RpcModule<RankService>, RegisterMethodError> {
+    let mut module = RpcModule::new(RankService::new(engine, links));
     module.register_async_method(STATE, |params, rank, _| async move {
-        let counts: bool = params.one()?;
-        let state = rank.engine.state(counts).await;
+        let request: StateRequest = params.one()?;
+        let state = rank.engine.state(request).await;
         let text = state.and_then(|state| compact::encode(&state));
         text.map_err(|f| rpc_error(&f))
     })?;
@@ -104,8 +130,12 @@
     module.register_async_method(ORDER, |params, rank, _| async move {
         let text: String = params.one()?;
         let order: RankOrder = compact::decode(&text).map_err(|f| rpc_error(&f))?;
-        let order = rank.complete(order).map_err(|f| rpc_error(&f))?;
-        rank.engine.order(order).await.map_err(|f| rpc_error(&f))
+        rank.order(order).await.map_err(|f| rpc_error(&f))
+    })?;
+    module.register_async_method(RELAY, |params, rank, _| async move {
+        let text: String = params.one()?;
+        let call: RelayCall = compact::decode(&text).map_err(|f| rpc_error(&f))?;
+        compact::encode(&relay(&rank, call).await).map_err(|f| rpc_error(&f))
     })?;
     Ok(module)
 }
--- a/app/src/fleet/agent/mod.rs
+++ b/app/src/fleet/agent/mod.rs
@@ -11,6 +11,7 @@
 mod engine;
 mod methods;
 mod ranks;
+mod relay;
 mod rescue;
 
 use std::net::SocketAddr;
@@ -20,6 +21,7 @@
 
 use actix_rt::task::JoinHandle;
 use pimentotide_instance::{PeerClient, PeerServer, PeerTimeouts, Token};
+use pimentotide_model::ZoneName;
 
 use super::beacon::{AgentBeacon, BeaconVersion};
 use super::datagram::Sender;
@@ -30,6 +32,8 @@
 use crate::lines::{ReplicaFollowed, ReplicaLost};
 use engine::EngineHandle;
 use ranks::Peers;
+use relay::AgentLinks;
+use rescue::MAX_RESCUE_RANK;
 
 /// Time between beacons.
 const BEACON_INTERVAL: Duration = Duration::from_millis(400);
@@ -59,11 +63,12 @@
         let token = settings.secret()?;
         let address = settings.engine.ok_or(FleetError::NoAddress("engine"))?;
         let engine = EngineHandle::spawn(address);
-        let module =
-            methods::module(engine.clone()).map_err(|e| FleetError::Methods(e.to_string()))?;
+        let links = AgentLinks::open(token.clone());
+        let module = methods::module(engine.clone(), links.clone())
+            .map_err(|e| FleetError::Methods(e.to_string()))?;
         let calls = PeerServer::bind(settings.calls(), token.clone(), [module]).await?;
         let replicas = Replicas::new(settings);
-        let peers = Arc::new(Peers::new(settings.calls(), engine.clone(), token.clone()));
+        let peers = Arc::new(Peers::new(settings.calls(), engine.clone(), links));
         let watched = (engine.clone(), peers.clone());
         let mut tasks = vec![
             actix_rt::spawn(send_beacons(
@@ -74,6 +79,7 @@
             )),
             actix_rt::spawn(follow_processes(
                 replicas,
+                engine.clone(),
                 peers.clone(),
                 token,
                 path.to_owned(),
@@ -116,6 +122,7 @@
         let beacon = AgentBeacon {
             calls: settings.calls(),
             engine: address,
+            zone: ZoneName::from(settings.zone.as_str()),
             seat: engine.seat(),
             order: order.advance(),
         };
@@ -129,7 +136,15 @@
 }
 
 /// Polls one replica for the other processes until the task is aborted; changes replica on failure.
-async fn follow_processes(replicas: Replicas, peers: Arc<Peers>, token: Token, path: PathBuf) {
+///
+/// Only the agents that may coordinate their group ask for its other agents.
+async fn follow_processes(
+    replicas: Replicas,
+    engine: EngineHandle,
+    peers: Arc<Peers>,
+    token: Token,
+    path: PathBuf,
+) {
     let mut turn = rand::random_range(0..64_usize);
     let mut client: Option<PeerClient> = None;
     let mut answered = false;
@@ -137,7 +152,9 @@
         let replica = client.get_or_insert_with(|| {
             PeerClient::with_timeouts(replica_at(&replicas, turn), token.clone(), TIMEOUTS)
         });
-        match replica.call::<_, Processes>(PROCESSES, [0; 0]).await {
+        let seat = engine.seat().filter(|s| s.rank <= MAX_RESCUE_RANK);
+        let group = seat.map(|s| s.group);
+        match replica.call::<_, Processes>(PROCESSES, [group]).await {
             Ok(processes) => {
                 if !answered {
                     pimentotide_observe::event(&ReplicaFollowed {
--- a/app/src/fleet/agent/ranks.rs
+++ b/app/src/fleet/agent/ranks.rs
@@ -1,8 +1,9 @@
 //! Access of a coordinator to the ranks of its group.
 //!
 //! A remote rank is reached through its agent, or directly at its engine if the
-//! agent does not answer.
+//! agent does not answer. Messages to many ranks are relayed by their agents.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -11,35 +12,30 @@
 use futures_util::future::join_all;
 use pimentotide_experts::{
     EngineOrder, EngineReport, FencedOrder, HeldExperts, OrderAnswer, Placement, PlacementChange,
-    Ranks, Switch,
+    Ranks, RelayTree, Switch,
 };
-use pimentotide_instance::{PeerClient, PeerTimeouts, Token};
-use pimentotide_model::{ErrorKind, Failure};
-use pimentotide_platform::EngineClient;
+use pimentotide_instance::PeerClient;
+use pimentotide_model::{ErrorKind, Failure, ZoneName};
+use pimentotide_platform::{EngineClient, EngineError};
 
 use super::super::beacon::{AgentBeacon, Seat};
 use super::super::rpc::{Processes, RankCapacity};
 use super::compact;
-use super::engine::{EngineHandle, RankState};
+use super::engine::{EngineHandle, RankState, StateRequest};
 use super::methods::{ORDER, REPORT, RankOrder, STATE};
+use super::relay::{AgentLinks, Merged, RankResult, RelayRank, RelayTask};
 use crate::lines::GroupReleased;
 
-/// Timeouts of calls to another agent; they cover its own wait for its engine.
-const TIMEOUTS: PeerTimeouts = PeerTimeouts {
-    connect: Duration::from_millis(250),
-    call: Duration::from_millis(450),
-    retry_delay: Duration::from_millis(50),
-    idle: Duration::from_millis(1_500),
-};
-
 /// Timeout of a request sent directly to a remote engine.
 const DIRECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum number of ranks that one agent exchanges messages with itself.
+const MAX_DIRECT_RANKS: usize = 24;
 
 /// Other agents of the deployment, as reported by a replica.
 pub(super) struct Peers {
     own_address: SocketAddr,
     engine: EngineHandle,
-    token: Token,
+    links: AgentLinks,
     state: Mutex<PeerState>,
 }
 
@@ -47,7 +43,6 @@
 struct PeerState {
     agents: BTreeMap<SocketAddr, AgentBeacon>,
     shape: Option<RankCapacity>,
-    clients: BTreeMap<SocketAddr, PeerClient>,
 }
 
 /// Ranks of one group in one epoch, in rank order.
@@ -55,9 +50,10 @@
     /// Seat of the local engine.
     pub(super) seat: Seat,
     engine: EngineHandle,
+    links: AgentLinks,
     routes: Vec<RankRoute>,
-    /// Version of a placement, and its change from the last one sent to the ranks.
-    change: Option<(u64, PlacementChange)>,
+    /// Changes from the last placement sent to the ranks, by version of the resulting one.
+    changes: BTreeMap<u64, PlacementChange>,
 }
 
 /// Path to a rank.
@@ -65,15 +61,29 @@
     /// The local engine.
     Local,
     /// The agent of the rank, and its engine in case the agent does not answer.
-    Remote(PeerClient, EngineClient),
+    Remote(RemoteRank),
+}
+
+struct RemoteRank {
+    agent: PeerClient,
+    engine: EngineClient,
+    zone: ZoneName,
+    /// Whether the agent did not answer; its engine is then used directly.
+    agent_failed: Cell<bool>,
+}
+
+/// States of all ranks in rank order, and the sum of their expert choices.
+pub(super) struct Survey {
+    pub(super) states: Vec<RankState>,
+    pub(super) chosen: Vec<f64>,
 }
 
 impl Peers {
-    pub(super) fn new(own_address: SocketAddr, engine: EngineHandle, token: Token) -> Self {
+    pub(super) fn new(own_address: SocketAddr, engine: EngineHandle, links: AgentLinks) -> Self {
         Self {
             own_address,
             engine,
-            token,
+            links,
             state: Mutex::default(),
         }
     }
@@ -98,10 +108,9 @@
 
     /// Returns the group of `seat`; `None` unless the agents of all ranks are known.
     pub(super) fn group(&self, seat: &Seat, size: u16) -> Option<Group> {
-        let mut state = self.lock();
+        let state = self.lock();
         let mut found: Vec<Option<&AgentBeacon>> = vec![None; usize::from(size)];
-        let agents = std::mem::take(&mut state.agents);
-        for agent in agents.values() {
+        for agent in state.agents.values() {
             let other = agent.seat.as_ref();
             let Some(other) = other.filter(|s| s.group == seat.group && s.epoch == seat.epoch)
             else {
@@ -117,21 +126,20 @@
                     return Some(RankRoute::Local);
                 }
                 let agent = found[usize::from(rank)].filter(|a| a.calls != self.own_address)?;
-                let client = state.clients.entry(agent.calls).or_insert_with(|| {
-                    PeerClient::with_timeouts(agent.calls, self.token.clone(), TIMEOUTS)
-                });
-                Some(RankRoute::Remote(
-                    client.clone(),
-                    EngineClient::open(agent.engine, DIRECT_TIMEOUT),
-                ))
+                Some(RankRoute::Remote(RemoteRank {
+                    agent: self.links.client(agent.calls),
+                    engine: EngineClient::open(agent.engine, DIRECT_TIMEOUT),
+                    zone: agent.zone.clone(),
+                    agent_failed: Cell::new(false),
+                }))
             })
             .collect();
-        state.agents = agents;
         Some(Group {
             seat: seat.clone(),
             engine: self.engine.clone(),
+            links: self.links.clone(),
             routes: routes?,
-            change: None,
+            changes: BTreeMap::new(),
         })
     }
 }
@@ -140,9 +148,21 @@
     /// Sets the change in whose form the placement of `version` is sent.
     ///
     /// Ranks whose last placement is not the base of the change receive the whole placement.
-    pub(super) fn with_change(self, version: u64, change: PlacementChange) -> Self {
-        let change = Some((version, change));
-        Self { change, ..self }
+    pub(super) fn with_change(mut self, version: u64, change: Option<PlacementChange>) -> Self {
+        self.changes.extend(change.map(|c| (version, c)));
+        self
+    }
+
+    /// Reaches a rank only directly at its engine from now on.
+    pub(super) fn avoid_agent(&self, rank: usize) {
+        if let Some(RankRoute::Remote(remote)) = self.routes.get(rank) {
+            remote.agent_failed.set(true);
+        }
+    }
+
+    /// Whether messages to all ranks are relayed.
+    pub(super) fn is_relayed(&self) -> bool {
+        self.routes.len() > MAX_DIRECT_RANKS
     }
 
     /// Releases a held pass under a version above all earlier ones.
@@ -172,47 +192,150 @@
         let EngineOrder::Prepare { version, .. } = &order.order else {
             return None;
         };
-        let (_, change) = self.change.as_ref().filter(|(v, _)| v == version)?;
         Some(RankOrder::Changed {
             epoch: order.epoch,
             fence: order.fence,
             version: *version,
-            change: change.clone(),
+            change: self.changes.get(version)?.clone(),
         })
     }
 
-    /// Reads the state of all ranks, with the expert choices of those in `counted`.
+    /// Reads the state of all ranks and their expert choices, and the held experts if `held`.
     ///
-    /// Asks only the agents, because reading counts from a remote engine is expensive.
-    pub(super) async fn states(&self, counted: &[usize]) -> Vec<Result<RankState, Failure>> {
-        let states = self.routes.iter().enumerate().map(|(rank, route)| {
-            let counts = counted.contains(&rank);
+    /// Reads counts through agents only, because reading them from a remote engine is expensive.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the state of a rank cannot be read.
+    pub(super) async fn survey(&self, held: bool) -> Result<Survey, Failure> {
+        let request = StateRequest { held, counts: true };
+        let ranks: Vec<usize> = (0..self.routes.len()).collect();
+        let mut merged = if self.is_relayed() {
+            self.relay(&ranks, RelayTask::State(request)).await
+        } else {
+            Merged::default()
+        };
+        let states = ranks.iter().map(|rank| {
+            let relayed = merged.ranks.remove(rank);
             async move {
-                match route {
-                    RankRoute::Local => self.engine.state(counts).await,
-                    RankRoute::Remote(agent, _) => remote_state(agent, counts).await,
+                match relayed {
+                    Some(RankResult::State(state)) => Ok(*state),
+                    Some(_) | None => self.state(*rank, request).await,
                 }
             }
         });
-        join_all(states).await
+        let states: Vec<Result<RankState, Failure>> = join_all(states).await;
+        let mut states = states.into_iter().collect::<Result<Vec<_>, _>>()?;
+        for state in &mut states {
+            let chosen = state.chosen.take().unwrap_or_default();
+            let chosen: Vec<f64> = chosen.into_iter().map(f64::from).collect();
+            merged.add_counts(&chosen);
+        }
+        Ok(Survey {
+            states,
+            chosen: merged.chosen,
+        })
+    }
+
+    /// Reads the state of one rank; without counts if its agent does not answer.
+    async fn state(&self, rank: usize, request: StateRequest) -> Result<RankState, Failure> {
+        let remote = match &self.routes[rank] {
+            RankRoute::Local => return self.engine.state(request).await,
+            RankRoute::Remote(remote) => remote,
+        };
+        match remote.ask_agent(remote_state(&remote.agent, request)).await {
+            AgentAnswer::Answered(result) => result,
+            AgentAnswer::Failed => Ok(RankState {
+                report: remote
+                    .engine
+                    .report()
+                    .await
+                    .map_err(|e| engine_failure(&e))?,
+                held: match request.held {
+                    true => Some(remote.engine.held().await.map_err(|e| engine_failure(&e))?),
+                    false => None,
+                },
+                chosen: None,
+            }),
+        }
     }
 
     /// Returns the experts that a rank holds.
     pub(super) async fn held(&self, rank: usize) -> Result<HeldExperts, Failure> {
-        match &self.routes[rank] {
-            RankRoute::Local => Ok(self.engine.state(false).await?.held),
-            RankRoute::Remote(agent, engine) => match remote_state(agent, false).await {
-                Ok(state) => Ok(state.held),
-                Err(failure) => {
-                    log::info!("rank {rank}: agent failed, asking its engine directly: {failure}");
-                    let held = engine.held().await;
-                    held.map_err(|e| Failure::new(ErrorKind::UpstreamFailed, e.to_string()))
-                }
-            },
+        let request = StateRequest {
+            held: true,
+            counts: false,
+        };
+        let held = self.state(rank, request).await?.held;
+        held.ok_or_else(|| Failure::new(ErrorKind::Internal, "the state lacks the held experts"))
+    }
+
+    /// Sends a message to the remote ranks among `ranks` whose agents answer.
+    async fn relay(&self, ranks: &[usize], task: RelayTask) -> Merged {
+        let remote = ranks.iter().filter_map(|rank| match &self.routes[*rank] {
+            RankRoute::Remote(remote) if !remote.agent_failed.get() => Some((
+                remote.zone.clone(),
+                RelayRank {
+                    rank: u16::try_from(*rank).ok()?,
+                    agent: remote.agent.address(),
+                },
+            )),
+            RankRoute::Remote(_) | RankRoute::Local => None,
+        });
+        let trees = RelayTree::by_zone(remote);
+        let merged = self.links.forward(&task, &trees).await;
+        for (rank, result) in &merged.ranks {
+            if matches!(result, RankResult::Failed(kind) if is_agent_failure(*kind)) {
+                self.avoid_agent(*rank);
+            }
         }
+        merged
     }
 }
 
+/// Answer of the agent of a rank.
+enum AgentAnswer<T> {
+    /// The agent answered, possibly that its engine failed.
+    Answered(Result<T, Failure>),
+    /// The agent did not answer.
+    Failed,
+}
+
+impl RemoteRank {
+    /// Awaits a call to the agent, unless the agent has failed before.
+    async fn ask_agent<T, F>(&self, call: F) -> AgentAnswer<T>
+    where
+        F: Future<Output = Result<T, Failure>>,
+    {
+        if self.agent_failed.get() {
+            return AgentAnswer::Failed;
+        }
+        match call.await {
+            Err(failure) if is_agent_failure(failure.kind) => {
+                log::info!(
+                    "agent {} failed, its engine is used directly: {failure}",
+                    self.agent.address()
+                );
+                self.agent_failed.set(true);
+                AgentAnswer::Failed
+            }
+            result => AgentAnswer::Answered(result),
+        }
+    }
+}
+
+/// Whether a call failed at the agent, as opposed to its engine or the request.
+fn is_agent_failure(kind: ErrorKind) -> bool {
+    !matches!(
+        kind,
+        ErrorKind::UpstreamFailed | ErrorKind::RevisionConflict
+    )
+}
+
+fn engine_failure(error: &EngineError) -> Failure {
+    Failure::new(ErrorKind::UpstreamFailed, error.to_string())
+}
+
 impl Ranks for Group {
     fn size(&self) -> usize {
         self.routes.len()
@@ -221,15 +344,14 @@
     async fn report(&self, rank: usize) -> Option<EngineReport> {
         let report = match &self.routes[rank] {
             RankRoute::Local => self.engine.report().await,
-            RankRoute::Remote(agent, engine) => match agent.call(REPORT, [0; 0]).await {
-                Ok(report) => Ok(report),
-                Err(failure) if failure.kind == ErrorKind::UpstreamFailed => Err(failure),
-                Err(failure) => {
-                    log::debug!("rank {rank}: agent failed, asking its engine directly: {failure}");
-                    let report = engine.report().await;
-                    report.map_err(|e| Failure::new(ErrorKind::UpstreamFailed, e.to_string()))
+            RankRoute::Remote(remote) => {
+                match remote.ask_agent(remote.agent.call(REPORT, [0; 0])).await {
+                    AgentAnswer::Answered(report) => report,
+                    AgentAnswer::Failed => {
+                        remote.engine.report().await.map_err(|e| engine_failure(&e))
+                    }
                 }
-            },
+            }
         };
         report
             .inspect_err(|failure| log::info!("no report from rank {rank}: {failure}"))
@@ -239,17 +361,13 @@
     async fn order(&self, rank: usize, order: FencedOrder) -> Option<OrderAnswer> {
         let answer = match &self.routes[rank] {
             RankRoute::Local => self.engine.order(order.clone()).await,
-            RankRoute::Remote(agent, engine) => {
-                match remote_order(agent, &order, self.delta(&order)).await {
-                    Ok(answer) => Ok(answer),
-                    // The agent got no answer from its engine, so no direct order is sent.
-                    Err(failure) if failure.kind == ErrorKind::UpstreamFailed => Err(failure),
-                    Err(failure) => {
-                        log::info!(
-                            "rank {rank}: agent failed, ordering its engine directly: {failure}"
-                        );
-                        let answer = engine.order(&order, DIRECT_TIMEOUT).await;
-                        answer.map_err(|e| Failure::new(ErrorKind::UpstreamFailed, e.to_string()))
+            RankRoute::Remote(remote) => {
+                let ordered = remote_order(&remote.agent, &order, self.delta(&order));
+                match remote.ask_agent(ordered).await {
+                    AgentAnswer::Answered(answer) => answer,
+                    AgentAnswer::Failed => {
+                        let answer = remote.engine.order(&order, DIRECT_TIMEOUT).await;
+                        answer.map_err(|e| engine_failure(&e))
                     }
                 }
             }
@@ -261,13 +379,68 @@
             .ok()
     }
 
+    async fn reports(&self, ranks: &[usize]) -> Vec<Option<EngineReport>> {
+        let request = StateRequest {
+            held: false,
+            counts: false,
+        };
+        let mut merged = self.relay_if_many(ranks, RelayTask::State(request)).await;
+        let reports = ranks.iter().map(|rank| {
+            let relayed = merged.ranks.remove(rank);
+            async move {
+                match relayed {
+                    Some(RankResult::State(state)) => Some(state.report),
+                    Some(_) | None => self.report(*rank).await,
+                }
+            }
+        });
+        join_all(reports).await
+    }
+
+    async fn orders(&self, ranks: &[usize], order: &FencedOrder) -> Vec<Option<OrderAnswer>> {
+        let mut merged = Merged::default();
+        if let Some(change) = self.delta(order) {
+            merged = self.relay_if_many(ranks, RelayTask::Order(change)).await;
+        }
+        let is_settled = |rank: &usize| {
+            let result = merged.ranks.get(rank);
+            result.is_some_and(|r| !matches!(r, RankResult::Failed(ErrorKind::RevisionConflict)))
+        };
+        let rest: Vec<usize> = ranks.iter().copied().filter(|r| !is_settled(r)).collect();
+        let whole = RelayTask::Order(RankOrder::Whole(order.clone()));
+        merged.merge(self.relay_if_many(&rest, whole).await);
+        let answers = ranks.iter().map(|rank| {
+            let relayed = merged.ranks.remove(rank);
+            async move {
+                match relayed {
+                    Some(RankResult::Order(answer)) => Some(answer),
+                    // The agent got no answer from its engine, so no direct order is sent.
+                    Some(RankResult::Failed(ErrorKind::UpstreamFailed)) => None,
+                    Some(_) | None => self.order(*rank, order.clone()).await,
+                }
+            }
+        });
+        join_all(answers).await
+    }
+
     async fn pause(&self, length: Duration) {
         tokio::time::sleep(length).await;
     }
 }
 
-async fn remote_state(agent: &PeerClient, counts: bool) -> Result<RankState, Failure> {
-    let text: String = agent.call(STATE, [counts]).await?;
+impl Group {
+    /// Relays a message to many ranks; returns nothing for few, which are called directly.
+    async fn relay_if_many(&self, ranks: &[usize], task: RelayTask) -> Merged {
+        if ranks.len() > MAX_DIRECT_RANKS {
+            self.relay(ranks, task).await
+        } else {
+            Merged::default()
+        }
+    }
+}
+
+async fn remote_state(agent: &PeerClient, request: StateRequest) -> Result<RankState, Failure> {
+    let text: String = agent.call(STATE, [request]).await?;
     compact::decode(&text)
 }
 
--- a/app/src/fleet/agent/rescue.rs
+++ b/app/src/fleet/agent/rescue.rs
@@ -2,7 +2,8 @@
 //!
 //! The agent of the next rank detects that its engine has work but makes no
 //! passes. If rank 0 holds a pass, the agent undoes the switch under a higher
-//! version, which fences off the old coordinator, and releases the pass.
+//! version, which fences off the old coordinator, and releases the pass. It
+//! reaches rank 0 without the agent there, which is the one that failed.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -17,13 +18,13 @@
 use super::ranks::{Group, Peers, placement};
 
 /// Time between checks of the local engine.
-const CHECK_INTERVAL: Duration = Duration::from_millis(150);
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without a pass after which rank 1 takes over; a switch holds passes for a fraction of it.
-const STUCK_TIMEOUT: Duration = Duration::from_millis(400);
+const STUCK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Additional delay per further rank, so that one rank takes over at a time.
 const RANK_DELAY: Duration = Duration::from_millis(600);
 /// Highest rank that takes over.
-const MAX_RESCUE_RANK: u16 = 3;
+pub(super) const MAX_RESCUE_RANK: u16 = 3;
 
 /// Watches the local engine until the task is aborted.
 pub(super) async fn watch(engine: EngineHandle, peers: Arc<Peers>) {
@@ -62,6 +63,7 @@
 }
 
 async fn rescue(group: &Group) -> Result<(), Failure> {
+    group.avoid_agent(0);
     let Some(first) = group.report(0).await else {
         return Ok(());
     };
--- a/app/src/fleet/beacon.rs
+++ b/app/src/fleet/beacon.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 
 use derive_more::From;
+use pimentotide_model::ZoneName;
 use serde::{Deserialize, Serialize};
 
 use super::unix_millis;
@@ -43,6 +44,8 @@
     pub(super) calls: SocketAddr,
     /// Address of its engine.
     pub(super) engine: SocketAddr,
+    /// Availability zone of the instance.
+    pub(super) zone: ZoneName,
     /// Seat of its engine; `None` outside a group.
     pub(super) seat: Option<Seat>,
     /// Version of this beacon.
--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -134,12 +134,11 @@
         Ok(members.map(|(_, m)| m.address).collect())
     }
 
-    /// Returns the members of the log and the processes with recent beacons.
-    pub(super) async fn processes(&self) -> Result<Processes, Failure> {
+    /// Returns the members of the log and the live agents of `group`.
+    pub(super) async fn processes(&self, group: Option<&str>) -> Result<Processes, Failure> {
         Ok(Processes {
             replicas: self.member_addresses().await?,
-            entries: self.roster.entries(),
-            agents: self.roster.agents(),
+            agents: group.map_or_else(Vec::new, |g| self.roster.agents(g)),
             shape: self.rank_capacity().await?,
         })
     }
@@ -162,6 +161,7 @@
         let mut capacities = engines.filter(|e| e.experts > 0).map(|e| RankCapacity {
             places: usize::from(e.places),
             spare: usize::from(e.spare),
+            copy_time: e.copy_time,
         });
         let capacity = capacities.next_back();
         *self.capacity.lock().unwrap_or_else(PoisonError::into_inner) = Some((index, capacity));
--- a/app/src/fleet/control/methods.rs
+++ b/app/src/fleet/control/methods.rs
@@ -29,8 +29,10 @@
             .await
             .map_err(|f| rpc_error(&f))
     })?;
-    module.register_async_method(PROCESSES, |_, shared, _| async move {
-        shared.service.processes().await.map_err(|f| rpc_error(&f))
+    module.register_async_method(PROCESSES, |params, shared, _| async move {
+        let group: Option<String> = params.one()?;
+        let processes = shared.service.processes(group.as_deref()).await;
+        processes.map_err(|f| rpc_error(&f))
     })?;
     module.register_async_method(JOIN, |params, shared, _| async move {
         let joining: JoinRequest = params.one()?;
--- a/app/src/fleet/control/roster.rs
+++ b/app/src/fleet/control/roster.rs
@@ -130,9 +130,12 @@
         live(&self.lock().entries).count()
     }
 
-    /// Returns the beacons of the live agents.
-    pub(super) fn agents(&self) -> Vec<AgentBeacon> {
-        live(&self.lock().agents).cloned().collect()
+    /// Returns the beacons of the live agents whose engines belong to `group`.
+    pub(super) fn agents(&self, group: &str) -> Vec<AgentBeacon> {
+        let table = self.lock();
+        let members =
+            live(&table.agents).filter(|a| a.seat.as_ref().is_some_and(|seat| seat.group == group));
+        members.cloned().collect()
     }
 }
 
--- a/app/src/fleet/rpc.rs
+++ b/app/src/fleet/rpc.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use pimentotide_consensus::DiskId;
 use pimentotide_fleet::Record;
@@ -14,7 +15,7 @@
 pub(super) const FOLLOW: &str = "fleet_follow";
 /// Method with which a replica requests to become a member.
 pub(super) const JOIN: &str = "fleet_join";
-/// Method with which agents read the list of processes.
+/// Method with which agents read the list of processes; takes the group whose agents to list, or none.
 pub(super) const PROCESSES: &str = "fleet_processes";
 
 /// Positions in the log up to which an entry has the shared state.
@@ -77,9 +78,7 @@
 pub(super) struct Processes {
     /// Addresses of the replicas for calls.
     pub(super) replicas: Vec<SocketAddr>,
-    /// Addresses of the entries for callers.
-    pub(super) entries: Vec<SocketAddr>,
-    /// Latest beacon of each agent.
+    /// Latest beacon of each agent of the requested group.
     pub(super) agents: Vec<AgentBeacon>,
     /// Expert capacity of each rank; `None` unless the configuration has an engine with experts.
     pub(super) shape: Option<RankCapacity>,
@@ -92,4 +91,6 @@
     pub(super) places: usize,
     /// Maximum experts added to a rank in one change.
     pub(super) spare: usize,
+    /// Time in which a rank receives one expert.
+    pub(super) copy_time: Duration,
 }
--- a/decision/experts/src/even/layer.rs
+++ b/decision/experts/src/even/layer.rs
@@ -17,8 +17,12 @@
     /// Holders of each expert.
     holders: Vec<Vec<usize>>,
     rank_loads: Vec<f64>,
+    /// Mean load of a rank; changes only redistribute it.
+    mean: f64,
     /// Number of experts of each rank that are not in `old`.
     added: Vec<usize>,
+    /// Number of changes applied.
+    changes: usize,
 }
 
 /// Transfer of an expert from one rank to another.
@@ -52,19 +56,30 @@
             held: old.to_vec(),
             holders,
             rank_loads: vec![0.0; old.len()],
+            mean: 0.0,
             added: vec![0; old.len()],
+            changes: 0,
         };
         layer.recompute();
+        layer.mean = layer.rank_loads.iter().sum::<f64>() / old.len().max(1) as f64;
         layer
     }
 
     /// Load of the most loaded rank relative to the mean.
     pub(super) fn imbalance(&self) -> f64 {
-        let mean = self.rank_loads.iter().sum::<f64>() / self.rank_loads.len().max(1) as f64;
-        if mean <= 0.0 {
+        if self.mean <= 0.0 {
             return 1.0;
         }
-        self.rank_loads.iter().copied().fold(0.0, f64::max) / mean
+        self.max_load() / self.mean
+    }
+
+    /// Load of the most loaded rank above the mean.
+    pub(super) fn excess(&self) -> f64 {
+        self.max_load() - self.mean
+    }
+
+    fn max_load(&self) -> f64 {
+        self.rank_loads.iter().copied().fold(0.0, f64::max)
     }
 
     /// Number of expert copies that ranks have to receive.
@@ -76,41 +91,50 @@
         self.held
     }
 
-    /// Applies the best change repeatedly until the imbalance is within `goal` or no change helps.
-    pub(super) fn improve(&mut self, goal: f64) {
+    /// Applies the best change unless the imbalance is within `goal`; false if nothing changed.
+    ///
+    /// `room` holds the copies that each rank can still receive, over all layers.
+    pub(super) fn improve(&mut self, goal: f64, room: &mut [usize]) -> bool {
         let max_changes = self.layout.ranks * self.layout.spare * 2;
-        for _ in 0..max_changes {
-            if self.imbalance() <= goal {
-                return;
-            }
-            let Some((change, cost)) = self.best_change() else {
-                return;
-            };
-            if cost > self.cost(&self.rank_loads) * (1.0 - MIN_GAIN_RATIO) {
-                return;
-            }
-            self.apply(change);
+        if self.imbalance() <= goal || self.changes >= max_changes {
+            return false;
         }
+        let Some((change, gain)) = self.best_change(room) else {
+            return false;
+        };
+        if gain < self.cost() * MIN_GAIN_RATIO {
+            return false;
+        }
+        let added = self.added.clone();
+        self.apply(change);
+        self.changes += 1;
+        for ((room, before), after) in room.iter_mut().zip(&added).zip(&self.added) {
+            *room = (*room + before).saturating_sub(*after);
+        }
+        true
     }
 
-    fn best_change(&self) -> Option<(Change, f64)> {
+    /// Returns the change with the largest reduction of the cost, and that reduction.
+    fn best_change(&self, room: &[usize]) -> Option<(Change, f64)> {
         let mut order: Vec<usize> = (0..self.rank_loads.len()).collect();
         order.sort_by(|a, b| self.rank_loads[*a].total_cmp(&self.rank_loads[*b]));
         let from = *order.last()?;
+        let targets = order.iter().filter(|to| **to != from && room[**to] > 0);
         let mut best: Option<(Change, f64)> = None;
-        for &to in order.iter().take(MAX_TARGETS).filter(|to| **to != from) {
-            for change in self.changes(from, to) {
-                let cost = self.cost(&self.totals_after(change));
-                if best.is_none_or(|(_, least)| cost < least) {
-                    best = Some((change, cost));
+        let mut shifts = Vec::new();
+        for &to in targets.take(MAX_TARGETS) {
+            for change in self.changes(from, to, room[from]) {
+                let gain = self.gain(change, &mut shifts);
+                if best.is_none_or(|(_, most)| gain > most) {
+                    best = Some((change, gain));
                 }
             }
         }
         best
     }
 
-    /// Changes that move load from rank `from` to rank `to`.
-    fn changes(&self, from: usize, to: usize) -> Vec<Change> {
+    /// Changes that move load from rank `from`, which can receive `room` copies, to rank `to`.
+    fn changes(&self, from: usize, to: usize, room: usize) -> Vec<Change> {
         let mut changes = Vec::new();
         let has_free_slot = self.held[to].len() < self.layout.places;
         let spare = self.layout.spare;
@@ -143,7 +167,8 @@
                     add(Some(other), false);
                 }
                 let new_to_source = usize::from(!self.old[from].contains(&other));
-                if !self.held[from].contains(&other) && self.added[from] + new_to_source <= spare {
+                let fits = new_to_source <= room && self.added[from] + new_to_source <= spare;
+                if fits && !self.held[from].contains(&other) {
                     add(Some(other), true);
                 }
             }
@@ -155,43 +180,55 @@
         self.loads[usize::from(expert)] / holders.max(1) as f64
     }
 
-    fn totals_after(&self, change: Change) -> Vec<f64> {
-        let mut rank_loads = self.rank_loads.clone();
+    /// Reduction of the cost by a change; `shifts` is a buffer for the loads that it moves.
+    fn gain(&self, change: Change, shifts: &mut Vec<(usize, f64)>) -> f64 {
+        shifts.clear();
+        let mut shift = |rank: usize, load: f64| match shifts.iter_mut().find(|(r, _)| *r == rank) {
+            Some((_, sum)) => *sum += load,
+            None => shifts.push((rank, load)),
+        };
         let holders = &self.holders[usize::from(change.expert)];
         let before = self.share(change.expert, holders.len());
         if change.shared {
             let after = self.share(change.expert, holders.len() + 1);
             for &rank in holders {
-                rank_loads[rank] += after - before;
+                shift(rank, after - before);
             }
-            rank_loads[change.to] += after;
+            shift(change.to, after);
         } else {
-            rank_loads[change.from] -= before;
-            rank_loads[change.to] += before;
+            shift(change.from, -before);
+            shift(change.to, before);
         }
         if let Some(evicted) = change.evicted {
             let holders = &self.holders[usize::from(evicted)];
             let before = self.share(evicted, holders.len());
-            rank_loads[change.to] -= before;
+            shift(change.to, -before);
             if change.swapped {
-                rank_loads[change.from] += before;
+                shift(change.from, before);
             } else {
                 let after = self.share(evicted, holders.len() - 1);
                 for &rank in holders.iter().filter(|rank| **rank != change.to) {
-                    rank_loads[rank] += after - before;
+                    shift(rank, after - before);
                 }
             }
         }
-        rank_loads
+        let reductions = shifts.iter().map(|(rank, load)| {
+            let old = self.rank_loads[*rank];
+            self.rank_cost(old) - self.rank_cost(old + load)
+        });
+        reductions.sum()
     }
 
     /// Soft maximum of the loads, relative to their mean.
-    fn cost(&self, rank_loads: &[f64]) -> f64 {
-        let mean = rank_loads.iter().sum::<f64>() / rank_loads.len().max(1) as f64;
-        if mean <= 0.0 {
+    fn cost(&self) -> f64 {
+        self.rank_loads.iter().map(|l| self.rank_cost(*l)).sum()
+    }
+
+    fn rank_cost(&self, load: f64) -> f64 {
+        if self.mean <= 0.0 {
             return 0.0;
         }
-        rank_loads.iter().map(|t| (t / mean).powi(8)).sum()
+        (load / self.mean).powi(8)
     }
 
     fn apply(&mut self, change: Change) {
--- a/decision/experts/src/even/mod.rs
+++ b/decision/experts/src/even/mod.rs
@@ -4,22 +4,27 @@
 //! each layer is optimised by itself: the most loaded rank moves an expert to
 //! another rank or shares it with one, as long as that lowers the load. A rank
 //! can receive only a few new experts per change, so a large shift of popularity
-//! takes several changes, the most useful first.
+//! takes several changes, the most useful first. A rank copies its new experts one
+//! after the other, so the rank with most copies determines how long a change takes.
 
 mod change;
+mod counts;
 mod demand;
 mod layer;
 mod rank;
 mod switch;
+mod tree;
 
 use layer::Layer;
 
 pub use change::{PlacementChange, PlacementId};
+pub use counts::CodedCounts;
 pub use demand::ExpertDemand;
 pub use rank::{
     EngineOrder, EngineReport, FencedOrder, HeldExperts, Membership, OrderAnswer, PickedExperts,
 };
 pub use switch::{Ending, Ranks, Switch};
+pub use tree::RelayTree;
 
 /// Dimensions of a group and limits on its placements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +37,8 @@
     pub places: usize,
     /// Maximum number of experts new to a rank in each layer per change.
     pub spare: usize,
+    /// Maximum number of experts new to a rank in all layers together per change.
+    pub copies: usize,
 }
 
 /// Experts held, by layer and rank.
@@ -50,39 +57,52 @@
     pub copies: usize,
 }
 
-/// Improves a placement for the popularity in `counts`, layer after layer.
+/// Improves a placement for the popularity in `counts`, the layer with the highest load first.
 ///
 /// A layer is not changed further once its most loaded rank is within `goal` times
 /// the mean: each further copy costs more than it saves. Layers whose counts are
 /// all zero stay unchanged.
 pub fn plan_even(layout: &EvenLayout, current: &Placement, counts: &[f64], goal: f64) -> EvenPlan {
-    let mut plan = EvenPlan {
-        placement: Vec::with_capacity(current.len()),
-        before: 0.0,
-        after: 0.0,
-        copies: 0,
-    };
     let loads = counts.chunks(layout.experts.max(1));
-    for (held, loads) in current.iter().zip(loads) {
-        let mut layer = Layer::new(layout, held, loads);
-        plan.before += layer.imbalance();
-        layer.improve(goal);
-        plan.after += layer.imbalance();
-        plan.copies += layer.copies();
-        plan.placement.push(layer.into_held());
+    let layers = current.iter().zip(loads);
+    let mut layers: Vec<Layer<'_>> = layers
+        .map(|(held, loads)| Layer::new(layout, held, loads))
+        .collect();
+    let before = mean_imbalance(&layers);
+    let mut room = vec![layout.copies; layout.ranks];
+    let mut open: Vec<usize> = (0..layers.len()).collect();
+    while let Some(position) = highest_excess(&layers, &open) {
+        if !layers[open[position]].improve(goal, &mut room) {
+            open.swap_remove(position);
+        }
+    }
+    EvenPlan {
+        before,
+        after: mean_imbalance(&layers),
+        copies: layers.iter().map(Layer::copies).sum(),
+        placement: layers.into_iter().map(Layer::into_held).collect(),
     }
-    let layers = plan.placement.len().max(1) as f64;
-    plan.before /= layers;
-    plan.after /= layers;
-    plan
+}
+
+/// Returns the position in `open` of the layer with the highest load above its mean.
+fn highest_excess(layers: &[Layer<'_>], open: &[usize]) -> Option<usize> {
+    let excesses = open.iter().map(|index| layers[*index].excess());
+    let highest = excesses.enumerate().max_by(|a, b| a.1.total_cmp(&b.1));
+    highest.map(|(position, _)| position)
+}
+
+fn mean_imbalance(layers: &[Layer<'_>]) -> f64 {
+    let sum: f64 = layers.iter().map(Layer::imbalance).sum();
+    sum / layers.len().max(1) as f64
 }
 
 /// Load of the most loaded rank relative to the mean, averaged over layers.
 pub fn imbalance_even(layout: &EvenLayout, placement: &Placement, counts: &[f64]) -> f64 {
     let loads = counts.chunks(layout.experts.max(1));
-    let layers = placement.iter().zip(loads);
-    let sum: f64 = layers
-        .map(|(held, loads)| Layer::new(layout, held, loads).imbalance())
-        .sum();
-    sum / placement.len().max(1) as f64
+    let layers: Vec<Layer<'_>> = placement
+        .iter()
+        .zip(loads)
+        .map(|(held, loads)| Layer::new(layout, held, loads))
+        .collect();
+    mean_imbalance(&layers)
 }
--- a/decision/experts/src/even/switch.rs
+++ b/decision/experts/src/even/switch.rs
@@ -19,6 +19,7 @@
 //! Each order names the epoch of the group. When a rank is lost, the group is
 //! formed again with the initial map, and nothing is armed or held.
 
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::time::Duration;
 
@@ -55,6 +56,20 @@
     /// Sends an order; `None` if the outcome is unknown, as it may still take effect later.
     fn order(&self, rank: usize, order: FencedOrder) -> impl Future<Output = Option<OrderAnswer>>;
 
+    /// Requests the reports of several ranks, in their order.
+    fn reports(&self, ranks: &[usize]) -> impl Future<Output = Vec<Option<EngineReport>>> {
+        join_all(ranks.iter().map(|rank| self.report(*rank)))
+    }
+
+    /// Sends the same order to several ranks and returns the answers in their order.
+    fn orders(
+        &self,
+        ranks: &[usize],
+        order: &FencedOrder,
+    ) -> impl Future<Output = Vec<Option<OrderAnswer>>> {
+        join_all(ranks.iter().map(|rank| self.order(*rank, order.clone())))
+    }
+
     /// Sleeps for `length`.
     fn pause(&self, length: Duration) -> impl Future<Output = ()>;
 }
@@ -147,7 +162,7 @@
         let mut pending: Vec<usize> = (0..ranks.size()).collect();
         for _ in 0..MAX_PREPARE_POLLS {
             ranks.pause(PREPARE_POLL_INTERVAL).await;
-            let reports = join_all(pending.iter().map(|rank| ranks.report(*rank))).await;
+            let reports = ranks.reports(&pending).await;
             if reports.iter().flatten().any(|r| self.is_stale(r)) {
                 return false;
             }
@@ -201,10 +216,7 @@
             if attempt > 0 {
                 ranks.pause(RETRY_INTERVAL).await;
             }
-            let orders = pending
-                .iter()
-                .map(|rank| ranks.order(*rank, self.fenced(order.clone())));
-            let answers = join_all(orders).await;
+            let answers = ranks.orders(&pending, &self.fenced(order.clone())).await;
             let mut remaining = Vec::new();
             for (rank, answer) in pending.into_iter().zip(answers) {
                 match answer {
@@ -243,10 +255,15 @@
         }
     }
 
+    /// Version under which the switch is undone if it fails.
+    pub fn rollback_version(&self) -> u64 {
+        self.version + 1
+    }
+
     /// Returns the switch back to the old map, under a higher version.
     fn rollback(&self) -> Self {
         Self {
-            version: self.version + 1,
+            version: self.rollback_version(),
             new: self.old.clone(),
             ..self.clone()
         }
@@ -265,7 +282,7 @@
         }
         let mut pending: Vec<usize> = (0..ranks.size()).collect();
         for _ in 0..MAX_UNDO_ATTEMPTS {
-            let outcomes = join_all(pending.iter().map(|rank| self.restore(ranks, *rank))).await;
+            let outcomes = self.restore(ranks, &pending).await;
             if outcomes.contains(&RestoreOutcome::Superseded) {
                 return Ending::GivenUp;
             }
@@ -301,30 +318,48 @@
         false
     }
 
-    /// Disarms one rank and orders it to prepare the map in use under this version.
-    async fn restore<R>(&self, ranks: &R, rank: usize) -> RestoreOutcome
+    /// Disarms these ranks and orders them to prepare the map in use under this version.
+    async fn restore<R>(&self, ranks: &R, pending: &[usize]) -> Vec<RestoreOutcome>
     where
         R: Ranks,
     {
-        let Some(report) = ranks.report(rank).await else {
-            return RestoreOutcome::Pending;
-        };
-        if self.is_stale(&report) {
-            return RestoreOutcome::Superseded;
+        let reports = ranks.reports(pending).await;
+        let mut outcomes = vec![RestoreOutcome::Pending; pending.len()];
+        let mut armed: BTreeMap<u64, Vec<usize>> = BTreeMap::new();
+        let mut unprepared = Vec::new();
+        for (position, report) in reports.iter().enumerate() {
+            let Some(report) = report else {
+                continue;
+            };
+            if self.is_stale(report) {
+                outcomes[position] = RestoreOutcome::Superseded;
+                return outcomes;
+            }
+            if let Some(version) = report.armed {
+                armed.entry(version).or_default().push(pending[position]);
+            } else if report.prepared == Some(self.version) {
+                outcomes[position] = RestoreOutcome::Restored;
+                continue;
+            }
+            unprepared.push(position);
         }
-        if let Some(version) = report.armed {
+        for (version, armed) in armed {
             let disarm = self.fenced(EngineOrder::Disarm { version });
-            ranks.order(rank, disarm).await;
-        } else if report.prepared == Some(self.version) {
-            return RestoreOutcome::Restored;
+            // A rank that is still armed refuses the next order.
+            ranks.orders(&armed, &disarm).await;
         }
         let order = self.fenced(prepare(self.version, &self.new));
-        match ranks.order(rank, order).await {
-            Some(OrderAnswer::Accepted) => RestoreOutcome::Restored,
-            // Another coordinator has taken over.
-            Some(OrderAnswer::Fenced) => RestoreOutcome::Superseded,
-            Some(OrderAnswer::Refused) | None => RestoreOutcome::Pending,
+        let ordered: Vec<usize> = unprepared.iter().map(|p| pending[*p]).collect();
+        let answers = ranks.orders(&ordered, &order).await;
+        for (position, answer) in unprepared.into_iter().zip(answers) {
+            outcomes[position] = match answer {
+                Some(OrderAnswer::Accepted) => RestoreOutcome::Restored,
+                // Another coordinator has taken over.
+                Some(OrderAnswer::Fenced) => RestoreOutcome::Superseded,
+                Some(OrderAnswer::Refused) | None => RestoreOutcome::Pending,
+            };
         }
+        outcomes
     }
 }
 
--- a/decision/experts/tests/it/even_plan.rs
+++ b/decision/experts/tests/it/even_plan.rs
@@ -15,6 +15,7 @@
     experts: 72,
     places: 8,
     spare: 3,
+    copies: 12,
 };
 
 /// Initial placement of a group: experts assigned round robin.
@@ -72,7 +73,7 @@
         places in 4..7_usize,
         spare in 1..4_usize,
     ) {
-        let layout = EvenLayout { ranks: 6, experts: 24, places, spare };
+        let layout = EvenLayout { ranks: 6, experts: 24, places, spare, copies: spare };
         let old = round_robin(&layout, 1);
         let plan = plan_even(&layout, &old, &loads, 1.05);
         for (rank, held) in plan.placement[0].iter().enumerate() {
@@ -90,17 +91,110 @@
     }
 }
 
+/// Load pattern: large experts and slow links, so that a change lasts as long as the rank with
+/// most copies takes to receive them.
 #[test]
-fn demand_sums_ranks_and_drops_samples_outside_the_window() {
+fn limit_on_copies_of_a_rank_holds_over_all_layers_and_removes_most_of_a_shift() {
+    let layout = EvenLayout {
+        places: 11,
+        spare: 4,
+        copies: 1,
+        ..LAYOUT
+    };
+    let unlimited = EvenLayout {
+        copies: 12,
+        ..layout
+    };
+    let settled = {
+        let counts = skewed(&layout, 3, 0);
+        let mut placement = round_robin(&layout, 3);
+        for _ in 0..4 {
+            placement = plan_even(&unlimited, &placement, &counts, 1.05).placement;
+        }
+        placement
+    };
+    let counts = skewed(&layout, 3, 1);
+    let most_copies = |placement: &Placement| {
+        let copies = |rank: usize| -> usize {
+            let layers = placement.iter().zip(&settled);
+            let added = layers.map(|(new, old)| {
+                let added = new[rank].iter().filter(|e| !old[rank].contains(e));
+                added.count()
+            });
+            added.sum()
+        };
+        (0..layout.ranks).map(copies).max().unwrap_or(0)
+    };
+    let limited = plan_even(&layout, &settled, &counts, 1.1);
+    let full = plan_even(&unlimited, &settled, &counts, 1.1);
+    assert_eq!(most_copies(&limited.placement), 1);
+    assert!(most_copies(&full.placement) > 1);
+    assert_snapshot!(format!(
+        "{:.2} -> {:.2} with one copy a rank, {:.2} with {}",
+        limited.before,
+        limited.after,
+        full.after,
+        most_copies(&full.placement)
+    ));
+    assert!(limited.after - 1.0 < (limited.before - 1.0) / 2.0);
+}
+
+fn at(ms: u64) -> Time {
+    Time::ZERO + Duration::from_millis(ms)
+}
+
+#[test]
+fn demand_sums_samples_and_drops_those_outside_the_window() {
     let mut demand = ExpertDemand::default();
-    let at = |ms: u64| Time::ZERO + Duration::from_millis(ms);
-    demand.observe([&[500, 400][..], &[100, 0][..]], at(0));
-    demand.observe([&[50, 40][..]], at(1_000));
+    demand.observe(&[600.0, 400.0], at(0));
+    demand.observe(&[50.0, 40.0], at(1_000));
     assert_eq!(demand.counts(), Some(vec![650.0, 440.0]));
-    assert_eq!(demand.newest(), None, "too few choices for a plan");
-    demand.observe([&[300, 200][..]], at(2_000));
+    demand.observe(&[300.0, 200.0], at(2_000));
     assert_eq!(demand.counts(), Some(vec![350.0, 240.0]));
-    assert_eq!(demand.newest(), Some(&[300.0, 200.0][..]));
-    demand.restart();
+}
+
+#[test]
+fn too_few_choices_give_no_demand() {
+    let mut demand = ExpertDemand::default();
+    demand.observe(&[50.0, 40.0], at(0));
     assert_eq!(demand.counts(), None);
 }
+
+/// Load pattern: demand shifts within one sample, which mixes the old and the new demand.
+#[test]
+fn shift_of_demand_discards_the_samples_before_it_and_the_mixed_one() {
+    let mut demand = ExpertDemand::default();
+    demand.observe(&[900.0, 100.0], at(0));
+    demand.observe(&[880.0, 120.0], at(100));
+    demand.observe(&[600.0, 400.0], at(200));
+    assert_eq!(demand.counts(), None, "the newest sample is mixed");
+    demand.observe(&[100.0, 900.0], at(300));
+    assert_eq!(demand.counts(), Some(vec![100.0, 900.0]));
+    demand.observe(&[120.0, 880.0], at(400));
+    assert_eq!(demand.counts(), Some(vec![220.0, 1_780.0]));
+}
+
+/// Load pattern: no sample is taken during a change of the map, and demand shifts meanwhile.
+#[test]
+fn sample_over_a_shift_during_a_change_of_the_map_is_discarded() {
+    let mut demand = ExpertDemand::default();
+    demand.observe(&[900.0, 100.0], at(0));
+    demand.observe(&[5_000.0, 4_000.0], at(2_000));
+    assert_eq!(demand.counts(), None);
+    demand.observe(&[100.0, 900.0], at(2_100));
+    assert_eq!(demand.counts(), Some(vec![100.0, 900.0]));
+    assert_eq!(demand.span(), Duration::from_millis(100));
+}
+
+#[test]
+fn window_spans_its_samples_and_starts_over_with_the_group() {
+    let mut demand = ExpertDemand::default();
+    assert_eq!(demand.span(), Duration::ZERO);
+    demand.observe(&[900.0, 100.0], at(0));
+    demand.observe(&[900.0, 100.0], at(500));
+    assert_eq!(demand.span(), Duration::from_millis(500));
+    demand.restart();
+    assert_eq!((demand.counts(), demand.span()), (None, Duration::ZERO));
+    demand.observe(&[900.0, 100.0], at(900));
+    assert_eq!(demand.span(), Duration::ZERO);
+}
--- a/decision/fleet/src/declaration.rs
+++ b/decision/fleet/src/declaration.rs
@@ -121,6 +121,8 @@
     pub places: u16,
     /// Additional experts that a rank can load per layer in one change.
     pub spare: u16,
+    /// Time in which a rank receives one expert.
+    pub copy_time: Duration,
 }
 
 /// Limits on requests of callers.
--- a/dev/bench/src/bin/even_plan.rs
+++ b/dev/bench/src/bin/even_plan.rs
@@ -44,6 +44,7 @@
         (12, 4, 72, 8, 3),
         (63, 8, 252, 5, 2),
         (63, 8, 252, 5, 3),
+        (129, 16, 258, 3, 2),
         (256, 8, 256, 2, 1),
     ];
     for (ranks, layers, experts, places, spare) in sizes {
@@ -52,6 +53,7 @@
             experts,
             places,
             spare,
+            copies: spare * layers,
         };
         let mut rng = ChaCha8Rng::seed_from_u64(1);
         let current = first_map(&layout, layers);
