entry: upstreams that say they are leaving or ask for a backoff

Now an upstream that is leaving receives nothing more from the entry until it has restarted, and one that asked for a backoff nothing until its end, retries and resumed streams included. If all upstreams asked for one, the request waits if the first ends within the usual wait, else it is refused at once with the time to return. Lines, metrics and explain say so. Tests without network; with either filter left out they fail.

--- a/app/src/explain/explanation.rs
+++ b/app/src/explain/explanation.rs
@@ -10,7 +10,8 @@
 use super::cause::causes;
 use crate::lines::{
     Declared, Ejected, ExpertsMoved, GroupReleased, LeaseLost, LeaseWon, Ordered, Ready,
-    ReplicaFollowed, ReplicaLost, RoleChanged, Stopped, Stopping, UpstreamChanged, ZonesClosed,
+    ReplicaFollowed, ReplicaLost, RoleChanged, Stopped, Stopping, UpstreamChanged, UpstreamSignal,
+    ZonesClosed,
 };
 
 /// Events that may affect any request of the deployment.
@@ -33,7 +34,11 @@
     Dropped::EVENT,
 ];
 /// Events about one upstream in the view of a process.
-const UPSTREAM_EVENTS: [&str; 2] = [Ejected::EVENT, UpstreamChanged::EVENT];
+const UPSTREAM_EVENTS: [&str; 3] = [
+    Ejected::EVENT,
+    UpstreamChanged::EVENT,
+    UpstreamSignal::EVENT,
+];
 
 /// Lines and causes that explain the outcome of one request.
 #[derive(Clone, Debug)]
--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -154,6 +154,10 @@
                 .balancer
                 .report_load(&guard.upstream, load, now);
         }
+        if let Some(ticket) = &guard.ticket {
+            self.state
+                .record_signals(&self.call.id, ticket, answer.leaving, answer.backoff);
+        }
         let upstream = guard.upstream.clone();
         if answer.not_run {
             let outcome = if answer.misdirected {
--- a/app/src/fleet/entry/placing.rs
+++ b/app/src/fleet/entry/placing.rs
@@ -32,6 +32,8 @@
 struct Blocked {
     kind: ErrorKind,
     detail: String,
+    /// Minimum delay of a retry by the caller; `None` if it follows from the kind.
+    min_delay: Option<Duration>,
     /// Delay before the next attempt; `None` if waiting is useless.
     retry_in: Option<Duration>,
 }
@@ -53,7 +55,7 @@
             let waited = self.state.now().since(start);
             match blocked.retry_in {
                 Some(pause) if waited + pause < max_wait => tokio::time::sleep(pause).await,
-                Some(_) | None => return Err(self.failure(blocked.kind, &blocked.detail)),
+                Some(_) | None => return Err(self.blocked_failure(&blocked)),
             }
         }
     }
@@ -64,6 +66,7 @@
             return Err(Blocked {
                 kind: ErrorKind::DeadlineExceeded,
                 detail: "no time left to send it".to_owned(),
+                min_delay: None,
                 retry_in: None,
             });
         }
@@ -72,6 +75,7 @@
             return Err(Blocked {
                 kind: ErrorKind::NoUpstream,
                 detail: "all upstreams refuse requests".to_owned(),
+                min_delay: None,
                 retry_in: Some(pause),
             });
         }
@@ -87,17 +91,37 @@
         choice.map_err(blocked)
     }
 
+    fn blocked_failure(&self, blocked: &Blocked) -> Failure {
+        match blocked.min_delay {
+            Some(min_delay) => self.failure_after(blocked.kind, &blocked.detail, min_delay),
+            None => self.failure(blocked.kind, &blocked.detail),
+        }
+    }
+
     /// Returns a failure that states whether the request may have run and when to retry.
     pub(super) fn failure(&self, kind: ErrorKind, detail: &str) -> Failure {
+        match kind {
+            ErrorKind::NoUpstream => self.failure_after(kind, detail, MIN_RETRY_NO_UPSTREAM),
+            ErrorKind::Overloaded => self.failure_after(kind, detail, MIN_RETRY_FULL),
+            _ => Failure::new(kind, detail).with_ran(self.ran()),
+        }
+    }
+
+    /// Whether the request may have run at an upstream.
+    fn ran(&self) -> Ran {
         if self.policy.ran > 0 {
-            return Failure::new(kind, detail).with_ran(Ran::Unknown);
+            Ran::Unknown
+        } else {
+            Ran::No
+        }
+    }
+
+    /// Returns a failure with a retry after `min_delay` or later, if the request has not run.
+    fn failure_after(&self, kind: ErrorKind, detail: &str, min_delay: Duration) -> Failure {
+        let failure = Failure::new(kind, detail).with_ran(self.ran());
+        if self.policy.ran > 0 {
+            return failure;
         }
-        let failure = Failure::new(kind, detail).with_ran(Ran::No);
-        let min_delay = match kind {
-            ErrorKind::NoUpstream => MIN_RETRY_NO_UPSTREAM,
-            ErrorKind::Overloaded => MIN_RETRY_FULL,
-            _ => return failure,
-        };
         let now = self.state.now();
         let mut state = self.state.lock();
         let typical = match self.kind {
@@ -120,14 +144,16 @@
 }
 
 fn blocked(refusal: Refusal) -> Blocked {
-    let (kind, retry_in) = match refusal {
-        Refusal::Empty => (ErrorKind::NoUpstream, Some(CHOOSE_INTERVAL)),
-        Refusal::Cold => (ErrorKind::Overloaded, Some(CHOOSE_INTERVAL)),
+    let (kind, min_delay, retry_in) = match refusal {
+        Refusal::Empty => (ErrorKind::NoUpstream, None, Some(CHOOSE_INTERVAL)),
+        Refusal::Cold => (ErrorKind::Overloaded, None, Some(CHOOSE_INTERVAL)),
         // Requests running and queued there take longer than a caller would wait here.
-        Refusal::Full => (ErrorKind::Overloaded, None),
+        Refusal::Full => (ErrorKind::Overloaded, None, None),
+        Refusal::Backoff(left) => (ErrorKind::Overloaded, Some(left), Some(left)),
     };
     Blocked {
         kind,
+        min_delay,
         detail: refusal.to_string(),
         retry_in,
     }
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -21,7 +21,9 @@
 
 use super::super::FleetSettings;
 use super::super::rpc::{FleetView, SeenRevisions, StateUpdate};
-use crate::lines::{Declared, Ejected, LeaseLost, LeaseWon, UpstreamChanged, ZonesClosed};
+use crate::lines::{
+    Declared, Ejected, LeaseLost, LeaseWon, UpstreamChanged, UpstreamSignal, ZonesClosed,
+};
 
 /// Margin beyond the stall of a group that lost a rank, in which its events arrive.
 const STALL_MARGIN: Duration = Duration::from_millis(200);
@@ -225,6 +227,7 @@
             ("usable", counts.usable),
             ("cold", counts.cold),
             ("ejected", counts.ejected),
+            ("backoff", counts.backoff),
             ("out", counts.out),
         ];
         for (state, count) in states {
@@ -283,6 +286,41 @@
         }
     }
 
+    /// Records that an answer of an upstream says that it is leaving or asks for a backoff.
+    pub(super) fn record_signals(
+        &self,
+        request: &str,
+        ticket: &Ticket,
+        leaving: bool,
+        backoff: Option<Duration>,
+    ) {
+        let now = self.now();
+        let newly_leaving = leaving && self.lock().balancer.record_leaving(ticket);
+        if newly_leaving {
+            self.report_signal(request, ticket, "leaving", None);
+        }
+        if let Some(backoff) = backoff {
+            self.lock().balancer.record_backoff(ticket, backoff, now);
+            self.report_signal(request, ticket, "backoff", Some(backoff.as_millis()));
+        }
+    }
+
+    fn report_signal(
+        &self,
+        request: &str,
+        ticket: &Ticket,
+        signal: &'static str,
+        for_ms: Option<u128>,
+    ) {
+        self.metrics.count("entry.signals", ("signal", signal), 1);
+        pimentotide_observe::event(&UpstreamSignal {
+            request,
+            upstream: &ticket.upstream,
+            signal,
+            for_ms,
+        });
+    }
+
     pub(super) fn finish_send(&self, ticket: &Ticket, outcome: Outcome) {
         let now = self.now();
         let ejected = self.lock().balancer.finish(ticket, outcome, now);
--- a/app/src/lines/mod.rs
+++ b/app/src/lines/mod.rs
@@ -15,7 +15,9 @@
     MemberChanged, Ordered, ProcessSeen, Ready, Reloaded, ReplicaFollowed, ReplicaLost,
     RoleChanged, Stopped, Stopping, UpstreamChanged, ZonesClosed,
 };
-pub use request::{Answered, BrokenOff, Considered, Interrupted, Placed, Refused, Routed};
+pub use request::{
+    Answered, BrokenOff, Considered, Interrupted, Placed, Refused, Routed, UpstreamSignal,
+};
 
 /// Event name and field names of one kind of log line.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -36,6 +38,7 @@
         kind::<Routed<'_>>(),
         kind::<Placed<'_>>(),
         kind::<Interrupted<'_>>(),
+        kind::<UpstreamSignal<'_>>(),
         kind::<BrokenOff<'_>>(),
         kind::<Answered<'_>>(),
         kind::<Refused<'_>>(),
--- a/app/src/lines/request.rs
+++ b/app/src/lines/request.rs
@@ -88,6 +88,19 @@
     pub after_ms: u128,
 }
 
+/// An answer of an upstream says that it is leaving or asks for a backoff.
+#[derive(Default, Serialize)]
+pub struct UpstreamSignal<'a> {
+    /// Id of the request that was answered.
+    pub request: &'a str,
+    /// Name of the upstream.
+    pub upstream: &'a str,
+    /// `leaving` or `backoff`.
+    pub signal: &'static str,
+    /// Length of the backoff, ms; `None` for an upstream that is leaving.
+    pub for_ms: Option<u128>,
+}
+
 /// A stream to the caller is aborted.
 #[derive(Default, Serialize)]
 pub struct BrokenOff<'a> {
@@ -157,6 +170,10 @@
     const EVENT: &'static str = "interrupted";
 }
 
+impl Line for UpstreamSignal<'_> {
+    const EVENT: &'static str = "upstream_signal";
+}
+
 impl Line for BrokenOff<'_> {
     const EVENT: &'static str = "broken_off";
 }
--- a/decision/fleet/src/balancer.rs
+++ b/decision/fleet/src/balancer.rs
@@ -3,7 +3,9 @@
 //! Load is the last report of an upstream plus this entry's sends since. Failing
 //! upstreams are ejected for a while, but only a limited part of a service, because
 //! with more failures the cause lies elsewhere. A cold upstream gets this entry's
-//! share of its rate limit.
+//! share of its rate limit. An upstream that says in an answer that it is leaving
+//! receives nothing more from this entry, and one that asks for a backoff nothing
+//! until its end; neither rule has an exception for retries.
 //!
 //! With many entries, a load report is stale by the time the entry sends to that
 //! upstream again, and all entries choose the same upstreams that were last reported idle.
@@ -97,6 +99,9 @@
     /// Only cold upstreams are left, and this entry's share of their rate is used up.
     #[display("upstreams cold")]
     Cold,
+    /// All upstreams asked for a backoff; the first one ends after this time.
+    #[display("all upstreams asked for a backoff")]
+    Backoff(Duration),
 }
 
 /// Number of upstreams by state.
@@ -108,7 +113,9 @@
     pub cold: usize,
     /// Ejected after failures.
     pub ejected: usize,
-    /// Draining, or in a closed zone.
+    /// Avoided because they asked for a backoff.
+    pub backoff: usize,
+    /// Draining, leaving, or in a closed zone.
     pub out: usize,
     /// In-flight requests of this entry at all upstreams.
     pub in_flight: usize,
@@ -232,9 +239,12 @@
         for upstream in self.upstreams.values() {
             let announcement = &upstream.record.announcement;
             let count = if announcement.stage == Stage::Draining
+                || upstream.leaving
                 || self.closed.contains(&announcement.zone)
             {
                 &mut counts.out
+            } else if now < upstream.backoff_until {
+                &mut counts.backoff
             } else if upstream.is_ejected(now) {
                 &mut counts.ejected
             } else if upstream.is_cold(now) {
@@ -254,7 +264,8 @@
     pub fn spare_rate(&self, service: &ServiceName, usual: Duration, now: Time) -> f64 {
         let serving = self.upstreams.values().filter(|u| {
             let announcement = &u.record.announcement;
-            announcement.service == *service && !u.gone && !self.closed.contains(&announcement.zone)
+            let open = !self.closed.contains(&announcement.zone);
+            announcement.service == *service && !u.gone && !u.leaving && open
         });
         let rates = serving.map(|u| {
             let warm = f64::from(u.slots()) / usual.as_secs_f64().max(f64::EPSILON);
@@ -308,12 +319,31 @@
         }
     }
 
+    /// Records that an upstream is shutting down; true if that is new.
+    pub fn record_leaving(&mut self, ticket: &Ticket) -> bool {
+        let upstream = self.ticket_upstream(ticket);
+        upstream.is_some_and(|u| !std::mem::replace(&mut u.leaving, true))
+    }
+
+    /// Records that an upstream asks this entry for no requests for `backoff`.
+    pub fn record_backoff(&mut self, ticket: &Ticket, backoff: Duration, now: Time) {
+        if let Some(upstream) = self.ticket_upstream(ticket) {
+            upstream.backoff_until = upstream.backoff_until.max(now + backoff);
+        }
+    }
+
+    /// Returns the upstream of a ticket unless it has restarted since.
+    fn ticket_upstream(&mut self, ticket: &Ticket) -> Option<&mut Upstream> {
+        let upstream = self.upstreams.get_mut(&ticket.upstream);
+        upstream.filter(|u| u.record.announcement.born == ticket.born)
+    }
+
     /// Chooses an upstream and counts the request as in flight there.
     ///
     /// # Errors
     ///
-    /// Fails if the service has no upstream in service, if all are full, or if only saturated
-    /// cold upstreams are left.
+    /// Fails if the service has no upstream in service, if all are full or asked for a backoff,
+    /// or if only saturated cold upstreams are left.
     pub fn choose<R>(
         &mut self,
         request: &ChoiceRequest<'_>,
@@ -327,7 +357,7 @@
             .upstreams
             .values_mut()
             .filter(|u| u.record.announcement.service == *request.service)
-            .filter(|u| u.record.announcement.stage == Stage::Ready && !u.gone)
+            .filter(|u| u.record.announcement.stage == Stage::Ready && !u.gone && !u.leaving)
             .filter(|u| !self.closed.contains(&u.record.announcement.zone))
             .collect();
         if eligible.is_empty() {
@@ -339,6 +369,11 @@
             self.position.subset_size(eligible.len()),
         );
         eligible.rotate_left(start);
+        let backoff_end = eligible.iter().map(|u| u.backoff_until).min();
+        eligible.retain(|u| now >= u.backoff_until);
+        if let (true, Some(end)) = (eligible.is_empty(), backoff_end) {
+            return Err(Refusal::Backoff(end.since(now)));
+        }
         let is_new = |u: &Upstream| !request.tried.contains(&u.record.announcement.upstream);
         if eligible.iter().any(|u| is_new(u)) {
             eligible.retain(|u| is_new(u));
@@ -395,8 +430,7 @@
 
     /// Records the outcome of a request; true if its upstream is ejected because of it.
     pub fn finish(&mut self, ticket: &Ticket, outcome: Outcome, now: Time) -> bool {
-        let upstream = self.upstreams.get_mut(&ticket.upstream);
-        let Some(upstream) = upstream.filter(|u| u.record.announcement.born == ticket.born) else {
+        let Some(upstream) = self.ticket_upstream(ticket) else {
             return false;
         };
         if outcome == Outcome::Full {
--- a/decision/fleet/src/upstream.rs
+++ b/decision/fleet/src/upstream.rs
@@ -52,6 +52,10 @@
     pub(crate) gone: bool,
     /// Time until which it is avoided because it was full.
     pub(crate) full_until: Time,
+    /// Whether it said in an answer that it is shutting down.
+    pub(crate) leaving: bool,
+    /// Time until which it asked this entry for no requests.
+    pub(crate) backoff_until: Time,
     pub(crate) cold: Option<Cold>,
     reported: Option<(Load, Time)>,
     /// Requests sent minus requests ended by this entry since the last load report.
@@ -81,6 +85,8 @@
             in_flight: 0,
             gone: false,
             full_until: Time::ZERO,
+            leaving: false,
+            backoff_until: Time::ZERO,
             cold: None,
             reported: None,
             sent_since_report: 0,
--- a/decision/fleet/tests/it/main.rs
+++ b/decision/fleet/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod members;
 mod retry;
 mod retry_after;
+mod signals;
 mod spread;
 mod state;
 mod stop;
