control: a replica whose disk was full takes part again without a restart

Now it opens its folder again and goes on from what the disk holds, as after a restart: the node starts over, the machine applies the log from its initial state. Until then it acknowledges nothing; the gauge disk_failed shows it. A write that hangs keeps the folder locked, so that this still ends in a restart. The actor's message handlers moved to a file of their own. Test: three replicas, one whose writes fail for a while, commits and reads go on with it afterwards.

--- a/app/src/fleet/control/membership.rs
+++ b/app/src/fleet/control/membership.rs
@@ -141,7 +141,7 @@
         let status = self.replica.status().await?;
         self.report_role(&status);
         if let DiskHealth::Failed(detail) = &status.disk {
-            return self.end_if_writable(detail).await;
+            return self.recover_disk(detail).await;
         }
         let me = &status.log.identity;
         if status.log.role == RoleKind::Leader {
@@ -194,6 +194,10 @@
             ("committed", log.commit.0),
             ("unsynced", log.last.index.0.saturating_sub(log.durable.0)),
             ("unapplied", log.commit.0.saturating_sub(status.applied.0)),
+            (
+                "disk_failed",
+                u64::from(matches!(status.disk, DiskHealth::Failed(_))),
+            ),
             ("members", log.config.members().count() as u64),
         ];
         for (name, value) in gauges {
@@ -201,18 +205,20 @@
         }
     }
 
-    /// Exits the process for a restart once the disk accepts writes again.
-    async fn end_if_writable(&self, detail: &str) -> Result<(), Failure> {
+    /// Takes part in the log again once the disk accepts writes.
+    ///
+    /// Exits the process for a restart if the folder cannot be opened again, as after a
+    /// write that never ended.
+    async fn recover_disk(&self, detail: &str) -> Result<(), Failure> {
         let probe = self.data.join(PROBE_FILE);
         let written =
             std::fs::write(&probe, [0; PROBE_BYTES]).and_then(|()| std::fs::remove_file(&probe));
-        match written {
-            Ok(()) => {
-                log::error!("exiting for a restart after a disk failure: {detail}");
-                std::process::exit(EXIT_DISK_FAILURE);
-            }
-            Err(e) => Err(Failure::new(ErrorKind::DiskFailed, e.to_string())),
+        written.map_err(|e| Failure::new(ErrorKind::DiskFailed, e.to_string()))?;
+        if let Err(failure) = self.replica.reopen().await {
+            log::error!("exiting for a restart after a disk failure: {detail}; {failure}");
+            std::process::exit(EXIT_DISK_FAILURE);
         }
+        Ok(())
     }
 
     /// Requests membership from each replica in turn until the leader grants it.
--- a/peers/instance/src/replica/actor.rs
+++ b/peers/instance/src/replica/actor.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix::{Actor, ActorContext, AsyncContext, Context, Handler};
+use actix::{Actor, AsyncContext, Context};
 use pimentotide_consensus::{
-    Action, Applier, ClusterId, Envelope, Event, Identity, Index, Machine, Node, Outcome,
-    ProposalId, Recovered, Reject, Ticket, Write,
+    Action, Applier, Envelope, Event, Identity, Index, Machine, Node, Outcome, ProposalId,
+    Recovered, Reject, Ticket, Write,
 };
 use pimentotide_model::{ErrorKind, Failure, InstanceName, Ran, Time};
 use tokio::sync::watch;
@@ -15,10 +15,7 @@
 use super::clock::moment;
 use super::founding;
 use super::link::Links;
-use super::message::{
-    Applied, Bootstrap, ChangeMembers, Delivery, GetStatus, Halt, Propose, Query, Read, Refusal,
-    Reply, Synced, TransferLeadership, WriteFailed,
-};
+use super::message::{Applied, Refusal, Reply};
 use super::options::ReplicaOptions;
 use super::status::{DiskHealth, LeaderView, ReplicaStatus};
 use super::writer::Writer;
@@ -33,21 +30,23 @@
 
 /// Actor of one control replica.
 pub struct Replica<M> {
-    options: ReplicaOptions,
+    pub(super) options: ReplicaOptions,
     clock: Clock,
-    node: Node,
-    applier: Applier<M>,
-    writer: Writer,
+    pub(super) node: Node,
+    pub(super) applier: Applier<M>,
+    /// State of the machine before the first entry.
+    initial: Vec<u8>,
+    pub(super) writer: Writer,
     links: Links,
     /// Messages held back until the write that they depend on is synced.
-    unsent: Vec<(Ticket, Envelope)>,
-    synced: Ticket,
+    pub(super) unsent: Vec<(Ticket, Envelope)>,
+    pub(super) synced: Ticket,
     /// Addresses that senders reported for themselves.
-    addresses: BTreeMap<InstanceName, SocketAddr>,
-    pending: BTreeMap<ProposalId, Pending>,
+    pub(super) addresses: BTreeMap<InstanceName, SocketAddr>,
+    pub(super) pending: BTreeMap<ProposalId, Pending>,
     last_proposal: u64,
     /// Write that bootstraps a new log, until it is synced.
-    bootstrap: Option<Write>,
+    pub(super) bootstrap: Option<Write>,
     disk: DiskHealth,
     /// Time of the last log line about a message addressed to another disk.
     refusal_logged_at: Option<Time>,
@@ -56,12 +55,12 @@
 }
 
 /// Request that awaits its result.
-struct Pending {
-    reply: PendingReply,
+pub(super) struct Pending {
+    pub(super) reply: PendingReply,
     deadline: Time,
 }
 
-enum PendingReply {
+pub(super) enum PendingReply {
     Command(Reply<Applied>),
     Position(Reply<Index>),
     /// Read whose position is known and not yet applied to the machine.
@@ -69,7 +68,7 @@
 }
 
 impl PendingReply {
-    fn refuse(self, refusal: Refusal) {
+    pub(super) fn refuse(self, refusal: Refusal) {
         // The requester may have dropped its receiver.
         match self {
             Self::Command(reply) => drop(reply.send(Err(refusal))),
@@ -105,6 +104,7 @@
             options,
             clock,
             node,
+            initial: parts.machine.snapshot(),
             applier: Applier::new(parts.machine),
             writer: parts.writer,
             unsent: Vec::new(),
@@ -118,20 +118,51 @@
             applied: parts.applied,
             leader: parts.leader,
         };
+        replica.restore(&actions)?;
+        replica.publish();
+        Ok(replica)
+    }
+
+    /// Restores the machine from the snapshot that the node recovered, if there is one.
+    fn restore(&mut self, actions: &[Action]) -> Result<(), Failure> {
         for action in actions {
-            if let Action::Restore(snapshot) = &action {
-                replica
-                    .applier
+            if let Action::Restore(snapshot) = action {
+                self.applier
                     .restore(snapshot.meta.last.index, &snapshot.data)
                     .map_err(|e| Failure::new(ErrorKind::DiskFailed, e.to_string()))?;
             }
         }
-        replica.publish();
-        Ok(replica)
+        Ok(())
+    }
+
+    /// Continues from what the disk holds, after it failed for a while.
+    ///
+    /// The node starts over as after a restart of the process, and the machine applies
+    /// the log again from its initial state.
+    pub(super) fn reopen(&mut self, writer: Writer, recovered: Recovered) -> Result<(), Failure> {
+        let seed = rand::random();
+        let (node, actions) = Node::start(recovered, self.options.log, seed, moment(self.clock));
+        self.applier
+            .restore(Index(0), &self.initial)
+            .map_err(|e| Failure::new(ErrorKind::Internal, e.to_string()))?;
+        self.restore(&actions)?;
+        self.node = node;
+        self.writer = writer;
+        self.synced = Ticket(0);
+        self.bootstrap = None;
+        self.disk = DiskHealth::Good;
+        log::info!("the disk of {} works again", self.options.name);
+        self.publish();
+        Ok(())
+    }
+
+    /// Whether the disk has failed.
+    pub(super) fn has_failed(&self) -> bool {
+        matches!(self.disk, DiskHealth::Failed(_))
     }
 
     /// Passes an event to the state machine and carries out the resulting actions.
-    fn step(&mut self, event: Event) {
+    pub(super) fn step(&mut self, event: Event) {
         let actions = self.node.step(event, moment(self.clock));
         for action in actions {
             self.execute(action);
@@ -172,7 +203,7 @@
         }
     }
 
-    fn send(&mut self, envelope: Envelope) {
+    pub(super) fn send(&mut self, envelope: Envelope) {
         let name = &envelope.to.name;
         let member = self.node.config().member(name).map(|m| m.address);
         let reported = || self.addresses.get(name).copied();
@@ -260,7 +291,7 @@
     }
 
     /// Registers a request and returns its id for the state machine.
-    fn register(&mut self, reply: PendingReply) -> ProposalId {
+    pub(super) fn register(&mut self, reply: PendingReply) -> ProposalId {
         self.last_proposal += 1;
         let id = ProposalId(self.last_proposal);
         let deadline = self.clock.now() + self.options.request_timeout;
@@ -354,8 +385,8 @@
     }
 
     /// Marks the disk as failed; the replica no longer takes part in the log.
-    fn fail(&mut self, detail: &str) {
-        if matches!(self.disk, DiskHealth::Failed(_)) {
+    pub(super) fn fail(&mut self, detail: &str) {
+        if self.has_failed() {
             return;
         }
         log::error!(
@@ -398,7 +429,7 @@
     }
 
     /// Starts from the bootstrap write once it is synced.
-    fn start_bootstrapped(&mut self, write: Write) {
+    pub(super) fn start_bootstrapped(&mut self, write: Write) {
         let Some(hard) = write.hard else {
             return;
         };
@@ -413,7 +444,7 @@
         self.publish();
     }
 
-    fn status(&self) -> ReplicaStatus {
+    pub(super) fn status(&self) -> ReplicaStatus {
         ReplicaStatus {
             log: self.node.status(moment(self.clock)),
             address: self.options.address,
@@ -439,106 +470,3 @@
         }
     }
 }
-
-macro_rules! handlers {
-    ($($message:ty, |$replica:ident, $received:pat_param, $ctx:pat_param| $body:block)*) => {$(
-        impl<M> Handler<$message> for Replica<M>
-        where
-            M: Machine + Send + Unpin + 'static,
-        {
-            type Result = ();
-
-            fn handle(&mut self, $received: $message, $ctx: &mut Self::Context) {
-                let $replica = self;
-                $body
-            }
-        }
-    )*};
-}
-
-handlers! {
-    Delivery, |replica, delivery, _| {
-        if replica.bootstrap.is_some() {
-            return;
-        }
-        for envelope in delivery.envelopes {
-            replica.addresses.insert(envelope.from.name.clone(), delivery.address);
-            replica.step(Event::Receive(envelope));
-        }
-    }
-    Synced, |replica, Synced(ticket), _| {
-        replica.writer.synced(ticket);
-        if let Some(write) = replica.bootstrap.take() {
-            replica.start_bootstrapped(write);
-            return;
-        }
-        replica.synced = replica.synced.max(ticket);
-        let (ready, unsent) = std::mem::take(&mut replica.unsent)
-            .into_iter()
-            .partition::<Vec<_>, _>(|(after, _)| *after <= ticket);
-        replica.unsent = unsent;
-        for (_, envelope) in ready {
-            replica.send(envelope);
-        }
-        replica.step(Event::Synced(ticket));
-    }
-    WriteFailed, |replica, WriteFailed(detail), _| {
-        replica.fail(&detail);
-    }
-    Propose, |replica, request, _| {
-        let id = replica.register(PendingReply::Command(request.reply));
-        replica.step(Event::Propose(id, request.command.into()));
-    }
-    Read, |replica, request, _| {
-        let id = replica.register(PendingReply::Position(request.reply));
-        replica.step(Event::Read(id));
-    }
-    ChangeMembers, |replica, request, _| {
-        log::info!("member change requested: {}", request.change);
-        let id = replica.register(PendingReply::Command(request.reply));
-        replica.step(Event::Change(id, request.change));
-    }
-    GetStatus, |replica, request, _| {
-        // The requester may have dropped its receiver.
-        let _ = request.reply.send(replica.status());
-    }
-    Bootstrap, |replica, request, _| {
-        let empty = Recovered {
-            hard: replica.node.hard().clone(),
-            snapshot: None,
-            entries: Vec::new(),
-        };
-        let cluster = ClusterId(rand::random());
-        if let Some(write) = Node::bootstrap(&empty, cluster, request.config) {
-            replica.bootstrap = Some(write.clone());
-            replica.writer.write(write);
-        }
-    }
-    TransferLeadership, |replica, _, _| {
-        replica.step(Event::Transfer);
-    }
-    Halt, |replica, request, ctx| {
-        let thread = replica.writer.close();
-        for pending in std::mem::take(&mut replica.pending).into_values() {
-            let failure = Failure::new(ErrorKind::Stopping, "the replica stops");
-            pending.reply.refuse(Refusal::from(failure.with_ran(Ran::Unknown)));
-        }
-        if thread.is_some_and(|t| t.join().is_err()) {
-            log::error!("the writer thread of {} panicked", replica.options.name);
-        }
-        // The requester may have dropped its receiver.
-        let _ = request.done.send(());
-        ctx.stop();
-    }
-}
-
-impl<M> Handler<Query<M>> for Replica<M>
-where
-    M: Machine + Send + Unpin + 'static,
-{
-    type Result = ();
-
-    fn handle(&mut self, Query(run): Query<M>, _: &mut Self::Context) {
-        run(self.applier.machine(), self.applier.applied());
-    }
-}
--- a/peers/instance/src/replica/handle.rs
+++ b/peers/instance/src/replica/handle.rs
@@ -18,7 +18,7 @@
 use super::link::TIMEOUTS;
 use super::message::{
     Applied, ChangeMembers, Delivery, GetStatus, Halt, Introduction, Propose, Query, Read, Refusal,
-    Synced, TransferLeadership, WriteFailed,
+    Reopen, Synced, TransferLeadership, WriteFailed,
 };
 use super::options::ReplicaOptions;
 use super::rpc;
@@ -145,7 +145,20 @@
     })
 }
 
-/// Builds the callback by which the writer reports to the actor.
+/// Builds the callback by which a writer reports to a running actor.
+pub(super) fn report_to<M>(
+    replica: Addr<Replica<M>>,
+) -> impl Fn(Result<pimentotide_consensus::Ticket, StorageError>) + Send + 'static
+where
+    M: Machine + Send + Unpin + 'static,
+{
+    move |done| match done {
+        Ok(ticket) => replica.do_send(Synced(ticket)),
+        Err(e) => replica.do_send(WriteFailed(e.to_string())),
+    }
+}
+
+/// Builds the callback by which the first writer reports to the actor.
 ///
 /// Its first call waits for the address of the actor.
 fn reporter<M>(
@@ -162,12 +175,8 @@
             // Cannot fail: the cell is empty.
             let _ = replica.set(address);
         }
-        let Some(replica) = replica.get() else {
-            return;
-        };
-        match done {
-            Ok(ticket) => replica.do_send(Synced(ticket)),
-            Err(e) => replica.do_send(WriteFailed(e.to_string())),
+        if let Some(replica) = replica.get() {
+            report_to(replica.clone())(done);
         }
     }
 }
@@ -224,6 +233,25 @@
         answer.await.map_err(|_| stopped())
     }
 
+    /// Opens the data folder again after the disk failed, and takes part in the log again.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder cannot be opened, also while a write that hangs still uses it.
+    pub async fn reopen(&self) -> Result<(), Failure> {
+        let (folder, name) = (self.options.folder.clone(), self.options.name.clone());
+        let opened = tokio::task::spawn_blocking(move || open(&folder, &name))
+            .await
+            .map_err(|e| Failure::new(ErrorKind::Internal, e.to_string()))??;
+        let (reply, answer) = oneshot::channel();
+        self.replica.do_send(Reopen {
+            storage: opened.storage,
+            recovered: opened.recovered,
+            reply,
+        });
+        answer.await.map_err(|_| stopped())?
+    }
+
     /// Status of the replica; fails once it has stopped.
     pub async fn status(&self) -> Result<ReplicaStatus, Failure> {
         let (reply, answer) = oneshot::channel();
--- a/peers/instance/src/replica/message.rs
+++ b/peers/instance/src/replica/message.rs
@@ -3,8 +3,11 @@
 use std::net::SocketAddr;
 
 use actix::Message;
-use pimentotide_consensus::{Change, ClusterId, Config, Envelope, Identity, Index, Ticket};
+use pimentotide_consensus::{
+    Change, ClusterId, Config, Envelope, Identity, Index, Recovered, Ticket,
+};
 use pimentotide_model::Failure;
+use pimentotide_storage::{Folder, Storage};
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
@@ -106,6 +109,15 @@
     pub(super) done: oneshot::Sender<()>,
 }
 
+/// Continues on a storage that was opened again after the disk failed.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(super) struct Reopen {
+    pub(super) storage: Storage<Folder>,
+    pub(super) recovered: Recovered,
+    pub(super) reply: oneshot::Sender<Result<(), Failure>>,
+}
+
 /// Reports that all writes up to this ticket are synced.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
--- a/peers/instance/src/replica/mod.rs
+++ b/peers/instance/src/replica/mod.rs
@@ -10,6 +10,7 @@
 mod clock;
 mod founding;
 mod handle;
+mod handlers;
 mod link;
 mod message;
 mod options;
--- a/peers/instance/tests/it/replica.rs
+++ b/peers/instance/tests/it/replica.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use pimentotide_consensus::{Index, Machine, RestoreError, RoleKind};
-use pimentotide_instance::replica::{Replica, ReplicaHandle, ReplicaOptions, module};
+use pimentotide_instance::replica::{DiskHealth, Replica, ReplicaHandle, ReplicaOptions, module};
 use pimentotide_instance::{PeerServer, Token};
 use pimentotide_model::{ErrorKind, InstanceName, Time};
 use tempfile::TempDir;
@@ -240,3 +240,46 @@
         replica.stop().await;
     }
 }
+
+/// A disk that is full refuses writes for a while. Its replica must acknowledge nothing
+/// meanwhile and take part again afterwards, without a restart and with everything committed.
+#[actix_rt::test]
+async fn replica_takes_part_again_once_its_disk_accepts_writes() {
+    let deployment = Deployment::new(3);
+    let mut running = deployment.start_all().await;
+    until("the bootstrap", async || running[0].voters().await == 3).await;
+    let led = leader(&running).await;
+    let failing = (led + 1) % 3;
+    for number in 0..30 {
+        propose(&running[led], &format!("command {number}")).await;
+    }
+    // A folder in the place of the temporary file makes the next change of the term fail.
+    let obstacle = deployment.folder(failing).join("state.tmp");
+    std::fs::create_dir(&obstacle).unwrap();
+    let stopped = running.remove(led);
+    let failing = failing - usize::from(failing > led);
+    stopped.stop().await;
+    until("the failure", async || {
+        let status = running[failing].handle.status().await.unwrap();
+        matches!(status.disk, DiskHealth::Failed(_))
+    })
+    .await;
+    let refused = running[failing].handle.propose(b"lost".to_vec()).await;
+    assert_eq!(refused.unwrap_err().kind, ErrorKind::DiskFailed);
+    assert_eq!(
+        running[failing].handle.reopen().await.unwrap_err().kind,
+        ErrorKind::DiskFailed
+    );
+
+    std::fs::remove_dir(&obstacle).unwrap();
+    running[failing].handle.reopen().await.unwrap();
+    let (_, answer) = propose(&running[failing], "after the failure").await;
+    assert_eq!(answer, b"31");
+    for replica in &running {
+        replica.handle.read_index().await.unwrap();
+        assert_eq!(replica.commands().await.len(), 31);
+    }
+    for replica in running {
+        replica.stop().await;
+    }
+}
