directory: each caller is told its own part of the entries, if there are more than fit

Each caller now gets the 64 with the lowest hashes of caller and entry: even over the callers, and stable while entries come and go. Test without network: with the list cut as before, 32 entries are listed for nobody.

--- a/app/src/fleet/control/roster.rs
+++ b/app/src/fleet/control/roster.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use pimentotide_fleet::list_entries;
 use pimentotide_platform::{Directory, Entries, Place};
 
 use super::super::FleetSettings;
@@ -156,11 +157,9 @@
 }
 
 impl Directory for RosterDirectory {
-    fn entries(&self, _place: &Place) -> Entries {
-        let mut addresses = self.roster.entries();
-        addresses.truncate(MAX_ADDRESSES);
+    fn entries(&self, place: &Place) -> Entries {
         Entries {
-            addresses,
+            addresses: list_entries(self.roster.entries(), place, MAX_ADDRESSES),
             ttl: self.ttl,
         }
     }
--- a/app/src/fleet/entry/callers.rs
+++ b/app/src/fleet/entry/callers.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pimentotide_fleet::list_entries;
 use pimentotide_platform::{Directory, Entries, Place};
 
 use super::super::FleetSettings;
@@ -26,11 +27,9 @@
 }
 
 impl Directory for CallerDirectory {
-    fn entries(&self, _place: &Place) -> Entries {
-        let mut addresses = self.state.entry_addresses();
-        addresses.truncate(MAX_ADDRESSES);
+    fn entries(&self, place: &Place) -> Entries {
         Entries {
-            addresses,
+            addresses: list_entries(self.state.entry_addresses(), place, MAX_ADDRESSES),
             ttl: self.ttl,
         }
     }
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod declaration;
 mod entries;
 mod gate;
+mod listing;
 mod members;
 mod rate;
 mod retry;
@@ -32,6 +33,7 @@
 };
 pub use entries::{EntryCount, EntryRecord};
 pub use gate::{Admission, ServiceGate};
+pub use listing::list_entries;
 pub use members::{MemberView, Repair, RepairOptions, repair};
 pub use rate::RateLimit;
 pub use retry::{Ended, Limit, Next, Policy, Step, is_in_time, next_step};
--- a/decision/fleet/tests/it/main.rs
+++ b/decision/fleet/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod declaration;
 mod entries;
 mod gate;
+mod listing;
 mod members;
 mod retry;
 mod retry_after;
