agent: hold the next pass of a switch, and see a shift of demand sooner

A small group is armed in a fraction of a pass: the next pass is held; in a relayed group the one after it. Checks each 60 ms, a first plan from 120 ms of demand.

The exhaustive search of a switch runs for both distances; the checks that show each protection needed keep the distance of three passes, with which passes begin while ranks are armed.

--- a/app/src/fleet/agent/coordinate.rs
+++ b/app/src/fleet/agent/coordinate.rs
@@ -19,7 +19,7 @@
 use crate::lines::ExpertsMoved;
 
 /// Time between checks of the expert demand.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const CHECK_INTERVAL: Duration = Duration::from_millis(60);
 /// Time between checks in a group whose messages are relayed.
 const RELAYED_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Ratio of maximum to mean rank load from which experts are moved.
@@ -29,7 +29,7 @@
 /// Ratio of maximum to mean rank load from which experts are moved after [`SHORT_WINDOW`].
 const URGENT_IMBALANCE: f64 = 1.8;
 /// Time over which demand is observed before an urgent change.
-const SHORT_WINDOW: Duration = Duration::from_millis(180);
+const SHORT_WINDOW: Duration = Duration::from_millis(120);
 /// Time over which demand is observed before any other change, so that noise triggers none.
 const LONG_WINDOW: Duration = Duration::from_millis(500);
 /// Ratio of maximum to mean rank load that a new placement aims for.
--- a/app/src/fleet/agent/ranks.rs
+++ b/app/src/fleet/agent/ranks.rs
@@ -28,6 +28,12 @@
 
 /// Timeout of a request sent directly to a remote engine.
 const DIRECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Passes from the last one begun to the one that is held for a switch.
+///
+/// Arming a small group takes a fraction of a pass.
+const PASS_LEAD: u64 = 1;
+/// The same in a group whose messages are relayed.
+const RELAYED_PASS_LEAD: u64 = 2;
 /// Maximum number of ranks that one agent exchanges messages with itself.
 const MAX_DIRECT_RANKS: usize = 24;
 
@@ -341,6 +347,14 @@
         self.routes.len()
     }
 
+    fn pass_lead(&self) -> u64 {
+        if self.is_relayed() {
+            RELAYED_PASS_LEAD
+        } else {
+            PASS_LEAD
+        }
+    }
+
     async fn report(&self, rank: usize) -> Option<EngineReport> {
         let report = match &self.routes[rank] {
             RankRoute::Local => self.engine.report().await,
--- a/decision/experts/src/even/switch.rs
+++ b/decision/experts/src/even/switch.rs
@@ -30,8 +30,6 @@
 
 /// Rank of the coordinator, which holds passes.
 const COORDINATOR_RANK: usize = 0;
-/// Distance from the last pass begun to the pass that is held.
-const PASS_LEAD: u64 = 3;
 /// Attempts to hold a pass before it begins.
 const MAX_HOLD_ATTEMPTS: u32 = 3;
 /// Attempts to get an order accepted by all ranks.
@@ -39,9 +37,9 @@
 /// Delay between attempts.
 const RETRY_INTERVAL: Duration = Duration::from_millis(40);
 /// Polls for loaded experts before the map is abandoned.
-const MAX_PREPARE_POLLS: u32 = 60;
+const MAX_PREPARE_POLLS: u32 = 120;
 /// Delay between these polls.
-const PREPARE_POLL_INTERVAL: Duration = Duration::from_millis(80);
+const PREPARE_POLL_INTERVAL: Duration = Duration::from_millis(40);
 /// Attempts at each step of an undo or release before the coordinator starts over.
 const MAX_UNDO_ATTEMPTS: u32 = 200;
 
@@ -50,6 +48,11 @@
     /// Number of ranks in the group.
     fn size(&self) -> usize;
 
+    /// Distance from the last pass begun to the pass that is held.
+    ///
+    /// Passes before that one run while the ranks are armed; the group waits for the rest.
+    fn pass_lead(&self) -> u64;
+
     /// Requests the report of a rank; `None` if it does not answer.
     fn report(&self, rank: usize) -> impl Future<Output = Option<EngineReport>>;
 
@@ -195,7 +198,7 @@
             let Some(report) = ranks.report(COORDINATOR_RANK).await else {
                 continue;
             };
-            let step = report.step + PASS_LEAD;
+            let step = report.step + ranks.pass_lead();
             let hold = self.fenced(EngineOrder::Hold { step });
             match ranks.order(COORDINATOR_RANK, hold).await {
                 Some(OrderAnswer::Accepted) => return HoldOutcome::Held(step),
--- a/decision/experts/tests/it/even_exhaustive.rs
+++ b/decision/experts/tests/it/even_exhaustive.rs
@@ -12,6 +12,8 @@
 
 /// Maximum number of faults in one switch.
 const MAX_FAULTS: u32 = 3;
+/// Distance to the held pass with which several passes begin while the ranks are armed.
+const LONG_PASS_LEAD: u64 = 3;
 /// Passes after which every late order has been applied.
 const SETTLING_PASSES: u64 = 60;
 
@@ -44,9 +46,10 @@
     switched: bool,
 }
 
-fn play(script: Script, skipped: SkippedChecks) -> (Script, Outcome) {
+fn play(script: Script, skipped: SkippedChecks, pass_lead: u64) -> (Script, Outcome) {
     let (old, new) = maps();
     let group = Group::new(3, &old, 0, NO_FAULTS, skipped);
+    group.set_pass_lead(pass_lead);
     group.use_script(script);
     // The coordinator may hang, which leaves its earlier orders in effect.
     let _ = switch(1, 7, &old, &new).run(&group).now_or_never();
@@ -82,9 +85,18 @@
 
 #[test]
 fn three_faults_never_cause_two_maps_or_a_held_group() {
+    search(LONG_PASS_LEAD);
+}
+
+#[test]
+fn three_faults_never_cause_two_maps_if_the_next_pass_is_held() {
+    search(1);
+}
+
+fn search(pass_lead: u64) {
     let (mut switched, mut found) = (0, Vec::new());
     let played = explore(MAX_FAULTS, &mut |script| {
-        let (script, outcome) = play(script, SkippedChecks::default());
+        let (script, outcome) = play(script, SkippedChecks::default(), pass_lead);
         switched += usize::from(outcome.switched);
         if outcome.violation.is_some() || outcome.held {
             found.push(format!("{script:?}: {outcome:?}"));
@@ -111,7 +123,7 @@
                 // One violation is enough: a script without orders ends the search.
                 return Script::default();
             }
-            let (script, outcome) = play(script, skipped);
+            let (script, outcome) = play(script, skipped, LONG_PASS_LEAD);
             violations += usize::from(outcome.violation.is_some());
             script
         });
--- a/decision/experts/tests/it/even_group.rs
+++ b/decision/experts/tests/it/even_group.rs
@@ -53,6 +53,8 @@
     skipped: SkippedChecks,
     /// Remaining orders until the coordinator hangs.
     order_limit: Option<u32>,
+    /// Distance from the last pass begun to the pass that is held.
+    pass_lead: u64,
     /// Whether orders take a random number of polls to arrive.
     delayed: bool,
     epoch: u64,
@@ -91,6 +93,7 @@
                 faults,
                 skipped,
                 order_limit: None,
+                pass_lead: 3,
                 delayed: false,
                 epoch: FIRST_EPOCH,
                 initial: old.clone(),
@@ -122,6 +125,11 @@
         self.state.borrow_mut().order_limit = orders;
     }
 
+    /// Sets the distance from the last pass begun to the pass that is held.
+    pub(crate) fn set_pass_lead(&self, passes: u64) {
+        self.state.borrow_mut().pass_lead = passes;
+    }
+
     /// Delays orders and reports, so that two coordinators interleave.
     pub(crate) fn delay_messages(&self) {
         self.state.borrow_mut().delayed = true;
@@ -428,6 +436,10 @@
         self.state.borrow().ranks.len()
     }
 
+    fn pass_lead(&self) -> u64 {
+        self.state.borrow().pass_lead
+    }
+
     async fn report(&self, rank: usize) -> Option<EngineReport> {
         let report = self.state.borrow().report(rank);
         self.delay().await;
--- a/dev/soak/src/cluster.rs
+++ b/dev/soak/src/cluster.rs
@@ -214,8 +214,13 @@
     pub(crate) async fn stop_entry(&self, entry: &mut Member) {
         let signalled = self.recorder.now();
         entry.process.terminate();
-        let end = Instant::now() + STOP_TIMEOUT;
-        while Instant::now() < end && !entry.process.has_exited() {
+        let start = Instant::now();
+        let mut overdue = false;
+        while start.elapsed() < STOP_TIMEOUT && !entry.process.has_exited() {
+            if !overdue && start.elapsed() > Duration::from_secs(GRACE_S) {
+                overdue = true;
+                self.record_overdue(entry, signalled);
+            }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
         let code = entry.process.exit_code();
@@ -224,6 +229,16 @@
         self.recorder.history().stops.push((signalled, ended, code));
     }
 
+    /// Writes what the threads of an entry wait for beside its log, for the trace of a late exit.
+    fn record_overdue(&self, entry: &Member, signalled: u64) {
+        let path = entry
+            .settings
+            .with_extension(format!("overdue-{signalled}"));
+        if let Err(e) = fs::write(&path, entry.process.thread_states()) {
+            eprintln!("{}: {e}", path.display());
+        }
+    }
+
     /// Copies the logs to a folder that outlives the soak.
     pub(crate) fn keep_logs(&self) -> PathBuf {
         let copy = std::env::temp_dir().join(format!("soak-{}", std::process::id()));
--- a/support/process/src/process.rs
+++ b/support/process/src/process.rs
@@ -75,6 +75,23 @@
         self.signal("HUP");
     }
 
+    /// Describes what each thread waits for: its name, state and kernel function, one a line.
+    pub fn thread_states(&self) -> String {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id()));
+        let lines = tasks.into_iter().flatten().flatten().map(|task| {
+            let read = |name: &str| {
+                // A thread that ends meanwhile has no files.
+                let text = std::fs::read_to_string(task.path().join(name));
+                text.unwrap_or_default().trim().to_owned()
+            };
+            let stat = read("stat");
+            let state = stat.rsplit_once(") ").map_or("", |(_, rest)| rest);
+            let state = state.split(' ').next().unwrap_or_default();
+            format!("{} {state} {}\n", read("comm"), read("wchan"))
+        });
+        lines.collect()
+    }
+
     /// Returns the exit code; `None` while the process runs or if a signal ended it.
     pub fn exit_code(&mut self) -> Option<i32> {
         self.child.try_wait().ok().flatten()?.code()
