agent: a group is released although the coordinator's instance and its rank are frozen

It carries the coordinator and rank 0, and the pass was held at rank 0, so nobody could reach the hold: the group stood for as long as the freeze, and requests of callers that had left stayed at the engines (GONE). The rescue also waited for every rank, rank 0 included.

Now a pass is held at rank 1, by an order straight from the coordinator, and the coordinator's own rank is armed last, after all others have confirmed. The rescue fences off the ranks that it reaches. One of them unarmed proves that the coordinator can never arm its own, so the others are disarmed and the pass is released without rank 0. It needs no map, only short orders. An undo disarms rank 0 first, for the same proof. Only with all others armed, within two local orders of the end, does the group still wait.

Test: the coordinator freezes before each of its orders and resumes at each poll of the rescue, 2 to 4 ranks: never two maps, always released but before the last two orders.

--- a/app/src/fleet/agent/coordinate.rs
+++ b/app/src/fleet/agent/coordinate.rs
@@ -127,7 +127,7 @@
             return Ok(interval);
         };
         let armed = states.iter().any(|s| s.report.armed.is_some());
-        if let Some(step) = first.report.held {
+        if let Some(step) = states.iter().find_map(|s| s.report.held) {
             let version = self.next_version(&states);
             group
                 .release(step, version, placement, "left held back")
--- a/app/src/fleet/agent/ranks.rs
+++ b/app/src/fleet/agent/ranks.rs
@@ -12,7 +12,7 @@
 use futures_util::future::join_all;
 use pimentotide_experts::{
     EngineOrder, EngineReport, FencedOrder, HeldExperts, OrderAnswer, Placement, PlacementChange,
-    Ranks, RelayTree, Switch,
+    Ranks, RelayTree, Switch, SwitchEnding,
 };
 use pimentotide_instance::PeerClient;
 use pimentotide_model::{ErrorKind, Failure, ZoneName};
@@ -27,7 +27,7 @@
 use crate::lines::GroupReleased;
 
 /// Timeout of a request sent directly to a remote engine.
-const DIRECT_TIMEOUT: Duration = Duration::from_millis(300);
+const DIRECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Passes from the last one begun to the one that is held for a switch.
 ///
 /// Arming a small group takes a fraction of a pass.
@@ -186,11 +186,19 @@
             new: placement,
         };
         let ending = switch.undo(self, step).await;
-        pimentotide_observe::event(&GroupReleased {
-            step,
-            ending: ending.to_string(),
-            reason,
-        });
+        report_release(step, ending, reason);
+    }
+
+    /// Releases a pass that a failed coordinator left held.
+    pub(super) async fn rescue(&self, step: u64, version: u64) {
+        let switch = Switch {
+            epoch: self.seat.epoch,
+            version,
+            old: Placement::new(),
+            new: Placement::new(),
+        };
+        let ending = switch.rescue(self, step).await;
+        report_release(step, ending, "the coordinator is silent");
     }
 
     /// Returns an order to prepare a placement as a change; `None` for other orders and versions.
@@ -266,16 +274,6 @@
         }
     }
 
-    /// Returns the experts that a rank holds.
-    pub(super) async fn held(&self, rank: usize) -> Result<HeldExperts, Failure> {
-        let request = StateRequest {
-            held: true,
-            counts: false,
-        };
-        let held = self.state(rank, request).await?.held;
-        held.ok_or_else(|| Failure::new(ErrorKind::Internal, "the state lacks the held experts"))
-    }
-
     /// Sends a message to the remote ranks among `ranks` whose agents answer.
     async fn relay(&self, ranks: &[usize], task: RelayTask) -> Merged {
         let remote = ranks.iter().filter_map(|rank| match &self.routes[*rank] {
@@ -299,6 +297,14 @@
     }
 }
 
+fn report_release(step: u64, ending: SwitchEnding, reason: &'static str) {
+    pimentotide_observe::event(&GroupReleased {
+        step,
+        ending: ending.to_string(),
+        reason,
+    });
+}
+
 /// Answer of the agent of a rank.
 enum AgentAnswer<T> {
     /// The agent answered, possibly that its engine failed.
@@ -338,6 +344,11 @@
     )
 }
 
+/// Whether an order holds or releases a pass.
+fn is_about_pass(order: &EngineOrder) -> bool {
+    matches!(order, EngineOrder::Hold { .. } | EngineOrder::Go { .. })
+}
+
 fn engine_failure(error: &EngineError) -> Failure {
     Failure::new(ErrorKind::UpstreamFailed, error.to_string())
 }
@@ -375,6 +386,17 @@
     async fn order(&self, rank: usize, order: FencedOrder) -> Option<OrderAnswer> {
         let answer = match &self.routes[rank] {
             RankRoute::Local => self.engine.order(order.clone()).await,
+            // The agent beside the holder may fail in the middle of a switch, so that it is not
+            // involved in holding passes.
+            RankRoute::Remote(remote) if is_about_pass(&order.order) => {
+                match remote.engine.order(&order, DIRECT_TIMEOUT).await {
+                    Ok(answer) => Ok(answer),
+                    Err(failure) => {
+                        log::info!("rank {rank}: {failure}; its agent forwards {}", order.order);
+                        remote_order(&remote.agent, &order, None).await
+                    }
+                }
+            }
             RankRoute::Remote(remote) => {
                 let ordered = remote_order(&remote.agent, &order, self.delta(&order));
                 match remote.ask_agent(ordered).await {
--- a/app/src/fleet/agent/rescue.rs
+++ b/app/src/fleet/agent/rescue.rs
@@ -1,21 +1,19 @@
 //! Resumes a group whose coordinator failed while a pass was held.
 //!
 //! The agent of the next rank detects that its engine has work but makes no
-//! passes. If rank 0 holds a pass, the agent undoes the switch under a higher
-//! version, which fences off the old coordinator, and releases the pass. It
-//! reaches rank 0 without the agent there, which is the one that failed.
+//! passes. If a pass is held, the agent fences off the old coordinator under a
+//! higher version, disarms the ranks and releases the pass. It does not wait for
+//! the agent of rank 0, which is the one that failed.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use futures_util::future::join_all;
 use pimentotide_experts::{EngineReport, Ranks};
-use pimentotide_model::Failure;
 
 use super::super::beacon::Seat;
 use super::super::unix_millis;
 use super::engine::EngineHandle;
-use super::ranks::{Group, Peers, placement};
+use super::ranks::{Group, Peers};
 
 /// Time between checks of the local engine.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -48,10 +46,8 @@
         if !is_stuck(&report, seat.rank, stuck_for) {
             continue;
         }
-        if let Some(group) = peers.group(&seat, report.size)
-            && let Err(failure) = rescue(&group).await
-        {
-            log::warn!("cannot release the held pass: {failure}");
+        if let Some(group) = peers.group(&seat, report.size) {
+            rescue(&group).await;
         }
     }
 }
@@ -62,27 +58,23 @@
     open && work && stuck_for >= STUCK_TIMEOUT + RANK_DELAY * u32::from(rank - 1)
 }
 
-async fn rescue(group: &Group) -> Result<(), Failure> {
-    group.avoid_agent(0);
-    let Some(first) = group.report(0).await else {
-        return Ok(());
+async fn rescue(group: &Group) {
+    group.avoid_agent(COORDINATOR_RANK);
+    let Some(report) = group.report(group.holder()).await else {
+        return;
     };
-    let Some(step) = first.held else {
-        return Ok(());
+    let Some(step) = report.held else {
+        return;
     };
-    let held = join_all((0..group.size()).map(|rank| group.held(rank))).await;
-    let held = held.into_iter().collect::<Result<Vec<_>, _>>()?;
-    let placement = placement(&held);
-    let highest = first
+    let highest = report
         .map
-        .max(first.armed.unwrap_or(0))
-        .max(first.prepared.unwrap_or(0));
+        .max(report.armed.unwrap_or(0))
+        .max(report.prepared.unwrap_or(0));
     let version = unix_millis().max(highest + VERSION_MARGIN);
-    group
-        .release(step, version, placement, "the coordinator is silent")
-        .await;
-    Ok(())
+    group.rescue(step, version).await;
 }
 
+/// Rank whose agent coordinates the group.
+const COORDINATOR_RANK: usize = 0;
 /// Versions reserved for orders that an unresponsive coordinator may still send.
 const VERSION_MARGIN: u64 = 100;
--- a/decision/experts/src/even/switch.rs
+++ b/decision/experts/src/even/switch.rs
@@ -6,9 +6,10 @@
 //! 1. Every rank prepares the map. Its version is higher than any before and is
 //!    the fencing token of all orders of the switch, so orders of an earlier
 //!    switch are rejected from here on.
-//! 2. Rank 0 holds a pass that has not begun. Until the pass is released, it
-//!    begins on no rank.
-//! 3. Every rank is armed for that pass.
+//! 2. One rank holds a pass that has not begun. Until the pass is released, it
+//!    begins on no rank. That rank is not on the coordinator's instance, so that
+//!    others can release the pass if that instance fails.
+//! 3. Every rank is armed for that pass, the coordinator's own one last.
 //! 4. If all have confirmed, the pass is released and all switch when it begins.
 //! 5. Otherwise the pass is held again under a newer version, which fences off
 //!    older coordinators, and every rank is disarmed and prepares the old map
@@ -16,10 +17,16 @@
 //!    longer prepared and carries an outdated fencing token, so it has no effect.
 //!    The pass is released only when all ranks have confirmed.
 //!
+//! If the coordinator fails while a pass is held, another process fences off all
+//! ranks that it reaches, disarms them and releases the pass. It need not reach the
+//! coordinator's rank: that one is armed only after all others have confirmed, so
+//! if one of the others is unarmed and fenced off, it never will be. For the same
+//! reason an undo disarms the coordinator's rank before any other.
+//!
 //! Each order names the epoch of the group. When a rank is lost, the group is
 //! formed again with the initial map, and nothing is armed or held.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::time::Duration;
 
@@ -28,7 +35,7 @@
 
 use super::{EngineOrder, EngineReport, FencedOrder, OrderAnswer, Placement};
 
-/// Rank of the coordinator, which holds passes.
+/// Rank on the coordinator's instance.
 const COORDINATOR_RANK: usize = 0;
 /// Attempts to hold a pass before it begins.
 const MAX_HOLD_ATTEMPTS: u32 = 3;
@@ -48,6 +55,11 @@
     /// Number of ranks in the group.
     fn size(&self) -> usize;
 
+    /// Rank at which passes are held; not the coordinator's unless there is no other.
+    fn holder(&self) -> usize {
+        usize::from(self.size() > 1)
+    }
+
     /// Distance from the last pass begun to the pass that is held.
     ///
     /// Passes before that one run while the ranks are armed; the group waits for the rest.
@@ -147,7 +159,10 @@
             version: self.version,
             step,
         };
-        if self.order_all(ranks, &arm).await {
+        let others = (0..ranks.size()).filter(|rank| *rank != COORDINATOR_RANK);
+        if self.order_all(ranks, others.collect(), &arm).await
+            && self.order_all(ranks, vec![COORDINATOR_RANK], &arm).await
+        {
             self.release(ranks, step).await;
             return Ending::Switched(step);
         }
@@ -159,7 +174,10 @@
         R: Ranks,
     {
         let order = prepare(self.version, &self.new);
-        if !self.order_all(ranks, &order).await {
+        if !self
+            .order_all(ranks, (0..ranks.size()).collect(), &order)
+            .await
+        {
             return false;
         }
         let mut pending: Vec<usize> = (0..ranks.size()).collect();
@@ -200,7 +218,7 @@
             };
             let step = report.step + ranks.pass_lead();
             let hold = self.fenced(EngineOrder::Hold { step });
-            match ranks.order(COORDINATOR_RANK, hold).await {
+            match ranks.order(ranks.holder(), hold).await {
                 Some(OrderAnswer::Accepted) => return HoldOutcome::Held(step),
                 Some(_) => {}
                 None => return HoldOutcome::Unknown(step),
@@ -209,12 +227,11 @@
         HoldOutcome::NotHeld
     }
 
-    /// Sends an order to all ranks until each has accepted it; false if one does not.
-    async fn order_all<R>(&self, ranks: &R, order: &EngineOrder) -> bool
+    /// Sends an order to the `pending` ranks until each has accepted it; false if one does not.
+    async fn order_all<R>(&self, ranks: &R, mut pending: Vec<usize>, order: &EngineOrder) -> bool
     where
         R: Ranks,
     {
-        let mut pending: Vec<usize> = (0..ranks.size()).collect();
         for attempt in 0..MAX_ORDER_ATTEMPTS {
             if attempt > 0 {
                 ranks.pause(RETRY_INTERVAL).await;
@@ -238,19 +255,19 @@
         false
     }
 
-    /// Releases the pass, and retries until rank 0 confirms that it holds none.
+    /// Releases the pass, and retries until its holder confirms that it holds none.
     async fn release<R>(&self, ranks: &R, step: u64)
     where
         R: Ranks,
     {
         for _ in 0..MAX_UNDO_ATTEMPTS {
             let answer = ranks
-                .order(COORDINATOR_RANK, self.fenced(EngineOrder::Go { step }))
+                .order(ranks.holder(), self.fenced(EngineOrder::Go { step }))
                 .await;
             if matches!(answer, Some(OrderAnswer::Accepted | OrderAnswer::Fenced)) {
                 return;
             }
-            let report = ranks.report(COORDINATOR_RANK).await;
+            let report = ranks.report(ranks.holder()).await;
             if report.is_some_and(|r| r.held.is_none() || self.is_stale(&r)) {
                 return;
             }
@@ -283,11 +300,25 @@
         if !self.take_over(ranks, step).await {
             return Ending::GivenUp;
         }
-        let mut pending: Vec<usize> = (0..ranks.size()).collect();
+        let others = (0..ranks.size()).filter(|rank| *rank != COORDINATOR_RANK);
+        if self.restore_all(ranks, vec![COORDINATOR_RANK]).await
+            && self.restore_all(ranks, others.collect()).await
+        {
+            self.release(ranks, step).await;
+            return Ending::Undone;
+        }
+        Ending::GivenUp
+    }
+
+    /// Restores the map in use on the `pending` ranks; false if that fails or is superseded.
+    async fn restore_all<R>(&self, ranks: &R, mut pending: Vec<usize>) -> bool
+    where
+        R: Ranks,
+    {
         for _ in 0..MAX_UNDO_ATTEMPTS {
             let outcomes = self.restore(ranks, &pending).await;
             if outcomes.contains(&RestoreOutcome::Superseded) {
-                return Ending::GivenUp;
+                return false;
             }
             let remaining = pending
                 .iter()
@@ -295,14 +326,89 @@
                 .filter(|(_, s)| **s != RestoreOutcome::Restored);
             pending = remaining.map(|(rank, _)| *rank).collect();
             if pending.is_empty() {
-                self.release(ranks, step).await;
-                return Ending::Undone;
+                return true;
             }
             ranks.pause(RETRY_INTERVAL).await;
         }
+        false
+    }
+
+    /// Releases a pass that a failed coordinator left held, under a version above all others.
+    ///
+    /// Works without an answer of the coordinator's rank, as long as one of the other
+    /// ranks is not armed. Requires engines that enforce fencing tokens.
+    pub async fn rescue<R>(&self, ranks: &R, step: u64) -> Ending
+    where
+        R: Ranks,
+    {
+        if !self.take_over(ranks, step).await {
+            return Ending::GivenUp;
+        }
+        let mut fenced: BTreeSet<usize> = BTreeSet::new();
+        for _ in 0..MAX_UNDO_ATTEMPTS {
+            let unfenced: Vec<usize> = (0..ranks.size()).filter(|r| !fenced.contains(r)).collect();
+            // No rank has this version, so that the order only raises the fencing token.
+            let fence = self.fenced(EngineOrder::Disarm {
+                version: self.version,
+            });
+            let answers = ranks.orders(&unfenced, &fence).await;
+            if answers.contains(&Some(OrderAnswer::Fenced)) {
+                return Ending::GivenUp;
+            }
+            let accepted = unfenced
+                .iter()
+                .zip(&answers)
+                .filter(|(_, a)| **a == Some(OrderAnswer::Accepted));
+            fenced.extend(accepted.map(|(rank, _)| *rank));
+            match self.disarm_fenced(ranks, &fenced).await {
+                DisarmOutcome::Disarmed => {
+                    self.release(ranks, step).await;
+                    return Ending::Undone;
+                }
+                DisarmOutcome::Pending => ranks.pause(RETRY_INTERVAL).await,
+                DisarmOutcome::Superseded => return Ending::GivenUp,
+            }
+        }
         Ending::GivenUp
     }
 
+    /// Disarms the ranks that are fenced off, if the coordinator can no longer arm its own.
+    async fn disarm_fenced<R>(&self, ranks: &R, fenced: &BTreeSet<usize>) -> DisarmOutcome
+    where
+        R: Ranks,
+    {
+        let asked: Vec<usize> = fenced.iter().copied().collect();
+        let reports = ranks.reports(&asked).await;
+        if reports.iter().flatten().any(|r| self.is_stale(r)) {
+            return DisarmOutcome::Superseded;
+        }
+        let answered = asked.iter().zip(&reports);
+        let states: BTreeMap<usize, Option<u64>> = answered
+            .filter_map(|(rank, report)| Some((*rank, report.as_ref()?.armed)))
+            .collect();
+        let is_isolated =
+            states.contains_key(&COORDINATOR_RANK) || states.values().any(Option::is_none);
+        if !is_isolated {
+            return DisarmOutcome::Pending;
+        }
+        // The coordinator's rank comes first.
+        for (rank, version) in &states {
+            let Some(version) = *version else {
+                continue;
+            };
+            let disarm = self.fenced(EngineOrder::Disarm { version });
+            if ranks.order(*rank, disarm).await != Some(OrderAnswer::Accepted) {
+                return DisarmOutcome::Pending;
+            }
+        }
+        let mut others = (0..ranks.size()).filter(|rank| *rank != COORDINATOR_RANK);
+        if others.all(|rank| states.contains_key(&rank)) {
+            DisarmOutcome::Disarmed
+        } else {
+            DisarmOutcome::Pending
+        }
+    }
+
     /// Holds the pass under this version, which fences off every older coordinator.
     ///
     /// Only then may a rank be disarmed: otherwise an older coordinator could release
@@ -313,7 +419,7 @@
     {
         for _ in 0..MAX_UNDO_ATTEMPTS {
             let hold = self.fenced(EngineOrder::Hold { step });
-            match ranks.order(COORDINATOR_RANK, hold).await {
+            match ranks.order(ranks.holder(), hold).await {
                 Some(answer) => return answer == OrderAnswer::Accepted,
                 None => ranks.pause(RETRY_INTERVAL).await,
             }
@@ -376,6 +482,16 @@
     Unknown(u64),
 }
 
+/// Outcome of disarming the ranks that are fenced off.
+enum DisarmOutcome {
+    /// No rank is armed, nor will be.
+    Disarmed,
+    /// A rank may be armed.
+    Pending,
+    /// The group was formed again.
+    Superseded,
+}
+
 /// Outcome of restoring the map in use on one rank.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RestoreOutcome {
--- a/decision/experts/tests/it/even_group.rs
+++ b/decision/experts/tests/it/even_group.rs
@@ -125,6 +125,11 @@
         self.state.borrow_mut().order_limit = orders;
     }
 
+    /// Delivers an order of a process that does not hang.
+    pub(crate) fn deliver(&self, rank: usize, order: &FencedOrder) -> OrderAnswer {
+        self.state.borrow_mut().apply(rank, order)
+    }
+
     /// Sets the distance from the last pass begun to the pass that is held.
     pub(crate) fn set_pass_lead(&self, passes: u64) {
         self.state.borrow_mut().pass_lead = passes;
@@ -135,6 +140,25 @@
         self.state.borrow_mut().delayed = true;
     }
 
+    /// Waits until the coordinator may send orders again.
+    async fn resumed(&self) {
+        std::future::poll_fn(|_| match self.state.borrow().order_limit {
+            None => std::task::Poll::Ready(()),
+            Some(_) => std::task::Poll::Pending,
+        })
+        .await;
+    }
+
+    /// Versions that the ranks are armed for.
+    pub(crate) fn armed(&self) -> Vec<Option<u64>> {
+        let state = self.state.borrow();
+        state
+            .ranks
+            .iter()
+            .map(|r| r.armed.map(|(v, _)| v))
+            .collect()
+    }
+
     /// Waits for a random number of polls if messages are delayed.
     async fn delay(&self) {
         let turns = {
@@ -187,9 +211,9 @@
         self.state.borrow().ranks.iter().any(|r| r.held.is_some())
     }
 
-    /// Pass that rank 0 holds.
+    /// Pass that is held.
     pub(crate) fn held(&self) -> Option<u64> {
-        self.state.borrow().ranks[0].held
+        self.state.borrow().ranks.iter().find_map(|r| r.held)
     }
 
     /// Highest version that any rank has prepared.
@@ -469,7 +493,7 @@
             }
         };
         if hangs {
-            std::future::pending::<()>().await;
+            self.resumed().await;
         }
         self.delay().await;
         let answer = self.state.borrow_mut().order(rank, order);
--- a/decision/experts/tests/it/main.rs
+++ b/decision/experts/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod even_group;
 mod even_plan;
 mod even_relay;
+mod even_rescue;
 mod even_script;
 mod even_switch;
 mod fencing;
