agent: a rescue relies on no outdated report, and the holder of a pass is armed after the other ranks

The rescue asked the engine of a rank whose agent had been frozen, was told that it is not armed, and released the pass; the arm order had come in just before. Now only reports through the agent beside an engine count, and every rank is disarmed for each version that it may be armed for, whatever it reports.

The holder is armed after the others and the coordinator's rank last, so that the group can be released without it until the last 4 ms.

Test: a second frozen rank with outdated reports; it fails if reports decide which ranks are disarmed (tried).

--- a/app/src/fleet/agent/ranks.rs
+++ b/app/src/fleet/agent/ranks.rs
@@ -383,6 +383,18 @@
             .ok()
     }
 
+    async fn current_report(&self, rank: usize) -> Option<EngineReport> {
+        let report = match &self.routes[rank] {
+            RankRoute::Local => self.engine.report().await.ok(),
+            // An engine reports its current state only to its own instance.
+            RankRoute::Remote(remote) => remote.agent.call(REPORT, [0; 0]).await.ok(),
+        };
+        if report.is_none() {
+            log::info!("no current report from rank {rank}");
+        }
+        report
+    }
+
     async fn order(&self, rank: usize, order: FencedOrder) -> Option<OrderAnswer> {
         let answer = match &self.routes[rank] {
             RankRoute::Local => self.engine.order(order.clone()).await,
--- a/decision/experts/src/even/switch.rs
+++ b/decision/experts/src/even/switch.rs
@@ -9,7 +9,8 @@
 //! 2. One rank holds a pass that has not begun. Until the pass is released, it
 //!    begins on no rank. That rank is not on the coordinator's instance, so that
 //!    others can release the pass if that instance fails.
-//! 3. Every rank is armed for that pass, the coordinator's own one last.
+//! 3. Every rank is armed for that pass, the holder and then the coordinator's own
+//!    one last.
 //! 4. If all have confirmed, the pass is released and all switch when it begins.
 //! 5. Otherwise the pass is held again under a newer version, which fences off
 //!    older coordinators, and every rank is disarmed and prepares the old map
@@ -65,9 +66,12 @@
     /// Passes before that one run while the ranks are armed; the group waits for the rest.
     fn pass_lead(&self) -> u64;
 
-    /// Requests the report of a rank; `None` if it does not answer.
+    /// Requests the report of a rank, possibly outdated; `None` if it does not answer.
     fn report(&self, rank: usize) -> impl Future<Output = Option<EngineReport>>;
 
+    /// Requests the report of a rank as of now; `None` if there is no answer or it may be outdated.
+    fn current_report(&self, rank: usize) -> impl Future<Output = Option<EngineReport>>;
+
     /// Sends an order; `None` if the outcome is unknown, as it may still take effect later.
     fn order(&self, rank: usize, order: FencedOrder) -> impl Future<Output = Option<OrderAnswer>>;
 
@@ -159,16 +163,27 @@
             version: self.version,
             step,
         };
-        let others = (0..ranks.size()).filter(|rank| *rank != COORDINATOR_RANK);
-        if self.order_all(ranks, others.collect(), &arm).await
-            && self.order_all(ranks, vec![COORDINATOR_RANK], &arm).await
-        {
+        if self.arm_all(ranks, &arm).await {
             self.release(ranks, step).await;
             return Ending::Switched(step);
         }
         self.rollback().undo(ranks, step).await
     }
 
+    /// Arms the holder after the other ranks, and the coordinator's rank last.
+    ///
+    /// While the holder is not armed, others can release the group if the coordinator fails.
+    async fn arm_all<R>(&self, ranks: &R, arm: &EngineOrder) -> bool
+    where
+        R: Ranks,
+    {
+        let last = [ranks.holder(), COORDINATOR_RANK];
+        let others = (0..ranks.size()).filter(|rank| !last.contains(rank));
+        self.order_all(ranks, others.collect(), arm).await
+            && self.order_all(ranks, vec![ranks.holder()], arm).await
+            && self.order_all(ranks, vec![COORDINATOR_RANK], arm).await
+    }
+
     async fn prepare_all<R>(&self, ranks: &R) -> bool
     where
         R: Ranks,
@@ -377,32 +392,36 @@
     where
         R: Ranks,
     {
-        let asked: Vec<usize> = fenced.iter().copied().collect();
-        let reports = ranks.reports(&asked).await;
+        let reports = fenced.iter().map(|rank| ranks.current_report(*rank));
+        let reports = join_all(reports).await;
         if reports.iter().flatten().any(|r| self.is_stale(r)) {
             return DisarmOutcome::Superseded;
         }
-        let answered = asked.iter().zip(&reports);
-        let states: BTreeMap<usize, Option<u64>> = answered
-            .filter_map(|(rank, report)| Some((*rank, report.as_ref()?.armed)))
-            .collect();
-        let is_isolated =
-            states.contains_key(&COORDINATOR_RANK) || states.values().any(Option::is_none);
-        if !is_isolated {
+        let mut reported = fenced.iter().zip(&reports);
+        let coordinator_done = fenced.contains(&COORDINATOR_RANK)
+            || reported.any(|(_, r)| r.as_ref().is_some_and(|r| r.armed.is_none()));
+        let versions = disarmed_versions(reports.iter().flatten());
+        if !coordinator_done || versions.is_empty() {
             return DisarmOutcome::Pending;
         }
         // The coordinator's rank comes first.
-        for (rank, version) in &states {
-            let Some(version) = *version else {
-                continue;
-            };
-            let disarm = self.fenced(EngineOrder::Disarm { version });
-            if ranks.order(*rank, disarm).await != Some(OrderAnswer::Accepted) {
-                return DisarmOutcome::Pending;
+        let first = fenced.iter().filter(|rank| **rank == COORDINATOR_RANK);
+        let others = fenced.iter().filter(|rank| **rank != COORDINATOR_RANK);
+        let others: Vec<usize> = others.copied().collect();
+        for group in [first.copied().collect(), others.clone()] {
+            for version in &versions {
+                let disarm = self.fenced(EngineOrder::Disarm { version: *version });
+                let answers = ranks.orders(&group, &disarm).await;
+                if answers.contains(&Some(OrderAnswer::Fenced)) {
+                    return DisarmOutcome::Superseded;
+                }
+                // A refusal means that the version is in use, so that no rank is armed for it.
+                if answers.contains(&None) {
+                    return DisarmOutcome::Pending;
+                }
             }
         }
-        let mut others = (0..ranks.size()).filter(|rank| *rank != COORDINATOR_RANK);
-        if others.all(|rank| states.contains_key(&rank)) {
+        if others.len() + 1 == ranks.size() {
             DisarmOutcome::Disarmed
         } else {
             DisarmOutcome::Pending
@@ -482,6 +501,20 @@
     Unknown(u64),
 }
 
+/// Returns the versions that ranks of the group may be armed for, by the reports of some of them.
+///
+/// All ranks have prepared the same version before the first is armed, and a rank that
+/// was disarmed since has prepared the version after it.
+fn disarmed_versions<'a, I>(reports: I) -> BTreeSet<u64>
+where
+    I: IntoIterator<Item = &'a EngineReport>,
+{
+    let seen = reports.into_iter().flat_map(|r| [r.armed, r.prepared]);
+    let seen = seen.flatten();
+    seen.flat_map(|version| [version.saturating_sub(1), version])
+        .collect()
+}
+
 /// Outcome of disarming the ranks that are fenced off.
 enum DisarmOutcome {
     /// No rank is armed, nor will be.
--- a/decision/experts/tests/it/even_group.rs
+++ b/decision/experts/tests/it/even_group.rs
@@ -53,6 +53,11 @@
     skipped: SkippedChecks,
     /// Remaining orders until the coordinator hangs.
     order_limit: Option<u32>,
+    /// Rank whose instance freezes, and the number of orders before that.
+    freezes: Option<(usize, u32)>,
+    /// Rank whose instance is frozen; orders to it wait in `queued`.
+    frozen_rank: Option<usize>,
+    queued: Vec<FencedOrder>,
     /// Distance from the last pass begun to the pass that is held.
     pass_lead: u64,
     /// Whether orders take a random number of polls to arrive.
@@ -93,6 +98,9 @@
                 faults,
                 skipped,
                 order_limit: None,
+                freezes: None,
+                frozen_rank: None,
+                queued: Vec::new(),
                 pass_lead: 3,
                 delayed: false,
                 epoch: FIRST_EPOCH,
@@ -125,6 +133,46 @@
         self.state.borrow_mut().order_limit = orders;
     }
 
+    /// Freezes the instance of a rank after this number of orders to all ranks.
+    pub(crate) fn freeze_rank_after(&self, rank: usize, orders: u32) {
+        self.state.borrow_mut().freezes = Some((rank, orders));
+    }
+
+    /// Resumes the frozen instance, which handles the orders that have arrived meanwhile.
+    pub(crate) fn resume_rank(&self) {
+        let mut state = self.state.borrow_mut();
+        let Some(rank) = state.frozen_rank.take() else {
+            return;
+        };
+        for order in std::mem::take(&mut state.queued) {
+            state.apply(rank, &order);
+        }
+    }
+
+    /// Whether the instance of a rank is frozen.
+    pub(crate) fn is_frozen(&self, rank: usize) -> bool {
+        self.state.borrow().frozen_rank == Some(rank)
+    }
+
+    fn queue_if_frozen(&self, rank: usize, order: &FencedOrder) -> bool {
+        {
+            let mut state = self.state.borrow_mut();
+            match &mut state.freezes {
+                Some((rank, 0)) => {
+                    state.frozen_rank = Some(*rank);
+                    state.freezes = None;
+                }
+                Some((_, orders)) => *orders -= 1,
+                None => {}
+            }
+        }
+        let frozen = self.is_frozen(rank);
+        if frozen {
+            self.state.borrow_mut().queued.push(order.clone());
+        }
+        frozen
+    }
+
     /// Delivers an order of a process that does not hang.
     pub(crate) fn deliver(&self, rank: usize, order: &FencedOrder) -> OrderAnswer {
         self.state.borrow_mut().apply(rank, order)
@@ -470,7 +518,15 @@
         Some(report)
     }
 
+    async fn current_report(&self, rank: usize) -> Option<EngineReport> {
+        self.report(rank).await
+    }
+
     async fn order(&self, rank: usize, order: FencedOrder) -> Option<OrderAnswer> {
+        if self.queue_if_frozen(rank, &order) {
+            self.resumed().await;
+            return None;
+        }
         let scripted = {
             let mut state = self.state.borrow_mut();
             let delivery = state.script.as_mut().map(Script::next);
--- a/decision/experts/tests/it/even_rescue.rs
+++ b/decision/experts/tests/it/even_rescue.rs
@@ -2,6 +2,8 @@
 //!
 //! While it is frozen, neither the coordinator nor its rank answers. It resumes after
 //! or during the rescue and goes on where it was. Every order of the switch is tried.
+//! The instance of another rank may be frozen as well, with an order on its way to it;
+//! once it resumes, what it reports to others is outdated for a while.
 
 use std::future::Future;
 use std::pin::pin;
@@ -28,9 +30,15 @@
 struct Rescuer<'a> {
     group: &'a Group,
     frozen: &'a std::cell::Cell<bool>,
+    /// Rank whose reports are outdated: they show it as it was before the switch.
+    outdated: Option<usize>,
 }
 
 impl Rescuer<'_> {
+    fn is_frozen(&self, rank: usize) -> bool {
+        rank == 0 && self.frozen.get() || self.group.is_frozen(rank)
+    }
+
     /// Lets the other process run, as every message does.
     async fn transit(&self) {
         let mut sent = false;
@@ -56,15 +64,24 @@
 
     async fn report(&self, rank: usize) -> Option<EngineReport> {
         self.transit().await;
-        if rank == 0 && self.frozen.get() {
+        if self.is_frozen(rank) {
             return None;
         }
-        self.group.report(rank).await
+        let mut report = self.group.report(rank).await?;
+        if self.outdated == Some(rank) {
+            report.armed = None;
+        }
+        Some(report)
+    }
+
+    async fn current_report(&self, rank: usize) -> Option<EngineReport> {
+        let report = self.report(rank).await;
+        report.filter(|_| self.outdated != Some(rank))
     }
 
     async fn order(&self, rank: usize, order: FencedOrder) -> Option<OrderAnswer> {
         self.transit().await;
-        if rank == 0 && self.frozen.get() {
+        if self.is_frozen(rank) {
             return None;
         }
         Some(self.group.deliver(rank, &order))
@@ -96,8 +113,8 @@
 }
 
 /// Freezes the coordinator before its order number `orders`, and resumes it after `polls` polls of
-/// the rescue, or once that is over or waits.
-fn play(ranks: usize, pass_lead: u64, orders: u32, polls: u32) -> Outcome {
+/// the rescue. The last rank is frozen with it if `second`, from the order to hold a pass on.
+fn play(ranks: usize, pass_lead: u64, orders: u32, polls: u32, second: bool) -> Outcome {
     let (old, new) = placements(ranks);
     let group = Group::new(ranks, &old, 0, NO_FAULTS, SkippedChecks::default());
     group.set_pass_lead(pass_lead);
@@ -110,6 +127,11 @@
         new,
     };
     let mut context = Context::from_waker(Waker::noop());
+    let last = ranks - 1;
+    if second {
+        // The orders to prepare the map come first, one for each rank.
+        group.freeze_rank_after(last, ranks as u32);
+    }
     let mut coordinator = pin!(switch.run(&group));
     let mut finished = coordinator.as_mut().poll(&mut context).is_ready();
     let armed = group.armed();
@@ -125,6 +147,7 @@
     let rescuer = Rescuer {
         group: &group,
         frozen: &frozen,
+        outdated: second.then_some(last),
     };
     let rescue = Switch {
         version: 107,
@@ -136,6 +159,7 @@
         if poll == polls {
             outcome.released_while_frozen = !group.is_held();
             frozen.set(false);
+            group.resume_rank();
             group.set_order_limit(None);
         }
         if ending.is_none()
@@ -161,7 +185,7 @@
         for pass_lead in [1, 3] {
             groups += 1;
             for orders in 0..MAX_ORDERS {
-                let outcome = play(ranks, pass_lead, orders, MAX_POLLS);
+                let outcome = play(ranks, pass_lead, orders, MAX_POLLS, false);
                 let at = format!("{ranks} ranks, lead {pass_lead}, order {orders}: {outcome:?}");
                 assert!(outcome.violation.is_none(), "{at}");
                 if !outcome.held_at_freeze {
@@ -185,11 +209,29 @@
         for pass_lead in [1, 3] {
             for orders in 0..MAX_ORDERS {
                 for polls in 0..MAX_POLLS {
-                    let outcome = play(ranks, pass_lead, orders, polls);
+                    let outcome = play(ranks, pass_lead, orders, polls, false);
+                    let at = format!("{ranks} ranks, order {orders}, poll {polls}: {outcome:?}");
+                    assert!(outcome.violation.is_none() && !outcome.held_at_end, "{at}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn second_frozen_instance_whose_reports_are_outdated_never_causes_two_maps() {
+    let mut held = 0;
+    for ranks in 3..=4 {
+        for pass_lead in [1, 3] {
+            for orders in 0..MAX_ORDERS {
+                for polls in 0..MAX_POLLS {
+                    let outcome = play(ranks, pass_lead, orders, polls, true);
                     let at = format!("{ranks} ranks, order {orders}, poll {polls}: {outcome:?}");
                     assert!(outcome.violation.is_none() && !outcome.held_at_end, "{at}");
+                    held += usize::from(outcome.held_at_freeze);
                 }
             }
         }
     }
+    assert!(held > 0);
 }
