--- a/app/src/fleet/agent/coordinate.rs
+++ b/app/src/fleet/agent/coordinate.rs
@@ -15,7 +15,8 @@
 use super::super::rpc::RankCapacity;
 use super::super::unix_millis;
 use super::engine::{EngineHandle, RankState};
-use super::ranks::{Group, Peers, Survey, placement};
+use super::peers::Peers;
+use super::ranks::{Group, Survey, placement};
 use crate::lines::ExpertsMoved;
 
 /// Time between checks of the expert demand.
--- a/app/src/fleet/agent/mod.rs
+++ b/app/src/fleet/agent/mod.rs
@@ -10,6 +10,7 @@
 mod coordinate;
 mod engine;
 mod methods;
+mod peers;
 mod ranks;
 mod relay;
 mod rescue;
@@ -31,7 +32,7 @@
 use super::{FleetError, FleetSettings};
 use crate::lines::{ReplicaFollowed, ReplicaLost};
 use engine::EngineHandle;
-use ranks::Peers;
+use peers::Peers;
 use relay::AgentLinks;
 use rescue::MAX_RESCUE_RANK;
 
--- a/app/src/fleet/agent/ranks.rs
+++ b/app/src/fleet/agent/ranks.rs
@@ -5,8 +5,6 @@
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use futures_util::future::join_all;
@@ -19,7 +17,6 @@
 use pimentotide_platform::{EngineClient, EngineError};
 
 use super::super::beacon::{AgentBeacon, Seat};
-use super::super::rpc::{Processes, RankCapacity};
 use super::compact;
 use super::engine::{EngineHandle, RankState, StateRequest};
 use super::methods::{ORDER, REPORT, RankOrder, STATE};
@@ -37,20 +34,6 @@
 /// Maximum number of ranks that one agent exchanges messages with itself.
 const MAX_DIRECT_RANKS: usize = 24;
 
-/// Other agents of the deployment, as reported by a replica.
-pub(super) struct Peers {
-    own_address: SocketAddr,
-    engine: EngineHandle,
-    links: AgentLinks,
-    state: Mutex<PeerState>,
-}
-
-#[derive(Default)]
-struct PeerState {
-    agents: BTreeMap<SocketAddr, AgentBeacon>,
-    shape: Option<RankCapacity>,
-}
-
 /// Ranks of one group in one epoch, in rank order.
 pub(super) struct Group {
     /// Seat of the local engine.
@@ -63,14 +46,14 @@
 }
 
 /// Path to a rank.
-enum RankRoute {
+pub(super) enum RankRoute {
     /// The local engine.
     Local,
     /// The agent of the rank, and its engine in case the agent does not answer.
     Remote(RemoteRank),
 }
 
-struct RemoteRank {
+pub(super) struct RemoteRank {
     agent: PeerClient,
     engine: EngineClient,
     zone: ZoneName,
@@ -84,73 +67,34 @@
     pub(super) chosen: Vec<f64>,
 }
 
-impl Peers {
-    pub(super) fn new(own_address: SocketAddr, engine: EngineHandle, links: AgentLinks) -> Self {
+impl RankRoute {
+    /// Path through an agent.
+    pub(super) fn remote(agent: &AgentBeacon, links: &AgentLinks) -> Self {
+        Self::Remote(RemoteRank {
+            agent: links.client(agent.calls),
+            engine: EngineClient::open(agent.engine, DIRECT_TIMEOUT),
+            zone: agent.zone.clone(),
+            agent_failed: Cell::new(false),
+        })
+    }
+}
+
+impl Group {
+    pub(super) fn new(
+        seat: Seat,
+        engine: EngineHandle,
+        links: AgentLinks,
+        routes: Vec<RankRoute>,
+    ) -> Self {
         Self {
-            own_address,
+            seat,
             engine,
             links,
-            state: Mutex::default(),
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, PeerState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Merges the processes reported by a replica; agents missing from the report are kept.
-    pub(super) fn update(&self, processes: Processes) {
-        let mut state = self.lock();
-        state.shape = processes.shape.or(state.shape);
-        for agent in processes.agents {
-            state.agents.insert(agent.calls, agent);
-        }
-    }
-
-    /// Returns the expert capacity of each rank; `None` before a replica reported it.
-    pub(super) fn capacity(&self) -> Option<RankCapacity> {
-        self.lock().shape
-    }
-
-    /// Returns the group of `seat`; `None` unless the agents of all ranks are known.
-    pub(super) fn group(&self, seat: &Seat, size: u16) -> Option<Group> {
-        let state = self.lock();
-        let mut found: Vec<Option<&AgentBeacon>> = vec![None; usize::from(size)];
-        for agent in state.agents.values() {
-            let other = agent.seat.as_ref();
-            let Some(other) = other.filter(|s| s.group == seat.group && s.epoch == seat.epoch)
-            else {
-                continue;
-            };
-            if let Some(place) = found.get_mut(usize::from(other.rank)) {
-                *place = Some(agent);
-            }
-        }
-        let routes: Option<Vec<RankRoute>> = (0..size)
-            .map(|rank| {
-                if rank == seat.rank {
-                    return Some(RankRoute::Local);
-                }
-                let agent = found[usize::from(rank)].filter(|a| a.calls != self.own_address)?;
-                Some(RankRoute::Remote(RemoteRank {
-                    agent: self.links.client(agent.calls),
-                    engine: EngineClient::open(agent.engine, DIRECT_TIMEOUT),
-                    zone: agent.zone.clone(),
-                    agent_failed: Cell::new(false),
-                }))
-            })
-            .collect();
-        Some(Group {
-            seat: seat.clone(),
-            engine: self.engine.clone(),
-            links: self.links.clone(),
-            routes: routes?,
+            routes,
             changes: BTreeMap::new(),
-        })
+        }
     }
-}
 
-impl Group {
     /// Sets the change in whose form the placement of `version` is sent.
     ///
     /// Ranks whose last placement is not the base of the change receive the whole placement.
@@ -274,6 +218,15 @@
         }
     }
 
+    /// Relays a message to many ranks; returns nothing for few, which are called directly.
+    async fn relay_if_many(&self, ranks: &[usize], task: RelayTask) -> Merged {
+        if ranks.len() > MAX_DIRECT_RANKS {
+            self.relay(ranks, task).await
+        } else {
+            Merged::default()
+        }
+    }
+
     /// Sends a message to the remote ranks among `ranks` whose agents answer.
     async fn relay(&self, ranks: &[usize], task: RelayTask) -> Merged {
         let remote = ranks.iter().filter_map(|rank| match &self.routes[*rank] {
@@ -476,17 +429,6 @@
     }
 }
 
-impl Group {
-    /// Relays a message to many ranks; returns nothing for few, which are called directly.
-    async fn relay_if_many(&self, ranks: &[usize], task: RelayTask) -> Merged {
-        if ranks.len() > MAX_DIRECT_RANKS {
-            self.relay(ranks, task).await
-        } else {
-            Merged::default()
-        }
-    }
-}
-
 async fn remote_state(agent: &PeerClient, request: StateRequest) -> Result<RankState, Failure> {
     let text: String = agent.call(STATE, [request]).await?;
     compact::decode(&text)
--- a/app/src/fleet/agent/rescue.rs
+++ b/app/src/fleet/agent/rescue.rs
@@ -13,8 +13,13 @@
 use super::super::beacon::Seat;
 use super::super::unix_millis;
 use super::engine::EngineHandle;
-use super::ranks::{Group, Peers};
+use super::peers::Peers;
+use super::ranks::Group;
 
+/// Rank whose agent coordinates the group.
+const COORDINATOR_RANK: usize = 0;
+/// Versions reserved for orders that an unresponsive coordinator may still send.
+const VERSION_MARGIN: u64 = 100;
 /// Time between checks of the local engine.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without a pass after which rank 1 takes over; a switch holds passes for a fraction of it.
@@ -73,8 +78,3 @@
     let version = unix_millis().max(highest + VERSION_MARGIN);
     group.rescue(step, version).await;
 }
-
-/// Rank whose agent coordinates the group.
-const COORDINATOR_RANK: usize = 0;
-/// Versions reserved for orders that an unresponsive coordinator may still send.
-const VERSION_MARGIN: u64 = 100;
--- a/decision/experts/src/even/mod.rs
+++ b/decision/experts/src/even/mod.rs
@@ -12,6 +12,7 @@
 mod demand;
 mod layer;
 mod rank;
+mod rescue;
 mod switch;
 mod tree;
 
--- a/decision/experts/src/even/switch.rs
+++ b/decision/experts/src/even/switch.rs
@@ -18,16 +18,14 @@
 //!    longer prepared and carries an outdated fencing token, so it has no effect.
 //!    The pass is released only when all ranks have confirmed.
 //!
-//! If the coordinator fails while a pass is held, another process fences off all
-//! ranks that it reaches, disarms them and releases the pass. It need not reach the
-//! coordinator's rank: that one is armed only after all others have confirmed, so
-//! if one of the others is unarmed and fenced off, it never will be. For the same
-//! reason an undo disarms the coordinator's rank before any other.
+//! If the coordinator fails while a pass is held, another process releases it (see
+//! the module `rescue`). It relies on the order in which ranks are armed and, in an
+//! undo, disarmed: the coordinator's own rank last, and first.
 //!
 //! Each order names the epoch of the group. When a rank is lost, the group is
 //! formed again with the initial map, and nothing is armed or held.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::time::Duration;
 
@@ -37,19 +35,19 @@
 use super::{EngineOrder, EngineReport, FencedOrder, OrderAnswer, Placement};
 
 /// Rank on the coordinator's instance.
-const COORDINATOR_RANK: usize = 0;
+pub(super) const COORDINATOR_RANK: usize = 0;
 /// Attempts to hold a pass before it begins.
 const MAX_HOLD_ATTEMPTS: u32 = 3;
 /// Attempts to get an order accepted by all ranks.
 const MAX_ORDER_ATTEMPTS: u32 = 3;
 /// Delay between attempts.
-const RETRY_INTERVAL: Duration = Duration::from_millis(40);
+pub(super) const RETRY_INTERVAL: Duration = Duration::from_millis(40);
 /// Polls for loaded experts before the map is abandoned.
 const MAX_PREPARE_POLLS: u32 = 120;
 /// Delay between these polls.
 const PREPARE_POLL_INTERVAL: Duration = Duration::from_millis(40);
 /// Attempts at each step of an undo or release before the coordinator starts over.
-const MAX_UNDO_ATTEMPTS: u32 = 200;
+pub(super) const MAX_UNDO_ATTEMPTS: u32 = 200;
 
 /// Ranks of one group.
 pub trait Ranks {
@@ -135,7 +133,7 @@
 }
 
 impl Switch {
-    fn fenced(&self, order: EngineOrder) -> FencedOrder {
+    pub(super) fn fenced(&self, order: EngineOrder) -> FencedOrder {
         FencedOrder {
             order,
             epoch: self.epoch,
@@ -218,7 +216,7 @@
     }
 
     /// Whether the group has left the epoch of the switch or is not running.
-    fn is_stale(&self, report: &EngineReport) -> bool {
+    pub(super) fn is_stale(&self, report: &EngineReport) -> bool {
         let membership = report.membership.as_ref();
         membership.is_none_or(|m| m.epoch != self.epoch || !m.open)
     }
@@ -271,7 +269,7 @@
     }
 
     /// Releases the pass, and retries until its holder confirms that it holds none.
-    async fn release<R>(&self, ranks: &R, step: u64)
+    pub(super) async fn release<R>(&self, ranks: &R, step: u64)
     where
         R: Ranks,
     {
@@ -282,7 +280,7 @@
             if matches!(answer, Some(OrderAnswer::Accepted | OrderAnswer::Fenced)) {
                 return;
             }
-            let report = ranks.report(ranks.holder()).await;
+            let report = ranks.current_report(ranks.holder()).await;
             if report.is_some_and(|r| r.held.is_none() || self.is_stale(&r)) {
                 return;
             }
@@ -348,91 +346,11 @@
         false
     }
 
-    /// Releases a pass that a failed coordinator left held, under a version above all others.
-    ///
-    /// Works without an answer of the coordinator's rank, as long as one of the other
-    /// ranks is not armed. Requires engines that enforce fencing tokens.
-    pub async fn rescue<R>(&self, ranks: &R, step: u64) -> Ending
-    where
-        R: Ranks,
-    {
-        if !self.take_over(ranks, step).await {
-            return Ending::GivenUp;
-        }
-        let mut fenced: BTreeSet<usize> = BTreeSet::new();
-        for _ in 0..MAX_UNDO_ATTEMPTS {
-            let unfenced: Vec<usize> = (0..ranks.size()).filter(|r| !fenced.contains(r)).collect();
-            // No rank has this version, so that the order only raises the fencing token.
-            let fence = self.fenced(EngineOrder::Disarm {
-                version: self.version,
-            });
-            let answers = ranks.orders(&unfenced, &fence).await;
-            if answers.contains(&Some(OrderAnswer::Fenced)) {
-                return Ending::GivenUp;
-            }
-            let accepted = unfenced
-                .iter()
-                .zip(&answers)
-                .filter(|(_, a)| **a == Some(OrderAnswer::Accepted));
-            fenced.extend(accepted.map(|(rank, _)| *rank));
-            match self.disarm_fenced(ranks, &fenced).await {
-                DisarmOutcome::Disarmed => {
-                    self.release(ranks, step).await;
-                    return Ending::Undone;
-                }
-                DisarmOutcome::Pending => ranks.pause(RETRY_INTERVAL).await,
-                DisarmOutcome::Superseded => return Ending::GivenUp,
-            }
-        }
-        Ending::GivenUp
-    }
-
-    /// Disarms the ranks that are fenced off, if the coordinator can no longer arm its own.
-    async fn disarm_fenced<R>(&self, ranks: &R, fenced: &BTreeSet<usize>) -> DisarmOutcome
-    where
-        R: Ranks,
-    {
-        let reports = fenced.iter().map(|rank| ranks.current_report(*rank));
-        let reports = join_all(reports).await;
-        if reports.iter().flatten().any(|r| self.is_stale(r)) {
-            return DisarmOutcome::Superseded;
-        }
-        let mut reported = fenced.iter().zip(&reports);
-        let coordinator_done = fenced.contains(&COORDINATOR_RANK)
-            || reported.any(|(_, r)| r.as_ref().is_some_and(|r| r.armed.is_none()));
-        let versions = disarmed_versions(reports.iter().flatten());
-        if !coordinator_done || versions.is_empty() {
-            return DisarmOutcome::Pending;
-        }
-        // The coordinator's rank comes first.
-        let first = fenced.iter().filter(|rank| **rank == COORDINATOR_RANK);
-        let others = fenced.iter().filter(|rank| **rank != COORDINATOR_RANK);
-        let others: Vec<usize> = others.copied().collect();
-        for group in [first.copied().collect(), others.clone()] {
-            for version in &versions {
-                let disarm = self.fenced(EngineOrder::Disarm { version: *version });
-                let answers = ranks.orders(&group, &disarm).await;
-                if answers.contains(&Some(OrderAnswer::Fenced)) {
-                    return DisarmOutcome::Superseded;
-                }
-                // A refusal means that the version is in use, so that no rank is armed for it.
-                if answers.contains(&None) {
-                    return DisarmOutcome::Pending;
-                }
-            }
-        }
-        if others.len() + 1 == ranks.size() {
-            DisarmOutcome::Disarmed
-        } else {
-            DisarmOutcome::Pending
-        }
-    }
-
     /// Holds the pass under this version, which fences off every older coordinator.
     ///
     /// Only then may a rank be disarmed: otherwise an older coordinator could release
     /// the pass meanwhile. Fails if the pass has begun or a newer coordinator has taken over.
-    async fn take_over<R>(&self, ranks: &R, step: u64) -> bool
+    pub(super) async fn take_over<R>(&self, ranks: &R, step: u64) -> bool
     where
         R: Ranks,
     {
@@ -501,30 +419,6 @@
     Unknown(u64),
 }
 
-/// Returns the versions that ranks of the group may be armed for, by the reports of some of them.
-///
-/// All ranks have prepared the same version before the first is armed, and a rank that
-/// was disarmed since has prepared the version after it.
-fn disarmed_versions<'a, I>(reports: I) -> BTreeSet<u64>
-where
-    I: IntoIterator<Item = &'a EngineReport>,
-{
-    let seen = reports.into_iter().flat_map(|r| [r.armed, r.prepared]);
-    let seen = seen.flatten();
-    seen.flat_map(|version| [version.saturating_sub(1), version])
-        .collect()
-}
-
-/// Outcome of disarming the ranks that are fenced off.
-enum DisarmOutcome {
-    /// No rank is armed, nor will be.
-    Disarmed,
-    /// A rank may be armed.
-    Pending,
-    /// The group was formed again.
-    Superseded,
-}
-
 /// Outcome of restoring the map in use on one rank.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RestoreOutcome {
