control: a configuration is encoded once for all entries that follow a replica

Orders took 0.4 to 1.7 s, leaders missed their heartbeats, and the term rose from 3 to 9 in ten seconds.

Now the text that goes to entries is made once a version and shared, and the expert capacity is read from a new configuration each 2 s at most.

Ruled out: the first election (the log had led since second 14).

--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -5,14 +5,17 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use pimentotide_fleet::{Announcement, Command, Declaration, FleetState, Record, Reply};
+use pimentotide_fleet::{Announcement, Command, Declaration, Declared, FleetState, Record, Reply};
 use pimentotide_instance::replica::ReplicaHandle;
 use pimentotide_model::{ErrorKind, Failure, Time, UpstreamName, ZoneName};
 use pimentotide_observe::Metrics;
 use pimentotide_platform::{Control, StoredConfiguration, read_configuration};
+use serde_json::value::RawValue;
 use tokio::time::Instant as Deadline;
 
-use super::super::rpc::{Document, FleetView, Processes, RankCapacity, SeenRevisions, StateUpdate};
+use super::super::rpc::{
+    Document, EncodedUpdate, FleetView, Processes, RankCapacity, SeenRevisions,
+};
 use super::roster::Roster;
 use crate::lines::Ordered;
 
@@ -22,6 +25,8 @@
 const POLL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum wait for a leader; upstreams and operators try another replica after a second.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(700);
+/// Minimum time between two reads of the expert capacity; large configurations take long to parse.
+const CAPACITY_INTERVAL: Duration = Duration::from_secs(2);
 /// Time after which an unchanged announcement is written to the log again.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -35,10 +40,20 @@
     first_seen: Arc<Mutex<BTreeMap<UpstreamName, (Time, Instant)>>>,
     /// Expert capacity of the latest configuration read.
     capacity: Arc<Mutex<Option<CachedCapacity>>>,
+    /// Latest configuration as entries receive it.
+    encoded: Arc<Mutex<Option<EncodedDocument>>>,
 }
 
-/// Position of a configuration in the log, and its expert capacity.
-type CachedCapacity = (u64, Option<RankCapacity>);
+/// Expert capacity of the configuration at a position of the log.
+#[derive(Clone, Copy)]
+struct CachedCapacity {
+    index: u64,
+    read_at: Instant,
+    capacity: Option<RankCapacity>,
+}
+
+/// Position of a configuration in the log, and its encoding.
+type EncodedDocument = (u64, Arc<RawValue>);
 
 impl ControlService {
     pub(super) fn new(
@@ -52,6 +67,7 @@
             metrics,
             first_seen: Arc::default(),
             capacity: Arc::default(),
+            encoded: Arc::default(),
         }
     }
 
@@ -93,7 +109,7 @@
     }
 
     /// Waits for changes since `seen`, up to [`POLL_TIMEOUT`], and returns the confirmed state.
-    pub(super) async fn next_update(&self, seen: SeenRevisions) -> Result<StateUpdate, Failure> {
+    pub(super) async fn next_update(&self, seen: SeenRevisions) -> Result<EncodedUpdate, Failure> {
         let until = Deadline::now() + POLL_TIMEOUT;
         let mut applied = self.replica.applied();
         loop {
@@ -112,8 +128,8 @@
             .replica
             .query(move |s, _| (changes_since(s, seen), s.entries()));
         let ((declared, fleet), recorded) = queried.await?;
-        Ok(StateUpdate {
-            declared,
+        Ok(EncodedUpdate {
+            declared: declared.map(|d| self.encoded(&d)).transpose()?,
             fleet,
             replicas,
             entries,
@@ -121,6 +137,25 @@
         })
     }
 
+    /// Returns a configuration as entries receive it; encodes each one once.
+    fn encoded(&self, declared: &Declared) -> Result<Arc<RawValue>, Failure> {
+        let mut cached = self.encoded.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((index, text)) = cached.as_ref()
+            && *index == declared.index
+        {
+            return Ok(text.clone());
+        }
+        let document = Document {
+            index: declared.index,
+            text: String::from_utf8_lossy(&declared.document).into_owned(),
+        };
+        let text = serde_json::value::to_raw_value(&document)
+            .map_err(|e| Failure::new(ErrorKind::Internal, e.to_string()))?;
+        let text: Arc<RawValue> = text.into();
+        *cached = Some((declared.index, text.clone()));
+        Ok(text)
+    }
+
     /// Returns the number of live entries by beacons, and the recorded number.
     pub(super) async fn entry_counts(&self) -> Result<(usize, usize), Failure> {
         let recorded = self.replica.query(|s, _| s.entries()).await?;
@@ -143,17 +178,20 @@
         })
     }
 
-    /// Returns the expert capacity of each rank; parses each configuration once.
+    /// Returns the expert capacity of each rank, as of the last [`CAPACITY_INTERVAL`].
     async fn rank_capacity(&self) -> Result<Option<RankCapacity>, Failure> {
         let cached = *self.capacity.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(recent) = cached.filter(|c| c.read_at.elapsed() < CAPACITY_INTERVAL) {
+            return Ok(recent.capacity);
+        }
         let declared = self.replica.query(move |s, _| {
             let newer = s
                 .declared()
-                .filter(|d| Some(d.index) != cached.map(|(index, _)| index));
+                .filter(|d| Some(d.index) != cached.map(|c| c.index));
             newer.map(|d| (d.index, d.document.clone()))
         });
         let Some((index, document)) = declared.await? else {
-            return Ok(cached.and_then(|(_, capacity)| capacity));
+            return Ok(cached.and_then(|c| c.capacity));
         };
         let declaration = read_configuration(&document)
             .map_err(|e| Failure::new(ErrorKind::Internal, e.to_string()))?;
@@ -164,7 +202,11 @@
             copy_time: e.copy_time,
         });
         let capacity = capacities.next_back();
-        *self.capacity.lock().unwrap_or_else(PoisonError::into_inner) = Some((index, capacity));
+        *self.capacity.lock().unwrap_or_else(PoisonError::into_inner) = Some(CachedCapacity {
+            index,
+            read_at: Instant::now(),
+            capacity,
+        });
         Ok(capacity)
     }
 
@@ -213,19 +255,15 @@
     }
 }
 
-fn changes_since(state: &FleetState, seen: SeenRevisions) -> (Option<Document>, Option<FleetView>) {
+fn changes_since(state: &FleetState, seen: SeenRevisions) -> (Option<Declared>, Option<FleetView>) {
     let now = position(state);
     let declared = state.declared().filter(|d| d.index != seen.declared);
-    let declared = declared.map(|d| Document {
-        index: d.index,
-        text: String::from_utf8_lossy(&d.document).into_owned(),
-    });
     let fleet = (now.revision != seen.revision).then(|| FleetView {
         revision: now.revision,
         closed: state.closed().clone(),
         upstreams: state.upstreams().values().cloned().collect(),
     });
-    (declared, fleet)
+    (declared.cloned(), fleet)
 }
 
 fn describe(command: &Command) -> (&'static str, String) {
--- a/app/src/fleet/rpc.rs
+++ b/app/src/fleet/rpc.rs
@@ -2,12 +2,14 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use pimentotide_consensus::DiskId;
 use pimentotide_fleet::Record;
 use pimentotide_model::{InstanceName, ZoneName};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use super::beacon::AgentBeacon;
 
@@ -42,6 +44,21 @@
     pub(super) recorded: usize,
 }
 
+/// [`StateUpdate`] as a replica sends it: the configuration is encoded once for all entries.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct EncodedUpdate {
+    /// Encoded [`Document`]; `None` if the entry has it already.
+    pub(super) declared: Option<Arc<RawValue>>,
+    /// Zones and upstreams; `None` if the entry has them already.
+    pub(super) fleet: Option<FleetView>,
+    /// Addresses of the replicas for calls.
+    pub(super) replicas: Vec<SocketAddr>,
+    /// Addresses of the entries that callers may use.
+    pub(super) entries: Vec<SocketAddr>,
+    /// Number of entries that share the limits; zero until recorded.
+    pub(super) recorded: usize,
+}
+
 /// Configuration in the form in which the operator sent it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct Document {
