agent: rescues of several ranks do not end each other

Now a rank waits 1.5 s for each rank before it, and again after an attempt, and the coordinator leaves a held pass to the others for 4 s where they may release it.

No test of its own: the waits lie in the agent's task, not in a module without network.

--- a/app/src/fleet/agent/coordinate.rs
+++ b/app/src/fleet/agent/coordinate.rs
@@ -41,6 +41,8 @@
 ///
 /// A longer change ends when demand has moved on; what is left follows in further changes.
 const MAX_COPY_TIME: Duration = Duration::from_millis(500);
+/// Time for which the agents of other ranks may release a pass that is left held, if they do so at all.
+const RESCUE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Versions skipped after a refusal, in case an engine has a higher version than this clock yields.
 const VERSION_SKIP: u64 = 10_000;
 
@@ -56,6 +58,10 @@
     /// Offset of versions above the time of day in ms.
     version_offset: u64,
     last_version: u64,
+    /// Time after which this agent releases a pass that is left held.
+    rescue_timeout: Duration,
+    /// Pass that is left held, and when it was first seen.
+    left_held: Option<(u64, Instant)>,
     /// Placement that all ranks use, as last read or switched to.
     known: Option<KnownPlacement>,
     /// Whether the agents of the ranks received the known placement, so that changes apply to it.
@@ -70,7 +76,14 @@
 }
 
 /// Checks the placement periodically until the task is aborted.
-pub(super) async fn coordinate(engine: EngineHandle, peers: Arc<Peers>, metrics: Metrics) {
+///
+/// `rescued` says whether the agents of other ranks release a pass that is left held.
+pub(super) async fn coordinate(
+    engine: EngineHandle,
+    peers: Arc<Peers>,
+    metrics: Metrics,
+    rescued: bool,
+) {
     let mut coordinator = Coordinator {
         engine,
         peers,
@@ -80,6 +93,12 @@
         seat: None,
         version_offset: 0,
         last_version: 0,
+        rescue_timeout: if rescued {
+            RESCUE_TIMEOUT
+        } else {
+            Duration::ZERO
+        },
+        left_held: None,
         known: None,
         ranks_have_known: false,
     };
@@ -129,16 +148,26 @@
         };
         let armed = states.iter().any(|s| s.report.armed.is_some());
         if let Some(step) = states.iter().find_map(|s| s.report.held) {
-            let version = self.next_version(&states);
-            group
-                .release(step, version, placement, "left held back")
-                .await;
+            if self.is_abandoned(step) {
+                let version = self.next_version(&states);
+                group
+                    .release(step, version, placement, "left held back")
+                    .await;
+            }
         } else if steady && !armed {
             self.rebalance(group, &states, placement).await;
         }
         Ok(interval)
     }
 
+    /// Whether a pass has been left held for longer than others need to release it.
+    fn is_abandoned(&mut self, step: u64) -> bool {
+        let now = Instant::now();
+        let seen = self.left_held.filter(|(held, _)| *held == step);
+        let (_, since) = *self.left_held.insert(seen.unwrap_or((step, now)));
+        now.duration_since(since) >= self.rescue_timeout
+    }
+
     /// Returns the placement in use; `None` if it has to be read first.
     fn placement(&mut self, seat: &Seat, states: &[RankState], steady: bool) -> Option<Placement> {
         let version = states.first()?.report.map;
--- a/app/src/fleet/agent/mod.rs
+++ b/app/src/fleet/agent/mod.rs
@@ -88,8 +88,9 @@
         ];
         if settings.rebalance {
             let metrics = scraped.metrics().clone();
+            let rescued = settings.bounds.fenced;
             tasks.push(actix_rt::spawn(coordinate::coordinate(
-                engine, peers, metrics,
+                engine, peers, metrics, rescued,
             )));
         }
         // Without fencing, a coordinator that resumes could release a pass at the same time.
--- a/app/src/fleet/agent/rescue.rs
+++ b/app/src/fleet/agent/rescue.rs
@@ -24,8 +24,10 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without a pass after which rank 1 takes over; a switch holds passes for a fraction of it.
 const STUCK_TIMEOUT: Duration = Duration::from_millis(300);
-/// Additional delay per further rank, so that one rank takes over at a time.
-const RANK_DELAY: Duration = Duration::from_millis(600);
+/// Additional delay per further rank; longer than a rescue takes, because a second one ends the first.
+const RANK_DELAY: Duration = Duration::from_millis(1_500);
+/// Delay per rank before another attempt, in which the rescue of another rank can end.
+const RETRY_DELAY: Duration = Duration::from_millis(1_500);
 /// Highest rank that takes over.
 pub(super) const MAX_RESCUE_RANK: u16 = 3;
 
@@ -51,8 +53,10 @@
         if !is_stuck(&report, seat.rank, stuck_for) {
             continue;
         }
-        if let Some(group) = peers.group(&seat, report.size) {
-            rescue(&group).await;
+        if let Some(group) = peers.group(&seat, report.size)
+            && rescue(&group).await
+        {
+            tokio::time::sleep(RETRY_DELAY * u32::from(seat.rank)).await;
         }
     }
 }
@@ -63,13 +67,12 @@
     open && work && stuck_for >= STUCK_TIMEOUT + RANK_DELAY * u32::from(rank - 1)
 }
 
-async fn rescue(group: &Group) {
+/// Releases the group if a pass is held; returns whether one was.
+async fn rescue(group: &Group) -> bool {
     group.avoid_agent(COORDINATOR_RANK);
-    let Some(report) = group.report(group.holder()).await else {
-        return;
-    };
-    let Some(step) = report.held else {
-        return;
+    let report = group.report(group.holder()).await;
+    let Some((report, step)) = report.and_then(|r| r.held.map(|step| (r, step))) else {
+        return false;
     };
     let highest = report
         .map
@@ -77,4 +80,5 @@
         .max(report.prepared.unwrap_or(0));
     let version = unix_millis().max(highest + VERSION_MARGIN);
     group.rescue(step, version).await;
+    true
 }
