outcome: the history of crashes is a type of its own

Moves crashes, their merging and the excuse of zone failures out of the suspicion, whose trials need an agent, so that another admission can decide on the same evidence.

--- a/decision/outcome/src/lib.rs
+++ b/decision/outcome/src/lib.rs
@@ -12,13 +12,14 @@
 //! An [`Assembly`] reorders streamed answers, and [`plan_resume`] resumes or
 //! ends a stream whose engine crashed. [`Liveness`] distinguishes the crash of
 //! an upstream from a lost connection, and [`Suspicion`] identifies by content
-//! the requests that crash upstreams.
+//! the requests that crash upstreams, from the crashes in a [`CrashHistory`].
 
 mod assembly;
 mod attempt;
 mod blob;
 mod cancel;
 mod claim;
+mod crash_history;
 mod journal;
 mod ledger;
 mod liveness;
@@ -34,9 +35,10 @@
     Body, Claim, ClaimRef, LedgerEpoch, MAX_KEY_BYTES, MAX_RECORDED_BYTES, Outcome, Place, Ticket,
     generated_key,
 };
+pub use crash_history::{Crash, CrashHistory, Strikes, Witness};
 pub use journal::{Command, Journal, Reply};
 pub use ledger::{AgentLedger, Begin, Conclusion, Finding, LedgerLimits, NotRun};
 pub use liveness::Liveness;
 pub use resume::{BrokenStream, KvSource, ResumePlan, plan_resume};
-pub use suspicion::{Crash, Suspicion, Verdict, Witness};
+pub use suspicion::{Suspicion, Verdict};
 pub use window::Limits;
--- a/decision/outcome/src/suspicion.rs
+++ b/decision/outcome/src/suspicion.rs
@@ -3,67 +3,28 @@
 //! A crash that the agent survives makes every running request a suspect. A
 //! suspect waits until all entries have received the report, then runs on an
 //! upstream with no other suspect. In this trial a second crash identifies it,
-//! and a success clears it. The loss of a whole instance counts only when it
-//! happens twice to the same content. Crashes of many upstreams of a zone at once
-//! are attributed to the zone, except for a content that ran on all of them.
+//! and a success clears it. [`CrashHistory`] says which crashes count.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use pimentotide_model::{Fingerprint, Incarnation, Time, UpstreamName, ZoneName};
+use pimentotide_model::{Fingerprint, Time, UpstreamName};
 use serde::{Deserialize, Serialize};
 
-use crate::Ticket;
+use crate::{Crash, CrashHistory, Ticket};
 
 /// Number of crashes after which a content is refused.
 const MAX_STRIKES: usize = 2;
-/// Number of lost instances that count as one crash of a content.
-const LOSSES_PER_STRIKE: usize = 2;
 /// Time from a crash to the first retry of the suspects, for all entries to
 /// receive the report.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Retry delay of a suspect while another copy of its content runs.
 const TRIAL_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Time after which a crash expires.
-const CRASH_RETENTION: Duration = Duration::from_secs(600);
 /// Duration of a refusal, counted from the last crash.
 const REFUSAL_DURATION: Duration = Duration::from_secs(600);
-/// Number of upstreams of a zone whose crashes within [`ZONE_CRASH_WINDOW`] are
-/// attributed to the zone.
-const MIN_ZONE_CRASHES: usize = 3;
-/// Time window in which crashes of one zone are related.
-const ZONE_CRASH_WINDOW: Duration = Duration::from_secs(2);
-/// Maximum number of crashes; the oldest are evicted first.
-const MAX_CRASHES: usize = 256;
-/// Maximum number of suspects per crash.
-const MAX_SUSPECTS_PER_CRASH: usize = 512;
 /// Maximum number of refused contents; the oldest refusal is evicted first.
 const MAX_REFUSED_CONTENTS: usize = 1_024;
 
-/// Process that observed a crash.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum Witness {
-    /// An entry that observed the loss of the whole instance.
-    Entry,
-    /// The agent, which survived the crash of its upstream.
-    Agent,
-}
-
-/// Crash of one incarnation of an upstream with the requests running on it.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Crash {
-    /// Upstream that crashed.
-    pub upstream: UpstreamName,
-    /// Incarnation that crashed.
-    pub incarnation: Incarnation,
-    /// Zone of the upstream; `None` if the reporter has no record of it.
-    pub zone: Option<ZoneName>,
-    /// Process that observed the crash.
-    pub witness: Witness,
-    /// Contents of the running requests.
-    pub suspects: Vec<Fingerprint>,
-}
-
 /// Decision on whether and where a content may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Verdict {
@@ -79,18 +40,6 @@
     Refused(Duration),
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-struct Event {
-    upstream: UpstreamName,
-    incarnation: Incarnation,
-    zone: Option<ZoneName>,
-    witness: Witness,
-    at: Time,
-    suspects: BTreeSet<Fingerprint>,
-    /// Suspects excused by the failure of the zone.
-    excused: BTreeSet<Fingerprint>,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 struct Trial {
     ticket: Ticket,
@@ -101,7 +50,7 @@
 /// Suspected contents, identical on every replica.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Suspicion {
-    events: VecDeque<Event>,
+    history: CrashHistory,
     trials: BTreeMap<Fingerprint, Trial>,
     refused: BTreeMap<Fingerprint, Time>,
 }
@@ -109,19 +58,20 @@
 impl Suspicion {
     /// Returns whether no content is suspected or refused.
     pub fn is_empty(&self) -> bool {
-        self.events.is_empty() && self.refused.is_empty()
+        self.history.is_empty() && self.refused.is_empty()
     }
 
     /// Records a crash; reports of the same crash are merged.
     pub fn report(&mut self, crash: &Crash, at: Time) {
         self.expire(at);
-        self.merge(crash, at);
-        self.excuse_zone_failure(crash.zone.as_ref(), at);
+        if self.history.report(crash, at) {
+            self.withdraw_refusals();
+        }
         for suspect in &crash.suspects {
             self.trials.remove(suspect);
             self.refuse_if_due(*suspect, at);
         }
-        self.enforce_limits();
+        self.evict_refusals();
     }
 
     /// Decides whether a content may run on `upstream`, and reserves a trial
@@ -162,7 +112,7 @@
         {
             return Verdict::Refused(until.since(at));
         }
-        let Some(last) = self.last_strike(content) else {
+        let Some(last) = self.history.strikes(content).map(|s| s.last) else {
             return Verdict::Free;
         };
         if at < last + RETRY_DELAY {
@@ -196,28 +146,20 @@
             return;
         }
         self.trials.remove(&content);
-        for event in &mut self.events {
-            event.suspects.remove(&content);
-            event.excused.remove(&content);
-        }
-        self.events.retain(|e| !e.suspects.is_empty());
+        self.history.clear(content);
     }
 
     /// Removes expired crashes, trials and refusals.
     pub fn expire(&mut self, at: Time) {
-        self.events.retain(|e| at < e.at + CRASH_RETENTION);
+        self.history.expire(at);
         self.trials.retain(|_, t| at < t.until);
         self.refused.retain(|_, until| at < *until);
     }
 
     /// Returns the suspected and refused contents.
     pub fn contents(&self) -> BTreeSet<Fingerprint> {
-        let suspects = self.events.iter().flat_map(|e| &e.suspects);
-        suspects
-            .filter(|s| self.last_strike(**s).is_some())
-            .chain(self.refused.keys())
-            .copied()
-            .collect()
+        let suspects = self.history.all_strikes().into_keys();
+        suspects.chain(self.refused.keys().copied()).collect()
     }
 
     fn isolate(
@@ -240,106 +182,26 @@
         Verdict::Apart
     }
 
-    fn merge(&mut self, crash: &Crash, at: Time) {
-        let existing = self
-            .events
-            .iter_mut()
-            .find(|e| e.upstream == crash.upstream && e.incarnation == crash.incarnation);
-        if let Some(event) = existing {
-            event.witness = event.witness.max(crash.witness);
-            event.zone = event.zone.take().or_else(|| crash.zone.clone());
-            event.suspects.extend(&crash.suspects);
-            return;
-        }
-        self.events.push_back(Event {
-            upstream: crash.upstream.clone(),
-            incarnation: crash.incarnation,
-            zone: crash.zone.clone(),
-            witness: crash.witness,
-            at,
-            suspects: crash.suspects.iter().copied().collect(),
-            excused: BTreeSet::new(),
-        });
-    }
-
-    /// Excuses the requests of a zone that lost many upstreams at once.
-    ///
-    /// A content that ran on all of these upstreams remains suspected.
-    fn excuse_zone_failure(&mut self, zone: Option<&ZoneName>, at: Time) {
-        let Some(zone) = zone else {
-            return;
-        };
-        let recent =
-            |e: &Event| e.zone.as_ref() == Some(zone) && at.since(e.at) <= ZONE_CRASH_WINDOW;
-        let crashes: Vec<&Event> = self.events.iter().filter(|e| recent(e)).collect();
-        let upstreams: BTreeSet<&UpstreamName> = crashes.iter().map(|e| &e.upstream).collect();
-        if upstreams.len() < MIN_ZONE_CRASHES {
-            return;
-        }
-        let common = crashes[1..]
-            .iter()
-            .fold(crashes[0].suspects.clone(), |common, e| {
-                common.intersection(&e.suspects).copied().collect()
-            });
-        for event in self.events.iter_mut().filter(|e| recent(e)) {
-            event.excused = event.suspects.difference(&common).copied().collect();
-        }
-        self.withdraw_refusals();
-    }
-
     /// Withdraws refusals for which too few crashes remain.
     fn withdraw_refusals(&mut self) {
-        let excused: BTreeSet<Fingerprint> = self
-            .events
-            .iter()
-            .flat_map(|e| &e.excused)
-            .copied()
-            .collect();
-        let cleared: Vec<Fingerprint> = excused
-            .into_iter()
-            .filter(|c| self.strikes(*c) < MAX_STRIKES)
-            .collect();
-        for content in cleared {
-            self.refused.remove(&content);
-        }
-    }
-
-    fn refuse_if_due(&mut self, content: Fingerprint, at: Time) {
-        if self.strikes(content) >= MAX_STRIKES {
-            self.refused.insert(content, at + REFUSAL_DURATION);
+        for content in self.history.excused() {
+            if self.strikes(content) < MAX_STRIKES {
+                self.refused.remove(&content);
+            }
         }
     }
 
     fn strikes(&self, content: Fingerprint) -> usize {
-        let (mut crashes, mut losses, mut excused) = (0, 0, 0);
-        for event in self.events.iter().filter(|e| e.suspects.contains(&content)) {
-            match (event.witness, event.excused.contains(&content)) {
-                (Witness::Agent, true) => excused += 1,
-                (Witness::Agent, false) => crashes += 1,
-                (Witness::Entry, false) => losses += 1,
-                (Witness::Entry, true) => {}
-            }
-        }
-        crashes + losses / LOSSES_PER_STRIKE + usize::from(excused >= MAX_STRIKES)
+        self.history.strikes(content).map_or(0, |s| s.count)
     }
 
-    fn last_strike(&self, content: Fingerprint) -> Option<Time> {
-        if self.events.is_empty() || self.strikes(content) == 0 {
-            return None;
+    fn refuse_if_due(&mut self, content: Fingerprint, at: Time) {
+        if self.strikes(content) >= MAX_STRIKES {
+            self.refused.insert(content, at + REFUSAL_DURATION);
         }
-        let suspecting = self.events.iter().filter(|e| e.suspects.contains(&content));
-        suspecting.map(|e| e.at).max()
     }
 
-    fn enforce_limits(&mut self) {
-        while self.events.len() > MAX_CRASHES {
-            self.events.pop_front();
-        }
-        for event in &mut self.events {
-            while event.suspects.len() > MAX_SUSPECTS_PER_CRASH {
-                event.suspects.pop_last();
-            }
-        }
+    fn evict_refusals(&mut self) {
         while self.refused.len() > MAX_REFUSED_CONTENTS {
             let oldest = self.refused.iter().min_by_key(|(_, t)| **t);
             let oldest = oldest.map(|(content, _)| *content);
