entry: a request that crashes upstreams is refused by all entries

Cause: nothing on this path related attempts with the same content. All counters end with an attempt. The other front door has such a count with agents as witnesses; this path was built beside it without one. Ruled out by reading and by the failing test: a count by entry (there is none, whatever PLATFORM.md said), and a bypass of a shared one.

Now an entry that has proved a crash has it recorded in the log with the contents that ran there before any of them is sent again. Two crashes refuse a content for 60 s, three until they expire after 600 s; sound runs clear it, and a content that ran soundly here in the last 10 s is not suspected. The check stands before each send, in the wait for an upstream, in the decision on a retry and beside sends under way. Sound contents run beside a crashing one without isolation, hence the probation: with a final refusal after two crashes the property test refused sound contents. An entry that is cut off counts for itself.

--- a/app/src/explain/explanation.rs
+++ b/app/src/explain/explanation.rs
@@ -10,8 +10,8 @@
 use super::cause::causes;
 use crate::lines::{
     Declared, Ejected, ExpertsMoved, GroupReleased, LeaseLost, LeaseWon, Ordered, Ready,
-    ReplicaFollowed, ReplicaLost, RoleChanged, Stopped, Stopping, UpstreamChanged, UpstreamCrashed,
-    UpstreamSignal, ZonesClosed,
+    ReplicaFollowed, ReplicaLost, RoleChanged, Stopped, Stopping, SuspectsChanged, UpstreamChanged,
+    UpstreamCrashed, UpstreamSignal, ZonesClosed,
 };
 
 /// Events that may affect any request of the deployment.
@@ -21,7 +21,7 @@
     RoleChanged::EVENT,
 ];
 /// Events that affect the requests of the process that logs them.
-const PROCESS_EVENTS: [&str; 10] = [
+const PROCESS_EVENTS: [&str; 11] = [
     Ready::EVENT,
     Stopping::EVENT,
     Stopped::EVENT,
@@ -31,6 +31,7 @@
     ReplicaFollowed::EVENT,
     Declared::EVENT,
     ZonesClosed::EVENT,
+    SuspectsChanged::EVENT,
     Dropped::EVENT,
 ];
 /// Events about one upstream in the view of a process.
--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -5,7 +5,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use pimentotide_fleet::{Announcement, Command, Declaration, Declared, FleetState, Record, Reply};
+use pimentotide_fleet::{
+    Announcement, Command, Declaration, Declared, FleetState, Record, Reply, SuspectView,
+};
 use pimentotide_instance::replica::ReplicaHandle;
 use pimentotide_model::{ErrorKind, Failure, Time, UpstreamName, ZoneName};
 use pimentotide_observe::Metrics;
@@ -14,7 +16,7 @@
 use tokio::time::Instant as Deadline;
 
 use super::super::rpc::{
-    Document, EncodedUpdate, FleetView, Processes, RankCapacity, SeenRevisions,
+    CrashReports, Document, EncodedUpdate, FleetView, Processes, RankCapacity, SeenRevisions,
 };
 use super::roster::Roster;
 use crate::lines::Ordered;
@@ -114,7 +116,10 @@
         let mut applied = self.replica.applied();
         loop {
             applied.mark_unchanged();
-            let changed = self.replica.query(move |s, _| position(s) != seen).await?;
+            let changed = self
+                .replica
+                .query(move |s, _| position(s, seen) != seen)
+                .await?;
             if changed || Deadline::now() >= until {
                 break;
             }
@@ -127,10 +132,11 @@
         let queried = self
             .replica
             .query(move |s, _| (changes_since(s, seen), s.entries()));
-        let ((declared, fleet), recorded) = queried.await?;
+        let (changes, recorded) = queried.await?;
         Ok(EncodedUpdate {
-            declared: declared.map(|d| self.encoded(&d)).transpose()?,
-            fleet,
+            declared: changes.declared.map(|d| self.encoded(&d)).transpose()?,
+            fleet: changes.fleet,
+            suspects: changes.suspects,
             replicas,
             entries,
             recorded,
@@ -156,6 +162,30 @@
         Ok(text)
     }
 
+    /// Records the reports of an entry; sound runs of contents that are no longer suspected are dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a report is not replicated; recording it again has no effect.
+    pub(super) async fn record_reports(&self, reports: CrashReports) -> Result<(), Failure> {
+        for crash in reports.crashes {
+            self.replicate(&Command::Crash(crash)).await?;
+        }
+        let mut sound = reports.sound;
+        if sound.is_empty() {
+            return Ok(());
+        }
+        let suspected = self
+            .replica
+            .query(|s, _| s.suspects().suspected.clone())
+            .await?;
+        sound.retain(|c| suspected.contains(c));
+        if !sound.is_empty() {
+            self.replicate(&Command::Clear(sound)).await?;
+        }
+        Ok(())
+    }
+
     /// Returns the number of live entries by beacons, and the recorded number.
     pub(super) async fn entry_counts(&self) -> Result<(usize, usize), Failure> {
         let recorded = self.replica.query(|s, _| s.entries()).await?;
@@ -248,22 +278,35 @@
     }
 }
 
-fn position(state: &FleetState) -> SeenRevisions {
+/// Parts of the state that an entry does not have yet.
+struct Changes {
+    declared: Option<Declared>,
+    fleet: Option<FleetView>,
+    suspects: Option<SuspectView>,
+}
+
+/// Returns the position of the state, limited to what the entry with `seen` follows.
+fn position(state: &FleetState, seen: SeenRevisions) -> SeenRevisions {
     SeenRevisions {
         declared: state.declared().map_or(0, |d| d.index),
         revision: state.revision(),
+        suspects: seen.suspects.map(|_| state.suspects().revision),
     }
 }
 
-fn changes_since(state: &FleetState, seen: SeenRevisions) -> (Option<Declared>, Option<FleetView>) {
-    let now = position(state);
+fn changes_since(state: &FleetState, seen: SeenRevisions) -> Changes {
+    let now = position(state, seen);
     let declared = state.declared().filter(|d| d.index != seen.declared);
     let fleet = (now.revision != seen.revision).then(|| FleetView {
         revision: now.revision,
         closed: state.closed().clone(),
         upstreams: state.upstreams().values().cloned().collect(),
     });
-    (declared.cloned(), fleet)
+    Changes {
+        declared: declared.cloned(),
+        fleet,
+        suspects: (now.suspects != seen.suspects).then(|| state.suspects().clone()),
+    }
 }
 
 fn describe(command: &Command) -> (&'static str, String) {
@@ -281,6 +324,8 @@
         Command::Withdraw(upstream) => ("withdraw", upstream.to_string()),
         Command::Expire { upstream, .. } => ("expire", upstream.to_string()),
         Command::Entries(entries) => ("record_entries", entries.to_string()),
+        Command::Crash(crash) => ("record_crash", crash.upstream.to_string()),
+        Command::Clear(contents) => ("clear_suspects", contents.len().to_string()),
     }
 }
 
--- a/app/src/fleet/control/methods.rs
+++ b/app/src/fleet/control/methods.rs
@@ -5,7 +5,9 @@
 use jsonrpsee::{Methods, RpcModule};
 use pimentotide_instance::rpc_error;
 
-use super::super::rpc::{FOLLOW, JOIN, JoinRequest, PROCESSES, SeenRevisions};
+use super::super::rpc::{
+    CrashReports, FOLLOW, JOIN, JoinRequest, PROCESSES, REPORT, SeenRevisions,
+};
 use super::desk::ControlService;
 use super::membership::Members;
 
@@ -34,6 +36,11 @@
         let processes = shared.service.processes(group.as_deref()).await;
         processes.map_err(|f| rpc_error(&f))
     })?;
+    module.register_async_method(REPORT, |params, shared, _| async move {
+        let reports: CrashReports = params.one()?;
+        let recorded = shared.service.record_reports(reports).await;
+        recorded.map_err(|f| rpc_error(&f))
+    })?;
     module.register_async_method(JOIN, |params, shared, _| async move {
         let joining: JoinRequest = params.one()?;
         shared
--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use pimentotide_fleet::{Ended, Next, Outcome, Policy, RouteKind, Step, Ticket, next_step};
+use pimentotide_fleet::{
+    Ended, Next, Outcome, Policy, RouteKind, Step, Ticket, is_sound_run, next_step,
+};
 use pimentotide_model::{Failure, Fingerprint, ServiceName, Time, UpstreamName, WorkspaceName};
 use pimentotide_platform::{Answer, AnswerError, Call, SendOptions, UpstreamClient};
 
@@ -146,7 +148,15 @@
         };
         let sending = client.send(&self.call, &send);
         let limit = tokio::time::Instant::from_std(self.answer_deadline());
-        let result = match tokio::time::timeout_at(limit, sending).await {
+        let withdrawn = self.state.until_refused(self.content);
+        let result = tokio::select! {
+            result = tokio::time::timeout_at(limit, sending) => result,
+            () = withdrawn => {
+                guard.end(Outcome::Neutral);
+                return Err(SendError::Ended(Ended::Withdrawn, upstream));
+            }
+        };
+        let result = match result {
             Ok(result) => result,
             Err(_) => {
                 guard.end(Outcome::Failed);
@@ -202,11 +212,23 @@
 
     /// Counts complete events received from the upstream of the latest send.
     pub(super) fn record_events(&mut self, events: u64) {
-        if let Some(send) = &mut self.last_send {
-            send.events += events;
+        let Some(send) = &mut self.last_send else {
+            return;
+        };
+        let was_sound = is_sound_run(send.events);
+        send.events += events;
+        if is_sound_run(send.events) && !was_sound {
+            self.state.record_sound_run(self.content);
         }
     }
 
+    /// Whether the upstream of the latest send has sent enough events to rule out a crash by
+    /// this request.
+    pub(super) fn is_sound(&self) -> bool {
+        let send = self.last_send.as_ref();
+        send.is_some_and(|s| is_sound_run(s.events))
+    }
+
     /// Checks whether the upstream of the latest send, which broke off, has crashed.
     async fn check_crash(&self) {
         let Some(send) = &self.last_send else {
@@ -237,8 +259,11 @@
                 let now = self.state.now();
                 self.state.lock().gate(&self.service).record_refused(now);
             }
-            Ended::Broken | Ended::Failed | Ended::Silent => self.policy.ran += 1,
+            Ended::Broken | Ended::Failed | Ended::Silent | Ended::Withdrawn => {
+                self.policy.ran += 1;
+            }
         }
+        self.policy.crashing = self.state.is_refused(self.content);
         let now: Time = self.state.now();
         let Next { step, limit } = next_step(ended, &self.policy, now, || {
             self.state.lock().budget.spend(&self.service, now)
--- a/app/src/fleet/entry/crashes.rs
+++ b/app/src/fleet/entry/crashes.rs
@@ -3,7 +3,9 @@
 //! A broken connection does not prove a crash: a stalled group, a reset and a malformed
 //! answer look the same to the request. So the entry connects to the upstream once more:
 //! a live process accepts, while the instance of a crashed one refuses. Requests that break
-//! at the same upstream at the same time share one check.
+//! at the same upstream at the same time share one check. A crash is recorded by control before
+//! the requests are retried, so that no content that ran there runs again before all entries
+//! suspect it.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -11,17 +13,18 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use pimentotide_fleet::Ticket;
-use pimentotide_model::Fingerprint;
+use pimentotide_fleet::{SuspectView, Ticket, is_sound_run};
+use pimentotide_model::{Fingerprint, Incarnation};
+use pimentotide_outcome::{Crash, Witness};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use super::state::EntryState;
-use crate::lines::{SuspectRequest, UpstreamCrashed};
+use crate::lines::{SuspectRequest, SuspectsChanged, UpstreamCrashed};
 
 /// Timeout of connecting to an upstream that may have crashed.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Maximum time for which a request waits for the check before it is retried.
+/// Maximum time for which a request waits for the check and its record before it is retried.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of requests in the log line of a crash.
 const MAX_LOGGED_REQUESTS: usize = 32;
@@ -82,9 +85,9 @@
     }
 }
 
-/// Checks whether the upstream of an interrupted send has crashed, and records the crash.
+/// Checks whether the upstream of an interrupted send has crashed, and reports the crash.
 ///
-/// Returns once the check has ended, at the latest after [`CHECK_TIMEOUT`].
+/// Returns once the check has ended and control has recorded the crash, at the latest after [`CHECK_TIMEOUT`].
 pub(super) async fn check_crash(
     state: &Arc<EntryState>,
     ticket: &Ticket,
@@ -99,7 +102,7 @@
             let crashed = refuses_connections(address).await;
             let interruptions = state.crash_checks().take(&ticket);
             if crashed {
-                record_crash(&state, &ticket, &interruptions);
+                record_crash(&state, &ticket, &interruptions).await;
             }
             drop(sender);
         });
@@ -117,7 +120,7 @@
     }
 }
 
-fn record_crash(state: &EntryState, ticket: &Ticket, interruptions: &[Interruption]) {
+async fn record_crash(state: &EntryState, ticket: &Ticket, interruptions: &[Interruption]) {
     state
         .metrics()
         .count("entry.crashes", ("scope", "upstream"), 1);
@@ -134,4 +137,65 @@
             })
             .collect(),
     });
+    let suspects = interruptions.iter().filter(|i| !is_sound_run(i.events));
+    let crash = Crash {
+        upstream: ticket.upstream.clone(),
+        incarnation: Incarnation(ticket.born),
+        zone: None,
+        witness: Witness::Agent,
+        suspects: suspects.map(|i| i.content).collect(),
+    };
+    let report = state.lock().evidence.record_crash(crash, state.now());
+    state.notify_suspects();
+    if let Some(report) = report {
+        state.reports().record_crash(report).await;
+    }
+}
+
+impl EntryState {
+    /// Whether a content is refused because it crashes upstreams.
+    pub(super) fn is_refused(&self, content: Fingerprint) -> bool {
+        let now = self.now();
+        self.lock().evidence.is_refused(content, now)
+    }
+
+    /// Waits until a content is refused.
+    pub(super) async fn until_refused(&self, content: Fingerprint) {
+        let mut changes = self.suspect_changes();
+        while !self.is_refused(content) {
+            // The sender is part of this state, so that the wait does not fail.
+            if changes.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// Records that a content ran soundly, and reports it if the content is suspected.
+    pub(super) fn record_sound_run(&self, content: Fingerprint) {
+        let now = self.now();
+        if self.lock().evidence.record_sound_run(content, now) {
+            self.reports().record_sound_runs([content]);
+        }
+    }
+
+    /// Applies the shared view of suspected and refused contents.
+    pub(super) fn update_suspects(&self, view: SuspectView) {
+        let now = self.now();
+        let mut inner = self.lock();
+        if inner.seen_suspects() >= view.revision {
+            return;
+        }
+        if *inner.evidence.refused() != view.refused {
+            pimentotide_observe::event(&SuspectsChanged {
+                suspected: view.suspected.len(),
+                refused: view.refused.iter().map(ToString::to_string).collect(),
+                revision: view.revision,
+            });
+        }
+        inner.set_seen_suspects(view.revision);
+        let sound = inner.evidence.update(view, now);
+        drop(inner);
+        self.reports().record_sound_runs(sound);
+        self.notify_suspects();
+    }
 }
--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -6,6 +6,7 @@
 mod follow;
 mod placing;
 mod relay;
+mod report;
 mod state;
 mod streaming;
 
@@ -81,6 +82,11 @@
         let directory = open_directory(settings, CallerDirectory::new(state.clone(), settings))?;
         let replicas = Replicas::new(settings);
         let tasks = vec![
+            actix_rt::spawn(report::send_reports(
+                state.clone(),
+                replicas.clone(),
+                token.clone(),
+            )),
             actix_rt::spawn(follow::follow(
                 state.clone(),
                 replicas.clone(),
--- a/app/src/fleet/entry/placing.rs
+++ b/app/src/fleet/entry/placing.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use pimentotide_fleet::{
-    Admission, Choice, ChoiceRequest, Refusal, RetryWindow, RouteKind, is_in_time,
+    Admission, Choice, ChoiceRequest, PROBATION, Refusal, RetryWindow, RouteKind, is_in_time,
 };
 use pimentotide_model::{ErrorKind, Failure, Ran};
 
@@ -70,6 +70,14 @@
                 retry_in: None,
             });
         }
+        if self.state.is_refused(self.content) {
+            return Err(Blocked {
+                kind: ErrorKind::CrashingRequest,
+                detail: "its content crashes upstreams".to_owned(),
+                min_delay: None,
+                retry_in: None,
+            });
+        }
         let mut state = self.state.lock();
         if let Admission::Wait(pause) = state.gate(&self.service).admit(now) {
             return Err(Blocked {
@@ -103,6 +111,9 @@
         match kind {
             ErrorKind::NoUpstream => self.failure_after(kind, detail, MIN_RETRY_NO_UPSTREAM),
             ErrorKind::Overloaded => self.failure_after(kind, detail, MIN_RETRY_FULL),
+            ErrorKind::CrashingRequest => Failure::new(kind, detail)
+                .with_ran(self.ran())
+                .with_retry(PROBATION),
             _ => Failure::new(kind, detail).with_ran(self.ran()),
         }
     }
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -80,6 +80,7 @@
             ran: 0,
             not_run: 0,
             deadline: self.state.clock().at(call.received) + timeout,
+            crashing: false,
         };
         let kind = found.route.kind;
         let attempt = Attempt {
@@ -233,6 +234,7 @@
     match tokio::time::timeout_at(limit, answer.body.read_all()).await {
         Ok(Ok(body)) => {
             ticket.end(Outcome::Good);
+            attempt.state.record_sound_run(attempt.content);
             Ok(WholeAnswer {
                 status,
                 headers,
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -10,18 +10,19 @@
 use std::time::Duration;
 
 use pimentotide_fleet::{
-    Balancer, BalancerOptions, BudgetOptions, ColdLimit, EntryCount, EntryPosition, Outcome,
-    RetryAfterSchedule, RetryBudget, RouteTable, ServiceGate, Ticket,
+    Balancer, BalancerOptions, BudgetOptions, ColdLimit, CrashEvidence, EntryCount, EntryPosition,
+    Outcome, RetryAfterSchedule, RetryBudget, RouteTable, ServiceGate, Ticket,
 };
 use pimentotide_instance::Clock;
 use pimentotide_model::{ErrorKind, Failure, ServiceName, Time, ZoneName};
 use pimentotide_observe::Metrics;
 use pimentotide_platform::read_configuration;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use super::super::FleetSettings;
 use super::super::rpc::{FleetView, SeenRevisions, StateUpdate};
 use super::crashes::CrashChecks;
+use super::report::ReportQueue;
 use crate::lines::{
     Declared, Ejected, LeaseLost, LeaseWon, UpstreamChanged, UpstreamSignal, ZonesClosed,
 };
@@ -42,6 +43,9 @@
     lease: Duration,
     inner: Mutex<Inner>,
     crash_checks: CrashChecks,
+    reports: ReportQueue,
+    /// Signals changes to suspected and refused contents.
+    suspect_changes: watch::Sender<()>,
     /// Number of open requests.
     open: AtomicUsize,
     /// Whether the entry drains; new requests are still served until `refusing`.
@@ -61,6 +65,8 @@
     pub(super) retry_schedules: BTreeMap<ServiceName, RetryAfterSchedule>,
     /// Admission by recent refusals of upstreams, by service.
     gates: BTreeMap<ServiceName, ServiceGate>,
+    /// Contents that crash upstreams.
+    pub(super) evidence: CrashEvidence,
     seen: SeenRevisions,
     /// End of the lease.
     lease_end: Time,
@@ -101,7 +107,11 @@
                 budget: RetryBudget::new(budget, entry_count),
                 retry_schedules: BTreeMap::new(),
                 gates: BTreeMap::new(),
-                seen: SeenRevisions::default(),
+                evidence: CrashEvidence::default(),
+                seen: SeenRevisions {
+                    suspects: Some(0),
+                    ..SeenRevisions::default()
+                },
                 lease_end: Time::ZERO,
                 confirmed_at: Time::ZERO,
                 logged_current: false,
@@ -109,6 +119,8 @@
                 entry_addresses: Vec::new(),
             }),
             crash_checks: CrashChecks::default(),
+            reports: ReportQueue::default(),
+            suspect_changes: watch::Sender::default(),
             open: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
@@ -130,6 +142,20 @@
         &self.metrics
     }
 
+    /// Returns the reports for the control replicas.
+    pub(super) fn reports(&self) -> &ReportQueue {
+        &self.reports
+    }
+
+    /// Returns a receiver of changes to suspected and refused contents.
+    pub(super) fn suspect_changes(&self) -> watch::Receiver<()> {
+        self.suspect_changes.subscribe()
+    }
+
+    pub(super) fn notify_suspects(&self) {
+        self.suspect_changes.send_replace(());
+    }
+
     pub(super) fn crash_checks(&self) -> &CrashChecks {
         &self.crash_checks
     }
@@ -156,6 +182,9 @@
         update: StateUpdate,
         requested_at: Time,
     ) -> Result<(), Failure> {
+        if let Some(view) = update.suspects {
+            self.update_suspects(view);
+        }
         let now = self.now();
         let mut inner = self.lock();
         if let Some(document) = update.declared
@@ -255,6 +284,8 @@
         for (figure, value) in figures {
             metrics.gauge("entry.knowledge", ("figure", figure), value);
         }
+        let refused = inner.evidence.refused().len() as u64;
+        metrics.gauge("entry.suspects", ("state", "refused"), refused);
         metrics.gauge(
             "entry.open",
             ("scope", "requests"),
@@ -381,6 +412,15 @@
         self.gates.entry(service.clone()).or_default()
     }
 
+    /// Position of the last applied view of suspected contents.
+    pub(super) fn seen_suspects(&self) -> u64 {
+        self.seen.suspects.unwrap_or(0)
+    }
+
+    pub(super) fn set_seen_suspects(&mut self, revision: u64) {
+        self.seen.suspects = Some(revision);
+    }
+
     /// Applies zones and upstreams and logs the changes.
     fn apply_fleet(&mut self, fleet: FleetView, now: Time) {
         let revision = fleet.revision;
--- a/app/src/fleet/entry/streaming.rs
+++ b/app/src/fleet/entry/streaming.rs
@@ -200,7 +200,14 @@
             };
             let limit = Instant::from_std(self.attempt.answer_deadline());
             let silence = Instant::now() + self.attempt.state.silence();
-            let part = tokio::time::timeout_at(limit.min(silence), source.body.next()).await;
+            let reading = tokio::time::timeout_at(limit.min(silence), source.body.next());
+            let withdrawn = self.attempt.state.until_refused(self.attempt.content);
+            let part = tokio::select! {
+                part = reading => part,
+                () = withdrawn, if !self.attempt.is_sound() => {
+                    return self.end(Outcome::Neutral, Ended::Withdrawn);
+                }
+            };
             let before = self.cursor.forwarded();
             match part {
                 Ok(Some(Ok(bytes))) => match self.cursor.push(&bytes) {
@@ -243,6 +250,7 @@
                 after_ms: self.attempt.elapsed_ms(),
             });
             source.ticket.end(Outcome::Good);
+            self.attempt.state.record_sound_run(self.attempt.content);
         }
     }
 
--- a/app/src/fleet/rpc.rs
+++ b/app/src/fleet/rpc.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use pimentotide_consensus::DiskId;
-use pimentotide_fleet::Record;
-use pimentotide_model::{InstanceName, ZoneName};
+use pimentotide_fleet::{Record, SuspectView};
+use pimentotide_model::{Fingerprint, InstanceName, ZoneName};
+use pimentotide_outcome::Crash;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
@@ -15,6 +16,8 @@
 
 /// Method with which entries follow the shared state by long polling.
 pub(super) const FOLLOW: &str = "fleet_follow";
+/// Method with which entries report crashes of upstreams and sound runs of suspected contents.
+pub(super) const REPORT: &str = "fleet_report";
 /// Method with which a replica requests to become a member.
 pub(super) const JOIN: &str = "fleet_join";
 /// Method with which agents read the list of processes; takes the group whose agents to list, or none.
@@ -27,6 +30,9 @@
     pub(super) declared: u64,
     /// Position of the last change to zones or upstreams.
     pub(super) revision: u64,
+    /// Position of the last change to suspected contents; `None` from entries that do not follow them.
+    #[serde(default)]
+    pub(super) suspects: Option<u64>,
 }
 
 /// Shared state, at least as recent as the request for it.
@@ -36,6 +42,9 @@
     pub(super) declared: Option<Document>,
     /// Zones and upstreams; `None` if the entry has them already.
     pub(super) fleet: Option<FleetView>,
+    /// Suspected and refused contents; `None` if the entry has them already.
+    #[serde(default)]
+    pub(super) suspects: Option<SuspectView>,
     /// Addresses of the replicas for calls.
     pub(super) replicas: Vec<SocketAddr>,
     /// Addresses of the entries that callers may use.
@@ -51,6 +60,8 @@
     pub(super) declared: Option<Arc<RawValue>>,
     /// Zones and upstreams; `None` if the entry has them already.
     pub(super) fleet: Option<FleetView>,
+    /// Suspected and refused contents; `None` if the entry has them already.
+    pub(super) suspects: Option<SuspectView>,
     /// Addresses of the replicas for calls.
     pub(super) replicas: Vec<SocketAddr>,
     /// Addresses of the entries that callers may use.
@@ -79,6 +90,15 @@
     pub(super) upstreams: Vec<Record>,
 }
 
+/// Observations of an entry about contents that may crash upstreams.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct CrashReports {
+    /// Crashes with the contents that ran there.
+    pub(super) crashes: Vec<Crash>,
+    /// Suspected contents that ran soundly.
+    pub(super) sound: Vec<Fingerprint>,
+}
+
 /// Request of a replica to become a member.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct JoinRequest {
--- a/app/src/lines/mod.rs
+++ b/app/src/lines/mod.rs
@@ -13,7 +13,7 @@
 pub use process::{
     Declared, Ejected, EngineOrdered, ExpertsMoved, GroupReleased, LeaseLost, LeaseWon,
     MemberChanged, Ordered, ProcessSeen, Ready, Reloaded, ReplicaFollowed, ReplicaLost,
-    RoleChanged, Stopped, Stopping, UpstreamChanged, ZonesClosed,
+    RoleChanged, Stopped, Stopping, SuspectsChanged, UpstreamChanged, ZonesClosed,
 };
 pub use request::{
     Answered, BrokenOff, Considered, Interrupted, Placed, Refused, Routed, SuspectRequest,
@@ -52,6 +52,7 @@
         kind::<UpstreamChanged>(),
         kind::<ZonesClosed>(),
         kind::<Ejected>(),
+        kind::<SuspectsChanged>(),
         kind::<Ordered<'_>>(),
         kind::<RoleChanged>(),
         kind::<MemberChanged>(),
--- a/app/src/lines/process.rs
+++ b/app/src/lines/process.rs
@@ -110,6 +110,17 @@
     pub upstream: String,
 }
 
+/// Other contents are refused because they crash upstreams.
+#[derive(Default, Serialize)]
+pub struct SuspectsChanged {
+    /// Number of suspected contents that are not refused.
+    pub suspected: usize,
+    /// Digests of the refused contents.
+    pub refused: Vec<String>,
+    /// Position in the log.
+    pub revision: u64,
+}
+
 /// A replica has answered a command, whether or not it was replicated.
 #[derive(Default, Serialize)]
 pub struct Ordered<'a> {
@@ -254,6 +265,11 @@
     const LEVEL: Level = Level::Warn;
 }
 
+impl Line for SuspectsChanged {
+    const EVENT: &'static str = "suspects_changed";
+    const LEVEL: Level = Level::Warn;
+}
+
 impl Line for Ordered<'_> {
     const EVENT: &'static str = "order";
 }
--- a/app/tests/it/crashes.rs
+++ b/app/tests/it/crashes.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use insta::assert_snapshot;
-use pimentotide_wire::{Template, read_message};
+use pimentotide_wire::{Message, Template, read_message};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
@@ -31,6 +31,8 @@
     /// Bodies of the requests, in order.
     bodies: Vec<String>,
     crashes: usize,
+    /// Whether the next request that would crash an upstream waits there instead.
+    hold_next: bool,
 }
 
 impl Seen {
@@ -39,7 +41,7 @@
     }
 }
 
-/// Stand-in upstreams that a body beginning with `crash` ends.
+/// Stand-in upstreams that the body `crash` ends.
 struct Upstreams {
     seen: Arc<Mutex<Seen>>,
     _tasks: Vec<JoinHandle<()>>,
@@ -99,20 +101,29 @@
             continue;
         };
         seen.lock().unwrap().bodies.push(request.body.clone());
-        if request.body.starts_with("crash") {
+        if request.body == "crash" {
+            if std::mem::take(&mut seen.lock().unwrap().hold_next) {
+                tokio::spawn(async move { read_message(&mut stream).await });
+                continue;
+            }
             drop(listener);
             seen.lock().unwrap().crashes += 1;
+            if request.first_line().starts_with("POST /s/") {
+                answer(&mut stream, &request, name, "soak/events.http").await;
+                // The entry may have closed the connection.
+                let _ = stream.write_all(b"1a\r\nid: 1\ndata: o").await;
+            }
             return;
         }
         if request.body == "cut" {
             continue;
         }
-        answer(&mut stream, &request, name).await;
+        answer(&mut stream, &request, name, "soak/answer.http").await;
     }
 }
 
-async fn answer(stream: &mut TcpStream, request: &pimentotide_wire::Message, name: &str) {
-    let template = Template::open("soak/answer.http").unwrap();
+async fn answer(stream: &mut TcpStream, request: &Message, name: &str, fixture: &str) {
+    let template = Template::open(fixture).unwrap();
     let attempt = request.header(&template.header("attempt"));
     let values = [("attempt", attempt), ("name", name), ("body", "done")];
     // The entry may have closed the connection.
@@ -127,7 +138,7 @@
     let upstreams = Upstreams::spawn(&deployment);
     for entry in 0..ENTRIES {
         let limit = Instant::now() + WAIT_TIMEOUT;
-        while !call(&deployment, entry, 0, "sound")
+        while !call(&deployment, entry, 0, "/a/2f", "sound")
             .await
             .contains("200 OK")
         {
@@ -138,9 +149,9 @@
 }
 
 /// Sends a request to an entry as the attempt `number` of its caller.
-async fn call(deployment: &Deployment, entry: u8, number: usize, body: &str) -> String {
+async fn call(deployment: &Deployment, entry: u8, number: usize, path: &str, body: &str) -> String {
     let attempt = format!("a{entry}{number}");
-    let values = [("path", "/a/2f"), ("attempt", &attempt), ("body", body)];
+    let values = [("path", path), ("attempt", &attempt), ("body", body)];
     let request = fixture("crashes/call.http", &values);
     let answer = send_request(deployment.entry(entry), &request).await;
     answer.unwrap_or_default()
@@ -150,13 +161,18 @@
 #[tokio::test]
 async fn crash_is_logged_with_its_requests_and_a_cut_connection_is_not() {
     let (deployment, _upstreams) = start(3).await;
-    call(&deployment, 0, 1, "cut").await;
+    call(&deployment, 0, 1, "/a/2f", "cut").await;
     assert!(!deployment.entry_log(0).contains("upstream_crashed"));
-    call(&deployment, 0, 2, "crash").await;
+    call(&deployment, 0, 2, "/a/2f", "crash").await;
+    wait_for_line(&deployment, &["upstream_crashed", "\"a02\""]).await;
+}
+
+/// Waits for a line with all of `parts` in the log of the first entry.
+async fn wait_for_line(deployment: &Deployment, parts: &[&str]) {
     let limit = Instant::now() + WAIT_TIMEOUT;
-    let is_crash = |line: &&str| line.contains("upstream_crashed") && line.contains("\"a02\"");
-    while deployment.entry_log(0).lines().find(is_crash).is_none() {
-        assert!(Instant::now() < limit, "no line on the crash");
+    let matches = |line: &str| parts.iter().all(|part| line.contains(part));
+    while !deployment.entry_log(0).lines().any(matches) {
+        assert!(Instant::now() < limit, "no line with {parts:?}");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
@@ -165,18 +181,31 @@
 /// at all entries and second attempts of the entries.
 #[tokio::test]
 async fn request_that_crashes_upstreams_is_refused_by_every_entry() {
-    let (deployment, upstreams) = start(4).await;
-    let mut answers = Vec::new();
+    let refused = repeat_crashing_request(4, "/a/2f").await;
+    assert_snapshot!(refused);
+}
+
+/// Guards against the same through streams that end inside their first event and are resumed.
+#[tokio::test]
+async fn stream_that_crashes_upstreams_is_refused_by_every_entry() {
+    let refused = repeat_crashing_request(5, "/s/2f").await;
+    assert!(refused.contains("crashing_request"), "{refused}");
+}
+
+/// Repeats a request that crashes upstreams, later beside sound ones; returns the last answer.
+async fn repeat_crashing_request(network: u8, path: &str) -> String {
+    let (deployment, upstreams) = start(network).await;
     for number in 0..6 {
-        answers.push(call(&deployment, number as u8 % ENTRIES, number, "crash").await);
+        call(&deployment, number as u8 % ENTRIES, number, path, "crash").await;
         tokio::time::sleep(PAUSE).await;
     }
     tokio::time::sleep(GRACE).await;
     let early = upstreams.lock().count("crash");
+    let mut last = String::new();
     for number in 6..14 {
         let entry = number as u8 % ENTRIES;
-        answers.push(call(&deployment, entry, number, "crash").await);
-        let sound = call(&deployment, entry, number, "sound").await;
+        last = call(&deployment, entry, number, path, "crash").await;
+        let sound = call(&deployment, entry, number, "/a/2f", "sound").await;
         assert!(sound.contains("200 OK"), "{sound}");
         tokio::time::sleep(PAUSE).await;
     }
@@ -189,5 +218,27 @@
         "{} repeats reached upstreams, {crashes} crashed",
         reached - early
     );
-    assert_snapshot!(answers.last().unwrap());
+    last
+}
+
+/// Guards against a crash by a request that waits in the queue of an upstream while its content is
+/// refused everywhere.
+#[tokio::test]
+async fn queued_request_is_withdrawn_when_its_content_is_refused() {
+    let (deployment, upstreams) = start(6).await;
+    upstreams.lock().hold_next = true;
+    let queued = call(&deployment, 0, 1, "/a/2f", "crash");
+    let repeats = async {
+        while upstreams.lock().count("crash") == 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        for number in 2..4 {
+            call(&deployment, 1, number, "/a/2f", "crash").await;
+            tokio::time::sleep(PAUSE).await;
+        }
+    };
+    let (answer, ()) = tokio::join!(queued, repeats);
+    assert!(answer.contains("502 Bad Gateway"), "{answer}");
+    assert!(answer.contains("crashing_request"), "{answer}");
+    wait_for_line(&deployment, &["\"Withdrawn\"", "\"a01\""]).await;
 }
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -4,6 +4,8 @@
 //! configuration, the closed availability zones and the announced upstreams.
 //! Each entry derives its routes from it ([`RouteTable`]) and decides locally on
 //! load balancing ([`Balancer`]) and retries ([`next_step`], [`RetryBudget`]).
+//! Requests that crash upstreams are suspected and refused by all entries
+//! ([`CrashEvidence`], [`SuspectView`]).
 //! [`repair`] maintains the membership of the log. Performs no input or output.
 
 mod balancer;
@@ -11,6 +13,7 @@
 mod change;
 mod declaration;
 mod entries;
+mod evidence;
 mod gate;
 mod listing;
 mod members;
@@ -20,6 +23,7 @@
 mod route;
 mod state;
 mod stop;
+mod suspects;
 mod upstream;
 
 pub use balancer::{
@@ -32,6 +36,7 @@
     ColdLimit, Declaration, Engine, Fault, Limits, Route, RouteKind, Service, Workspace,
 };
 pub use entries::{EntryCount, EntryRecord};
+pub use evidence::{CrashEvidence, is_sound_run};
 pub use gate::{Admission, ServiceGate};
 pub use listing::list_entries;
 pub use members::{MemberView, Repair, RepairOptions, repair};
@@ -41,4 +46,5 @@
 pub use route::{Match, Mismatch, RouteTable};
 pub use state::{Announcement, Command, Declared, FleetState, Record, Reply, Stage};
 pub use stop::{StopPhase, stop_phase};
+pub use suspects::{PROBATION, SuspectView};
 pub use upstream::{Load, Outcome};
--- a/decision/fleet/src/retry.rs
+++ b/decision/fleet/src/retry.rs
@@ -23,6 +23,8 @@
     Failed,
     /// The upstream timed out; the request may have run.
     Silent,
+    /// This entry cancelled the send because its content crashes upstreams; it may have run.
+    Withdrawn,
 }
 
 /// Limits and counters of a request that decide on a retry.
@@ -38,6 +40,8 @@
     pub not_run: u32,
     /// Time at which the caller or the route times out.
     pub deadline: Time,
+    /// Whether the content is refused because it crashes upstreams.
+    pub crashing: bool,
 }
 
 /// Action after a send.
@@ -66,6 +70,9 @@
     /// The retry budget is used up.
     #[display("no budget left")]
     Budget,
+    /// The content crashes upstreams.
+    #[display("crashes upstreams")]
+    Crashing,
 }
 
 /// Whether enough time is left before the deadline for a send.
@@ -75,6 +82,9 @@
 
 /// Returns the limit that prevents a retry, apart from the retry budget.
 fn retry_limit(ended: Ended, policy: &Policy, now: Time) -> Option<Limit> {
+    if policy.crashing {
+        return Some(Limit::Crashing);
+    }
     if !is_in_time(policy, now) {
         return Some(Limit::Time);
     }
@@ -82,8 +92,10 @@
         Ended::Unsent | Ended::Rejected => {
             (policy.not_run >= MAX_NOT_RUN).then_some(Limit::Attempts)
         }
-        Ended::Broken | Ended::Silent | Ended::Failed if !policy.repeatable => Some(Limit::Once),
-        Ended::Broken | Ended::Silent | Ended::Failed => {
+        Ended::Broken | Ended::Silent | Ended::Failed | Ended::Withdrawn if !policy.repeatable => {
+            Some(Limit::Once)
+        }
+        Ended::Broken | Ended::Silent | Ended::Failed | Ended::Withdrawn => {
             (policy.ran >= policy.attempts).then_some(Limit::Attempts)
         }
     }
@@ -121,8 +133,11 @@
 fn final_step(ended: Ended, policy: &Policy) -> Step {
     match ended {
         Ended::Failed => Step::Pass,
+        _ if policy.crashing => Step::Answer(ErrorKind::CrashingRequest),
         Ended::Unsent | Ended::Rejected if policy.ran == 0 => Step::Answer(ErrorKind::NoUpstream),
         Ended::Silent => Step::Answer(ErrorKind::DeadlineExceeded),
-        Ended::Unsent | Ended::Rejected | Ended::Broken => Step::Answer(ErrorKind::UpstreamFailed),
+        Ended::Unsent | Ended::Rejected | Ended::Broken | Ended::Withdrawn => {
+            Step::Answer(ErrorKind::UpstreamFailed)
+        }
     }
 }
--- a/decision/fleet/src/state.rs
+++ b/decision/fleet/src/state.rs
@@ -10,9 +10,12 @@
 
 use derive_more::Display;
 use pimentotide_consensus::{Index, Machine, RestoreError};
-use pimentotide_model::{ServiceName, Time, UpstreamName, ZoneName};
+use pimentotide_model::{Fingerprint, ServiceName, Time, UpstreamName, ZoneName};
+use pimentotide_outcome::Crash;
 use serde::{Deserialize, Serialize};
 
+use crate::suspects::{SharedSuspects, SuspectView};
+
 /// Maximum number of departed upstreams kept; their late announcements are recognised as stale.
 const MAX_DEPARTED: usize = 1_024;
 /// Used in place of a command or reply that fails to encode; leads to [`Reply::Malformed`].
@@ -107,6 +110,10 @@
     },
     /// Records the number of entries that share the limits.
     Entries(u32),
+    /// Records the crash of an upstream and what ran there.
+    Crash(Crash),
+    /// Clears suspected contents that ran soundly.
+    Clear(Vec<Fingerprint>),
 }
 
 /// Result of a command.
@@ -154,6 +161,9 @@
     now: Time,
     /// Entries that share the limits; 0 until the first record.
     entries: u32,
+    /// Follows the other fields in a snapshot, which may end before it.
+    #[serde(skip)]
+    suspects: SharedSuspects,
 }
 
 impl FleetState {
@@ -182,6 +192,11 @@
         self.entries as usize
     }
 
+    /// Suspected and refused contents.
+    pub fn suspects(&self) -> &SuspectView {
+        self.suspects.view()
+    }
+
     /// Whether an announcement would change anything that entries act on.
     pub fn is_update(&self, announcement: &Announcement) -> bool {
         if self.is_stale(announcement) {
@@ -281,6 +296,27 @@
         Reply::Done
     }
 
+    /// Records a crash, whose zone is that of the upstream's record.
+    fn record_crash(&mut self, index: u64, mut crash: Crash) -> Reply {
+        let record = self.upstreams.get(&crash.upstream);
+        crash.zone = record
+            .map(|r| r.announcement.zone.clone())
+            .or(crash.zone.take());
+        if self.suspects.report(index, &crash, self.now) {
+            Reply::Done
+        } else {
+            Reply::NotNewer
+        }
+    }
+
+    fn clear(&mut self, index: u64, contents: &[Fingerprint]) -> Reply {
+        if self.suspects.clear(index, contents, self.now) {
+            Reply::Done
+        } else {
+            Reply::NotNewer
+        }
+    }
+
     fn expire(&mut self, index: u64, upstream: &UpstreamName, received_at: Time) -> Reply {
         match self.upstreams.get(upstream) {
             Some(record) if record.received_at == received_at => self.remove(index, upstream),
@@ -319,6 +355,7 @@
 impl Machine for FleetState {
     fn apply(&mut self, index: Index, time: Time, command: &[u8]) -> Vec<u8> {
         self.now = time;
+        self.suspects.expire(index.0, time);
         let reply = match postcard::from_bytes(command) {
             Ok(Command::Declare { version, document }) => self.declare(index.0, version, document),
             Ok(Command::Zone { zone, serving }) => self.set_zone(index.0, zone, serving),
@@ -329,6 +366,8 @@
                 received_at,
             }) => self.expire(index.0, &upstream, received_at),
             Ok(Command::Entries(entries)) => self.record_entries(entries),
+            Ok(Command::Crash(crash)) => self.record_crash(index.0, crash),
+            Ok(Command::Clear(contents)) => self.clear(index.0, &contents),
             Err(_) => Reply::Malformed,
         };
         postcard::to_stdvec(&reply).unwrap_or(EMPTY_ENCODING)
@@ -336,13 +375,18 @@
 
     fn snapshot(&self) -> Vec<u8> {
         // Serialising plain maps into memory does not fail.
-        postcard::to_stdvec(self).unwrap_or_default()
+        postcard::to_stdvec(&(self, &self.suspects)).unwrap_or_default()
     }
 
     fn restore(&mut self, state: &[u8]) -> Result<(), RestoreError> {
-        *self = postcard::from_bytes(state).map_err(|e| RestoreError {
+        let failed = |e: postcard::Error| RestoreError {
             detail: e.to_string(),
-        })?;
+        };
+        let (restored, rest) = postcard::take_from_bytes::<Self>(state).map_err(failed)?;
+        *self = restored;
+        if !rest.is_empty() {
+            self.suspects = postcard::from_bytes(rest).map_err(failed)?;
+        }
         Ok(())
     }
 }
--- a/decision/fleet/tests/it/main.rs
+++ b/decision/fleet/tests/it/main.rs
@@ -14,3 +14,4 @@
 mod spread;
 mod state;
 mod stop;
+mod suspects;
--- a/decision/fleet/tests/it/retry.rs
+++ b/decision/fleet/tests/it/retry.rs
@@ -6,12 +6,13 @@
 use pimentotide_fleet::{Ended, Limit, Next, Policy, Step};
 use pimentotide_model::{ErrorKind, Time};
 
-const ENDS: [Ended; 5] = [
+const ENDS: [Ended; 6] = [
     Ended::Unsent,
     Ended::Rejected,
     Ended::Broken,
     Ended::Failed,
     Ended::Silent,
+    Ended::Withdrawn,
 ];
 
 /// Returns the step after a send while the retry budget lasts.
@@ -30,6 +31,7 @@
         ran,
         not_run,
         deadline: Time::ZERO + Duration::from_secs(1),
+        crashing: false,
     }
 }
 
@@ -58,7 +60,7 @@
             let step = next_step(ended, &policy(false, 1, not_run), Time::ZERO);
             let reports_not_run = step == Step::Answer(ErrorKind::NoUpstream);
             assert!(!reports_not_run, "{ended:?}");
-            if matches!(ended, Ended::Broken | Ended::Failed | Ended::Silent) {
+            if !matches!(ended, Ended::Unsent | Ended::Rejected) {
                 assert_ne!(step, Step::Again, "{ended:?}");
             }
         }
@@ -138,3 +140,25 @@
     pimentotide_fleet::next_step(Ended::Broken, &policy(false, 1, 0), Time::ZERO, spend);
     pimentotide_fleet::next_step(Ended::Unsent, &policy(true, 0, 1), Time::ZERO, spend);
 }
+
+/// Guards against a second attempt of a request whose content crashes upstreams, however its first ended.
+#[test]
+fn request_that_crashes_upstreams_is_not_retried() {
+    let policy = Policy {
+        crashing: true,
+        ..policy(true, 0, 1)
+    };
+    let lines = ENDS.map(|ended| {
+        let next = next(ended, &policy, Time::ZERO);
+        assert_eq!(next.limit, Some(Limit::Crashing));
+        format!("{ended:?}: {:?}", next.step)
+    });
+    assert_snapshot!(lines.join("\n"), @r"
+    Unsent: Answer(CrashingRequest)
+    Rejected: Answer(CrashingRequest)
+    Broken: Answer(CrashingRequest)
+    Failed: Pass
+    Silent: Answer(CrashingRequest)
+    Withdrawn: Answer(CrashingRequest)
+    ");
+}
--- a/decision/fleet/tests/it/state.rs
+++ b/decision/fleet/tests/it/state.rs
@@ -31,8 +31,11 @@
 
 impl Log {
     pub(crate) fn apply(&mut self, command: &Command) -> Reply {
+        self.apply_at(command, Time::ZERO + Duration::from_millis(self.index + 1))
+    }
+
+    pub(crate) fn apply_at(&mut self, command: &Command, time: Time) -> Reply {
         self.index += 1;
-        let time = Time::ZERO + Duration::from_millis(self.index);
         Reply::decode(&self.state.apply(Index(self.index), time, &command.encode()))
     }
 }
