entry: the line on a crash lists the parts of the prompts that ran there

The shared parts of a prompt are decoded, and upstream_crashed lists them beside each request; a part that stands in all such lines, with other requests each time, is the one that is sought. Nothing is refused by it.

--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -237,6 +237,7 @@
         let interruption = Interruption {
             request: self.call.id.clone(),
             content: self.content,
+            parts: self.call.shared_parts.clone(),
             events: send.events,
         };
         check_crash(&self.state, &send.ticket, send.address, interruption).await;
--- a/app/src/fleet/entry/crashes.rs
+++ b/app/src/fleet/entry/crashes.rs
@@ -36,6 +36,8 @@
     pub(super) request: String,
     /// Digest of the request's content.
     pub(super) content: Fingerprint,
+    /// Identifiers of the prompt's parts that other requests may share.
+    pub(super) parts: Vec<Arc<str>>,
     /// Number of events that this upstream had sent.
     pub(super) events: u64,
 }
@@ -133,6 +135,7 @@
             .map(|i| SuspectRequest {
                 request: i.request.clone(),
                 content: i.content.to_string(),
+                parts: i.parts.clone(),
                 events: i.events,
             })
             .collect(),
--- a/app/src/lines/request.rs
+++ b/app/src/lines/request.rs
@@ -1,5 +1,7 @@
 //! Log lines about one request.
 
+use std::sync::Arc;
+
 use log::Level;
 use pimentotide_model::Revision;
 use pimentotide_observe::Line;
@@ -122,6 +124,8 @@
     pub request: String,
     /// Digest of its content, equal for repeats.
     pub content: String,
+    /// Identifiers of the prompt's parts that other requests may share.
+    pub parts: Vec<Arc<str>>,
     /// Events that the upstream had sent.
     pub events: u64,
 }
--- a/app/tests/it/crashes.rs
+++ b/app/tests/it/crashes.rs
@@ -151,7 +151,13 @@
 /// Sends a request to an entry as the attempt `number` of its caller.
 async fn call(deployment: &Deployment, entry: u8, number: usize, path: &str, body: &str) -> String {
     let attempt = format!("a{entry}{number}");
-    let values = [("path", path), ("attempt", &attempt), ("body", body)];
+    let parts = format!("f0:40,5e:300,{number:x}{entry:x}:200");
+    let values = [
+        ("path", path),
+        ("attempt", &attempt),
+        ("parts", &parts),
+        ("body", body),
+    ];
     let request = fixture("crashes/call.http", &values);
     let answer = send_request(deployment.entry(entry), &request).await;
     answer.unwrap_or_default()
@@ -164,7 +170,8 @@
     call(&deployment, 0, 1, "/a/2f", "cut").await;
     assert!(!deployment.entry_log(0).contains("upstream_crashed"));
     call(&deployment, 0, 2, "/a/2f", "crash").await;
-    wait_for_line(&deployment, &["upstream_crashed", "\"a02\""]).await;
+    let parts = "\"parts\":[\"f0\",\"5e\"]";
+    wait_for_line(&deployment, &["upstream_crashed", "\"a02\"", parts]).await;
 }
 
 /// Waits for a line with all of `parts` in the log of the first entry.
