--- a/app/tests/it/crashes.rs
+++ b/app/tests/it/crashes.rs
@@ -12,6 +12,10 @@
 
 use crate::deployment::{Deployment, WAIT_TIMEOUT, fixture, send_request, wait_for_answer};
 
+/// Part of the prompts of sound requests.
+const SOUND_PART: &str = "5e";
+/// Part of a prompt that crashes the upstream that runs it.
+const CRASHING_PART: &str = "ba";
 /// Number of stand-in upstreams.
 const UPSTREAMS: usize = 3;
 /// Number of entries.
@@ -30,6 +34,8 @@
 struct Seen {
     /// Bodies of the requests, in order.
     bodies: Vec<String>,
+    /// Number of requests with a part that crashes upstreams.
+    crashing_parts: usize,
     crashes: usize,
     /// Whether the next request that would crash an upstream waits there instead.
     hold_next: bool,
@@ -41,7 +47,7 @@
     }
 }
 
-/// Stand-in upstreams that the body `crash` ends.
+/// Stand-in upstreams that the body `crash` and the part [`CRASHING_PART`] end.
 struct Upstreams {
     seen: Arc<Mutex<Seen>>,
     _tasks: Vec<JoinHandle<()>>,
@@ -95,13 +101,18 @@
 
 /// Answers requests until one crashes the upstream, which ends its listener first.
 async fn serve_until_crash(listener: TcpListener, name: &str, seen: &Mutex<Seen>) {
+    let parts_header = Template::open("crashes/call.http").unwrap().header("parts");
     loop {
         let (mut stream, _) = listener.accept().await.unwrap();
         let Some(request) = read_message(&mut stream).await else {
             continue;
         };
         seen.lock().unwrap().bodies.push(request.body.clone());
-        if request.body == "crash" {
+        let parts = request.header(&parts_header);
+        if parts.contains(CRASHING_PART) {
+            seen.lock().unwrap().crashing_parts += 1;
+        }
+        if request.body == "crash" || parts.contains(CRASHING_PART) {
             if std::mem::take(&mut seen.lock().unwrap().hold_next) {
                 tokio::spawn(async move { read_message(&mut stream).await });
                 continue;
@@ -150,8 +161,20 @@
 
 /// Sends a request to an entry as the attempt `number` of its caller.
 async fn call(deployment: &Deployment, entry: u8, number: usize, path: &str, body: &str) -> String {
+    call_with_part(deployment, entry, number, path, body, SOUND_PART).await
+}
+
+/// Sends a request with this part in its prompt, between one that all share and one of its own.
+async fn call_with_part(
+    deployment: &Deployment,
+    entry: u8,
+    number: usize,
+    path: &str,
+    body: &str,
+    part: &str,
+) -> String {
     let attempt = format!("a{entry}{number}");
-    let parts = format!("f0:40,5e:300,{number:x}{entry:x}:200");
+    let parts = format!("f0:40,{part}:300,{number:x}{entry:x}:200");
     let values = [
         ("path", path),
         ("attempt", &attempt),
@@ -249,3 +272,39 @@
     assert!(answer.contains("crashing_request"), "{answer}");
     wait_for_line(&deployment, &["\"Withdrawn\"", "\"a01\""]).await;
 }
+
+/// Guards against requests, no two alike, that share a part of their prompts which crashes each
+/// upstream that runs one of them, and against refusals of others with the same key and first part.
+#[tokio::test]
+async fn part_of_prompts_that_crashes_upstreams_is_refused_by_every_entry() {
+    let (deployment, upstreams) = start(7).await;
+    let crash = async |number: usize| {
+        let entry = number as u8 % ENTRIES;
+        let path = format!("/s/{number}");
+        let body = format!("request {number}");
+        let answer = call_with_part(&deployment, entry, number, &path, &body, CRASHING_PART).await;
+        tokio::time::sleep(PAUSE).await;
+        let sound = call(&deployment, entry, number, "/a/2f", "sound").await;
+        assert!(sound.contains("200 OK"), "{sound}");
+        answer
+    };
+    for number in 0..7 {
+        crash(number).await;
+    }
+    tokio::time::sleep(GRACE).await;
+    let early = upstreams.lock().crashing_parts;
+    let mut last = String::new();
+    for number in 7..15 {
+        last = crash(number).await;
+    }
+    let (reached, crashes) = {
+        let seen = upstreams.lock();
+        (seen.crashing_parts, seen.crashes)
+    };
+    assert!(
+        reached - early <= MAX_LATE_REPEATS,
+        "{} requests with this part reached upstreams, {crashes} crashed",
+        reached - early
+    );
+    assert!(last.contains("crashing_request"), "{last}");
+}
