entry: a part of prompts that crashes upstreams is refused by all entries

Cause: requests that share a part of their prompts crash what begins to answer them, and nothing related requests by their parts; the count by whole content can't, since no two are alike.

Now crash reports hold the shared parts of the prompts, and a part is blamed for crashes: from three on, not if one request ran in all of them (its own content explains them), the part under most crashes first, each crash for one part only. Parts of the same crashes are refused together until sound runs or another crash tell them apart, so requests that share the first part, the key or a session with the bad ones are served. Entries clear parts that ran soundly with them in the last 5 s, more than the 4 s between two crashes of a group. A refusal ends after 60 s and is final from five crashes on. The view goes to the entries in the compact encoding of the agents.

--- a/app/src/fleet/agent/methods.rs
+++ b/app/src/fleet/agent/methods.rs
@@ -9,7 +9,7 @@
 use pimentotide_model::{ErrorKind, Failure};
 use serde::{Deserialize, Serialize};
 
-use super::compact;
+use super::super::compact;
 use super::engine::{EngineHandle, StateRequest};
 use super::relay::{AgentLinks, RelayCall, relay};
 
--- a/app/src/fleet/agent/mod.rs
+++ b/app/src/fleet/agent/mod.rs
@@ -6,7 +6,6 @@
 //! switches the group to better placements. The other agents release a pass
 //! that it leaves held.
 
-mod compact;
 mod coordinate;
 mod engine;
 mod methods;
--- a/app/src/fleet/agent/ranks.rs
+++ b/app/src/fleet/agent/ranks.rs
@@ -17,7 +17,7 @@
 use pimentotide_platform::{EngineClient, EngineError};
 
 use super::super::beacon::{AgentBeacon, Seat};
-use super::compact;
+use super::super::compact;
 use super::engine::{EngineHandle, RankState, StateRequest};
 use super::methods::{ORDER, REPORT, RankOrder, STATE};
 use super::relay::{AgentLinks, Merged, RankResult, RelayRank, RelayTask};
--- a/app/src/fleet/agent/relay.rs
+++ b/app/src/fleet/agent/relay.rs
@@ -21,7 +21,7 @@
 use pimentotide_model::{ErrorKind, Failure};
 use serde::{Deserialize, Serialize};
 
-use super::compact;
+use super::super::compact;
 use super::engine::{RankState, StateRequest};
 use super::methods::{RELAY, RankOrder, RankService};
 
--- a/app/src/fleet/agent/compact.rs
+++ b/app/src/fleet/compact.rs
@@ -1,4 +1,4 @@
-//! Compact text encoding (postcard in base64) of large values sent between agents over slow links.
+//! Compact text encoding (postcard in base64) of large values sent often or over slow links.
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use pimentotide_fleet::{
-    Announcement, Command, Declaration, Declared, FleetState, Record, Reply, SuspectView,
+    Announcement, Command, CrashReport, Declaration, Declared, FleetState, Record, Reply,
+    SuspectView,
 };
 use pimentotide_instance::replica::ReplicaHandle;
 use pimentotide_model::{ErrorKind, Failure, Time, UpstreamName, ZoneName};
@@ -15,6 +16,7 @@
 use serde_json::value::RawValue;
 use tokio::time::Instant as Deadline;
 
+use super::super::compact;
 use super::super::rpc::{
     CrashReports, Document, EncodedUpdate, FleetView, Processes, RankCapacity, SeenRevisions,
 };
@@ -136,7 +138,7 @@
         Ok(EncodedUpdate {
             declared: changes.declared.map(|d| self.encoded(&d)).transpose()?,
             fleet: changes.fleet,
-            suspects: changes.suspects,
+            suspects: changes.suspects.as_ref().map(compact::encode).transpose()?,
             replicas,
             entries,
             recorded,
@@ -168,18 +170,15 @@
     ///
     /// Fails if a report is not replicated; recording it again has no effect.
     pub(super) async fn record_reports(&self, reports: CrashReports) -> Result<(), Failure> {
-        for crash in reports.crashes {
-            self.replicate(&Command::Crash(crash)).await?;
+        for CrashReport { crash, prompts } in reports.crashes {
+            self.replicate(&Command::Crash { crash, prompts }).await?;
         }
         let mut sound = reports.sound;
         if sound.is_empty() {
             return Ok(());
         }
-        let suspected = self
-            .replica
-            .query(|s, _| s.suspects().suspected.clone())
-            .await?;
-        sound.retain(|c| suspected.contains(c));
+        let suspects = self.replica.query(|s, _| s.suspects().clone()).await?;
+        sound.retain(|digest| suspects.is_suspected(digest));
         if !sound.is_empty() {
             self.replicate(&Command::Clear(sound)).await?;
         }
@@ -324,7 +323,7 @@
         Command::Withdraw(upstream) => ("withdraw", upstream.to_string()),
         Command::Expire { upstream, .. } => ("expire", upstream.to_string()),
         Command::Entries(entries) => ("record_entries", entries.to_string()),
-        Command::Crash(crash) => ("record_crash", crash.upstream.to_string()),
+        Command::Crash { crash, .. } => ("record_crash", crash.upstream.to_string()),
         Command::Clear(contents) => ("clear_suspects", contents.len().to_string()),
     }
 }
--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, Instant};
 
 use pimentotide_fleet::{
-    Ended, Next, Outcome, Policy, RouteKind, Step, Ticket, is_sound_run, next_step,
+    Ended, Next, Outcome, Policy, RequestDigests, RouteKind, Step, Ticket, is_sound_run, next_step,
 };
-use pimentotide_model::{Failure, Fingerprint, ServiceName, Time, UpstreamName, WorkspaceName};
+use pimentotide_model::{Failure, ServiceName, Time, UpstreamName, WorkspaceName};
 use pimentotide_platform::{Answer, AnswerError, Call, SendOptions, UpstreamClient};
 
 use super::crashes::{Interruption, check_crash};
@@ -27,8 +27,8 @@
 pub(super) struct Attempt {
     pub(super) state: Arc<EntryState>,
     pub(super) call: Call,
-    /// Digest of what the caller asks for, equal for repeats of the same request.
-    pub(super) content: Fingerprint,
+    /// Digests by which the request is compared with others.
+    pub(super) digests: RequestDigests,
     pub(super) route: Arc<str>,
     pub(super) kind: RouteKind,
     /// Version of the configuration that routed the request.
@@ -148,7 +148,7 @@
         };
         let sending = client.send(&self.call, &send);
         let limit = tokio::time::Instant::from_std(self.answer_deadline());
-        let withdrawn = self.state.until_refused(self.content);
+        let withdrawn = self.state.until_refused(&self.digests);
         let result = tokio::select! {
             result = tokio::time::timeout_at(limit, sending) => result,
             () = withdrawn => {
@@ -218,7 +218,7 @@
         let was_sound = is_sound_run(send.events);
         send.events += events;
         if is_sound_run(send.events) && !was_sound {
-            self.state.record_sound_run(self.content);
+            self.state.record_sound_run(&self.digests);
         }
     }
 
@@ -236,7 +236,7 @@
         };
         let interruption = Interruption {
             request: self.call.id.clone(),
-            content: self.content,
+            digests: self.digests.clone(),
             parts: self.call.shared_parts.clone(),
             events: send.events,
         };
@@ -264,7 +264,7 @@
                 self.policy.ran += 1;
             }
         }
-        self.policy.crashing = self.state.is_refused(self.content);
+        self.policy.crashing = self.state.is_refused(&self.digests);
         let now: Time = self.state.now();
         let Next { step, limit } = next_step(ended, &self.policy, now, || {
             self.state.lock().budget.spend(&self.service, now)
--- a/app/src/fleet/entry/crashes.rs
+++ b/app/src/fleet/entry/crashes.rs
@@ -13,8 +13,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use pimentotide_fleet::{SuspectView, Ticket, is_sound_run};
-use pimentotide_model::{Fingerprint, Incarnation};
+use pimentotide_fleet::{RequestDigests, SuspectView, Ticket, is_sound_run};
+use pimentotide_model::Incarnation;
 use pimentotide_outcome::{Crash, Witness};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -34,8 +34,8 @@
 pub(super) struct Interruption {
     /// Id of the request.
     pub(super) request: String,
-    /// Digest of the request's content.
-    pub(super) content: Fingerprint,
+    /// Digests by which the request is compared with others.
+    pub(super) digests: RequestDigests,
     /// Identifiers of the prompt's parts that other requests may share.
     pub(super) parts: Vec<Arc<str>>,
     /// Number of events that this upstream had sent.
@@ -134,7 +134,7 @@
         requests: requests
             .map(|i| SuspectRequest {
                 request: i.request.clone(),
-                content: i.content.to_string(),
+                content: i.digests.content.to_string(),
                 parts: i.parts.clone(),
                 events: i.events,
             })
@@ -146,9 +146,13 @@
         incarnation: Incarnation(ticket.born),
         zone: None,
         witness: Witness::Agent,
-        suspects: suspects.map(|i| i.content).collect(),
+        suspects: Vec::new(),
     };
-    let report = state.lock().evidence.record_crash(crash, state.now());
+    let suspects: Vec<RequestDigests> = suspects.map(|i| i.digests.clone()).collect();
+    let report = state
+        .lock()
+        .evidence
+        .record_crash(crash, &suspects, state.now());
     state.notify_suspects();
     if let Some(report) = report {
         state.reports().record_crash(report).await;
@@ -156,16 +160,16 @@
 }
 
 impl EntryState {
-    /// Whether a content is refused because it crashes upstreams.
-    pub(super) fn is_refused(&self, content: Fingerprint) -> bool {
+    /// Whether a request is refused because it crashes upstreams.
+    pub(super) fn is_refused(&self, request: &RequestDigests) -> bool {
         let now = self.now();
-        self.lock().evidence.is_refused(content, now)
+        self.lock().evidence.is_refused(request, now)
     }
 
-    /// Waits until a content is refused.
-    pub(super) async fn until_refused(&self, content: Fingerprint) {
+    /// Waits until a request is refused.
+    pub(super) async fn until_refused(&self, request: &RequestDigests) {
         let mut changes = self.suspect_changes();
-        while !self.is_refused(content) {
+        while !self.is_refused(request) {
             // The sender is part of this state, so that the wait does not fail.
             if changes.changed().await.is_err() {
                 std::future::pending::<()>().await;
@@ -173,25 +177,29 @@
         }
     }
 
-    /// Records that a content ran soundly, and reports it if the content is suspected.
-    pub(super) fn record_sound_run(&self, content: Fingerprint) {
+    /// Records that a request ran soundly, and reports what of it is suspected.
+    pub(super) fn record_sound_run(&self, request: &RequestDigests) {
         let now = self.now();
-        if self.lock().evidence.record_sound_run(content, now) {
-            self.reports().record_sound_runs([content]);
-        }
+        let suspected = self.lock().evidence.record_sound_run(request, now);
+        self.reports().record_sound_runs(suspected);
     }
 
-    /// Applies the shared view of suspected and refused contents.
+    /// Applies the shared view of what is suspected and refused.
     pub(super) fn update_suspects(&self, view: SuspectView) {
         let now = self.now();
         let mut inner = self.lock();
         if inner.seen_suspects() >= view.revision {
             return;
         }
-        if *inner.evidence.refused() != view.refused {
+        let before = inner.evidence.shared();
+        if (&before.refused, &before.refused_parts) != (&view.refused, &view.refused_parts) {
+            let parts = view.refused_parts.iter();
             pimentotide_observe::event(&SuspectsChanged {
                 suspected: view.suspected.len(),
                 refused: view.refused.iter().map(ToString::to_string).collect(),
+                parts: parts
+                    .map(|set| set.iter().map(ToString::to_string).collect())
+                    .collect(),
                 revision: view.revision,
             });
         }
--- a/app/src/fleet/entry/placing.rs
+++ b/app/src/fleet/entry/placing.rs
@@ -70,10 +70,10 @@
                 retry_in: None,
             });
         }
-        if self.state.is_refused(self.content) {
+        if self.state.is_refused(&self.digests) {
             return Err(Blocked {
                 kind: ErrorKind::CrashingRequest,
-                detail: "its content crashes upstreams".to_owned(),
+                detail: "its content or a part of its prompt crashes upstreams".to_owned(),
                 min_delay: None,
                 retry_in: None,
             });
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -6,7 +6,7 @@
 use actix_web::http::StatusCode;
 use actix_web::http::header::{HeaderName, HeaderValue};
 use bytes::Bytes;
-use pimentotide_fleet::{Ended, Mismatch, Outcome, Policy, RouteKind, Step};
+use pimentotide_fleet::{Ended, Mismatch, Outcome, Policy, RequestDigests, RouteKind, Step};
 use pimentotide_model::{ErrorKind, Failure, Fingerprint, Ran};
 use pimentotide_platform::{Call, Relay, Relayed};
 
@@ -96,22 +96,35 @@
             tried: Vec::new(),
             sends: 0,
             last_send: None,
-            content: content_of(&call, found.workspace.map_or("", |w| w)),
+            digests: digests_of(&call, found.workspace.map_or("", |w| w)),
             call,
         };
         Ok((attempt, kind))
     }
 }
 
-/// Digests what a caller asks for: the same for a repeat with another attempt id.
-fn content_of(call: &Call, workspace: &str) -> Fingerprint {
-    Fingerprint::of([
+/// Digests what a caller asks for; the content is the same for a repeat with another attempt id.
+fn digests_of(call: &Call, workspace: &str) -> RequestDigests {
+    let content = Fingerprint::of([
         call.method.as_str().as_bytes(),
         call.host.as_bytes(),
         call.target.as_bytes(),
         workspace.as_bytes(),
         &call.body,
-    ])
+    ]);
+    let parts = call.shared_parts.iter();
+    RequestDigests {
+        content,
+        parts: parts.map(|id| part_digest(id)).collect(),
+    }
+}
+
+/// Returns a hexadecimal identifier itself, so that logs show it, and the digest of any other.
+fn part_digest(id: &str) -> Fingerprint {
+    match u128::from_str_radix(id, 16) {
+        Ok(number) => Fingerprint(number.to_be_bytes()),
+        Err(_) => Fingerprint::of([id.as_bytes()]),
+    }
 }
 
 fn mismatch_failure(mismatch: Mismatch) -> Failure {
@@ -234,7 +247,7 @@
     match tokio::time::timeout_at(limit, answer.body.read_all()).await {
         Ok(Ok(body)) => {
             ticket.end(Outcome::Good);
-            attempt.state.record_sound_run(attempt.content);
+            attempt.state.record_sound_run(&attempt.digests);
             Ok(WholeAnswer {
                 status,
                 headers,
--- a/app/src/fleet/entry/report.rs
+++ b/app/src/fleet/entry/report.rs
@@ -7,9 +7,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use pimentotide_fleet::CrashReport;
 use pimentotide_instance::{PeerClient, PeerTimeouts, Token};
 use pimentotide_model::Fingerprint;
-use pimentotide_outcome::Crash;
 use tokio::sync::{Notify, watch};
 
 use super::super::replicas::Replicas;
@@ -39,7 +39,7 @@
 
 #[derive(Debug, Default)]
 struct Waiting {
-    crashes: Vec<Crash>,
+    crashes: Vec<CrashReport>,
     sound: BTreeSet<Fingerprint>,
     /// Number of crashes added since the start.
     added: u64,
@@ -61,7 +61,7 @@
     }
 
     /// Adds a crash and waits until it has been recorded.
-    pub(super) async fn record_crash(&self, crash: Crash) {
+    pub(super) async fn record_crash(&self, crash: CrashReport) {
         let number = {
             let mut waiting = self.lock();
             waiting.crashes.push(crash);
@@ -77,13 +77,13 @@
             .await;
     }
 
-    /// Adds suspected contents that ran soundly.
-    pub(super) fn record_sound_runs<I>(&self, contents: I)
+    /// Adds suspected contents and parts that ran soundly.
+    pub(super) fn record_sound_runs<I>(&self, digests: I)
     where
         I: IntoIterator<Item = Fingerprint>,
     {
         let mut waiting = self.lock();
-        waiting.sound.extend(contents);
+        waiting.sound.extend(digests);
         if !waiting.sound.is_empty() {
             self.added.notify_one();
         }
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -20,6 +20,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::super::FleetSettings;
+use super::super::compact;
 use super::super::rpc::{FleetView, SeenRevisions, StateUpdate};
 use super::crashes::CrashChecks;
 use super::report::ReportQueue;
@@ -176,14 +177,14 @@
     ///
     /// # Errors
     ///
-    /// Fails if the configuration cannot be parsed.
+    /// Fails if the configuration or the suspected contents cannot be parsed.
     pub(super) fn apply_update(
         &self,
         update: StateUpdate,
         requested_at: Time,
     ) -> Result<(), Failure> {
-        if let Some(view) = update.suspects {
-            self.update_suspects(view);
+        if let Some(text) = &update.suspects {
+            self.update_suspects(compact::decode(text)?);
         }
         let now = self.now();
         let mut inner = self.lock();
@@ -284,8 +285,14 @@
         for (figure, value) in figures {
             metrics.gauge("entry.knowledge", ("figure", figure), value);
         }
-        let refused = inner.evidence.refused().len() as u64;
-        metrics.gauge("entry.suspects", ("state", "refused"), refused);
+        let suspects = inner.evidence.shared();
+        let refused = [
+            ("refused", suspects.refused.len()),
+            ("refused_parts", suspects.refused_parts.len()),
+        ];
+        for (state, count) in refused {
+            metrics.gauge("entry.suspects", ("state", state), count as u64);
+        }
         metrics.gauge(
             "entry.open",
             ("scope", "requests"),
--- a/app/src/fleet/entry/streaming.rs
+++ b/app/src/fleet/entry/streaming.rs
@@ -201,7 +201,7 @@
             let limit = Instant::from_std(self.attempt.answer_deadline());
             let silence = Instant::now() + self.attempt.state.silence();
             let reading = tokio::time::timeout_at(limit.min(silence), source.body.next());
-            let withdrawn = self.attempt.state.until_refused(self.attempt.content);
+            let withdrawn = self.attempt.state.until_refused(&self.attempt.digests);
             let part = tokio::select! {
                 part = reading => part,
                 () = withdrawn, if !self.attempt.is_sound() => {
@@ -250,7 +250,7 @@
                 after_ms: self.attempt.elapsed_ms(),
             });
             source.ticket.end(Outcome::Good);
-            self.attempt.state.record_sound_run(self.attempt.content);
+            self.attempt.state.record_sound_run(&self.attempt.digests);
         }
     }
 
--- a/app/src/fleet/mod.rs
+++ b/app/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 mod agent;
 mod beacon;
+mod compact;
 mod control;
 mod datagram;
 mod directory;
--- a/app/src/fleet/rpc.rs
+++ b/app/src/fleet/rpc.rs
@@ -6,9 +6,8 @@
 use std::time::Duration;
 
 use pimentotide_consensus::DiskId;
-use pimentotide_fleet::{Record, SuspectView};
+use pimentotide_fleet::{CrashReport, Record};
 use pimentotide_model::{Fingerprint, InstanceName, ZoneName};
-use pimentotide_outcome::Crash;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
@@ -42,9 +41,9 @@
     pub(super) declared: Option<Document>,
     /// Zones and upstreams; `None` if the entry has them already.
     pub(super) fleet: Option<FleetView>,
-    /// Suspected and refused contents; `None` if the entry has them already.
+    /// Compact encoding of the suspected and refused contents; `None` if the entry has them already.
     #[serde(default)]
-    pub(super) suspects: Option<SuspectView>,
+    pub(super) suspects: Option<String>,
     /// Addresses of the replicas for calls.
     pub(super) replicas: Vec<SocketAddr>,
     /// Addresses of the entries that callers may use.
@@ -60,8 +59,8 @@
     pub(super) declared: Option<Arc<RawValue>>,
     /// Zones and upstreams; `None` if the entry has them already.
     pub(super) fleet: Option<FleetView>,
-    /// Suspected and refused contents; `None` if the entry has them already.
-    pub(super) suspects: Option<SuspectView>,
+    /// Compact encoding of the suspected and refused contents; `None` if the entry has them already.
+    pub(super) suspects: Option<String>,
     /// Addresses of the replicas for calls.
     pub(super) replicas: Vec<SocketAddr>,
     /// Addresses of the entries that callers may use.
@@ -90,12 +89,12 @@
     pub(super) upstreams: Vec<Record>,
 }
 
-/// Observations of an entry about contents that may crash upstreams.
+/// Observations of an entry about contents and parts of prompts that may crash upstreams.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct CrashReports {
-    /// Crashes with the contents that ran there.
-    pub(super) crashes: Vec<Crash>,
-    /// Suspected contents that ran soundly.
+    /// Crashes with what ran there.
+    pub(super) crashes: Vec<CrashReport>,
+    /// Suspected contents and parts that ran soundly.
     pub(super) sound: Vec<Fingerprint>,
 }
 
--- a/app/src/lines/process.rs
+++ b/app/src/lines/process.rs
@@ -110,13 +110,15 @@
     pub upstream: String,
 }
 
-/// Other contents are refused because they crash upstreams.
+/// Other contents or parts of prompts are refused because they crash upstreams.
 #[derive(Default, Serialize)]
 pub struct SuspectsChanged {
     /// Number of suspected contents that are not refused.
     pub suspected: usize,
     /// Digests of the refused contents.
     pub refused: Vec<String>,
+    /// Digests of the refused parts; requests with all of a set are refused.
+    pub parts: Vec<Vec<String>>,
     /// Position in the log.
     pub revision: u64,
 }
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -4,7 +4,7 @@
 //! configuration, the closed availability zones and the announced upstreams.
 //! Each entry derives its routes from it ([`RouteTable`]) and decides locally on
 //! load balancing ([`Balancer`]) and retries ([`next_step`], [`RetryBudget`]).
-//! Requests that crash upstreams are suspected and refused by all entries
+//! Requests and parts of prompts that crash upstreams are suspected and refused by all entries
 //! ([`CrashEvidence`], [`SuspectView`]).
 //! [`repair`] maintains the membership of the log. Performs no input or output.
 
@@ -17,6 +17,7 @@
 mod gate;
 mod listing;
 mod members;
+mod prompts;
 mod rate;
 mod retry;
 mod retry_after;
@@ -36,10 +37,11 @@
     ColdLimit, Declaration, Engine, Fault, Limits, Route, RouteKind, Service, Workspace,
 };
 pub use entries::{EntryCount, EntryRecord};
-pub use evidence::{CrashEvidence, is_sound_run};
+pub use evidence::{CrashEvidence, CrashReport, RequestDigests, is_sound_run};
 pub use gate::{Admission, ServiceGate};
 pub use listing::list_entries;
 pub use members::{MemberView, Repair, RepairOptions, repair};
+pub use prompts::Prompt;
 pub use rate::RateLimit;
 pub use retry::{Ended, Limit, Next, Policy, Step, is_in_time, next_step};
 pub use retry_after::{RetryAfterSchedule, RetryWindow};
--- a/decision/fleet/src/state.rs
+++ b/decision/fleet/src/state.rs
@@ -14,7 +14,8 @@
 use pimentotide_outcome::Crash;
 use serde::{Deserialize, Serialize};
 
-use crate::suspects::{SharedSuspects, SuspectView};
+use crate::prompts::Prompt;
+use crate::suspects::{SuspectView, Suspects};
 
 /// Maximum number of departed upstreams kept; their late announcements are recognised as stale.
 const MAX_DEPARTED: usize = 1_024;
@@ -111,8 +112,13 @@
     /// Records the number of entries that share the limits.
     Entries(u32),
     /// Records the crash of an upstream and what ran there.
-    Crash(Crash),
-    /// Clears suspected contents that ran soundly.
+    Crash {
+        /// Upstream that crashed, and the contents that ran there.
+        crash: Crash,
+        /// Prompts of these contents.
+        prompts: Vec<Prompt>,
+    },
+    /// Clears suspected contents and parts of prompts that ran soundly.
     Clear(Vec<Fingerprint>),
 }
 
@@ -163,7 +169,7 @@
     entries: u32,
     /// Follows the other fields in a snapshot, which may end before it.
     #[serde(skip)]
-    suspects: SharedSuspects,
+    suspects: Suspects,
 }
 
 impl FleetState {
@@ -297,12 +303,12 @@
     }
 
     /// Records a crash, whose zone is that of the upstream's record.
-    fn record_crash(&mut self, index: u64, mut crash: Crash) -> Reply {
+    fn record_crash(&mut self, index: u64, mut crash: Crash, prompts: Vec<Prompt>) -> Reply {
         let record = self.upstreams.get(&crash.upstream);
         crash.zone = record
             .map(|r| r.announcement.zone.clone())
             .or(crash.zone.take());
-        if self.suspects.report(index, &crash, self.now) {
+        if self.suspects.report(index, &crash, prompts, self.now) {
             Reply::Done
         } else {
             Reply::NotNewer
@@ -366,7 +372,7 @@
                 received_at,
             }) => self.expire(index.0, &upstream, received_at),
             Ok(Command::Entries(entries)) => self.record_entries(entries),
-            Ok(Command::Crash(crash)) => self.record_crash(index.0, crash),
+            Ok(Command::Crash { crash, prompts }) => self.record_crash(index.0, crash, prompts),
             Ok(Command::Clear(contents)) => self.clear(index.0, &contents),
             Err(_) => Reply::Malformed,
         };
--- a/decision/fleet/tests/it/main.rs
+++ b/decision/fleet/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod gate;
 mod listing;
 mod members;
+mod prompts;
 mod retry;
 mod retry_after;
 mod signals;
--- a/decision/fleet/tests/it/suspects.rs
+++ b/decision/fleet/tests/it/suspects.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use pimentotide_consensus::Machine;
-use pimentotide_fleet::{Command, CrashEvidence, FleetState, SuspectView};
+use pimentotide_fleet::{
+    Command, CrashEvidence, CrashReport, FleetState, RequestDigests, SuspectView,
+};
 use pimentotide_model::{Fingerprint, Incarnation, Time};
 use pimentotide_outcome::{Crash, Witness};
 use proptest::prelude::*;
@@ -42,13 +44,40 @@
     Fingerprint::of([&number.to_le_bytes()[..]])
 }
 
-fn crash(upstream: u16, incarnation: u64, suspects: Vec<Fingerprint>) -> Crash {
+/// Returns a request without a prompt.
+fn request(number: u64) -> RequestDigests {
+    RequestDigests {
+        content: content(number),
+        ..RequestDigests::default()
+    }
+}
+
+pub(crate) fn crash(upstream: u16, incarnation: u64) -> Crash {
     Crash {
         upstream: format!("u{upstream}").as_str().into(),
         incarnation: Incarnation(incarnation),
         zone: None,
         witness: Witness::Agent,
-        suspects,
+        suspects: Vec::new(),
+    }
+}
+
+/// Returns the command that records a report.
+pub(crate) fn record(report: CrashReport) -> Command {
+    Command::Crash {
+        crash: report.crash,
+        prompts: report.prompts,
+    }
+}
+
+fn crash_twice(log: &mut Log) {
+    for start in 1..=2 {
+        let crash = Crash {
+            suspects: vec![content(0)],
+            ..crash(1, start)
+        };
+        let prompts = Vec::new();
+        log.apply(&Command::Crash { crash, prompts });
     }
 }
 
@@ -139,11 +168,10 @@
     /// The content that crashes upstreams comes at an entry, beside sound ones on the upstream.
     fn repeat_crashing(&mut self) {
         let number = self.rng.random_range(0..ENTRIES);
-        let beside: Vec<Fingerprint> = (0..3)
-            .map(|_| content(self.rng.random_range(1..=SOUND_CONTENTS)))
-            .collect();
+        let beside = (0..3).map(|_| request(self.rng.random_range(1..=SOUND_CONTENTS)));
+        let running: Vec<RequestDigests> = beside.chain([request(0)]).collect();
         let entry = &mut self.entries[number];
-        if entry.evidence.is_refused(content(0), self.now) {
+        if entry.evidence.is_refused(&request(0), self.now) {
             return;
         }
         self.starts += 1;
@@ -153,20 +181,20 @@
             self.sent.push(self.now);
         }
         let upstream = self.rng.random_range(0..UPSTREAMS);
-        let suspects = beside.into_iter().chain([content(0)]).collect();
-        let report = crash(upstream, self.starts, suspects);
-        let report = entry.evidence.record_crash(report, self.now);
-        entry.reports.extend(report.map(Command::Crash));
+        let crash = crash(upstream, self.starts);
+        let report = entry.evidence.record_crash(crash, &running, self.now);
+        entry.reports.extend(report.map(record));
     }
 
     fn run_sound(&mut self) {
         for entry in &mut self.entries {
-            let sound = content(self.rng.random_range(1..=SOUND_CONTENTS));
-            if entry.evidence.is_refused(sound, self.now) {
+            let sound = request(self.rng.random_range(1..=SOUND_CONTENTS));
+            if entry.evidence.is_refused(&sound, self.now) {
                 self.sound_refused += 1;
-            } else if entry.evidence.record_sound_run(sound, self.now) {
-                entry.reports.push(Command::Clear(vec![sound]));
+                continue;
             }
+            let suspected = entry.evidence.record_sound_run(&sound, self.now);
+            entry.reports.push(Command::Clear(suspected));
         }
     }
 }
@@ -199,9 +227,7 @@
 #[test]
 fn refused_contents_survive_a_snapshot_and_older_snapshots_are_restored() {
     let mut log = Log::default();
-    for start in 1..=2 {
-        log.apply(&Command::Crash(crash(1, start, vec![content(0)])));
-    }
+    crash_twice(&mut log);
     let mut restored = FleetState::default();
     restored.restore(&log.state.snapshot()).unwrap();
     assert_eq!(restored.suspects(), log.state.suspects());
@@ -215,9 +241,7 @@
 #[test]
 fn refusal_expires() {
     let mut log = Log::default();
-    for start in 1..=2 {
-        log.apply(&Command::Crash(crash(1, start, vec![content(0)])));
-    }
+    crash_twice(&mut log);
     assert!(log.state.suspects().refused.contains(&content(0)));
     log.apply_at(&Command::Entries(3), at(700_000));
     assert!(log.state.suspects().refused.is_empty());
@@ -228,10 +252,10 @@
 #[test]
 fn content_that_ran_soundly_is_no_suspect() {
     let mut evidence = CrashEvidence::default();
-    evidence.record_sound_run(content(1), at(0));
-    let report = evidence.record_crash(crash(1, 1, vec![content(0), content(1)]), at(100));
-    assert_eq!(report.unwrap().suspects, [content(0)]);
+    evidence.record_sound_run(&request(1), at(0));
+    let report = evidence.record_crash(crash(1, 1), &[request(0), request(1)], at(100));
+    assert_eq!(report.unwrap().crash.suspects, [content(0)]);
     // It speaks for the content once: one that begins to crash upstreams is found.
-    let report = evidence.record_crash(crash(2, 1, vec![content(1)]), at(200));
-    assert_eq!(report.unwrap().suspects, [content(1)]);
+    let report = evidence.record_crash(crash(2, 1), &[request(1)], at(200));
+    assert_eq!(report.unwrap().crash.suspects, [content(1)]);
 }
--- a/decision/outcome/src/crash_history.rs
+++ b/decision/outcome/src/crash_history.rs
@@ -165,6 +165,12 @@
         strikes.filter(|(_, s)| s.count > 0).collect()
     }
 
+    /// Returns the crashes that the instance of the upstream survived, each with its time and contents.
+    pub fn crashes(&self) -> impl Iterator<Item = (Time, &BTreeSet<Fingerprint>)> {
+        let survived = self.events.iter().filter(|e| e.witness == Witness::Agent);
+        survived.map(|e| (e.at, &e.suspects))
+    }
+
     /// Returns the contents that are excused from a crash.
     pub fn excused(&self) -> BTreeSet<Fingerprint> {
         let excused = self.events.iter().flat_map(|e| &e.excused);
