entry: a stream without a length is relayed, and complete if it ends between two events

Callers saw: a stream that ends with its connection was given up at its head and run again elsewhere, or refused where it may not run twice, and its end never counted. Nor was a crash under such a stream seen: the entry had hung up before.

Cause: every stream without a length counted as interrupted, since a cut of it can't be seen in the framing. It is complete if it ends between two events within 0.5 s after the last (a stalled group cuts streams 1.5 s after), and its upstream still accepts connections; a reset, a late end and a crash still resume it. Test: fleet::stream_without_a_length_is_complete_unless_it_ends_inside_an_event; before, the whole stream was sent twice.

--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -10,7 +10,7 @@
 use pimentotide_model::{Failure, ServiceName, Time, UpstreamName, WorkspaceName};
 use pimentotide_platform::{Answer, AnswerError, Call, SendOptions, UpstreamClient};
 
-use super::crashes::{Interruption, check_crash};
+use super::crashes::{Interruption, check_crash, refuses_connections};
 use super::state::{EntryState, OpenRequest};
 use crate::lines::{Interrupted, Placed};
 
@@ -229,7 +229,15 @@
         send.is_some_and(|s| is_sound_run(s.events))
     }
 
-    /// Checks whether the upstream of the latest send, which broke off, has crashed.
+    /// Whether the upstream of the latest send has crashed.
+    pub(super) async fn has_upstream_crashed(&self) -> bool {
+        match &self.last_send {
+            Some(send) => refuses_connections(send.address).await,
+            None => false,
+        }
+    }
+
+    /// Checks whether the upstream of the latest send, which broke off, has crashed, and reports it.
     async fn check_crash(&self) {
         let Some(send) = &self.last_send else {
             return;
--- a/app/src/fleet/entry/streaming.rs
+++ b/app/src/fleet/entry/streaming.rs
@@ -3,6 +3,11 @@
 //! The caller receives the head with the first event, so that a send that fails
 //! earlier stays invisible. A stream that is interrupted later resumes at another
 //! upstream after the last event sent to the caller, under the first head.
+//!
+//! A stream that is delimited by the close of its connection is complete if it ends between two
+//! events, soon after the last one, and its upstream has not crashed.
+
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -17,6 +22,10 @@
 use super::relay::refuse;
 use crate::lines::{Answered, BrokenOff};
 
+/// Maximum time from the last event to the end of a stream without a length; a stream that is cut
+/// off by a stalled group ends much later.
+const MAX_END_DELAY: Duration = Duration::from_millis(500);
+
 /// Stream to one caller, across the upstreams that produce it.
 struct StreamRun {
     attempt: Attempt,
@@ -30,6 +39,10 @@
 struct Source {
     body: Body,
     ticket: TicketGuard,
+    /// Whether the stream is delimited by the close of its connection.
+    unframed: bool,
+    /// Time of the last complete event; `None` before the first.
+    last_event: Option<Instant>,
 }
 
 /// Next item of a source.
@@ -181,15 +194,13 @@
 
 impl StreamRun {
     /// Attaches the stream of an upstream.
-    ///
-    /// An unframed stream counts as interrupted, because truncation of it would be
-    /// undetectable.
     fn attach(&mut self, body: Body, unframed: bool, ticket: TicketGuard) {
-        if unframed {
-            ticket.end(Outcome::Neutral);
-            return;
-        }
-        self.source = Some(Source { body, ticket });
+        self.source = Some(Source {
+            body,
+            ticket,
+            unframed,
+            last_event: None,
+        });
     }
 
     /// Waits for complete events of the current source.
@@ -213,6 +224,7 @@
                 Ok(Some(Ok(bytes))) => match self.cursor.push(&bytes) {
                     Ok(events) if events.is_empty() => {}
                     Ok(events) => {
+                        source.last_event = Some(Instant::now());
                         self.attempt.record_events(self.cursor.forwarded() - before);
                         return Next::Events(events);
                     }
@@ -225,12 +237,22 @@
                 Ok(None) if self.cursor.is_partial() => {
                     return self.end(Outcome::Failed, Ended::Broken);
                 }
+                Ok(None) if source.unframed && !self.is_complete().await => {
+                    return self.end(Outcome::Failed, Ended::Broken);
+                }
                 Ok(None) => return Next::End,
                 Err(_) => return self.end(Outcome::Failed, Ended::Silent),
             }
         }
     }
 
+    /// Whether a stream without a length, which has ended between two events, is complete.
+    async fn is_complete(&self) -> bool {
+        let last_event = self.source.as_ref().and_then(|s| s.last_event);
+        last_event.is_some_and(|at| at.elapsed() <= MAX_END_DELAY)
+            && !self.attempt.has_upstream_crashed().await
+    }
+
     fn end(&mut self, outcome: Outcome, ended: Ended) -> Next {
         if let Some(source) = self.source.take() {
             source.ticket.end(outcome);
--- a/app/tests/it/fleet.rs
+++ b/app/tests/it/fleet.rs
@@ -21,6 +21,9 @@
     answer.replace(line, "retry-after: TIME")
 }
 
+/// Event that follows the fixture of a stream without a length.
+const SECOND_EVENT: &str = "\nid: 2\ndata: two\n\n";
+
 /// Starts a stand-in upstream that answers each connection by its path; returns its address and the
 /// recorded requests.
 async fn spawn_upstream(name: &str) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
@@ -44,6 +47,10 @@
                 fixture("answer.http", &[("name", &name)])
             } else if rest {
                 fixture("events_rest.http", &[])
+            } else if request.starts_with("POST /s/unframed/whole") {
+                fixture("events_unframed.http", &[]) + SECOND_EVENT
+            } else if request.starts_with("POST /s/unframed/cut") {
+                fixture("events_unframed.http", &[]) + &SECOND_EVENT[..10]
             } else {
                 fixture("events_cut.http", &[])
             };
@@ -138,3 +145,32 @@
     assert_snapshot!(stream);
     assert!(deployment.folder.path().exists());
 }
+
+/// Guards against running a request again because its stream ends with its connection, and against
+/// passing on such a stream as complete although it ended inside an event.
+#[tokio::test]
+async fn stream_without_a_length_is_complete_unless_it_ends_inside_an_event() {
+    const NETWORK: u8 = 8;
+    let deployment = Deployment::start(NETWORK, 1);
+    let control = deployment.control(1);
+    let declare = fixture("declare.http", &[("version", "7")]);
+    wait_for_answer(control, &declare, "HTTP/1.1 200").await;
+    let (address, requests) = spawn_upstream("u1").await;
+    announce(control, "u1", address).await;
+    let entry = deployment.entry(0);
+    wait_for_answer(
+        entry,
+        &fixture("call.http", &[("key", "k1")]),
+        "HTTP/1.1 200",
+    )
+    .await;
+    let mut answers = Vec::new();
+    for path in ["/s/unframed/whole", "/s/unframed/cut"] {
+        let request = fixture("stream.http", &[]).replace("/s/2f", path);
+        let answer = send_request(entry, &request).await.unwrap();
+        let all = requests.lock().unwrap();
+        let sends = all.iter().filter(|r| r.contains(path)).count();
+        answers.push(format!("{path}, sends: {sends}\n{answer}"));
+    }
+    assert_snapshot!(answers.join("\n---\n"));
+}
