--- a/app/src/fleet/entry/crashes.rs
+++ b/app/src/fleet/entry/crashes.rs
@@ -3,9 +3,8 @@
 //! A broken connection does not prove a crash: a stalled group, a reset and a malformed
 //! answer look the same to the request. So the entry connects to the upstream once more:
 //! a live process accepts, while the instance of a crashed one refuses. Requests that break
-//! at the same upstream at the same time share one check. A crash is recorded by control before
-//! the requests are retried, so that no content that ran there runs again before all entries
-//! suspect it.
+//! at the same upstream at the same time share one check. Control records a crash before the
+//! requests are retried, so that a second crash under the same content is known as such.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -89,7 +88,8 @@
 
 /// Checks whether the upstream of an interrupted send has crashed, and reports the crash.
 ///
-/// Returns once the check has ended and control has recorded the crash, at the latest after [`CHECK_TIMEOUT`].
+/// Returns once the check has ended and control has recorded the crash, at the latest after
+/// [`CHECK_TIMEOUT`].
 pub(super) async fn check_crash(
     state: &Arc<EntryState>,
     ticket: &Ticket,
@@ -140,7 +140,6 @@
             })
             .collect(),
     });
-    let suspects = interruptions.iter().filter(|i| !is_sound_run(i.events));
     let crash = Crash {
         upstream: ticket.upstream.clone(),
         incarnation: Incarnation(ticket.born),
@@ -148,6 +147,7 @@
         witness: Witness::Agent,
         suspects: Vec::new(),
     };
+    let suspects = interruptions.iter().filter(|i| !is_sound_run(i.events));
     let suspects: Vec<RequestDigests> = suspects.map(|i| i.digests.clone()).collect();
     let report = state
         .lock()
--- a/decision/fleet/src/prompts.rs
+++ b/decision/fleet/src/prompts.rs
@@ -84,6 +84,7 @@
     pub(crate) fn blame(&self, history: &CrashHistory) -> Vec<Blame> {
         let crashes: Vec<_> = history.crashes().collect();
         let mut unexplained = self.crashes_by_part(&crashes);
+        unexplained.retain(|_, crashes| crashes.len() >= MIN_CRASHES);
         let mut blames = Vec::new();
         loop {
             let most = unexplained.values().max_by_key(|c| c.len()).cloned();
