soak: a drain ends only the incarnation that it began with

Trace: two drains of upstream 3 overlapped (1279 to 4835 and 2814 to 6366 ms); the second began on the first incarnation and at its end withdrew the next one, u3.2, which had announced no drain and was streaming to the request; the entry had no budget left to resume it. The check is right, the fault was not planned work: an upstream ended without a drain.

Now one drain at a time, and it ends only its own incarnation. Test: incarnation::drain_ends_only_the_incarnation_that_it_began_with (the state was part of the stand-in before and had no test).

--- a/dev/soak/src/fault.rs
+++ b/dev/soak/src/fault.rs
@@ -230,9 +230,12 @@
 
 async fn drain(cluster: &Cluster, number: usize) -> bool {
     let upstream = &cluster.upstreams[number];
-    upstream.start_drain().await;
+    let Some(incarnation) = upstream.start_drain().await else {
+        return false;
+    };
     tokio::time::sleep(DRAIN_TIME).await;
-    upstream.withdraw().await;
-    restart(upstream).await;
+    if upstream.withdraw(incarnation).await {
+        restart(upstream).await;
+    }
     true
 }
--- a/dev/soak/src/lib.rs
+++ b/dev/soak/src/lib.rs
@@ -11,6 +11,7 @@
 mod fault;
 mod guarantee;
 mod history;
+mod incarnation;
 mod operator;
 mod proxy;
 mod schedule;
@@ -26,6 +27,7 @@
 
 pub use guarantee::{Bounds, Violation, violations};
 pub use history::{Call, Disturbance, History, Kind, Order, Outcome, Run, Target};
+pub use incarnation::IncarnationState;
 
 /// Number of concurrent callers.
 const CALLERS: usize = 12;
--- a/dev/soak/src/upstream.rs
+++ b/dev/soak/src/upstream.rs
@@ -13,6 +13,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 
 use crate::history::{Recorder, Run};
+use crate::incarnation::IncarnationState;
 use crate::proxy::Proxy;
 use pimentotide_wire::{Message, Template, read_message};
 
@@ -65,14 +66,12 @@
     incarnation: tokio::sync::Mutex<Incarnation>,
 }
 
-/// State of the present incarnation of an upstream.
-#[derive(Debug)]
+/// Present incarnation of an upstream.
+#[derive(Debug, Default)]
 struct Incarnation {
     name: String,
-    draining: Arc<AtomicBool>,
+    state: IncarnationState,
     tasks: Vec<AbortHandle>,
-    /// Incremented at each start.
-    number: u64,
 }
 
 impl StandIn {
@@ -97,12 +96,7 @@
             controls,
             proxy: Proxy::bind(nowhere).await?,
             mode: watch::Sender::default(),
-            incarnation: tokio::sync::Mutex::new(Incarnation {
-                name: String::new(),
-                draining: Arc::default(),
-                tasks: Vec::new(),
-                number: 0,
-            }),
+            incarnation: tokio::sync::Mutex::default(),
         };
         stand_in.start().await?;
         Ok(stand_in)
@@ -124,9 +118,8 @@
         let mut incarnation = self.incarnation.lock().await;
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         self.proxy.set_target(listener.local_addr()?);
-        incarnation.number += 1;
-        incarnation.name = format!("u{}.{}", self.number, incarnation.number);
-        incarnation.draining = Arc::default();
+        let number = incarnation.state.start();
+        incarnation.name = format!("u{}.{number}", self.number);
         let server = Server {
             name: incarnation.name.clone(),
             templates: self.templates.clone(),
@@ -138,33 +131,38 @@
             Announcer {
                 name: incarnation.name.clone(),
                 address: self.proxy.address(),
-                incarnation: incarnation.number,
+                incarnation: number,
                 templates: self.templates.clone(),
                 recorder: self.recorder.clone(),
                 controls: self.controls.clone(),
             },
-            incarnation.draining.clone(),
+            incarnation.state.draining(),
         ));
         incarnation.tasks = vec![serving.abort_handle(), announcing.abort_handle()];
         Ok(())
     }
 
-    /// Announces the drain from now on; keeps serving requests.
-    pub(crate) async fn start_drain(&self) {
-        self.incarnation
-            .lock()
-            .await
-            .draining
-            .store(true, Ordering::SeqCst);
+    /// Announces the drain of the present incarnation from now on; keeps serving requests.
+    ///
+    /// Returns the number of the incarnation; `None` if it drains already.
+    pub(crate) async fn start_drain(&self) -> Option<u64> {
+        self.incarnation.lock().await.state.start_drain()
     }
 
-    /// Withdraws the announcement and ends the incarnation.
-    pub(crate) async fn withdraw(&self) {
-        let name = self.incarnation.lock().await.name.clone();
+    /// Withdraws the announcement of an incarnation and ends it; returns false if another one runs.
+    pub(crate) async fn withdraw(&self, number: u64) -> bool {
+        let name = {
+            let incarnation = self.incarnation.lock().await;
+            if !incarnation.state.is_present(number) {
+                return false;
+            }
+            incarnation.name.clone()
+        };
         let message = self.templates.leave.fill(&[("name", &name)]);
         // The incarnation ends whether or not the withdrawal is acknowledged.
         let _ = send_to_control(&self.controls, &message).await;
         self.crash().await;
+        true
     }
 }
 
