--- a/app/src/explain/cause.rs
+++ b/app/src/explain/cause.rs
@@ -78,6 +78,7 @@
             Ejected::EVENT => "ejected after failures",
             UpstreamCrashed::EVENT => "crashed",
             UpstreamSignal::EVENT if r.text("signal") == "leaving" => "leaving",
+            UpstreamSignal::EVENT if r.text("signal") == "limit" => "changed its limit",
             UpstreamSignal::EVENT => "asked for a backoff",
             _ => r.text("change"),
         })
--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -186,7 +186,7 @@
         }
         if let Some(ticket) = &guard.ticket {
             self.state
-                .record_signals(&self.call.id, ticket, answer.leaving, answer.backoff);
+                .record_signals(&self.call.id, ticket, &answer.signals);
         }
         let upstream = guard.upstream.clone();
         if answer.not_run {
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -11,7 +11,8 @@
 
 use pimentotide_fleet::{
     Balancer, BalancerOptions, BudgetOptions, ColdLimit, CrashEvidence, EntryCount, EntryPosition,
-    Outcome, RetryAfterSchedule, RetryBudget, RouteTable, ServiceGate, Ticket,
+    Outcome, RequestRate, RetryAfterSchedule, RetryBudget, RouteTable, ServiceGate, Signals,
+    Ticket,
 };
 use pimentotide_instance::Clock;
 use pimentotide_model::{ErrorKind, Failure, ServiceName, Time, ZoneName};
@@ -265,6 +266,7 @@
             ("cold", counts.cold),
             ("ejected", counts.ejected),
             ("backoff", counts.backoff),
+            ("limited", counts.limited),
             ("out", counts.out),
         ];
         for (state, count) in states {
@@ -331,39 +333,39 @@
         }
     }
 
-    /// Records that an answer of an upstream says that it is leaving or asks for a backoff.
-    pub(super) fn record_signals(
-        &self,
-        request: &str,
-        ticket: &Ticket,
-        leaving: bool,
-        backoff: Option<Duration>,
-    ) {
+    /// Records what an upstream says of itself in an answer, and logs what is new.
+    pub(super) fn record_signals(&self, request: &str, ticket: &Ticket, signals: &Signals) {
         let now = self.now();
-        let newly_leaving = leaving && self.lock().balancer.record_leaving(ticket);
+        let line = |signal| UpstreamSignal {
+            request,
+            upstream: &ticket.upstream,
+            signal,
+            ..UpstreamSignal::default()
+        };
+        let newly_leaving = signals.leaving && self.lock().balancer.record_leaving(ticket);
         if newly_leaving {
-            self.report_signal(request, ticket, "leaving", None);
+            self.report_signal(&line("leaving"));
         }
-        if let Some(backoff) = backoff {
+        if let Some(backoff) = signals.backoff {
             self.lock().balancer.record_backoff(ticket, backoff, now);
-            self.report_signal(request, ticket, "backoff", Some(backoff.as_millis()));
+            self.report_signal(&UpstreamSignal {
+                for_ms: Some(backoff.as_millis()),
+                ..line("backoff")
+            });
+        }
+        let changed = self.lock().balancer.record_limit(ticket, signals.limit);
+        if changed {
+            self.report_signal(&UpstreamSignal {
+                per_second: signals.limit.map(RequestRate::per_second),
+                ..line("limit")
+            });
         }
     }
 
-    fn report_signal(
-        &self,
-        request: &str,
-        ticket: &Ticket,
-        signal: &'static str,
-        for_ms: Option<u128>,
-    ) {
-        self.metrics.count("entry.signals", ("signal", signal), 1);
-        pimentotide_observe::event(&UpstreamSignal {
-            request,
-            upstream: &ticket.upstream,
-            signal,
-            for_ms,
-        });
+    fn report_signal(&self, line: &UpstreamSignal<'_>) {
+        self.metrics
+            .count("entry.signals", ("signal", line.signal), 1);
+        pimentotide_observe::event(line);
     }
 
     pub(super) fn finish_send(&self, ticket: &Ticket, outcome: Outcome) {
--- a/app/src/lines/request.rs
+++ b/app/src/lines/request.rs
@@ -91,17 +91,19 @@
     pub after_ms: u128,
 }
 
-/// An answer of an upstream says that it is leaving or asks for a backoff.
+/// An answer of an upstream says that it is leaving, asks for a backoff or changes its limit.
 #[derive(Default, Serialize)]
 pub struct UpstreamSignal<'a> {
     /// Id of the request that was answered.
     pub request: &'a str,
     /// Name of the upstream.
     pub upstream: &'a str,
-    /// `leaving` or `backoff`.
+    /// `leaving`, `backoff` or `limit`.
     pub signal: &'static str,
-    /// Length of the backoff, ms; `None` for an upstream that is leaving.
+    /// Length of a backoff, ms.
     pub for_ms: Option<u128>,
+    /// Limit for all entries together, requests per second; `None` if the upstream names none any more.
+    pub per_second: Option<f64>,
 }
 
 /// An upstream crashed while it ran requests of this entry.
--- a/decision/fleet/src/balancer.rs
+++ b/decision/fleet/src/balancer.rs
@@ -20,7 +20,9 @@
 use rand::{Rng, RngExt};
 
 use crate::upstream::{Cold, Upstream};
-use crate::{ColdLimit, FleetState, Load, Outcome, RateLimit, Record, Stage, UpstreamEvent};
+use crate::{
+    ColdLimit, FleetState, Load, Outcome, RateLimit, Record, RequestRate, Stage, UpstreamEvent,
+};
 
 /// Load added to the score of an upstream in another availability zone.
 const ZONE_PENALTY: f64 = 0.02;
@@ -115,6 +117,8 @@
     pub ejected: usize,
     /// Avoided because they asked for a backoff.
     pub backoff: usize,
+    /// In service, with a limit that they named in an answer.
+    pub limited: usize,
     /// Draining, leaving, or in a closed zone.
     pub out: usize,
     /// In-flight requests of this entry at all upstreams.
@@ -249,6 +253,8 @@
                 &mut counts.ejected
             } else if upstream.is_cold(now) {
                 &mut counts.cold
+            } else if upstream.limit.is_some() {
+                &mut counts.limited
             } else {
                 &mut counts.usable
             };
@@ -332,6 +338,12 @@
         }
     }
 
+    /// Records the limit that an answer of an upstream names; true if it differs from the last one.
+    pub fn record_limit(&mut self, ticket: &Ticket, limit: Option<RequestRate>) -> bool {
+        let upstream = self.ticket_upstream(ticket);
+        upstream.is_some_and(|u| std::mem::replace(&mut u.limit, limit) != limit)
+    }
+
     /// Returns the upstream of a ticket unless it has restarted since.
     fn ticket_upstream(&mut self, ticket: &Ticket) -> Option<&mut Upstream> {
         let upstream = self.upstreams.get_mut(&ticket.upstream);
--- a/decision/fleet/src/upstream.rs
+++ b/decision/fleet/src/upstream.rs
@@ -6,7 +6,7 @@
 use pimentotide_routing::Health;
 use serde::{Deserialize, Serialize};
 
-use crate::{RateLimit, Record};
+use crate::{RateLimit, Record, RequestRate};
 
 /// Half-life of the weight of an outcome.
 const OUTCOME_HALF_LIFE: Duration = Duration::from_secs(3);
@@ -26,6 +26,17 @@
     pub slots: u32,
 }
 
+/// What an upstream says of itself in an answer, apart from its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Signals {
+    /// Whether it is shutting down and is to receive no new requests.
+    pub leaving: bool,
+    /// Time for which it asks this entry for no requests.
+    pub backoff: Option<Duration>,
+    /// Rate of requests that it takes from all entries together; `None` if it names no limit.
+    pub limit: Option<RequestRate>,
+}
+
 /// Outcome of a send for the outlier detection of the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -57,6 +68,8 @@
     /// Time until which it asked this entry for no requests.
     pub(crate) backoff_until: Time,
     pub(crate) cold: Option<Cold>,
+    /// Limit that its latest answer named.
+    pub(crate) limit: Option<RequestRate>,
     reported: Option<(Load, Time)>,
     /// Requests sent minus requests ended by this entry since the last load report.
     sent_since_report: i64,
@@ -88,6 +101,7 @@
             leaving: false,
             backoff_until: Time::ZERO,
             cold: None,
+            limit: None,
             reported: None,
             sent_since_report: 0,
             good: 0.0,
