KNOWN-RED: tests of limits that upstreams name, which fail

83 and 79 requests reach an upstream in 4 s that names 4 a second (29 allowed), beside another with room and beside one with the same limit.

--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod explain;
 mod fleet;
 mod fleet_settings;
+mod limits;
 mod lines;
 mod local;
 mod operator;
