entry: an upstream that names a limit gets no more than that from all entries

Callers saw nothing; an upstream in need that named 2.2 to 2.4 requests a second went on getting 4 to 5, and with others as badly off would have gone under.

Cause: nothing read the header, and nothing divides a rate that is for all entries together, apart from those of cold upstreams and of retries. The choice of an upstream now has one more filter, which every path passes (first and second sends, resumed streams, waiting requests).

Each limit is shared by a few holders, the entries whose subsets begin closest to the upstream, one for each whole request a second; the others send it nothing. Limits are part of the replicated state for entries that start and for those that send an upstream nothing. What is left over goes to other upstreams or is refused at once.

--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use pimentotide_fleet::{
-    Announcement, Command, CrashReport, Declaration, Declared, FleetState, Record, Reply,
-    SuspectView,
+    Announcement, Command, CrashReport, Declaration, Declared, FleetState, LimitReport, LimitView,
+    Record, Reply, SuspectView,
 };
 use pimentotide_instance::replica::ReplicaHandle;
 use pimentotide_model::{ErrorKind, Failure, Time, UpstreamName, ZoneName};
@@ -18,7 +18,7 @@
 
 use super::super::compact;
 use super::super::rpc::{
-    CrashReports, Document, EncodedUpdate, FleetView, Processes, RankCapacity, SeenRevisions,
+    Document, EncodedUpdate, EntryReports, FleetView, Processes, RankCapacity, SeenRevisions,
 };
 use super::roster::Roster;
 use crate::lines::Ordered;
@@ -139,6 +139,7 @@
             declared: changes.declared.map(|d| self.encoded(&d)).transpose()?,
             fleet: changes.fleet,
             suspects: changes.suspects.as_ref().map(compact::encode).transpose()?,
+            limits: changes.limits.as_ref().map(compact::encode).transpose()?,
             replicas,
             entries,
             recorded,
@@ -169,10 +170,11 @@
     /// # Errors
     ///
     /// Fails if a report is not replicated; recording it again has no effect.
-    pub(super) async fn record_reports(&self, reports: CrashReports) -> Result<(), Failure> {
+    pub(super) async fn record_reports(&self, reports: EntryReports) -> Result<(), Failure> {
         for CrashReport { crash, prompts } in reports.crashes {
             self.replicate(&Command::Crash { crash, prompts }).await?;
         }
+        self.record_limits(reports.limits).await?;
         let mut sound = reports.sound;
         if sound.is_empty() {
             return Ok(());
@@ -185,6 +187,19 @@
         Ok(())
     }
 
+    /// Records limits of upstreams, apart from those that are recorded already.
+    async fn record_limits(&self, mut reports: Vec<LimitReport>) -> Result<(), Failure> {
+        if reports.is_empty() {
+            return Ok(());
+        }
+        let limits = self.replica.query(|s, _| s.limits().clone()).await?;
+        reports.retain(|r| limits.is_news(r));
+        if !reports.is_empty() {
+            self.replicate(&Command::Limits(reports)).await?;
+        }
+        Ok(())
+    }
+
     /// Returns the number of live entries by beacons, and the recorded number.
     pub(super) async fn entry_counts(&self) -> Result<(usize, usize), Failure> {
         let recorded = self.replica.query(|s, _| s.entries()).await?;
@@ -282,6 +297,7 @@
     declared: Option<Declared>,
     fleet: Option<FleetView>,
     suspects: Option<SuspectView>,
+    limits: Option<LimitView>,
 }
 
 /// Returns the position of the state, limited to what the entry with `seen` follows.
@@ -290,6 +306,7 @@
         declared: state.declared().map_or(0, |d| d.index),
         revision: state.revision(),
         suspects: seen.suspects.map(|_| state.suspects().revision),
+        limits: seen.limits.map(|_| state.limits().revision),
     }
 }
 
@@ -305,6 +322,7 @@
         declared: declared.cloned(),
         fleet,
         suspects: (now.suspects != seen.suspects).then(|| state.suspects().clone()),
+        limits: (now.limits != seen.limits).then(|| state.limits().clone()),
     }
 }
 
@@ -325,6 +343,7 @@
         Command::Entries(entries) => ("record_entries", entries.to_string()),
         Command::Crash { crash, .. } => ("record_crash", crash.upstream.to_string()),
         Command::Clear(contents) => ("clear_suspects", contents.len().to_string()),
+        Command::Limits(reports) => ("record_limits", reports.len().to_string()),
     }
 }
 
--- a/app/src/fleet/control/methods.rs
+++ b/app/src/fleet/control/methods.rs
@@ -6,7 +6,7 @@
 use pimentotide_instance::rpc_error;
 
 use super::super::rpc::{
-    CrashReports, FOLLOW, JOIN, JoinRequest, PROCESSES, REPORT, SeenRevisions,
+    EntryReports, FOLLOW, JOIN, JoinRequest, PROCESSES, REPORT, SeenRevisions,
 };
 use super::desk::ControlService;
 use super::membership::Members;
@@ -37,7 +37,7 @@
         processes.map_err(|f| rpc_error(&f))
     })?;
     module.register_async_method(REPORT, |params, shared, _| async move {
-        let reports: CrashReports = params.one()?;
+        let reports: EntryReports = params.one()?;
         let recorded = shared.service.record_reports(reports).await;
         recorded.map_err(|f| rpc_error(&f))
     })?;
--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -49,6 +49,7 @@
 pub(super) struct LastSend {
     ticket: Ticket,
     address: SocketAddr,
+    sent_at: Time,
     /// Complete events received from this upstream.
     events: u64,
 }
@@ -129,6 +130,7 @@
         self.last_send = Some(LastSend {
             ticket: choice.ticket.clone(),
             address: choice.address,
+            sent_at: self.state.now(),
             events: 0,
         });
         let guard = TicketGuard {
@@ -184,9 +186,10 @@
                 .balancer
                 .report_load(&guard.upstream, load, now);
         }
+        let sent_at = self.last_send.as_ref().map_or(Time::ZERO, |s| s.sent_at);
         if let Some(ticket) = &guard.ticket {
             self.state
-                .record_signals(&self.call.id, ticket, &answer.signals);
+                .record_signals(&self.call.id, ticket, &answer.signals, sent_at);
         }
         let upstream = guard.upstream.clone();
         if answer.not_run {
--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -7,6 +7,7 @@
 mod placing;
 mod relay;
 mod report;
+mod signals;
 mod state;
 mod streaming;
 
@@ -87,6 +88,11 @@
                 replicas.clone(),
                 token.clone(),
             )),
+            actix_rt::spawn(signals::report_limits(
+                state.clone(),
+                replicas.clone(),
+                token.clone(),
+            )),
             actix_rt::spawn(follow::follow(
                 state.clone(),
                 replicas.clone(),
--- a/app/src/fleet/entry/placing.rs
+++ b/app/src/fleet/entry/placing.rs
@@ -160,6 +160,8 @@
         Refusal::Cold => (ErrorKind::Overloaded, None, Some(CHOOSE_INTERVAL)),
         // Requests running and queued there take longer than a caller would wait here.
         Refusal::Full => (ErrorKind::Overloaded, None, None),
+        // Waiting requests would only use up what newer ones could have.
+        Refusal::Limited(next) => (ErrorKind::Overloaded, next, None),
         Refusal::Backoff(left) => (ErrorKind::Overloaded, Some(left), Some(left)),
     };
     Blocked {
--- a/app/src/fleet/entry/report.rs
+++ b/app/src/fleet/entry/report.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::super::replicas::Replicas;
-use super::super::rpc::{CrashReports, REPORT};
+use super::super::rpc::{EntryReports, REPORT};
 use super::state::EntryState;
 
 /// Maximum number of crashes that wait to be reported; the oldest are dropped.
@@ -89,16 +89,17 @@
         }
     }
 
-    fn take(&self) -> CrashReports {
+    fn take(&self) -> EntryReports {
         let mut waiting = self.lock();
-        CrashReports {
+        EntryReports {
             crashes: std::mem::take(&mut waiting.crashes),
             sound: std::mem::take(&mut waiting.sound).into_iter().collect(),
+            limits: Vec::new(),
         }
     }
 
     /// Puts back reports that were not recorded.
-    fn put_back(&self, reports: CrashReports) {
+    fn put_back(&self, reports: EntryReports) {
         let mut waiting = self.lock();
         let newer = std::mem::replace(&mut waiting.crashes, reports.crashes);
         waiting.crashes.extend(newer);
@@ -118,7 +119,7 @@
     loop {
         queue.added.notified().await;
         let mut reports = queue.take();
-        while reports != CrashReports::default() {
+        while reports != EntryReports::default() {
             if send(&reports, &replicas, &token).await {
                 let crashes = reports.crashes.len() as u64;
                 queue.recorded.send_modify(|r| *r += crashes);
@@ -132,7 +133,7 @@
 }
 
 /// Sends reports to one replica after another until one records them; returns whether one did.
-async fn send(reports: &CrashReports, replicas: &Replicas, token: &Token) -> bool {
+pub(super) async fn send(reports: &EntryReports, replicas: &Replicas, token: &Token) -> bool {
     for address in replicas.list() {
         let client = PeerClient::with_timeouts(address, token.clone(), TIMEOUTS);
         match client.call::<_, ()>(REPORT, [reports]).await {
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -11,8 +11,7 @@
 
 use pimentotide_fleet::{
     Balancer, BalancerOptions, BudgetOptions, ColdLimit, CrashEvidence, EntryCount, EntryPosition,
-    Outcome, RequestRate, RetryAfterSchedule, RetryBudget, RouteTable, ServiceGate, Signals,
-    Ticket,
+    LimitView, Outcome, RetryAfterSchedule, RetryBudget, RouteTable, ServiceGate, Ticket,
 };
 use pimentotide_instance::Clock;
 use pimentotide_model::{ErrorKind, Failure, ServiceName, Time, ZoneName};
@@ -25,9 +24,8 @@
 use super::super::rpc::{FleetView, SeenRevisions, StateUpdate};
 use super::crashes::CrashChecks;
 use super::report::ReportQueue;
-use crate::lines::{
-    Declared, Ejected, LeaseLost, LeaseWon, UpstreamChanged, UpstreamSignal, ZonesClosed,
-};
+use super::signals::LimitReports;
+use crate::lines::{Declared, Ejected, LeaseLost, LeaseWon, UpstreamChanged, ZonesClosed};
 
 /// Margin beyond the stall of a group that lost a rank, in which its events arrive.
 const STALL_MARGIN: Duration = Duration::from_millis(200);
@@ -46,6 +44,7 @@
     inner: Mutex<Inner>,
     crash_checks: CrashChecks,
     reports: ReportQueue,
+    limit_reports: LimitReports,
     /// Signals changes to suspected and refused contents.
     suspect_changes: watch::Sender<()>,
     /// Number of open requests.
@@ -112,6 +111,7 @@
                 evidence: CrashEvidence::default(),
                 seen: SeenRevisions {
                     suspects: Some(0),
+                    limits: Some(0),
                     ..SeenRevisions::default()
                 },
                 lease_end: Time::ZERO,
@@ -122,6 +122,7 @@
             }),
             crash_checks: CrashChecks::default(),
             reports: ReportQueue::default(),
+            limit_reports: LimitReports::default(),
             suspect_changes: watch::Sender::default(),
             open: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
@@ -149,6 +150,11 @@
         &self.reports
     }
 
+    /// Returns the reports on limits of upstreams.
+    pub(super) fn limit_reports(&self) -> &LimitReports {
+        &self.limit_reports
+    }
+
     /// Returns a receiver of changes to suspected and refused contents.
     pub(super) fn suspect_changes(&self) -> watch::Receiver<()> {
         self.suspect_changes.subscribe()
@@ -187,6 +193,8 @@
         if let Some(text) = &update.suspects {
             self.update_suspects(compact::decode(text)?);
         }
+        let limits = update.limits.as_deref().map(compact::decode);
+        let limits: Option<LimitView> = limits.transpose()?;
         let now = self.now();
         let mut inner = self.lock();
         if let Some(document) = update.declared
@@ -211,7 +219,7 @@
         }
         inner.update_entry_count(update.entries.len(), update.recorded, now);
         if let Some(position) = EntryPosition::among(&self.callers, &update.entries) {
-            inner.balancer.set_position(position);
+            inner.balancer.set_position(position, now);
         }
         inner.entry_addresses = update.entries;
         if let Some(fleet) = update.fleet
@@ -219,6 +227,12 @@
         {
             inner.apply_fleet(fleet, now);
         }
+        if let Some(limits) = limits
+            && Some(limits.revision) > inner.seen.limits
+        {
+            inner.seen.limits = Some(limits.revision);
+            inner.balancer.update_limits(limits, now);
+        }
         inner.lease_end = inner.lease_end.max(requested_at + self.lease);
         inner.confirmed_at = inner.confirmed_at.max(requested_at);
         if inner.table.is_some() {
@@ -333,41 +347,6 @@
         }
     }
 
-    /// Records what an upstream says of itself in an answer, and logs what is new.
-    pub(super) fn record_signals(&self, request: &str, ticket: &Ticket, signals: &Signals) {
-        let now = self.now();
-        let line = |signal| UpstreamSignal {
-            request,
-            upstream: &ticket.upstream,
-            signal,
-            ..UpstreamSignal::default()
-        };
-        let newly_leaving = signals.leaving && self.lock().balancer.record_leaving(ticket);
-        if newly_leaving {
-            self.report_signal(&line("leaving"));
-        }
-        if let Some(backoff) = signals.backoff {
-            self.lock().balancer.record_backoff(ticket, backoff, now);
-            self.report_signal(&UpstreamSignal {
-                for_ms: Some(backoff.as_millis()),
-                ..line("backoff")
-            });
-        }
-        let changed = self.lock().balancer.record_limit(ticket, signals.limit);
-        if changed {
-            self.report_signal(&UpstreamSignal {
-                per_second: signals.limit.map(RequestRate::per_second),
-                ..line("limit")
-            });
-        }
-    }
-
-    fn report_signal(&self, line: &UpstreamSignal<'_>) {
-        self.metrics
-            .count("entry.signals", ("signal", line.signal), 1);
-        pimentotide_observe::event(line);
-    }
-
     pub(super) fn finish_send(&self, ticket: &Ticket, outcome: Outcome) {
         let now = self.now();
         let ejected = self.lock().balancer.finish(ticket, outcome, now);
--- a/app/src/fleet/rpc.rs
+++ b/app/src/fleet/rpc.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use pimentotide_consensus::DiskId;
-use pimentotide_fleet::{CrashReport, Record};
+use pimentotide_fleet::{CrashReport, LimitReport, Record};
 use pimentotide_model::{Fingerprint, InstanceName, ZoneName};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
@@ -15,7 +15,7 @@
 
 /// Method with which entries follow the shared state by long polling.
 pub(super) const FOLLOW: &str = "fleet_follow";
-/// Method with which entries report crashes of upstreams and sound runs of suspected contents.
+/// Method with which entries report crashes and limits of upstreams, and sound runs of suspected contents.
 pub(super) const REPORT: &str = "fleet_report";
 /// Method with which a replica requests to become a member.
 pub(super) const JOIN: &str = "fleet_join";
@@ -32,6 +32,9 @@
     /// Position of the last change to suspected contents; `None` from entries that do not follow them.
     #[serde(default)]
     pub(super) suspects: Option<u64>,
+    /// Position of the last change to limits; `None` from entries that do not follow them.
+    #[serde(default)]
+    pub(super) limits: Option<u64>,
 }
 
 /// Shared state, at least as recent as the request for it.
@@ -44,6 +47,9 @@
     /// Compact encoding of the suspected and refused contents; `None` if the entry has them already.
     #[serde(default)]
     pub(super) suspects: Option<String>,
+    /// Compact encoding of the limits of upstreams; `None` if the entry has them already.
+    #[serde(default)]
+    pub(super) limits: Option<String>,
     /// Addresses of the replicas for calls.
     pub(super) replicas: Vec<SocketAddr>,
     /// Addresses of the entries that callers may use.
@@ -61,6 +67,8 @@
     pub(super) fleet: Option<FleetView>,
     /// Compact encoding of the suspected and refused contents; `None` if the entry has them already.
     pub(super) suspects: Option<String>,
+    /// Compact encoding of the limits of upstreams; `None` if the entry has them already.
+    pub(super) limits: Option<String>,
     /// Addresses of the replicas for calls.
     pub(super) replicas: Vec<SocketAddr>,
     /// Addresses of the entries that callers may use.
@@ -89,13 +97,16 @@
     pub(super) upstreams: Vec<Record>,
 }
 
-/// Observations of an entry about contents and parts of prompts that may crash upstreams.
+/// Observations of an entry that all entries share.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct CrashReports {
+pub(super) struct EntryReports {
     /// Crashes with what ran there.
     pub(super) crashes: Vec<CrashReport>,
     /// Suspected contents and parts that ran soundly.
     pub(super) sound: Vec<Fingerprint>,
+    /// Limits that upstreams name or no longer name.
+    #[serde(default)]
+    pub(super) limits: Vec<LimitReport>,
 }
 
 /// Request of a replica to become a member.
--- a/decision/fleet/src/balancer.rs
+++ b/decision/fleet/src/balancer.rs
@@ -5,13 +5,16 @@
 //! with more failures the cause lies elsewhere. A cold upstream gets this entry's
 //! share of its rate limit. An upstream that says in an answer that it is leaving
 //! receives nothing more from this entry, and one that asks for a backoff nothing
-//! until its end; neither rule has an exception for retries.
+//! until its end; neither rule has an exception for retries. One that names a limit gets
+//! this entry's share of it.
 //!
 //! With many entries, a load report is stale by the time the entry sends to that
 //! upstream again, and all entries choose the same upstreams that were last reported idle.
 //! So each entry prefers a deterministic subset of equal size, adjacent in the
 //! order of names, and uses other upstreams only once its subset is full.
 
+mod limits;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -19,9 +22,10 @@
 use pimentotide_model::{ServiceName, Time, UpstreamName, ZoneName};
 use rand::{Rng, RngExt};
 
+use self::limits::next_allowance;
 use crate::upstream::{Cold, Upstream};
 use crate::{
-    ColdLimit, FleetState, Load, Outcome, RateLimit, Record, RequestRate, Stage, UpstreamEvent,
+    ColdLimit, FleetState, LimitView, Load, Outcome, RateLimit, Record, Stage, UpstreamEvent,
 };
 
 /// Load added to the score of an upstream in another availability zone.
@@ -101,6 +105,10 @@
     /// Only cold upstreams are left, and this entry's share of their rate is used up.
     #[display("upstreams cold")]
     Cold,
+    /// The limits that upstreams named are used up; this entry may use the first one again after
+    /// this time, if it has a share of any.
+    #[display("limits of upstreams used up")]
+    Limited(Option<Duration>),
     /// All upstreams asked for a backoff; the first one ends after this time.
     #[display("all upstreams asked for a backoff")]
     Backoff(Duration),
@@ -167,6 +175,8 @@
     closed: BTreeSet<ZoneName>,
     upstreams: BTreeMap<UpstreamName, Upstream>,
     cold_limits: BTreeMap<ServiceName, ColdLimit>,
+    /// Limits that all entries share.
+    shared_limits: LimitView,
 }
 
 impl Balancer {
@@ -179,6 +189,7 @@
             closed: BTreeSet::new(),
             upstreams: BTreeMap::new(),
             cold_limits: BTreeMap::new(),
+            shared_limits: LimitView::default(),
         }
     }
 
@@ -194,11 +205,15 @@
                 cold.limit.resize(size, rate, now);
             }
         }
+        self.divide_limits(now);
     }
 
-    /// Sets the position of this entry, which determines its subset.
-    pub fn set_position(&mut self, position: EntryPosition) {
-        self.position = position;
+    /// Sets the position of this entry, which determines its subset and its shares of limits.
+    pub fn set_position(&mut self, position: EntryPosition, now: Time) {
+        if self.position != position {
+            self.position = position;
+            self.divide_limits(now);
+        }
     }
 
     /// Sets the limit of cold upstreams by service; applies to upstreams that become cold later.
@@ -227,6 +242,7 @@
             self.upstreams
                 .insert(upstream.record.announcement.upstream.clone(), upstream);
         }
+        self.divide_limits(now);
         let removed = old.values().map(|p| &p.record);
         events.extend(removed.filter_map(|r| UpstreamEvent::between(Some(r), None)));
         events
@@ -276,7 +292,8 @@
         let rates = serving.map(|u| {
             let warm = f64::from(u.slots()) / usual.as_secs_f64().max(f64::EPSILON);
             let cold = u.cold.as_ref().filter(|c| now < c.until);
-            cold.map_or(warm, |c| warm.min(c.total_rate * COLD_RATIO))
+            let warm = cold.map_or(warm, |c| warm.min(c.total_rate * COLD_RATIO));
+            u.limit.map_or(warm, |l| warm.min(l.rate.used()))
         });
         rates.sum::<f64>() * SPARE_RATIO / self.entries as f64
     }
@@ -302,7 +319,11 @@
                 upstream.record = record;
                 upstream
             }
-            None => Upstream::new(record),
+            None => {
+                let mut upstream = Upstream::new(record);
+                upstream.limit = self.known_limit(&upstream, now);
+                upstream
+            }
         };
         let cold_ms = upstream.record.announcement.cold_ms;
         if cold_ms == 0 {
@@ -338,12 +359,6 @@
         }
     }
 
-    /// Records the limit that an answer of an upstream names; true if it differs from the last one.
-    pub fn record_limit(&mut self, ticket: &Ticket, limit: Option<RequestRate>) -> bool {
-        let upstream = self.ticket_upstream(ticket);
-        upstream.is_some_and(|u| std::mem::replace(&mut u.limit, limit) != limit)
-    }
-
     /// Returns the upstream of a ticket unless it has restarted since.
     fn ticket_upstream(&mut self, ticket: &Ticket) -> Option<&mut Upstream> {
         let upstream = self.upstreams.get_mut(&ticket.upstream);
@@ -355,7 +370,7 @@
     /// # Errors
     ///
     /// Fails if the service has no upstream in service, if all are full or asked for a backoff,
-    /// or if only saturated cold upstreams are left.
+    /// or if only saturated cold upstreams, or those at their limits, are left.
     pub fn choose<R>(
         &mut self,
         request: &ChoiceRequest<'_>,
@@ -398,6 +413,11 @@
         if eligible.is_empty() {
             return Err(Refusal::Cold);
         }
+        if eligible.iter_mut().all(|u| u.is_limited(now)) {
+            let next = next_allowance(eligible, now);
+            return Err(Refusal::Limited(next));
+        }
+        eligible.retain_mut(|u| !u.is_limited(now));
         let queue = self.options.queue;
         let has_room = |u: &Upstream| {
             now >= u.full_until && u.outstanding() < f64::from(u.slots()) * (1.0 + queue)
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -40,7 +40,7 @@
 pub use entries::{EntryCount, EntryRecord};
 pub use evidence::{CrashEvidence, CrashReport, RequestDigests, is_sound_run};
 pub use gate::{Admission, ServiceGate};
-pub use limit::RequestRate;
+pub use limit::{LimitReport, LimitView, NamedLimit, RequestRate};
 pub use listing::list_entries;
 pub use members::{MemberView, Repair, RepairOptions, repair};
 pub use prompts::Prompt;
--- a/decision/fleet/src/rate.rs
+++ b/decision/fleet/src/rate.rs
@@ -1,5 +1,7 @@
 //! Token bucket that limits a rate.
 
+use std::time::Duration;
+
 use pimentotide_model::Time;
 
 /// Token bucket that refills at a steady rate up to its size.
@@ -22,6 +24,24 @@
         }
     }
 
+    /// Creates an empty bucket of `size` tokens that gains `rate` tokens per second.
+    pub fn empty(size: f64, rate: f64, now: Time) -> Self {
+        Self {
+            available: 0.0,
+            ..Self::new(size, rate, now)
+        }
+    }
+
+    /// Returns the time until a token is available; `None` if there never is.
+    pub fn time_until_one(&mut self, now: Time) -> Option<Duration> {
+        self.refill(now);
+        let missing = (1.0 - self.available).max(0.0);
+        if missing > 0.0 && (self.rate <= 0.0 || self.size < 1.0) {
+            return None;
+        }
+        Duration::try_from_secs_f64(missing / self.rate.max(f64::MIN_POSITIVE)).ok()
+    }
+
     /// Changes size and rate; tokens beyond the new size are dropped.
     pub fn resize(&mut self, size: f64, rate: f64, now: Time) {
         self.refill(now);
--- a/decision/fleet/src/state.rs
+++ b/decision/fleet/src/state.rs
@@ -14,6 +14,7 @@
 use pimentotide_outcome::Crash;
 use serde::{Deserialize, Serialize};
 
+use crate::limit::{LimitReport, LimitView};
 use crate::prompts::Prompt;
 use crate::suspects::{SuspectView, Suspects};
 
@@ -120,6 +121,8 @@
     },
     /// Clears suspected contents and parts of prompts that ran soundly.
     Clear(Vec<Fingerprint>),
+    /// Records limits that upstreams name or no longer name.
+    Limits(Vec<LimitReport>),
 }
 
 /// Result of a command.
@@ -170,6 +173,9 @@
     /// Follows the other fields in a snapshot, which may end before it.
     #[serde(skip)]
     suspects: Suspects,
+    /// Follows the suspects in a snapshot, which may end before it.
+    #[serde(skip)]
+    limits: LimitView,
 }
 
 impl FleetState {
@@ -203,6 +209,11 @@
         self.suspects.view()
     }
 
+    /// Limits that upstreams name.
+    pub fn limits(&self) -> &LimitView {
+        &self.limits
+    }
+
     /// Whether an announcement would change anything that entries act on.
     pub fn is_update(&self, announcement: &Announcement) -> bool {
         if self.is_stale(announcement) {
@@ -285,6 +296,10 @@
             cold_index,
             announcement,
         };
+        let restarted = old.is_some_and(|o| o.announcement.born != record.announcement.born);
+        if restarted {
+            self.limits.remove(index, &record.announcement.upstream);
+        }
         self.departed.remove(&record.announcement.upstream);
         self.upstreams
             .insert(record.announcement.upstream.clone(), record);
@@ -315,6 +330,22 @@
         }
     }
 
+    /// Records limits; those of upstreams that have stopped or started again are dropped.
+    fn record_limits(&mut self, index: u64, reports: Vec<LimitReport>) -> Reply {
+        let mut changed = false;
+        for report in reports {
+            let record = self.upstreams.get(&report.upstream);
+            if record.is_some_and(|r| r.announcement.born == report.born) {
+                changed |= self.limits.apply(index, report);
+            }
+        }
+        if changed {
+            Reply::Done
+        } else {
+            Reply::NotNewer
+        }
+    }
+
     fn clear(&mut self, index: u64, contents: &[Fingerprint]) -> Reply {
         if self.suspects.clear(index, contents, self.now) {
             Reply::Done
@@ -335,6 +366,7 @@
             return Reply::NotNewer;
         };
         self.revision = index;
+        self.limits.remove(index, upstream);
         self.departed
             .insert(upstream.clone(), (record.announcement.born, index));
         if self.departed.len() > MAX_DEPARTED {
@@ -374,6 +406,7 @@
             Ok(Command::Entries(entries)) => self.record_entries(entries),
             Ok(Command::Crash { crash, prompts }) => self.record_crash(index.0, crash, prompts),
             Ok(Command::Clear(contents)) => self.clear(index.0, &contents),
+            Ok(Command::Limits(reports)) => self.record_limits(index.0, reports),
             Err(_) => Reply::Malformed,
         };
         postcard::to_stdvec(&reply).unwrap_or(EMPTY_ENCODING)
@@ -381,7 +414,7 @@
 
     fn snapshot(&self) -> Vec<u8> {
         // Serialising plain maps into memory does not fail.
-        postcard::to_stdvec(&(self, &self.suspects)).unwrap_or_default()
+        postcard::to_stdvec(&(self, &self.suspects, &self.limits)).unwrap_or_default()
     }
 
     fn restore(&mut self, state: &[u8]) -> Result<(), RestoreError> {
@@ -390,8 +423,13 @@
         };
         let (restored, rest) = postcard::take_from_bytes::<Self>(state).map_err(failed)?;
         *self = restored;
+        if rest.is_empty() {
+            return Ok(());
+        }
+        let (suspects, rest) = postcard::take_from_bytes(rest).map_err(failed)?;
+        self.suspects = suspects;
         if !rest.is_empty() {
-            self.suspects = postcard::from_bytes(rest).map_err(failed)?;
+            self.limits = postcard::from_bytes(rest).map_err(failed)?;
         }
         Ok(())
     }
--- a/decision/fleet/src/upstream.rs
+++ b/decision/fleet/src/upstream.rs
@@ -6,6 +6,7 @@
 use pimentotide_routing::Health;
 use serde::{Deserialize, Serialize};
 
+use crate::limit::UpstreamLimit;
 use crate::{RateLimit, Record, RequestRate};
 
 /// Half-life of the weight of an outcome.
@@ -68,8 +69,7 @@
     /// Time until which it asked this entry for no requests.
     pub(crate) backoff_until: Time,
     pub(crate) cold: Option<Cold>,
-    /// Limit that its latest answer named.
-    pub(crate) limit: Option<RequestRate>,
+    pub(crate) limit: Option<UpstreamLimit>,
     reported: Option<(Load, Time)>,
     /// Requests sent minus requests ended by this entry since the last load report.
     sent_since_report: i64,
@@ -135,6 +135,37 @@
         if let Some(cold) = self.cold.as_mut().filter(|c| now < c.until) {
             cold.limit.take(now);
         }
+        if let Some(limit) = &mut self.limit {
+            limit.allowance.take(now);
+        }
+    }
+
+    /// Records the limit that an answer to a request of `sent_at` names, or that it names none;
+    /// returns whether this changes the limit.
+    pub(crate) fn record_limit(
+        &mut self,
+        rate: Option<RequestRate>,
+        sent_at: Time,
+        now: Time,
+    ) -> bool {
+        match (&mut self.limit, rate) {
+            (Some(limit), Some(rate)) => limit.rename(rate, now),
+            (None, Some(rate)) => {
+                self.limit = Some(UpstreamLimit::new(rate, now));
+                true
+            }
+            (Some(limit), None) if limit.is_ended_by(sent_at) => {
+                self.limit = None;
+                true
+            }
+            (_, None) => false,
+        }
+    }
+
+    /// Whether its limit leaves this entry no request now.
+    pub(crate) fn is_limited(&mut self, now: Time) -> bool {
+        let limit = self.limit.as_mut();
+        limit.is_some_and(|l| l.allowance.available(now) < 1.0)
     }
 
     /// Records the outcome of a send; true if the upstream is to be ejected.
