KNOWN-RED: tests of suspended instances, which fail

Monotonic clocks that do not count a suspension: an entry runs requests with a key revoked 6 s before, a replica that led answers a read with an older configuration. The processes are real; a preloaded library lets their monotonic clocks stand still while a signal pauses them.

--- a/app/tests/it/deployment.rs
+++ b/app/tests/it/deployment.rs
@@ -50,13 +50,22 @@
 impl Deployment {
     /// Starts all processes, each on its own address.
     pub(crate) fn start(network: u8, entries: u8) -> Self {
+        Self::start_with(network, entries, |_| Vec::new())
+    }
+
+    /// Starts all processes, each with the environment variables that `environment` returns for
+    /// its host.
+    pub(crate) fn start_with<'a, E>(network: u8, entries: u8, environment: E) -> Self
+    where
+        E: Fn(u8) -> Vec<(&'static str, &'a Path)>,
+    {
         let folder = tempfile::tempdir().unwrap();
         let hosts: Vec<IpAddr> = (1..ENTRY + entries).map(|host| ip(network, host)).collect();
         let port = free_ports(&hosts).unwrap();
         let start = |host: u8, role: &str| {
             let path = settings(folder.path(), network, host, port, role);
             let binary = Path::new(env!("CARGO_BIN_EXE_pimentotide"));
-            Process::spawn(binary, "serve", &path).unwrap()
+            Process::spawn_with(binary, "serve", &path, &environment(host)).unwrap()
         };
         let controls = CONTROLS.map(|host| start(host, "control")).into();
         let entries = (ENTRY..ENTRY + entries).map(|host| start(host, "entry"));
--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -12,3 +12,4 @@
 mod options;
 mod settings;
 mod soak;
+mod suspended;
--- a/support/process/src/process.rs
+++ b/support/process/src/process.rs
@@ -35,6 +35,20 @@
     ///
     /// Fails if the binary cannot be started or the log cannot be opened.
     pub fn spawn(binary: &Path, command: &str, settings: &Path) -> Result<Self, String> {
+        Self::spawn_with(binary, command, settings, &[])
+    }
+
+    /// Starts it like [`spawn`](Self::spawn), with these environment variables.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the binary cannot be started or the log cannot be opened.
+    pub fn spawn_with(
+        binary: &Path,
+        command: &str,
+        settings: &Path,
+        environment: &[(&str, &Path)],
+    ) -> Result<Self, String> {
         let failed = |e: std::io::Error| format!("{}: {e}", binary.display());
         let log: PathBuf = settings.with_extension("log");
         let log = File::options()
@@ -45,6 +59,7 @@
         let child = Command::new(binary)
             .arg(command)
             .arg(settings)
+            .envs(environment.iter().copied())
             .stdin(Stdio::null())
             .stdout(log.try_clone().map_err(failed)?)
             .stderr(log)
