instance: leases count the time for which an instance was suspended

Callers with a key that had been taken away went on being served, longer ago than the 5 s in which a revocation is in force; readers could get an older configuration than one acknowledged before.

Cause: Clock read the monotonic clock, which stands still while an instance is suspended. An entry and a leader that resume went on for what was left of their leases, as decision records 0002 and 0003 said as a cost.

Evidence: both tests of app/tests/it/suspended.rs failed in each of three runs, and pass with the same pauses if the clock counts them, so that reads and the request path are ruled out there. After: both pass in three runs.

Ruled out: the wall clock, which may jump.

--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -102,7 +102,7 @@
 
     /// Returns the instant at which the wait for an upstream times out.
     pub(super) fn answer_deadline(&self) -> Instant {
-        self.state.clock().instant(self.policy.deadline) + ANSWER_MARGIN
+        self.state.clock().timer(self.policy.deadline) + ANSWER_MARGIN
     }
 
     /// Sends the request to a chosen upstream and waits for the response head.
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -79,7 +79,7 @@
             attempts: found.route.attempts,
             ran: 0,
             not_run: 0,
-            deadline: self.state.clock().at(call.received) + timeout,
+            deadline: self.state.clock().past(call.received) + timeout,
             crashing: false,
         };
         let kind = found.route.kind;
--- a/peers/instance/src/directory/follow.rs
+++ b/peers/instance/src/directory/follow.rs
@@ -184,7 +184,7 @@
     fn publish(&self, state: &State, directory_changed: bool) {
         self.view.send_modify(|view| {
             view.current = true;
-            view.expiry = Some(self.clock.instant(state.watch.expiry()));
+            view.expiry = Some(self.clock.boot_instant(state.watch.expiry()));
             if let Some(declarations) = state.watch.declarations()
                 && (declarations.revision != view.declarations.revision
                     || *declarations != *view.declarations)
--- a/peers/instance/src/lib.rs
+++ b/peers/instance/src/lib.rs
@@ -20,7 +20,7 @@
 mod view;
 
 pub use client::{PeerClient, PeerTimeouts};
-pub use clock::Clock;
+pub use clock::{BootInstant, Clock};
 pub use rpc::{failure_of, rpc_error};
 pub use server::PeerServer;
 pub use submit::{Submit, Submitter, submit_module};
--- a/peers/instance/src/view.rs
+++ b/peers/instance/src/view.rs
@@ -2,13 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Instant;
 
 use pimentotide_control::currency::admit;
 use pimentotide_model::{
     Announcement, Declarations, ErrorKind, ServiceName, UpstreamName, ZoneName,
 };
 
+use crate::BootInstant;
+
 /// Latest configuration and membership that a process has received.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -19,7 +20,7 @@
     /// Whether the currency lease was valid when the view was published.
     pub current: bool,
     /// Expiry of the lease; `None` if it does not expire.
-    pub expiry: Option<Instant>,
+    pub expiry: Option<BootInstant>,
 }
 
 impl View {
@@ -28,7 +29,7 @@
     /// Reads the clock, so that a process that was stalled does not act on a
     /// lease that has expired in the meantime.
     pub fn is_current(&self) -> bool {
-        self.current && self.expiry.is_none_or(|e| Instant::now() < e)
+        self.current && self.expiry.is_none_or(|e| BootInstant::now() < e)
     }
 
     /// Checks that `upstream` in `zone` may accept new work of `service` now.
