soak: keys that are taken away, invalid versions in series, longer pauses

Each version now takes one key away and adds one, half of them are followed by one that is invalid in one of six ways, they come 0.1 to 1.5 s apart, and pauses of entries and replicas last up to 7.5 s, longer than a revocation may take. A request that runs with a key 5 s after its removal is a violation at any entry, disturbed or not.

Each check is shown to find its violation and to accept what is allowed.

--- a/dev/soak/src/caller.rs
+++ b/dev/soak/src/caller.rs
@@ -14,6 +14,7 @@
 
 use crate::cluster::Cluster;
 use crate::history::{Call, Kind, Outcome, Recorder};
+use crate::operator::{DURABLE_KEY, key_of};
 use crate::upstream::{EVENTS, body_of, event_of};
 use pimentotide_wire::{Message, Template, read_message};
 
@@ -26,6 +27,9 @@
 /// Share of the requests that reuse an idle connection if one is open.
 const REUSE_RATIO: f64 = 0.8;
 
+/// Number of orders since which the key of a request may have been taken away.
+const KEY_AGES: std::ops::Range<u64> = 0..9;
+
 /// Running callers.
 pub(crate) struct Callers {
     stop: Arc<AtomicBool>,
@@ -118,11 +122,15 @@
     }
 
     fn draw_kind(&mut self) -> Kind {
-        match self.rng.random_range(0..10) {
+        match self.rng.random_range(0..13) {
             0..3 => Kind::Repeatable,
             3..6 => Kind::Once,
             6..9 => Kind::Stream,
-            _ => Kind::Parity(self.rng.random_bool(0.5)),
+            9 => Kind::Parity(self.rng.random_bool(0.5)),
+            _ => {
+                let newest = self.recorder.history().orders.len() as u64;
+                Kind::Keyed(newest.saturating_sub(self.rng.random_range(KEY_AGES)))
+            }
         }
     }
 
@@ -140,14 +148,23 @@
             }
         };
         let path = match kind {
-            Kind::Repeatable => "/a/x",
+            Kind::Repeatable | Kind::Keyed(_) => "/a/x",
             Kind::Once => "/n/x",
             Kind::Stream => "/s/x",
             Kind::Parity(true) => "/odd/x",
             Kind::Parity(false) => "/even/x",
         };
         let (body, attempt) = (id.to_string(), format!("a{id}"));
-        let values = [("path", path), ("attempt", &attempt), ("body", &body)];
+        let key = match kind {
+            Kind::Keyed(serial) => key_of(serial),
+            _ => DURABLE_KEY.to_owned(),
+        };
+        let values = [
+            ("path", path),
+            ("attempt", &attempt),
+            ("key", &key),
+            ("body", &body),
+        ];
         let request = self.template.fill(&values);
         if stream.write_all(request.as_bytes()).await.is_err() {
             return Outcome::Broken;
@@ -179,7 +196,7 @@
     }
     let expected = match kind {
         Kind::Stream => (1..=EVENTS).map(|n| event_of(id, n)).collect(),
-        Kind::Repeatable | Kind::Once | Kind::Parity(_) => body_of(id),
+        Kind::Repeatable | Kind::Once | Kind::Parity(_) | Kind::Keyed(_) => body_of(id),
     };
     if answer.complete && answer.body == expected {
         return Outcome::Whole;
--- a/dev/soak/src/cluster.rs
+++ b/dev/soak/src/cluster.rs
@@ -111,12 +111,24 @@
         self.entry_proxies.iter().map(Proxy::address).collect()
     }
 
-    /// Request that declares a version; odd and even versions have different routes.
-    pub(crate) fn declaration(&self, version: u64) -> String {
+    /// Request that declares a version; odd and even versions have different routes. `changes`
+    /// replace values of a valid one.
+    pub(crate) fn declaration(&self, version: u64, keys: &str, changes: &[(&str, &str)]) -> String {
         let parity = if version % 2 == 1 { "odd" } else { "even" };
         let version = version.to_string();
-        self.declare
-            .fill(&[("version", &version), ("parity", parity)])
+        let valid = [
+            ("version", &version[..]),
+            ("parity", parity),
+            ("keys", keys),
+            ("service", "s1"),
+            ("weight", "1"),
+            ("timeout", "3000"),
+            ("prefix", "/n/"),
+            ("end", "}"),
+        ];
+        // The first value of a name is the one that counts.
+        let values: Vec<(&str, &str)> = changes.iter().chain(&valid).copied().collect();
+        self.declare.fill(&values)
     }
 
     pub(crate) fn read_request(&self) -> String {
--- a/dev/soak/src/fault.rs
+++ b/dev/soak/src/fault.rs
@@ -10,6 +10,8 @@
 
 /// Time for which a draining upstream keeps serving before it withdraws.
 const DRAIN_TIME: Duration = Duration::from_millis(3_500);
+/// Factor by which pauses are longer than other faults; the longest outlast a revocation.
+const PAUSE_FACTOR: u32 = 3;
 
 /// A fault, or planned work, with the number of its target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -104,8 +106,8 @@
                 kill_and_restart(cluster, &cluster.controls[n], duration, true).await
             }
             Self::KillAll => kill_all(cluster, duration).await,
-            Self::PauseControl(n) => pause(&cluster.controls[n], duration).await,
-            Self::PauseEntry(n) => pause(&cluster.entries[n], duration).await,
+            Self::PauseControl(n) => pause(&cluster.controls[n], duration * PAUSE_FACTOR).await,
+            Self::PauseEntry(n) => pause(&cluster.entries[n], duration * PAUSE_FACTOR).await,
             Self::LinkControl(n, link) => {
                 disturb(&cluster.control_proxies[n], link, duration).await
             }
--- a/dev/soak/src/guarantee.rs
+++ b/dev/soak/src/guarantee.rs
@@ -2,13 +2,16 @@
 
 use derive_more::Display;
 
-use crate::history::{Call, Disturbance, History, Kind, Outcome, Target};
+use crate::history::{Call, Disturbance, History, Kind, Order, Outcome, Target};
 
 /// Limits of the guarantees; times are in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
     /// From the acknowledgement of a configuration until it is in force at every entry.
     pub apply: u64,
+    /// From the acknowledgement of a configuration that takes a key away until no entry accepts it,
+    /// disturbed or not.
+    pub revoke: u64,
     /// From the acknowledgement of a drain until the upstream receives no more requests.
     pub drain: u64,
     /// From the sending of a request until its entry has read it; until then, the entry may close
@@ -28,6 +31,7 @@
     fn default() -> Self {
         Self {
             apply: 2_000,
+            revoke: 5_000,
             drain: 2_000,
             transit: 200,
             undisturbed: 3_000,
@@ -62,6 +66,17 @@
     /// A read returned an older version than one acknowledged before it.
     #[display("a read at {_0} ms returned version {_1} after {_2} had been acknowledged")]
     OldRead(u64, u64, u64),
+    /// A request ran with a key that no configuration in force could still have.
+    #[display("request {_0} ran at {_1} ms with a key that version {_2} no longer has")]
+    Revoked(u64, u64, u64),
+    /// A request was refused although its key was in every configuration that may be in force.
+    #[display(
+        "request {_0} at {_1} ms was refused although version {_2} and newer ones have its key"
+    )]
+    Denied(u64, u64, u64),
+    /// An invalid configuration was acknowledged or read back.
+    #[display("the invalid version {_0} was accepted")]
+    Invalid(u64),
     /// A request reached a draining upstream after the limit.
     #[display("request {_0} reached draining upstream {_1} {_2} ms after the limit")]
     Drain(u64, String, u64),
@@ -81,8 +96,10 @@
         found.extend(answer(history, call));
         found.extend(interruption(history, bounds, call));
         found.extend(version(history, bounds, call));
+        found.extend(key(history, bounds, call));
     }
     reads(history, &mut found);
+    invalid(history, &mut found);
     drains(history, bounds, &mut found);
     let recovered = history.recovered.unwrap_or(u64::MAX);
     if recovered.saturating_sub(history.healed) > bounds.recovery {
@@ -139,6 +156,47 @@
     (!unplanned).then_some(Violation::Cut(call.id, call.entry, call.ended))
 }
 
+/// Returns the newest version that was acknowledged before `at`, and the orders that may be in
+/// force from then until `until`.
+fn in_force(history: &History, at: u64, until: u64) -> Option<(u64, Vec<&Order>)> {
+    let acked = |o: &&Order| o.acked.is_some_and(|acked| acked < at);
+    let newest = history.orders.iter().filter(acked).map(|o| o.version);
+    let newest = newest.max()?;
+    let possible = history.orders.iter();
+    let possible = possible.filter(|o| o.version >= newest && o.sent <= until);
+    Some((newest, possible.collect()))
+}
+
+/// Finds a call whose key was accepted too late or refused although it was in force.
+fn key(history: &History, bounds: &Bounds, call: &Call) -> Option<Violation> {
+    let Kind::Keyed(serial) = call.kind else {
+        return None;
+    };
+    let has_key = |o: &&&Order| (serial..=serial + 1).contains(&o.serial);
+    if let Some(run) = history.runs.get(&call.id).and_then(|runs| runs.last()) {
+        let settled = call.sent.checked_sub(bounds.revoke)?;
+        let (newest, possible) = in_force(history, settled, run.at)?;
+        let held = possible.iter().any(|o| has_key(&o));
+        return (!held).then_some(Violation::Revoked(call.id, run.at, newest));
+    }
+    if call.outcome != Outcome::Refused(401) || !is_undisturbed(history, bounds, call, call.ended) {
+        return None;
+    }
+    let settled = call.sent.checked_sub(bounds.apply)?;
+    let (newest, possible) = in_force(history, settled, call.ended)?;
+    let held = possible.iter().all(|o| has_key(&o));
+    held.then_some(Violation::Denied(call.id, call.sent, newest))
+}
+
+fn invalid(history: &History, found: &mut Vec<Violation>) {
+    for (version, status) in &history.invalid {
+        let read = history.reads.iter().any(|(_, v)| v == version);
+        if read || *status == 200 {
+            found.push(Violation::Invalid(*version));
+        }
+    }
+}
+
 /// Finds a call on a parity route whose outcome matches no version that may be in force.
 fn version(history: &History, bounds: &Bounds, call: &Call) -> Option<Violation> {
     let Kind::Parity(odd) = call.kind else {
@@ -150,15 +208,7 @@
         _ => return None,
     };
     let settled = call.sent.checked_sub(bounds.apply)?;
-    let acked = |o: &&crate::Order| o.acked.is_some_and(|at| at < settled);
-    let newest = history
-        .orders
-        .iter()
-        .filter(acked)
-        .map(|o| o.version)
-        .max()?;
-    let possible = history.orders.iter();
-    let possible = possible.filter(|o| o.version >= newest && o.sent <= call.ended);
+    let (newest, possible) = in_force(history, settled, call.ended)?;
     let fits = possible
         .into_iter()
         .any(|o| (o.version % 2 == u64::from(odd)) == present);
--- a/dev/soak/src/history.rs
+++ b/dev/soak/src/history.rs
@@ -19,6 +19,9 @@
     /// On a route that exists only in odd versions (true) or only in even ones (false).
     #[display("Parity({_0})")]
     Parity(bool),
+    /// Idempotent, with the key that only the order of this serial number and the next one have.
+    #[display("Keyed({_0})")]
+    Keyed(u64),
 }
 
 /// Outcome of a call as observed by its caller.
@@ -71,6 +74,8 @@
 pub struct Order {
     /// Version of the configuration.
     pub version: u64,
+    /// Number of the order, counted from 1.
+    pub serial: u64,
     /// Time at which it was first sent.
     pub sent: u64,
     /// Time of the acknowledgement; `None` without one.
@@ -119,6 +124,8 @@
     pub runs: BTreeMap<u64, Vec<Run>>,
     /// Versions that the operator declared, in order.
     pub orders: Vec<Order>,
+    /// Invalid versions that the operator sent, with the status of each answer.
+    pub invalid: Vec<(u64, u16)>,
     /// Reads of the configuration: time of the request and version returned.
     pub reads: Vec<(u64, u64)>,
     /// Time at which the drain of an upstream's incarnation was acknowledged, by its name.
--- a/dev/soak/src/operator.rs
+++ b/dev/soak/src/operator.rs
@@ -11,12 +11,25 @@
 use crate::history::Order;
 use pimentotide_wire::Message;
 
-/// Interval between two versions.
-const VERSION_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Interval between two versions, in milliseconds.
+const VERSION_INTERVAL_MS: std::ops::Range<u64> = 100..1_500;
 /// Interval between two attempts at declaring a version.
 const RETRY_INTERVAL: Duration = Duration::from_millis(150);
-/// Increment from one version to the next; versions need not be consecutive.
-const VERSION_STEP: std::ops::Range<u64> = 1..4;
+/// Increment from one version to the next; the version before an increment may be sent invalid.
+const VERSION_STEP: std::ops::Range<u64> = 2..5;
+/// Share of the versions that are followed by an invalid one.
+const INVALID_RATIO: f64 = 0.5;
+/// Key that every version has.
+pub(crate) const DURABLE_KEY: &str = "k1";
+/// Changes that each make a configuration invalid.
+const INVALID_CHANGES: [(&str, &str); 6] = [
+    ("service", "unknown"),
+    ("weight", "0"),
+    ("timeout", "0"),
+    ("prefix", "/a/"),
+    ("keys", "\"k1\""),
+    ("end", ""),
+];
 
 /// Running operator.
 pub(crate) struct Operator {
@@ -41,23 +54,47 @@
         let mut version = 1;
         while !stopped.load(Ordering::SeqCst) {
             declare(&cluster, version, &stopped).await;
-            tokio::time::sleep(VERSION_INTERVAL).await;
+            let pause = rand::random_range(VERSION_INTERVAL_MS);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
             read(&cluster).await;
+            if rand::random_bool(INVALID_RATIO) {
+                declare_invalid(&cluster, version + 1).await;
+            }
             version += rand::rng().random_range(VERSION_STEP);
         }
     });
     Operator { stop, task }
 }
 
+/// Key that the order of this serial number adds and the one after the next takes away.
+pub(crate) fn key_of(serial: u64) -> String {
+    format!("key{serial}")
+}
+
+/// Sends an invalid version once and records the status of the answer, if there is one.
+async fn declare_invalid(cluster: &Cluster, version: u64) {
+    let change = INVALID_CHANGES[rand::random_range(0..INVALID_CHANGES.len())];
+    let message = cluster.declaration(version, "", &[change]);
+    let answer = cluster.send_to_control(&message).await;
+    let status = answer.map_or(0, |a| a.status());
+    cluster.recorder.history().invalid.push((version, status));
+}
+
 /// Sends a version repeatedly until it is acknowledged or the soak ends.
 async fn declare(cluster: &Cluster, version: u64, stopped: &AtomicBool) {
-    let order = Order {
-        version,
-        sent: cluster.recorder.now(),
-        acked: None,
+    let serial = {
+        let mut history = cluster.recorder.history();
+        let serial = history.orders.len() as u64 + 1;
+        history.orders.push(Order {
+            version,
+            serial,
+            sent: cluster.recorder.now(),
+            acked: None,
+        });
+        serial
     };
-    cluster.recorder.history().orders.push(order);
-    let message = cluster.declaration(version);
+    let keys = format!("\"{}\",\"{}\"", key_of(serial - 1), key_of(serial));
+    let message = cluster.declaration(version, &keys, &[]);
     while !stopped.load(Ordering::SeqCst) {
         let answer = cluster.send_to_control(&message).await;
         if answer.is_some_and(|a| a.status() == 200) {
--- a/dev/soak/tests/it/guarantee.rs
+++ b/dev/soak/tests/it/guarantee.rs
@@ -36,6 +36,7 @@
 fn order(version: u64, sent: u64, acked: u64) -> Order {
     Order {
         version,
+        serial: version,
         sent,
         acked: Some(acked),
     }
@@ -138,6 +139,37 @@
     assert_eq!(violation_lines(&history), "");
 }
 
+#[test]
+fn key_that_is_accepted_too_late_or_refused_too_early_is_a_violation() {
+    let mut history = history(vec![
+        call(1, Kind::Keyed(7), Outcome::Whole),
+        call(2, Kind::Keyed(9), Outcome::Refused(401)),
+    ]);
+    history.runs.insert(1, vec![run("u1", 10_100)]);
+    history.orders = vec![order(8, 1_000, 1_200), order(9, 4_000, 4_900)];
+    assert_snapshot!(violation_lines(&history), @r"
+    request 1 ran at 10100 ms with a key that version 9 no longer has
+    request 2 at 10000 ms was refused although version 9 and newer ones have its key
+    ");
+    // The entry need not have the newest version yet, but the key is gone in time everywhere.
+    history.disturbances = vec![disturbed(false, Target::Entry(0))];
+    assert_snapshot!(violation_lines(&history), @"request 1 ran at 10100 ms with a key that version 9 no longer has");
+    history.orders[1].acked = Some(5_100);
+    assert_eq!(violation_lines(&history), "");
+}
+
+#[test]
+fn invalid_configuration_that_is_accepted_is_a_violation() {
+    let mut history = history(Vec::new());
+    history.orders = vec![order(7, 1_000, 1_200)];
+    history.invalid = vec![(8, 400), (10, 200), (12, 0)];
+    history.reads = vec![(2_000, 7), (3_000, 12)];
+    assert_snapshot!(violation_lines(&history), @r"
+    the invalid version 10 was accepted
+    the invalid version 12 was accepted
+    ");
+}
+
 #[test]
 fn request_at_a_draining_upstream_is_a_violation_unless_control_is_disturbed() {
     let mut history = history(vec![call(1, Kind::Repeatable, Outcome::Whole)]);
