--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -171,7 +171,12 @@
                 guard.end(Outcome::Failed);
                 Err(SendError::Ended(Ended::Unsent, upstream))
             }
-            Err(_) => {
+            Err(
+                AnswerError::Broken
+                | AnswerError::Foreign
+                | AnswerError::TooLong
+                | AnswerError::NoRoom,
+            ) => {
                 guard.end(Outcome::Failed);
                 Err(SendError::Ended(Ended::Broken, upstream))
             }
--- a/decision/fleet/tests/it/main.rs
+++ b/decision/fleet/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod declaration;
 mod entries;
 mod gate;
+mod limited_fleet;
 mod limits;
 mod listing;
 mod members;
