app tests: requests begin once every entry has the upstreams

Traced by its logs: two of three entries received u1 at 44.208 s, three requests of 44.12 to 44.20 s met them with u0 alone, which had named its limit, and were refused, as they should be. The test waited for an answer of each entry and not for both upstreams. It now waits for the line by which an entry says that it has each; the checks are the same. The test of endless answers waited for a second and does the same now.

--- a/app/tests/it/deployment.rs
+++ b/app/tests/it/deployment.rs
@@ -93,6 +93,24 @@
         self.address(ENTRY + number, 4)
     }
 
+    /// Waits until each entry has these upstreams.
+    pub(crate) async fn wait_for_upstreams(&self, names: &[&str]) {
+        let limit = Instant::now() + WAIT_TIMEOUT;
+        let is_new = |line: &str, name: &str| {
+            line.contains("\"upstream_changed\"") && line.contains(&format!("\"{name}\""))
+        };
+        for number in 0..self.entries.len() as u8 {
+            loop {
+                let log = self.entry_log(number);
+                if names.iter().all(|n| log.lines().any(|l| is_new(l, n))) {
+                    break;
+                }
+                assert!(Instant::now() < limit, "entry {number} misses an upstream");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
     /// Returns the log of an entry, counted from 0.
     pub(crate) fn entry_log(&self, number: u8) -> String {
         let name = format!("entry{}.log", ENTRY + number);
--- a/app/tests/it/endless.rs
+++ b/app/tests/it/endless.rs
@@ -1,7 +1,6 @@
 //! Upstreams that answer without end, beside a sound one.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use pimentotide_wire::{Template, read_message};
 use tokio::io::AsyncWriteExt;
@@ -72,7 +71,7 @@
     wait_for_answer(entry, &request(0), "HTTP/1.1 200").await;
     spawn_upstream(&deployment, "u1", true).await;
     spawn_upstream(&deployment, "u2", false).await;
-    tokio::time::sleep(Duration::from_secs(1)).await;
+    deployment.wait_for_upstreams(&["u1", "u2"]).await;
     let calls = (1..=REQUESTS)
         .map(|number| tokio::spawn(async move { send_request(entry, &request(number)).await }));
     let calls: Vec<_> = calls.collect();
--- a/app/tests/it/limits.rs
+++ b/app/tests/it/limits.rs
@@ -9,9 +9,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
-use crate::deployment::{
-    Deployment, WAIT_TIMEOUT, announce, fixture, send_request, wait_for_answer,
-};
+use crate::deployment::{Deployment, announce, fixture, send_request, wait_for_answer};
 
 /// Number of entries.
 const ENTRIES: u8 = 3;
@@ -112,21 +110,6 @@
     fixture("crashes/call.http", &values)
 }
 
-async fn wait_for_service(deployment: &Deployment) {
-    for entry in 0..ENTRIES {
-        let limit = Instant::now() + WAIT_TIMEOUT;
-        loop {
-            let answer = send_request(deployment.entry(entry), &request(0)).await;
-            // An entry that refuses because of a limit has its configuration and upstreams.
-            if answer.is_some_and(|a| a.contains("200 OK") || a.contains("\"overloaded\"")) {
-                break;
-            }
-            assert!(Instant::now() < limit, "entry {entry} does not serve");
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-    }
-}
-
 /// Answer to a request, and how long it took.
 struct Answered {
     text: String,
@@ -166,7 +149,7 @@
     let deployment = start(20).await;
     let limited = Upstream::spawn(&deployment, "u0", Some(LIMIT)).await;
     let _other = Upstream::spawn(&deployment, "u1", None).await;
-    wait_for_service(&deployment).await;
+    deployment.wait_for_upstreams(&["u0", "u1"]).await;
     for answer in load(&deployment).await {
         assert!(answer.text.contains("200 OK"), "{}", answer.text);
     }
@@ -183,7 +166,7 @@
         Upstream::spawn(&deployment, "u0", Some(LIMIT)).await,
         Upstream::spawn(&deployment, "u1", Some(LIMIT)).await,
     ];
-    wait_for_service(&deployment).await;
+    deployment.wait_for_upstreams(&["u0", "u1"]).await;
     let answers = load(&deployment).await;
     for upstream in upstreams {
         let busiest = upstream.busiest_window();
