Experts: plans take the pace of each rank, and a slow rank gives all its experts away

A pass takes as long as its slowest rank; at pace 6 that rank determined every pass. A rank's load is multiplied by its pace, the mean is the load in proportion to the speeds, and an expert with another holder is dropped without a copy. With paces under 1.15 plans are the same as before (property test).

--- a/app/src/fleet/agent/coordinate.rs
+++ b/app/src/fleet/agent/coordinate.rs
@@ -205,14 +205,15 @@
             spare: capacity.spare,
             copies: max_copies(&capacity, layers),
         };
-        let (trigger, window) = match imbalance_even(&layout, &old, &counts) {
+        let paces: Vec<f64> = states.iter().map(|s| s.report.pace).collect();
+        let (trigger, window) = match imbalance_even(&layout, &old, &counts, &paces) {
             imbalance if imbalance >= URGENT_IMBALANCE => (true, SHORT_WINDOW),
             imbalance => (imbalance >= TRIGGER_IMBALANCE, LONG_WINDOW),
         };
         if !trigger || self.demand.span() < window {
             return;
         }
-        let plan = plan_even(&layout, &old, &counts, TARGET_IMBALANCE);
+        let plan = plan_even(&layout, &old, &counts, &paces, TARGET_IMBALANCE);
         if plan.after > plan.before * (1.0 - MIN_GAIN_RATIO) {
             return;
         }
--- a/decision/experts/src/even/mod.rs
+++ b/decision/experts/src/even/mod.rs
@@ -6,6 +6,9 @@
 //! can receive only a few new experts per change, so a large shift of popularity
 //! takes several changes, the most useful first. A rank copies its new experts one
 //! after the other, so the rank with most copies determines how long a change takes.
+//!
+//! A rank may be slower than the others. Its load is multiplied by its pace, so that it
+//! gives experts away, down to none.
 
 mod change;
 mod counts;
@@ -62,12 +65,19 @@
 ///
 /// A layer is not changed further once its most loaded rank is within `goal` times
 /// the mean: each further copy costs more than it saves. Layers whose counts are
-/// all zero stay unchanged.
-pub fn plan_even(layout: &EvenLayout, current: &Placement, counts: &[f64], goal: f64) -> EvenPlan {
+/// all zero stay unchanged. `paces` holds the time of each rank per unit of work relative to a
+/// normal rank; the mean is the load divided in proportion to the speeds.
+pub fn plan_even(
+    layout: &EvenLayout,
+    current: &Placement,
+    counts: &[f64],
+    paces: &[f64],
+    goal: f64,
+) -> EvenPlan {
     let loads = counts.chunks(layout.experts.max(1));
     let layers = current.iter().zip(loads);
     let mut layers: Vec<Layer<'_>> = layers
-        .map(|(held, loads)| Layer::new(layout, held, loads))
+        .map(|(held, loads)| Layer::new(layout, held, loads, paces))
         .collect();
     let before = mean_imbalance(&layers);
     let mut room = vec![layout.copies; layout.ranks];
@@ -77,6 +87,9 @@
             open.swap_remove(position);
         }
     }
+    for layer in &mut layers {
+        layer.relieve_slow_ranks(goal, &mut room);
+    }
     EvenPlan {
         before,
         after: mean_imbalance(&layers),
@@ -97,13 +110,19 @@
     sum / layers.len().max(1) as f64
 }
 
-/// Load of the most loaded rank relative to the mean, averaged over layers.
-pub fn imbalance_even(layout: &EvenLayout, placement: &Placement, counts: &[f64]) -> f64 {
+/// Load of the most loaded rank relative to the mean, averaged over layers; see [`plan_even`] for
+/// `paces`.
+pub fn imbalance_even(
+    layout: &EvenLayout,
+    placement: &Placement,
+    counts: &[f64],
+    paces: &[f64],
+) -> f64 {
     let loads = counts.chunks(layout.experts.max(1));
     let layers: Vec<Layer<'_>> = placement
         .iter()
         .zip(loads)
-        .map(|(held, loads)| Layer::new(layout, held, loads))
+        .map(|(held, loads)| Layer::new(layout, held, loads, paces))
         .collect();
     mean_imbalance(&layers)
 }
--- a/decision/experts/tests/it/even_plan.rs
+++ b/decision/experts/tests/it/even_plan.rs
@@ -47,7 +47,7 @@
     let counts = skewed(&LAYOUT, 4, 0);
     let mut summary = Vec::new();
     for _ in 0..3 {
-        let plan = plan_even(&LAYOUT, &placement, &counts, 1.1);
+        let plan = plan_even(&LAYOUT, &placement, &counts, &[], 1.1);
         summary.push(format!(
             "{:.2} -> {:.2}, {} copies",
             plan.before, plan.after, plan.copies
@@ -55,14 +55,14 @@
         placement = plan.placement;
     }
     assert_snapshot!(summary.join("\n"));
-    assert!(imbalance_even(&LAYOUT, &placement, &counts) <= 1.1);
+    assert!(imbalance_even(&LAYOUT, &placement, &counts, &[]) <= 1.1);
 }
 
 #[test]
 fn balanced_layer_stays_unchanged() {
     let placement = round_robin(&LAYOUT, 4);
     let counts = vec![1_000.0; 4 * LAYOUT.experts];
-    let plan = plan_even(&LAYOUT, &placement, &counts, 1.1);
+    let plan = plan_even(&LAYOUT, &placement, &counts, &[], 1.1);
     assert_eq!((plan.copies, &plan.placement), (0, &placement));
 }
 
@@ -75,7 +75,7 @@
     ) {
         let layout = EvenLayout { ranks: 6, experts: 24, places, spare, copies: spare };
         let old = round_robin(&layout, 1);
-        let plan = plan_even(&layout, &old, &loads, 1.05);
+        let plan = plan_even(&layout, &old, &loads, &[], 1.05);
         for (rank, held) in plan.placement[0].iter().enumerate() {
             let added = held.iter().filter(|e| !old[0][rank].contains(e)).count();
             prop_assert!(held.len() <= places && added <= spare);
@@ -109,7 +109,7 @@
         let counts = skewed(&layout, 3, 0);
         let mut placement = round_robin(&layout, 3);
         for _ in 0..4 {
-            placement = plan_even(&unlimited, &placement, &counts, 1.05).placement;
+            placement = plan_even(&unlimited, &placement, &counts, &[], 1.05).placement;
         }
         placement
     };
@@ -125,8 +125,8 @@
         };
         (0..layout.ranks).map(copies).max().unwrap_or(0)
     };
-    let limited = plan_even(&layout, &settled, &counts, 1.1);
-    let full = plan_even(&unlimited, &settled, &counts, 1.1);
+    let limited = plan_even(&layout, &settled, &counts, &[], 1.1);
+    let full = plan_even(&unlimited, &settled, &counts, &[], 1.1);
     assert_eq!(most_copies(&limited.placement), 1);
     assert!(most_copies(&full.placement) > 1);
     assert_snapshot!(format!(
--- a/decision/experts/tests/it/main.rs
+++ b/decision/experts/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod even_change;
 mod even_exhaustive;
 mod even_group;
+mod even_paces;
 mod even_plan;
 mod even_relay;
 mod even_rescue;
--- a/dev/bench/src/bin/even_plan.rs
+++ b/dev/bench/src/bin/even_plan.rs
@@ -61,9 +61,9 @@
             .map(|_| counts(&layout, layers, &mut rng))
             .collect();
         let time = nanos(PLANS, |n| {
-            black_box(plan_even(&layout, &current, &counts[n], TARGET_RATIO));
+            black_box(plan_even(&layout, &current, &counts[n], &[], TARGET_RATIO));
         });
-        let plan = plan_even(&layout, &current, &counts[PLANS], TARGET_RATIO);
+        let plan = plan_even(&layout, &current, &counts[PLANS], &[], TARGET_RATIO);
         let figures = (plan.before, plan.after, plan.copies);
         println!("{ranks} {layers} {experts}: {time}, {figures:.2?}");
     }
