Fleet: which engines are slow, the choice among upstreams, and when a stream may be moved

Decisions without a network, not used by the app yet. SlowReporter says what an agent announces, SlowList what a replica lists; both end by silence. Without a listed engine, choices are the same as before.

--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -276,7 +276,7 @@
                 let now = self.state.now();
                 self.state.lock().gate(&self.service).record_refused(now);
             }
-            Ended::Broken | Ended::Failed | Ended::Silent | Ended::Withdrawn => {
+            Ended::Broken | Ended::Failed | Ended::Silent | Ended::Withdrawn | Ended::Relieved => {
                 self.policy.ran += 1;
             }
         }
--- a/decision/fleet/src/balancer.rs
+++ b/decision/fleet/src/balancer.rs
@@ -12,8 +12,12 @@
 //! upstream again, and all entries choose the same upstreams that were last reported idle.
 //! So each entry prefers a deterministic subset of equal size, adjacent in the
 //! order of names, and uses other upstreams only once its subset is full.
+//!
+//! An upstream whose engine is so slow that one request there delays its whole group is avoided
+//! while another one has room.
 
 mod limits;
+mod slow;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -23,11 +27,14 @@
 use rand::{Rng, RngExt};
 
 use self::limits::next_allowance;
+use self::slow::SlowUpstreams;
 use crate::upstream::{Cold, Upstream};
 use crate::{
     ColdLimit, FleetState, LimitView, Load, Outcome, RateLimit, Record, Stage, UpstreamEvent,
 };
 
+pub use self::slow::{PaceChange, Relief};
+
 /// Load added to the score of an upstream in another availability zone.
 const ZONE_PENALTY: f64 = 0.02;
 /// Upper bound of the random load that keeps entries from making the same choice.
@@ -127,6 +134,8 @@
     pub backoff: usize,
     /// In service, with a limit that they named in an answer.
     pub limited: usize,
+    /// Avoided because they are slow.
+    pub slow: usize,
     /// Draining, leaving, or in a closed zone.
     pub out: usize,
     /// In-flight requests of this entry at all upstreams.
@@ -177,6 +186,8 @@
     cold_limits: BTreeMap<ServiceName, ColdLimit>,
     /// Limits that all entries share.
     shared_limits: LimitView,
+    /// Upstreams listed as slow, and the pace from which they are avoided.
+    slow: SlowUpstreams,
 }
 
 impl Balancer {
@@ -190,6 +201,7 @@
             upstreams: BTreeMap::new(),
             cold_limits: BTreeMap::new(),
             shared_limits: LimitView::default(),
+            slow: SlowUpstreams::default(),
         }
     }
 
@@ -243,6 +255,7 @@
                 .insert(upstream.record.announcement.upstream.clone(), upstream);
         }
         self.divide_limits(now);
+        self.apply_paces();
         let removed = old.values().map(|p| &p.record);
         events.extend(removed.filter_map(|r| UpstreamEvent::between(Some(r), None)));
         events
@@ -269,6 +282,8 @@
                 &mut counts.ejected
             } else if upstream.is_cold(now) {
                 &mut counts.cold
+            } else if upstream.pace > self.avoided_pace(&announcement.service) {
+                &mut counts.slow
             } else if upstream.limit.is_some() {
                 &mut counts.limited
             } else {
@@ -380,6 +395,7 @@
     where
         R: Rng,
     {
+        let avoided_pace = self.avoided_pace(request.service);
         let mut eligible: Vec<&mut Upstream> = self
             .upstreams
             .values_mut()
@@ -419,14 +435,15 @@
         }
         eligible.retain_mut(|u| !u.is_limited(now));
         let queue = self.options.queue;
-        let has_room = |u: &Upstream| {
-            now >= u.full_until && u.outstanding() < f64::from(u.slots()) * (1.0 + queue)
-        };
+        let has_room = |u: &Upstream| u.has_room(queue, now);
         if eligible.iter().any(|u| has_room(u)) {
             eligible.retain(|u| has_room(u));
         } else if !request.may_queue {
             return Err(Refusal::Full);
         }
+        if eligible.iter().any(|u| u.pace <= avoided_pace) {
+            eligible.retain(|u| u.pace <= avoided_pace);
+        }
         let is_free = |u: &&mut Upstream| u.outstanding() < f64::from(u.slots());
         if eligible.iter().take(subset).any(is_free) {
             eligible.truncate(subset);
@@ -439,7 +456,8 @@
             } else {
                 ZONE_PENALTY
             };
-            u.outstanding() / f64::from(u.slots()) + penalty + rng.random_range(0.0..MAX_JITTER)
+            let load = u.outstanding() / f64::from(u.slots()) * u.pace;
+            load + penalty + rng.random_range(0.0..MAX_JITTER)
         };
         let scored = eligible.into_iter().map(|u| (score(u), u));
         let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -23,14 +23,15 @@
 mod retry;
 mod retry_after;
 mod route;
+mod slow;
 mod state;
 mod stop;
 mod suspects;
 mod upstream;
 
 pub use balancer::{
-    Balancer, BalancerOptions, Choice, ChoiceRequest, EntryPosition, Refusal, Ticket,
-    UpstreamCounts,
+    Balancer, BalancerOptions, Choice, ChoiceRequest, EntryPosition, PaceChange, Refusal, Relief,
+    Ticket, UpstreamCounts,
 };
 pub use budget::{BudgetOptions, RetryBudget};
 pub use change::{UpstreamChange, UpstreamEvent};
@@ -45,9 +46,10 @@
 pub use members::{MemberView, Repair, RepairOptions, repair};
 pub use prompts::Prompt;
 pub use rate::RateLimit;
-pub use retry::{Ended, Limit, Next, Policy, Step, is_in_time, next_step};
+pub use retry::{Ended, Limit, Next, Policy, Step, is_in_time, may_relieve, next_step};
 pub use retry_after::{RetryAfterSchedule, RetryWindow};
 pub use route::{Match, Mismatch, RouteTable};
+pub use slow::{MIN_SLOW_PERCENT, SlowEngine, SlowList, SlowReporter};
 pub use state::{Announcement, Command, Declared, FleetState, Record, Reply, Stage};
 pub use stop::{StopPhase, stop_phase};
 pub use suspects::{PROBATION, SuspectView};
--- a/decision/fleet/src/retry.rs
+++ b/decision/fleet/src/retry.rs
@@ -25,6 +25,8 @@
     Silent,
     /// This entry cancelled the send because its content crashes upstreams; it may have run.
     Withdrawn,
+    /// This entry moved the stream away from a slow upstream, which may have run it.
+    Relieved,
 }
 
 /// Limits and counters of a request that decide on a retry.
@@ -92,10 +94,12 @@
         Ended::Unsent | Ended::Rejected => {
             (policy.not_run >= MAX_NOT_RUN).then_some(Limit::Attempts)
         }
-        Ended::Broken | Ended::Silent | Ended::Failed | Ended::Withdrawn if !policy.repeatable => {
+        Ended::Broken | Ended::Silent | Ended::Failed | Ended::Withdrawn | Ended::Relieved
+            if !policy.repeatable =>
+        {
             Some(Limit::Once)
         }
-        Ended::Broken | Ended::Silent | Ended::Failed | Ended::Withdrawn => {
+        Ended::Broken | Ended::Silent | Ended::Failed | Ended::Withdrawn | Ended::Relieved => {
             (policy.ran >= policy.attempts).then_some(Limit::Attempts)
         }
     }
@@ -129,6 +133,30 @@
     Next { step, limit }
 }
 
+/// Decides whether a running or waiting stream may be moved away from a slow upstream.
+///
+/// `policy` does not count the send yet. `spend` takes one retry from the retry budget and returns
+/// false if none is left; it is called only if no other limit applies, and before the send is
+/// abandoned, so that a stream that cannot be moved stays where it is.
+///
+/// # Errors
+///
+/// Fails with the limit that prevents the move.
+pub fn may_relieve<S>(policy: &Policy, now: Time, spend: S) -> Result<(), Limit>
+where
+    S: FnOnce() -> bool,
+{
+    let moved = Policy {
+        ran: policy.ran + 1,
+        ..*policy
+    };
+    match retry_limit(Ended::Relieved, &moved, now) {
+        Some(limit) => Err(limit),
+        None if spend() => Ok(()),
+        None => Err(Limit::Budget),
+    }
+}
+
 /// Final response after a send; reports "not run" only if no send may have run.
 fn final_step(ended: Ended, policy: &Policy) -> Step {
     match ended {
@@ -136,7 +164,7 @@
         _ if policy.crashing => Step::Answer(ErrorKind::CrashingRequest),
         Ended::Unsent | Ended::Rejected if policy.ran == 0 => Step::Answer(ErrorKind::NoUpstream),
         Ended::Silent => Step::Answer(ErrorKind::DeadlineExceeded),
-        Ended::Unsent | Ended::Rejected | Ended::Broken | Ended::Withdrawn => {
+        Ended::Unsent | Ended::Rejected | Ended::Broken | Ended::Withdrawn | Ended::Relieved => {
             Step::Answer(ErrorKind::UpstreamFailed)
         }
     }
--- a/decision/fleet/src/upstream.rs
+++ b/decision/fleet/src/upstream.rs
@@ -70,6 +70,8 @@
     pub(crate) backoff_until: Time,
     pub(crate) cold: Option<Cold>,
     pub(crate) limit: Option<UpstreamLimit>,
+    /// Time per unit of work relative to a normal upstream; 1 unless it is listed as slow.
+    pub(crate) pace: f64,
     reported: Option<(Load, Time)>,
     /// Requests sent minus requests ended by this entry since the last load report.
     sent_since_report: i64,
@@ -102,6 +104,7 @@
             backoff_until: Time::ZERO,
             cold: None,
             limit: None,
+            pace: 1.0,
             reported: None,
             sent_since_report: 0,
             good: 0.0,
@@ -123,6 +126,11 @@
         (reported + self.sent_since_report).max(i64::from(self.in_flight)) as f64
     }
 
+    /// Whether it may get a request while `queue` requests per slot may wait there.
+    pub(crate) fn has_room(&self, queue: f64, now: Time) -> bool {
+        now >= self.full_until && self.outstanding() < f64::from(self.slots()) * (1.0 + queue)
+    }
+
     pub(crate) fn report_load(&mut self, load: Load, now: Time) {
         self.reported = Some((load, now));
         self.sent_since_report = 0;
--- a/decision/fleet/tests/it/main.rs
+++ b/decision/fleet/tests/it/main.rs
@@ -14,6 +14,7 @@
 mod retry;
 mod retry_after;
 mod signals;
+mod slow;
 mod spread;
 mod state;
 mod stop;
--- a/decision/fleet/tests/it/retry.rs
+++ b/decision/fleet/tests/it/retry.rs
@@ -3,16 +3,17 @@
 use std::time::Duration;
 
 use insta::assert_snapshot;
-use pimentotide_fleet::{Ended, Limit, Next, Policy, Step};
+use pimentotide_fleet::{Ended, Limit, Next, Policy, Step, may_relieve};
 use pimentotide_model::{ErrorKind, Time};
 
-const ENDS: [Ended; 6] = [
+const ENDS: [Ended; 7] = [
     Ended::Unsent,
     Ended::Rejected,
     Ended::Broken,
     Ended::Failed,
     Ended::Silent,
     Ended::Withdrawn,
+    Ended::Relieved,
 ];
 
 /// Returns the step after a send while the retry budget lasts.
@@ -160,5 +161,49 @@
     Failed: Pass
     Silent: Answer(CrashingRequest)
     Withdrawn: Answer(CrashingRequest)
+    Relieved: Answer(CrashingRequest)
+    ");
+}
+
+/// Guards against a stream that is abandoned at a slow upstream and cannot be sent elsewhere: each
+/// limit keeps it where it is, and only a move uses the retry budget.
+#[test]
+fn stream_is_moved_only_with_attempts_time_and_budget_left_and_if_it_may_run_again() {
+    let late = Time::ZERO + Duration::from_millis(980);
+    let crashing = Policy {
+        crashing: true,
+        ..policy(true, 0, 0)
+    };
+    let cases = [
+        ("first send", policy(true, 0, 0), Time::ZERO),
+        ("rejected elsewhere", policy(true, 0, 3), Time::ZERO),
+        ("moved before", policy(true, 1, 0), Time::ZERO),
+        ("not resumable", policy(false, 0, 0), Time::ZERO),
+        ("near its deadline", policy(true, 0, 0), late),
+        ("crashes upstreams", crashing, Time::ZERO),
+    ];
+    let lines: Vec<String> = cases
+        .iter()
+        .map(|(name, policy, now)| {
+            let mut spent = 0;
+            let moved = may_relieve(policy, *now, || {
+                spent += 1;
+                true
+            });
+            assert_eq!(spent, u32::from(moved.is_ok()), "{name}");
+            let without_budget = may_relieve(policy, *now, || false);
+            let expected = moved.and(Err(Limit::Budget));
+            assert_eq!(without_budget, expected, "{name}");
+            let text = moved.map_or_else(|l| l.to_string(), |()| "moved".to_owned());
+            format!("{name}: {text}")
+        })
+        .collect();
+    assert_snapshot!(lines.join("\n"), @r"
+    first send: moved
+    rejected elsewhere: moved
+    moved before: no attempts left
+    not resumable: may have run
+    near its deadline: no time left
+    crashes upstreams: crashes upstreams
     ");
 }
