Entries: slow ranks get no new requests, and streams leave them

Five streams left on a rank of pace 6 held a group at 2 to 3 passes per second for 4 s. Agents announce a pace of 1.25 or more every 200 ms (Beacon::Slow, a new last variant), replicas pass the list on (`slow`, left out when empty; polls end within 100 ms of a change), and entries avoid these upstreams. A stream that waits or runs there is moved once everything a move needs is taken under one lock: attempt, time, retry budget and a place elsewhere. Otherwise it stays (`stream_kept`). Silence of the agent ends all this after 1.6 s.

New lines `engine_slow`, `upstream_slow` and `stream_kept`, Ended::Relieved, the gauge `slow`, the counter of kept streams, `explain` and the operators' page. Tests with real processes: a running stream and streams that wait for their head or first event move once and reach the caller whole, from event 1 to 60; none moves when the agent is silent.

--- a/app/src/explain/cause.rs
+++ b/app/src/explain/cause.rs
@@ -4,7 +4,8 @@
 
 use super::Record;
 use crate::lines::{
-    Answered, BrokenOff, Ejected, Interrupted, Ready, Refused, UpstreamCrashed, UpstreamSignal,
+    Answered, BrokenOff, Ejected, Interrupted, Ready, Refused, StreamKept, UpstreamCrashed,
+    UpstreamSignal, UpstreamSlow,
 };
 
 /// Returns one sentence per relevant line of the request, in order.
@@ -30,6 +31,11 @@
     match record.event.as_str() {
         Interrupted::EVENT => Some(interrupted(record, related)),
         Refused::EVENT => Some(refused(record)),
+        StreamKept::EVENT => Some(format!(
+            "Upstream {} was slow, but the stream stayed there: {}.",
+            record.text("upstream"),
+            record.text("reason")
+        )),
         BrokenOff::EVENT => Some(format!(
             "The stream was aborted after the caller had received {} events: {}.",
             record.number("events"),
@@ -54,6 +60,7 @@
         "Broken" => "closed the connection or sent a malformed answer",
         "Failed" => "answered with an error",
         "Silent" => "timed out",
+        "Relieved" => "was slow, and the stream left it",
         other => other,
     };
     let passed = match record.number("events") {
@@ -80,6 +87,8 @@
             UpstreamSignal::EVENT if r.text("signal") == "leaving" => "leaving",
             UpstreamSignal::EVENT if r.text("signal") == "limit" => "changed its limit",
             UpstreamSignal::EVENT => "asked for a backoff",
+            UpstreamSlow::EVENT if record_pace(r) > 1.0 => "slow",
+            UpstreamSlow::EVENT => "at normal pace again",
             _ => r.text("change"),
         })
         .filter(|change| !change.is_empty())
@@ -91,6 +100,12 @@
     }
 }
 
+/// Returns the pace in a line; a normal one if it has none.
+fn record_pace(record: &Record) -> f64 {
+    let pace = record.fields.get("pace");
+    pace.and_then(serde_json::Value::as_f64).unwrap_or(1.0)
+}
+
 fn refused(record: &Record) -> String {
     let ran = match record.text("ran") {
         "no" => "The request has not run",
--- a/app/src/explain/explanation.rs
+++ b/app/src/explain/explanation.rs
@@ -11,7 +11,7 @@
 use crate::lines::{
     Declared, Ejected, ExpertsMoved, GroupReleased, LeaseLost, LeaseWon, Ordered, Ready,
     ReplicaFollowed, ReplicaLost, RoleChanged, Stopped, Stopping, SuspectsChanged, UpstreamChanged,
-    UpstreamCrashed, UpstreamSignal, ZonesClosed,
+    UpstreamCrashed, UpstreamSignal, UpstreamSlow, ZonesClosed,
 };
 
 /// Events that may affect any request of the deployment.
@@ -35,11 +35,12 @@
     Dropped::EVENT,
 ];
 /// Events about one upstream in the view of a process.
-const UPSTREAM_EVENTS: [&str; 4] = [
+const UPSTREAM_EVENTS: [&str; 5] = [
     Ejected::EVENT,
     UpstreamChanged::EVENT,
     UpstreamCrashed::EVENT,
     UpstreamSignal::EVENT,
+    UpstreamSlow::EVENT,
 ];
 
 /// Lines and causes that explain the outcome of one request.
--- a/app/src/fleet/agent/engine.rs
+++ b/app/src/fleet/agent/engine.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use pimentotide_experts::{EngineReport, FencedOrder, HeldExperts, OrderAnswer, PickedExperts};
-use pimentotide_model::{ErrorKind, Failure, Ran};
+use pimentotide_instance::Clock;
+use pimentotide_model::{ErrorKind, Failure, Ran, Time};
 use pimentotide_platform::{EngineClient, EngineError};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
@@ -30,6 +31,9 @@
 pub(super) struct EngineHandle {
     requests: mpsc::UnboundedSender<EngineRequest>,
     report: Arc<Mutex<Option<EngineReport>>>,
+    /// Pace in the latest report, and when that was requested.
+    pace: Arc<Mutex<Option<(f64, Time)>>>,
+    clock: Clock,
     last_counts: LastCounts,
 }
 
@@ -75,6 +79,8 @@
         let engine = Self {
             requests,
             report: Arc::default(),
+            pace: Arc::default(),
+            clock: Clock::start(),
             last_counts: Arc::default(),
         };
         actix_rt::spawn(serve(EngineClient::open(address, ENGINE_TIMEOUT), receiver));
@@ -103,10 +109,23 @@
         self.latest_report().map(|(_, seat)| seat)
     }
 
+    /// Returns the pace in the latest report, and when that was requested; `None` without a report.
+    pub(super) fn latest_pace(&self) -> Option<(f64, Time)> {
+        *self.pace.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the time by the clock of [`latest_pace`](Self::latest_pace).
+    pub(super) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
     /// Requests a report and stores it; a failure clears the stored one.
     pub(super) async fn report(&self) -> Result<EngineReport, Failure> {
+        let asked_at = self.clock.now();
         let result = self.request(EngineRequest::Report).await;
         *self.report.lock().unwrap_or_else(PoisonError::into_inner) = result.as_ref().ok().cloned();
+        let pace = result.as_ref().ok().map(|report| (report.pace, asked_at));
+        *self.pace.lock().unwrap_or_else(PoisonError::into_inner) = pace;
         result
     }
 
--- a/app/src/fleet/agent/mod.rs
+++ b/app/src/fleet/agent/mod.rs
@@ -13,6 +13,7 @@
 mod ranks;
 mod relay;
 mod rescue;
+mod slow;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -78,12 +79,18 @@
                 engine.clone(),
             )),
             actix_rt::spawn(follow_processes(
-                replicas,
+                replicas.clone(),
                 engine.clone(),
                 peers.clone(),
                 token,
                 path.to_owned(),
             )),
+            actix_rt::spawn(slow::report_pace(
+                settings.clone(),
+                address,
+                replicas,
+                engine.clone(),
+            )),
         ];
         if settings.rebalance {
             let metrics = scraped.metrics().clone();
--- a/app/src/fleet/beacon.rs
+++ b/app/src/fleet/beacon.rs
@@ -22,6 +22,8 @@
     Entry(EntryBeacon),
     /// From an agent.
     Agent(AgentBeacon),
+    /// From an agent whose engine is slow, or was until recently.
+    Slow(SlowBeacon),
 }
 
 /// State that an entry announces to the replicas.
@@ -52,6 +54,19 @@
     pub(super) order: BeaconVersion,
 }
 
+/// Pace that an agent announces to the replicas while its engine is slow.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct SlowBeacon {
+    /// Address for calls.
+    pub(super) calls: SocketAddr,
+    /// Address of its engine.
+    pub(super) engine: SocketAddr,
+    /// Time per unit of work of its engine relative to a normal one, percent.
+    pub(super) pace: u16,
+    /// Version of this beacon.
+    pub(super) order: BeaconVersion,
+}
+
 /// Rank of an engine within one epoch of a group.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(super) struct Seat {
--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -116,17 +116,21 @@
     pub(super) async fn next_update(&self, seen: SeenRevisions) -> Result<EncodedUpdate, Failure> {
         let until = Deadline::now() + POLL_TIMEOUT;
         let mut applied = self.replica.applied();
+        let slow = self.roster.slow().engines();
         loop {
             applied.mark_unchanged();
             let changed = self
                 .replica
                 .query(move |s, _| position(s, seen) != seen)
                 .await?;
-            if changed || Deadline::now() >= until {
+            if changed || Deadline::now() >= until || self.roster.slow().engines() != slow {
                 break;
             }
             // After a timeout the loop ends with one more query, which fails if the replica has stopped.
-            let _ = tokio::time::timeout_at(until, applied.changed()).await;
+            tokio::select! {
+                _ = tokio::time::timeout_at(until, applied.changed()) => {}
+                () = self.roster.slow().changed(&slow) => {}
+            }
         }
         self.replica.read_index().await?;
         let entries = self.roster.entries();
@@ -143,6 +147,7 @@
             replicas,
             entries,
             recorded,
+            slow: self.roster.slow().engines(),
         })
     }
 
--- a/app/src/fleet/control/mod.rs
+++ b/app/src/fleet/control/mod.rs
@@ -4,6 +4,7 @@
 mod membership;
 mod methods;
 mod roster;
+mod slow;
 mod upkeep;
 
 use std::collections::BTreeMap;
--- a/app/src/fleet/control/roster.rs
+++ b/app/src/fleet/control/roster.rs
@@ -11,6 +11,7 @@
 use super::super::FleetSettings;
 use super::super::beacon::{AgentBeacon, Beacon, BeaconVersion, EntryBeacon};
 use super::super::directory::{MAX_ADDRESSES, list_ttl};
+use super::slow::SlowEngines;
 use crate::lines::ProcessSeen;
 
 /// Silence after which a process is no longer listed; four beacon intervals.
@@ -22,6 +23,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Roster {
     table: Arc<Mutex<ProcessTable>>,
+    slow: SlowEngines,
 }
 
 #[derive(Debug, Default)]
@@ -80,6 +82,7 @@
     pub(super) fn receive(&self, beacon: Beacon) {
         let mut table = self.lock();
         match beacon {
+            Beacon::Slow(slow) => self.slow.receive(&slow),
             Beacon::Entry(entry) => {
                 let (callers, state) = (entry.callers, (entry.accepting, entry.stopping));
                 let states = |b: &EntryBeacon| (b.accepting, b.stopping);
@@ -126,6 +129,11 @@
         accepting
     }
 
+    /// Returns the slow engines.
+    pub(super) fn slow(&self) -> &SlowEngines {
+        &self.slow
+    }
+
     /// Returns the number of live entries.
     pub(super) fn entry_count(&self) -> usize {
         live(&self.lock().entries).count()
--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use pimentotide_fleet::{
-    Ended, Next, Outcome, Policy, RequestDigests, RouteKind, Step, Ticket, is_sound_run, next_step,
+    Choice, Ended, Next, Outcome, Policy, RequestDigests, RouteKind, Step, Ticket, is_sound_run,
+    next_step,
 };
 use pimentotide_model::{Failure, ServiceName, Time, UpstreamName, WorkspaceName};
 use pimentotide_platform::{Answer, AnswerError, Call, SendOptions, UpstreamClient};
@@ -45,13 +47,38 @@
 }
 
 /// Destination of the latest send and what it has returned.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(super) struct LastSend {
     ticket: Ticket,
     address: SocketAddr,
     sent_at: Time,
     /// Complete events received from this upstream.
     events: u64,
+    /// Complete events received from earlier ones.
+    earlier: u64,
+    /// Whether it is recorded that the stream stays here although the upstream is slow.
+    kept: AtomicBool,
+}
+
+/// Chosen upstream with a place taken there.
+pub(super) struct Destination {
+    choice: Choice,
+    ticket: TicketGuard,
+}
+
+/// Send that has begun.
+enum Sent {
+    /// The response head has arrived.
+    Running(Running),
+    /// The upstream became slow first, and the stream is to go on elsewhere.
+    Relieved(Destination),
+}
+
+impl LastSend {
+    /// Returns the complete events received from this upstream and earlier ones.
+    fn all_events(&self) -> u64 {
+        self.earlier + self.events
+    }
 }
 
 /// Send whose response head has arrived.
@@ -112,6 +139,51 @@
     /// Fails if the send ended without a usable response, or if no upstream was available.
     pub(super) async fn send(&mut self, last_event: Option<String>) -> Result<Running, SendError> {
         let choice = self.place().await.map_err(SendError::Refused)?;
+        let destination = self.destination(choice);
+        let sent = self.send_to(destination, last_event).await;
+        sent.map_err(|(ended, upstream)| SendError::Ended(ended, upstream))
+    }
+
+    /// Returns a chosen upstream whose place is given back unless the request is sent there.
+    pub(super) fn destination(&self, choice: Choice) -> Destination {
+        let ticket = TicketGuard {
+            state: self.state.clone(),
+            ticket: Some(choice.ticket.clone()),
+            upstream: choice.ticket.upstream.clone(),
+        };
+        Destination { choice, ticket }
+    }
+
+    /// Sends the request to a chosen upstream and waits for the response head there, or at another
+    /// upstream if the stream is moved meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the send ended without a usable response; returns how, and at which upstream.
+    pub(super) async fn send_to(
+        &mut self,
+        destination: Destination,
+        last_event: Option<String>,
+    ) -> Result<Running, (Ended, UpstreamName)> {
+        let last = last_event.or_else(|| self.call.last_event.clone());
+        let mut destination = destination;
+        loop {
+            match self.send_once(destination, last.as_deref()).await? {
+                Sent::Running(running) => return Ok(running),
+                Sent::Relieved(next) => destination = next,
+            }
+        }
+    }
+
+    async fn send_once(
+        &mut self,
+        destination: Destination,
+        last_event: Option<&str>,
+    ) -> Result<Sent, (Ended, UpstreamName)> {
+        let Destination {
+            choice,
+            ticket: guard,
+        } = destination;
         self.sends += 1;
         let left = self.remaining();
         pimentotide_observe::event(&Placed {
@@ -127,49 +199,52 @@
         });
         let upstream = choice.ticket.upstream.clone();
         self.tried.push(upstream.clone());
+        let earlier = self.last_send.as_ref().map_or(0, LastSend::all_events);
         self.last_send = Some(LastSend {
             ticket: choice.ticket.clone(),
             address: choice.address,
             sent_at: self.state.now(),
             events: 0,
+            earlier,
+            kept: AtomicBool::new(false),
         });
-        let guard = TicketGuard {
-            state: self.state.clone(),
-            ticket: Some(choice.ticket.clone()),
-            upstream: upstream.clone(),
-        };
         let client = CLIENT.with(UpstreamClient::clone);
-        let last = last_event.or_else(|| self.call.last_event.clone());
         let send = SendOptions {
             address: choice.address,
             upstream: &upstream,
             workspace: self.workspace.as_deref(),
             timeout: left,
-            last_event: last.as_deref(),
+            last_event,
             priority: self.priority,
         };
         let sending = client.send(&self.call, &send);
         let limit = tokio::time::Instant::from_std(self.answer_deadline());
         let withdrawn = self.state.until_refused(&self.digests);
+        let relieved = self.until_relieved();
         let result = tokio::select! {
             result = tokio::time::timeout_at(limit, sending) => result,
             () = withdrawn => {
                 guard.end(Outcome::Neutral);
-                return Err(SendError::Ended(Ended::Withdrawn, upstream));
+                return Err((Ended::Withdrawn, upstream));
+            }
+            next = relieved => {
+                guard.end(Outcome::Neutral);
+                self.record_relief(&upstream);
+                return Ok(Sent::Relieved(next));
             }
         };
         let result = match result {
             Ok(result) => result,
             Err(_) => {
                 guard.end(Outcome::Failed);
-                return Err(SendError::Ended(Ended::Silent, upstream));
+                return Err((Ended::Silent, upstream));
             }
         };
         match result {
-            Ok(answer) => self.classify_answer(answer, guard),
+            Ok(answer) => self.classify_answer(answer, guard).map(Sent::Running),
             Err(AnswerError::Unsent) => {
                 guard.end(Outcome::Failed);
-                Err(SendError::Ended(Ended::Unsent, upstream))
+                Err((Ended::Unsent, upstream))
             }
             Err(
                 AnswerError::Broken
@@ -178,12 +253,16 @@
                 | AnswerError::NoRoom,
             ) => {
                 guard.end(Outcome::Failed);
-                Err(SendError::Ended(Ended::Broken, upstream))
+                Err((Ended::Broken, upstream))
             }
         }
     }
 
-    fn classify_answer(&self, answer: Answer, guard: TicketGuard) -> Result<Running, SendError> {
+    fn classify_answer(
+        &self,
+        answer: Answer,
+        guard: TicketGuard,
+    ) -> Result<Running, (Ended, UpstreamName)> {
         if let Some(load) = answer.load {
             let now = self.state.now();
             self.state
@@ -204,13 +283,13 @@
                 Outcome::Full
             };
             guard.end(outcome);
-            return Err(SendError::Ended(Ended::Rejected, upstream));
+            return Err((Ended::Rejected, upstream));
         }
         self.state.lock().gate(&self.service).record_accepted();
         if matches!(answer.status.as_u16(), 408 | 421 | 429 | 503) {
             // The upstream did not mark the request as not executed, so the status cannot be forwarded.
             guard.end(Outcome::Failed);
-            return Err(SendError::Ended(Ended::Broken, upstream));
+            return Err((Ended::Broken, upstream));
         }
         Ok(Running {
             answer,
@@ -218,6 +297,30 @@
         })
     }
 
+    /// Returns the ticket of the latest send.
+    pub(super) fn last_ticket(&self) -> Option<&Ticket> {
+        self.last_send.as_ref().map(|s| &s.ticket)
+    }
+
+    /// Returns the upstream of the latest send.
+    pub(super) fn last_upstream(&self) -> Option<UpstreamName> {
+        self.tried.last().cloned()
+    }
+
+    /// Returns the upstream of the latest send the first time that it is asked for; else `None`.
+    pub(super) fn first_kept(&self) -> Option<UpstreamName> {
+        let send = self.last_send.as_ref()?;
+        let first = !send.kept.swap(true, Ordering::Relaxed);
+        first.then(|| send.ticket.upstream.clone())
+    }
+
+    /// Counts the latest send as one that may have run and logs that its stream is moved.
+    pub(super) fn record_relief(&mut self, upstream: &UpstreamName) {
+        self.policy.ran += 1;
+        let events = self.last_send.as_ref().map_or(0, LastSend::all_events);
+        self.record_interruption(Ended::Relieved, upstream, events, Step::Again, "");
+    }
+
     /// Counts complete events received from the upstream of the latest send.
     pub(super) fn record_events(&mut self, events: u64) {
         let Some(send) = &mut self.last_send else {
@@ -285,6 +388,19 @@
         let Next { step, limit } = next_step(ended, &self.policy, now, || {
             self.state.lock().budget.spend(&self.service, now)
         });
+        let reason = limit.map(|l| l.to_string()).unwrap_or_default();
+        self.record_interruption(ended, upstream, events, step, &reason);
+        step
+    }
+
+    fn record_interruption(
+        &self,
+        ended: Ended,
+        upstream: &UpstreamName,
+        events: u64,
+        step: Step,
+        reason: &str,
+    ) {
         let name = format!("{ended:?}").to_ascii_lowercase();
         self.state
             .metrics()
@@ -295,10 +411,9 @@
             ended: format!("{ended:?}"),
             events,
             next: format!("{step:?}"),
-            reason: &limit.map(|l| l.to_string()).unwrap_or_default(),
+            reason,
             after_ms: self.elapsed_ms(),
         });
-        step
     }
 }
 
--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -8,6 +8,7 @@
 mod relay;
 mod report;
 mod signals;
+mod slow;
 mod state;
 mod streaming;
 
--- a/app/src/fleet/entry/placing.rs
+++ b/app/src/fleet/entry/placing.rs
@@ -87,11 +87,7 @@
                 retry_in: Some(pause),
             });
         }
-        let request = ChoiceRequest {
-            service: &self.service,
-            tried: &self.tried,
-            may_queue: false,
-        };
+        let request = self.choice_request();
         let choice = state.balancer.choose(&request, now, &mut rand::rng());
         if choice.is_ok() && self.sends == 0 {
             state.budget.earn(&self.service, now);
@@ -99,6 +95,15 @@
         choice.map_err(blocked)
     }
 
+    /// Returns what the balancer needs to know of this request.
+    pub(super) fn choice_request(&self) -> ChoiceRequest<'_> {
+        ChoiceRequest {
+            service: &self.service,
+            tried: &self.tried,
+            may_queue: false,
+        }
+    }
+
     fn blocked_failure(&self, blocked: &Blocked) -> Failure {
         match blocked.min_delay {
             Some(min_delay) => self.failure_after(blocked.kind, &blocked.detail, min_delay),
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -47,6 +47,8 @@
     limit_reports: LimitReports,
     /// Signals changes to suspected and refused contents.
     suspect_changes: watch::Sender<()>,
+    /// Whether any engine is slow; signals changes to the list.
+    slow_changes: watch::Sender<bool>,
     /// Number of open requests.
     open: AtomicUsize,
     /// Whether the entry drains; new requests are still served until `refusing`.
@@ -124,6 +126,7 @@
             reports: ReportQueue::default(),
             limit_reports: LimitReports::default(),
             suspect_changes: watch::Sender::default(),
+            slow_changes: watch::Sender::default(),
             open: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
@@ -160,6 +163,11 @@
         self.suspect_changes.subscribe()
     }
 
+    /// Signals changes to the list of slow engines; the value is whether there are any.
+    pub(super) fn slow_changes(&self) -> &watch::Sender<bool> {
+        &self.slow_changes
+    }
+
     pub(super) fn notify_suspects(&self) {
         self.suspect_changes.send_replace(());
     }
@@ -214,6 +222,9 @@
                 .filter_map(|(name, s)| Some((name.clone(), s.cold?)))
                 .collect();
             inner.balancer.set_cold_limits(cold_limits);
+            let engines = declaration.services.iter();
+            let engines = engines.filter_map(|(name, s)| Some((name.clone(), s.engine?)));
+            inner.balancer.set_engines(engines);
             inner.table = Some(Arc::new(RouteTable::new(declaration)));
             inner.seen.declared = document.index;
         }
@@ -233,6 +244,7 @@
             inner.seen.limits = Some(limits.revision);
             inner.balancer.update_limits(limits, now);
         }
+        self.apply_slow(&mut inner, &update.slow);
         inner.lease_end = inner.lease_end.max(requested_at + self.lease);
         inner.confirmed_at = inner.confirmed_at.max(requested_at);
         if inner.table.is_some() {
@@ -281,6 +293,7 @@
             ("ejected", counts.ejected),
             ("backoff", counts.backoff),
             ("limited", counts.limited),
+            ("slow", counts.slow),
             ("out", counts.out),
         ];
         for (state, count) in states {
@@ -430,7 +443,7 @@
     }
 
     /// Returns whether the lease is valid and logs a change.
-    fn check_lease(&mut self, now: Time) -> bool {
+    pub(super) fn check_lease(&mut self, now: Time) -> bool {
         let current = self.table.is_some() && now < self.lease_end;
         if current != self.logged_current {
             self.logged_current = current;
--- a/app/src/fleet/entry/streaming.rs
+++ b/app/src/fleet/entry/streaming.rs
@@ -2,7 +2,8 @@
 //!
 //! The caller receives the head with the first event, so that a send that fails
 //! earlier stays invisible. A stream that is interrupted later resumes at another
-//! upstream after the last event sent to the caller, under the first head.
+//! upstream after the last event sent to the caller, under the first head. So does one whose
+//! upstream becomes slow, if everything that this needs is at hand.
 //!
 //! A stream that is delimited by the close of its connection is complete if it ends between two
 //! events, soon after the last one, and its upstream has not crashed.
@@ -18,7 +19,7 @@
 use pimentotide_upstream::StreamCursor;
 use tokio::time::Instant;
 
-use super::attempt::{Attempt, Running, SendError, TicketGuard};
+use super::attempt::{Attempt, Destination, Running, SendError, TicketGuard};
 use super::relay::{log_body_error, refuse};
 use crate::lines::{Answered, BrokenOff};
 
@@ -102,7 +103,8 @@
                             unframed: false,
                         };
                     }
-                    Next::Ended(ended) => (ended, upstream),
+                    // A stream that was moved ended at another upstream.
+                    Next::Ended(ended) => (ended, run.attempt.last_upstream().unwrap_or(upstream)),
                 }
             }
             Err(SendError::Ended(ended, upstream)) => (ended, upstream),
@@ -216,11 +218,17 @@
             let silence = Instant::now() + self.attempt.state.silence();
             let reading = tokio::time::timeout_at(limit.min(silence), source.body.next());
             let withdrawn = self.attempt.state.until_refused(&self.attempt.digests);
+            let relieved = self.attempt.until_relieved();
+            let resumable = self.cursor.forwarded() == 0 || self.cursor.last().is_some();
             let part = tokio::select! {
                 part = reading => part,
                 () = withdrawn, if !self.attempt.is_sound() => {
                     return self.end(Outcome::Neutral, Ended::Withdrawn);
                 }
+                next = relieved, if resumable => match self.move_to(next).await {
+                    Ok(()) => continue,
+                    Err(ended) => return Next::Ended(ended),
+                },
             };
             let before = self.cursor.forwarded();
             match part {
@@ -266,6 +274,29 @@
         Next::Ended(ended)
     }
 
+    /// Abandons the slow upstream and resumes the stream at the next one.
+    async fn move_to(&mut self, next: Destination) -> Result<(), Ended> {
+        if let Some(source) = self.source.take() {
+            let upstream = source.ticket.upstream.clone();
+            source.ticket.end(Outcome::Neutral);
+            self.attempt.record_relief(&upstream);
+        }
+        self.cursor.discard_partial();
+        let last = self.cursor.last().map(|id| id.to_string());
+        match self.attempt.send_to(next, last).await {
+            Ok(running) if running.answer.status.is_success() => {
+                let Running { answer, ticket } = running;
+                self.attach(answer.body, answer.unframed, ticket);
+                Ok(())
+            }
+            Ok(running) => {
+                running.ticket.end(Outcome::Failed);
+                Err(Ended::Failed)
+            }
+            Err((ended, _)) => Err(ended),
+        }
+    }
+
     fn finish(&mut self) {
         if let Some(source) = self.source.take() {
             self.attempt.count_answer("stream");
@@ -290,7 +321,7 @@
     async fn resume(&mut self, ended: Ended) -> Result<(), Failure> {
         let mut ended = ended;
         loop {
-            let upstream = self.attempt.tried.last().cloned();
+            let upstream = self.attempt.last_upstream();
             let upstream = upstream.unwrap_or_else(|| "none".into());
             let step = self
                 .attempt
--- a/app/src/fleet/rpc.rs
+++ b/app/src/fleet/rpc.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use pimentotide_consensus::DiskId;
-use pimentotide_fleet::{CrashReport, LimitReport, Record};
+use pimentotide_fleet::{CrashReport, LimitReport, Record, SlowEngine};
 use pimentotide_model::{Fingerprint, InstanceName, ZoneName};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
@@ -56,6 +56,9 @@
     pub(super) entries: Vec<SocketAddr>,
     /// Number of entries that share the limits; zero until recorded.
     pub(super) recorded: usize,
+    /// Engines slower than normal.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) slow: Vec<SlowEngine>,
 }
 
 /// [`StateUpdate`] as a replica sends it: the configuration is encoded once for all entries.
@@ -75,6 +78,9 @@
     pub(super) entries: Vec<SocketAddr>,
     /// Number of entries that share the limits; zero until recorded.
     pub(super) recorded: usize,
+    /// Engines slower than normal.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) slow: Vec<SlowEngine>,
 }
 
 /// Configuration in the form in which the operator sent it.
--- a/app/src/lines/mod.rs
+++ b/app/src/lines/mod.rs
@@ -11,13 +11,13 @@
 use serde_json::Value;
 
 pub use process::{
-    Declared, Ejected, EngineOrdered, ExpertsMoved, GroupReleased, LeaseLost, LeaseWon,
+    Declared, Ejected, EngineOrdered, EngineSlow, ExpertsMoved, GroupReleased, LeaseLost, LeaseWon,
     MemberChanged, Ordered, ProcessSeen, Ready, Reloaded, ReplicaFollowed, ReplicaLost,
-    RoleChanged, Stopped, Stopping, SuspectsChanged, UpstreamChanged, ZonesClosed,
+    RoleChanged, Stopped, Stopping, SuspectsChanged, UpstreamChanged, UpstreamSlow, ZonesClosed,
 };
 pub use request::{
-    Answered, BrokenOff, Considered, Interrupted, Placed, Refused, Routed, SuspectRequest,
-    UpstreamCrashed, UpstreamSignal,
+    Answered, BrokenOff, Considered, Interrupted, Placed, Refused, Routed, StreamKept,
+    SuspectRequest, UpstreamCrashed, UpstreamSignal,
 };
 
 /// Event name and field names of one kind of log line.
@@ -39,6 +39,7 @@
         kind::<Routed<'_>>(),
         kind::<Placed<'_>>(),
         kind::<Interrupted<'_>>(),
+        kind::<StreamKept<'_>>(),
         kind::<UpstreamSignal<'_>>(),
         kind::<UpstreamCrashed>(),
         kind::<BrokenOff<'_>>(),
@@ -52,6 +53,8 @@
         kind::<UpstreamChanged>(),
         kind::<ZonesClosed>(),
         kind::<Ejected>(),
+        kind::<UpstreamSlow>(),
+        kind::<EngineSlow>(),
         kind::<SuspectsChanged>(),
         kind::<Ordered<'_>>(),
         kind::<RoleChanged>(),
--- a/app/src/lines/process.rs
+++ b/app/src/lines/process.rs
@@ -110,6 +110,24 @@
     pub upstream: String,
 }
 
+/// The pace of an upstream changes in the view of an entry.
+#[derive(Default, Serialize)]
+pub struct UpstreamSlow {
+    /// Name of the upstream.
+    pub upstream: String,
+    /// Time per unit of work relative to a normal upstream.
+    pub pace: f64,
+    /// Whether it gets no requests while another one has room.
+    pub avoided: bool,
+}
+
+/// An agent begins, changes or ends its announcements that its engine is slow.
+#[derive(Default, Serialize)]
+pub struct EngineSlow {
+    /// Pace that it announces, percent; `None` if it announces none any more.
+    pub pace: Option<u16>,
+}
+
 /// Other contents or parts of prompts are refused because they crash upstreams.
 #[derive(Default, Serialize)]
 pub struct SuspectsChanged {
@@ -267,6 +285,14 @@
     const LEVEL: Level = Level::Warn;
 }
 
+impl Line for UpstreamSlow {
+    const EVENT: &'static str = "upstream_slow";
+}
+
+impl Line for EngineSlow {
+    const EVENT: &'static str = "engine_slow";
+}
+
 impl Line for SuspectsChanged {
     const EVENT: &'static str = "suspects_changed";
     const LEVEL: Level = Level::Warn;
--- a/app/src/lines/request.rs
+++ b/app/src/lines/request.rs
@@ -91,6 +91,19 @@
     pub after_ms: u128,
 }
 
+/// A stream stays at a slow upstream because something that a move needs is missing.
+#[derive(Default, Serialize)]
+pub struct StreamKept<'a> {
+    /// Id of the request.
+    pub request: &'a str,
+    /// Name of the upstream.
+    pub upstream: &'a str,
+    /// What is missing.
+    pub reason: &'a str,
+    /// Time since the request arrived, ms.
+    pub after_ms: u128,
+}
+
 /// An answer of an upstream says that it is leaving, asks for a backoff or changes its limit.
 #[derive(Default, Serialize)]
 pub struct UpstreamSignal<'a> {
@@ -201,6 +214,10 @@
     const EVENT: &'static str = "interrupted";
 }
 
+impl Line for StreamKept<'_> {
+    const EVENT: &'static str = "stream_kept";
+}
+
 impl Line for UpstreamSignal<'_> {
     const EVENT: &'static str = "upstream_signal";
 }
--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -12,5 +12,6 @@
 mod operator;
 mod options;
 mod settings;
+mod slow;
 mod soak;
 mod suspended;
