--- a/app/tests/it/deployment.rs
+++ b/app/tests/it/deployment.rs
@@ -78,6 +78,15 @@
         }
     }
 
+    /// Starts an agent beside an engine, on a host of its own.
+    pub(crate) fn spawn_agent(&self, host: u8, engine: SocketAddr) -> Process {
+        let path = settings(self.folder.path(), self.network, host, self.port, "agent");
+        let text = fs::read_to_string(&path).unwrap();
+        fs::write(&path, format!("{text}engine: \"{engine}\"\n")).unwrap();
+        let binary = Path::new(env!("CARGO_BIN_EXE_pimentotide"));
+        Process::spawn_with(binary, "serve", &path, &[]).unwrap()
+    }
+
     /// Returns the address of a host at an offset from the first port.
     pub(crate) fn address(&self, host: u8, offset: u16) -> SocketAddr {
         SocketAddr::new(ip(self.network, host), self.port + offset)
--- a/app/tests/it/slow.rs
+++ b/app/tests/it/slow.rs
@@ -3,6 +3,7 @@
 //! The upstreams and the datagrams of their agents are stand-ins in the test.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -63,6 +64,8 @@
     deployment: Deployment,
     addresses: Vec<SocketAddr>,
     sends: Sends,
+    /// Pace that the first upstream reports to its agent, percent.
+    pace: Arc<AtomicU16>,
 }
 
 impl Fixture {
@@ -71,11 +74,12 @@
         let declare = fixture("slow/declare.http", &[("version", "7")]);
         wait_for_answer(deployment.control(1), &declare, "HTTP/1.1 200").await;
         let sends = Sends::default();
+        let pace = Arc::new(AtomicU16::new(NORMAL));
         let mut addresses = Vec::new();
         for (upstream, name) in NAMES.iter().enumerate() {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let address = listener.local_addr().unwrap();
-            tokio::spawn(serve(listener, upstream, sends.clone()));
+            tokio::spawn(serve(listener, upstream, sends.clone(), pace.clone()));
             announce(deployment.control(1), name, address).await;
             addresses.push(address);
         }
@@ -84,6 +88,7 @@
             deployment,
             addresses,
             sends,
+            pace,
         }
     }
 
@@ -154,21 +159,28 @@
     }
 }
 
-async fn serve(listener: TcpListener, upstream: usize, sends: Sends) {
+async fn serve(listener: TcpListener, upstream: usize, sends: Sends, pace: Arc<AtomicU16>) {
     loop {
         let (stream, _) = listener.accept().await.unwrap();
-        tokio::spawn(answer(stream, upstream, sends.clone()));
+        tokio::spawn(answer(stream, upstream, sends.clone(), pace.clone()));
     }
 }
 
 /// Streams the events after the last one that the request names.
 ///
 /// By its path, the first send of a request gets no head, or a head without events.
-async fn answer(mut stream: TcpStream, upstream: usize, sends: Sends) {
+async fn answer(mut stream: TcpStream, upstream: usize, sends: Sends, pace: Arc<AtomicU16>) {
     let template = Template::open("soak/events.http").unwrap();
     let Some(request): Option<Message> = read_message(&mut stream).await else {
         return;
     };
+    if request.first_line().contains("report") {
+        let pace = f64::from(pace.load(Ordering::Relaxed)) / 100.0;
+        let report = fixture("slow/report.http", &[("pace", &pace.to_string())]);
+        // The agent may have closed the connection.
+        let _ = stream.write_all(report.as_bytes()).await;
+        return;
+    }
     let attempt = request.header(&template.header("attempt")).to_owned();
     let last_event = request.header("last-event-id").parse().unwrap_or(0);
     let first = {
@@ -294,3 +306,36 @@
     let log = fixture.deployment.entry_log(0);
     assert!(!log.contains("Relieved"), "{log}");
 }
+
+/// Guards against an agent that does not announce the pace of its engine, and against a frozen one
+/// whose last announcement holds: its engine counts as normal, and a stream there stays.
+#[tokio::test]
+async fn rank_of_a_frozen_agent_counts_as_normal_until_the_agent_reports_again() {
+    let fixture = Fixture::start(34).await;
+    let agent = fixture.deployment.spawn_agent(9, fixture.addresses[0]);
+    fixture.pace.store(SLOW, Ordering::Relaxed);
+    fixture
+        .wait_for_line("upstream_slow", 0, "\"avoided\":true")
+        .await;
+    agent.pause();
+    fixture
+        .wait_for_line("upstream_slow", 0, "\"pace\":1.0")
+        .await;
+    let attempts: Vec<String> = (0..16).map(|n| format!("run{n}")).collect();
+    let calls: Vec<_> = attempts.iter().map(|a| fixture.call("run", a)).collect();
+    for call in calls {
+        assert_whole(&call.await.unwrap());
+    }
+    let sends: Vec<Seen> = attempts.iter().flat_map(|a| fixture.sends(a)).collect();
+    assert_eq!(sends.len(), attempts.len(), "{sends:?}");
+    assert!(sends.iter().any(|s| s.upstream == 0), "{sends:?}");
+    // The engine has recovered meanwhile; the agent must not report what it read before.
+    fixture.pace.store(150, Ordering::Relaxed);
+    agent.resume();
+    fixture
+        .wait_for_line("upstream_slow", 0, "\"pace\":1.5")
+        .await;
+    let log = fixture.deployment.entry_log(0);
+    assert_eq!(log.matches("\"pace\":6.0").count(), 1, "{log}");
+    assert!(!log.contains("Relieved"), "{log}");
+}
