--- a/app/tests/it/slow.rs
+++ b/app/tests/it/slow.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use pimentotide_instance::{PeerClient, PeerTimeouts, Token};
 use pimentotide_wire::{Message, Template, read_message};
 use serde::Serialize;
 use tokio::io::AsyncWriteExt;
@@ -168,7 +169,8 @@
 
 /// Streams the events after the last one that the request names.
 ///
-/// By its path, the first send of a request gets no head, or a head without events.
+/// By the name of the attempt, the first send gets no head, or a head without events, or the events
+/// have no ids.
 async fn answer(mut stream: TcpStream, upstream: usize, sends: Sends, pace: Arc<AtomicU16>) {
     let template = Template::open("soak/events.http").unwrap();
     let Some(request): Option<Message> = read_message(&mut stream).await else {
@@ -204,7 +206,11 @@
         tokio::time::sleep(WAIT_TIMEOUT).await;
     }
     for id in last_event + 1..=EVENTS {
-        let event = format!("id: {id}\ndata: d{id}\n\n");
+        let event = if attempt.starts_with("no_id") {
+            format!("data: d{id}\n\n")
+        } else {
+            format!("id: {id}\ndata: d{id}\n\n")
+        };
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         if stream.write_all(chunk.as_bytes()).await.is_err() {
             return;
@@ -282,6 +288,59 @@
     check_waiting(33, "no_event").await;
 }
 
+/// Guards against a stream that begins again for its caller, because its events have no ids.
+#[tokio::test]
+async fn stream_without_event_ids_stays_at_a_slow_upstream() {
+    let fixture = Fixture::start(35).await;
+    let call = fixture.call("run", "no_id");
+    let first = fixture.first_upstream("no_id").await;
+    tokio::time::sleep(GAP * 4).await;
+    let slow = fixture.report(first, SLOW);
+    let answer = call.await.unwrap();
+    slow.abort();
+    let data = answer.lines().filter(|l| l.starts_with("data: "));
+    assert_eq!(data.count() as u64, EVENTS, "{answer}");
+    let log = fixture.deployment.entry_log(0);
+    assert!(log.contains("\"avoided\":true"), "{log}");
+    assert_eq!(fixture.sends("no_id").len(), 1, "{log}");
+}
+
+/// Polls a replica as an entry of the previous version does; returns its answer.
+async fn poll(replica: SocketAddr) -> serde_json::Value {
+    let timeouts = PeerTimeouts {
+        connect: WAIT_TIMEOUT,
+        call: WAIT_TIMEOUT,
+        retry_delay: INTERVAL,
+        idle: WAIT_TIMEOUT,
+    };
+    let token = Token::open("token-of-this-test").unwrap();
+    let client = PeerClient::with_timeouts(replica, token, timeouts);
+    let seen = serde_json::json!({"declared": 0, "revision": 0});
+    client.call("fleet_follow", [seen]).await.unwrap()
+}
+
+/// Guards against other messages in a deployment without a slow engine.
+#[tokio::test]
+async fn list_of_slow_engines_is_sent_only_while_there_are_any() {
+    let fixture = Fixture::start(36).await;
+    let replica = fixture.deployment.address(1, 0);
+    assert_eq!(poll(replica).await.get("slow"), None);
+    let slow = fixture.report(0, SLOW);
+    fixture
+        .wait_for_line("upstream_slow", 0, "\"avoided\":true")
+        .await;
+    let engine = fixture.addresses[0].to_string();
+    let expected = serde_json::json!([{"engine": engine, "pace": SLOW}]);
+    assert_eq!(poll(replica).await.get("slow"), Some(&expected));
+    slow.abort();
+    let ended = fixture.report(0, NORMAL);
+    fixture
+        .wait_for_line("upstream_slow", 0, "\"pace\":1.0")
+        .await;
+    assert_eq!(poll(replica).await.get("slow"), None);
+    ended.abort();
+}
+
 /// Guards against streams that are moved although nothing is heard of the agent any more, and
 /// against a rank that is avoided forever because its agent died while it was slow.
 #[tokio::test]
