--- a/app/tests/it/explain.rs
+++ b/app/tests/it/explain.rs
@@ -90,3 +90,32 @@
         "{explanation}"
     );
 }
+
+/// Guards against an explanation that is silent about why a stream changed its upstream, or did not.
+#[test]
+fn stream_that_leaves_a_slow_upstream_and_one_that_stays_are_explained() {
+    let lines = [
+        r#"e1 {"time":"2026-01-07T20:00:00.000000Z","level":"info","event":"placed","request":"a1","upstream":"u1","send":1}"#,
+        r#"e1 {"time":"2026-01-07T20:00:00.500000Z","level":"info","event":"upstream_slow","upstream":"u1","pace":6.0,"avoided":true}"#,
+        r#"e1 {"time":"2026-01-07T20:00:00.600000Z","level":"info","event":"interrupted","request":"a1","upstream":"u1","ended":"Relieved","events":4,"next":"Again","reason":"","after_ms":600}"#,
+        r#"e1 {"time":"2026-01-07T20:00:00.700000Z","level":"info","event":"stream_kept","request":"a1","upstream":"u2","reason":"no attempts left","after_ms":700}"#,
+        r#"e1 {"time":"2026-01-07T20:00:00.800000Z","level":"info","event":"answered","request":"a1","upstream":"u2","status":200,"sends":2,"events":9,"after_ms":800}"#,
+    ];
+    let records: Vec<Record> = lines
+        .iter()
+        .map(|l| Record::parse(l, "f").expect("a line"))
+        .collect();
+    let explanation = explain(&records, "a1", Duration::from_secs(2)).expect("an explanation");
+    let text = explanation.to_string();
+    let (_, causes) = text.split_once("why\n").expect("the causes");
+    let causes: Vec<&str> = causes.lines().map(str::trim).collect();
+    assert_eq!(
+        causes,
+        [
+            "Upstream u1 was slow, and the stream left it after 4 events (state changes: slow). \
+             It was sent again.",
+            "Upstream u2 was slow, but the stream stayed there: no attempts left.",
+            "Upstream u2 answered with 200 after 800 ms, on send 2.",
+        ]
+    );
+}
