Agents: a group runs again soon after its coordinator is killed

Cause: the agent of rank 1 noticed the stop from reports 200 ms apart, waited 300 ms for a process that was dead, and then read 62 current reports over as many new connections.

The tests of the protocol are unchanged.

--- a/app/src/fleet/agent/engine.rs
+++ b/app/src/fleet/agent/engine.rs
@@ -4,10 +4,13 @@
 //! thread, so all requests go through one task, which handles them concurrently.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
-use pimentotide_experts::{EngineReport, FencedOrder, HeldExperts, OrderAnswer, PickedExperts};
+use pimentotide_experts::{
+    EngineReport, FencedOrder, HeldExperts, LOCAL_ORDER_TIMEOUTS, OrderAnswer, PickedExperts,
+    ask_again,
+};
 use pimentotide_model::{ErrorKind, Failure, Ran};
 use pimentotide_platform::{EngineClient, EngineError};
 use serde::{Deserialize, Serialize};
@@ -18,12 +21,10 @@
 
 /// Timeout of a request to the local engine.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(300);
-/// Timeout of an order, which the engine answers immediately.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(60);
-/// Maximum attempts per order.
-const ORDER_ATTEMPTS: u32 = 3;
 /// Time between polls of the engine report.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after an order in which a switch may be under way; copies take up to 0.5 s.
+const ORDER_MEMORY: Duration = Duration::from_secs(2);
 
 /// Handle of the local engine; clones share it.
 #[derive(Clone)]
@@ -31,6 +32,7 @@
     requests: mpsc::UnboundedSender<EngineRequest>,
     report: Arc<Mutex<Option<EngineReport>>>,
     last_counts: LastCounts,
+    ordered_at: Arc<Mutex<Option<Instant>>>,
 }
 
 /// State of one rank as the coordinator reads it.
@@ -76,6 +78,7 @@
             requests,
             report: Arc::default(),
             last_counts: Arc::default(),
+            ordered_at: Arc::default(),
         };
         actix_rt::spawn(serve(EngineClient::open(address, ENGINE_TIMEOUT), receiver));
         actix_rt::spawn(poll_reports(engine.clone()));
@@ -150,8 +153,21 @@
         )
     }
 
+    /// Whether this agent has passed on an order lately.
+    pub(super) fn is_ordered(&self) -> bool {
+        let ordered_at = *self.lock_ordered();
+        ordered_at.is_some_and(|at| at.elapsed() < ORDER_MEMORY)
+    }
+
+    fn lock_ordered(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.ordered_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sends the engine an order and logs the outcome.
     pub(super) async fn order(&self, order: FencedOrder) -> Result<OrderAnswer, Failure> {
+        *self.lock_ordered() = Some(Instant::now());
         let (text, fence) = (order.order.to_string(), order.fence);
         let answer = self
             .request(|reply| EngineRequest::Order(order, reply))
@@ -199,14 +215,10 @@
 
 /// Sends an order and retries it on failure; orders are idempotent.
 async fn order(client: &EngineClient, fenced: &FencedOrder) -> Result<OrderAnswer, EngineError> {
-    let mut answer = client.order(fenced, ORDER_TIMEOUT).await;
-    for _ in 1..ORDER_ATTEMPTS {
-        if answer.is_ok() {
-            break;
-        }
-        answer = client.order(fenced, ORDER_TIMEOUT).await;
-    }
-    answer
+    ask_again(&LOCAL_ORDER_TIMEOUTS, |timeout| {
+        client.order(fenced, timeout)
+    })
+    .await
 }
 
 async fn poll_reports(engine: EngineHandle) {
--- a/app/src/fleet/agent/mod.rs
+++ b/app/src/fleet/agent/mod.rs
@@ -20,6 +20,7 @@
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
+use pimentotide_experts::MAX_RESCUE_RANK;
 use pimentotide_instance::{PeerClient, PeerServer, PeerTimeouts, Token};
 use pimentotide_model::ZoneName;
 
@@ -33,7 +34,6 @@
 use engine::EngineHandle;
 use peers::Peers;
 use relay::AgentLinks;
-use rescue::MAX_RESCUE_RANK;
 
 /// Time between beacons.
 const BEACON_INTERVAL: Duration = Duration::from_millis(400);
@@ -69,7 +69,7 @@
         let calls = PeerServer::bind(settings.calls(), token.clone(), [module]).await?;
         let replicas = Replicas::new(settings);
         let peers = Arc::new(Peers::new(settings.calls(), engine.clone(), links));
-        let watched = (engine.clone(), peers.clone());
+        let watched = (engine.clone(), peers.clone(), scraped.metrics().clone());
         let mut tasks = vec![
             actix_rt::spawn(send_beacons(
                 settings.clone(),
@@ -94,7 +94,8 @@
         }
         // Without fencing, a coordinator that resumes could release a pass at the same time.
         if settings.bounds.fenced {
-            tasks.push(actix_rt::spawn(rescue::watch(watched.0, watched.1)));
+            let (engine, peers, metrics) = watched;
+            tasks.push(actix_rt::spawn(rescue::watch(engine, peers, metrics)));
         }
         Ok(Self { calls, tasks })
     }
--- a/app/src/fleet/agent/ranks.rs
+++ b/app/src/fleet/agent/ranks.rs
@@ -5,12 +5,12 @@
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
 use pimentotide_experts::{
-    EngineOrder, EngineReport, FencedOrder, HeldExperts, OrderAnswer, Placement, PlacementChange,
-    Ranks, RelayTree, Switch, SwitchEnding,
+    DIRECT_ORDER_TIMEOUTS, EngineOrder, EngineReport, FencedOrder, HeldExperts, OrderAnswer,
+    Placement, PlacementChange, ProbeOutcome, Ranks, RelayTree, Switch, SwitchEnding, ask_again,
 };
 use pimentotide_instance::PeerClient;
 use pimentotide_model::{ErrorKind, Failure, ZoneName};
@@ -25,6 +25,10 @@
 
 /// Timeout of a request sent directly to a remote engine.
 const DIRECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Limit for a current report that no relay has returned; its agent may have failed.
+const CURRENT_REPORT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Limit for the answer of the coordinator's agent to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Passes from the last one begun to the one that is held for a switch.
 ///
 /// Arming a small group takes a fraction of a pass.
@@ -115,6 +119,26 @@
         self.routes.len() > MAX_DIRECT_RANKS
     }
 
+    /// Finds out whether the agent of a rank accepts connections.
+    pub(super) async fn probe_agent(&self, rank: usize) -> ProbeOutcome {
+        let Some(RankRoute::Remote(remote)) = self.routes.get(rank) else {
+            return ProbeOutcome::Connected;
+        };
+        let call = remote.agent.call::<_, EngineReport>(REPORT, [0; 0]);
+        match tokio::time::timeout(PROBE_TIMEOUT, call).await {
+            // The connection broke, or none could be opened.
+            Ok(Err(failure))
+                if matches!(
+                    failure.kind,
+                    ErrorKind::NotCurrent | ErrorKind::OutcomeUnknown
+                ) =>
+            {
+                ProbeOutcome::Unreachable
+            }
+            Ok(_) | Err(_) => ProbeOutcome::Connected,
+        }
+    }
+
     /// Releases a held pass under a version above all earlier ones.
     pub(super) async fn release(
         &self,
@@ -129,20 +153,22 @@
             old: placement.clone(),
             new: placement,
         };
+        let start = Instant::now();
         let ending = switch.undo(self, step).await;
-        report_release(step, ending, reason);
+        report_release(step, ending, reason, start);
     }
 
     /// Releases a pass that a failed coordinator left held.
-    pub(super) async fn rescue(&self, step: u64, version: u64) {
+    pub(super) async fn rescue(&self, step: u64, version: u64, reason: &'static str) {
         let switch = Switch {
             epoch: self.seat.epoch,
             version,
             old: Placement::new(),
             new: Placement::new(),
         };
+        let start = Instant::now();
         let ending = switch.rescue(self, step).await;
-        report_release(step, ending, "the coordinator is silent");
+        report_release(step, ending, reason, start);
     }
 
     /// Returns an order to prepare a placement as a change; `None` for other orders and versions.
@@ -250,11 +276,12 @@
     }
 }
 
-fn report_release(step: u64, ending: SwitchEnding, reason: &'static str) {
+fn report_release(step: u64, ending: SwitchEnding, reason: &'static str, start: Instant) {
     pimentotide_observe::event(&GroupReleased {
         step,
         ending: ending.to_string(),
         reason,
+        took_ms: start.elapsed().as_millis(),
     });
 }
 
@@ -354,7 +381,7 @@
             // The agent beside the holder may fail in the middle of a switch, so that it is not
             // involved in holding passes.
             RankRoute::Remote(remote) if is_about_pass(&order.order) => {
-                match remote.engine.order(&order, DIRECT_TIMEOUT).await {
+                match direct_order(&remote.engine, &order).await {
                     Ok(answer) => Ok(answer),
                     Err(failure) => {
                         log::info!("rank {rank}: {failure}; its agent forwards {}", order.order);
@@ -367,7 +394,7 @@
                 match remote.ask_agent(ordered).await {
                     AgentAnswer::Answered(answer) => answer,
                     AgentAnswer::Failed => {
-                        let answer = remote.engine.order(&order, DIRECT_TIMEOUT).await;
+                        let answer = direct_order(&remote.engine, &order).await;
                         answer.map_err(|e| engine_failure(&e))
                     }
                 }
@@ -398,6 +425,29 @@
         join_all(reports).await
     }
 
+    async fn current_reports(&self, ranks: &[usize]) -> Vec<Option<EngineReport>> {
+        let request = StateRequest {
+            held: false,
+            counts: false,
+        };
+        // A relaying agent reads the report of its own engine, so it is current.
+        let mut merged = self.relay_if_many(ranks, RelayTask::State(request)).await;
+        let reports = ranks.iter().map(|rank| {
+            let relayed = merged.ranks.remove(rank);
+            async move {
+                match relayed {
+                    Some(RankResult::State(state)) => Some(state.report),
+                    Some(_) | None => {
+                        let report = self.current_report(*rank);
+                        let report = tokio::time::timeout(CURRENT_REPORT_TIMEOUT, report).await;
+                        report.ok().flatten()
+                    }
+                }
+            }
+        });
+        join_all(reports).await
+    }
+
     async fn orders(&self, ranks: &[usize], order: &FencedOrder) -> Vec<Option<OrderAnswer>> {
         let mut merged = Merged::default();
         if let Some(change) = self.delta(order) {
@@ -434,6 +484,17 @@
     compact::decode(&text)
 }
 
+/// Sends an order to the engine of another instance and retries it on failure.
+async fn direct_order(
+    engine: &EngineClient,
+    order: &FencedOrder,
+) -> Result<OrderAnswer, EngineError> {
+    ask_again(&DIRECT_ORDER_TIMEOUTS, |timeout| {
+        engine.order(order, timeout)
+    })
+    .await
+}
+
 /// Sends an order through an agent, as `changed` first.
 ///
 /// The complete order follows if the agent does not have the base of the change.
--- a/app/src/fleet/agent/rescue.rs
+++ b/app/src/fleet/agent/rescue.rs
@@ -1,16 +1,18 @@
 //! Resumes a group whose coordinator failed while a pass was held.
 //!
-//! The agent of the next rank detects that its engine has work but makes no
-//! passes. If a pass is held, the agent fences off the old coordinator under a
-//! higher version, disarms the ranks and releases the pass. It does not wait for
-//! the agent of rank 0, which is the one that failed.
+//! The agent of the next rank detects that its engine holds a pass and the coordinator's
+//! process is gone, or that its engine has work but makes no passes (`StuckWatch`).
+//! If a pass is held, the agent fences off the old coordinator under a higher
+//! version, disarms the ranks and releases the pass. It does not wait for the agent of
+//! rank 0, which is the one that failed.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use pimentotide_experts::{EngineReport, Ranks};
+use pimentotide_experts::{MAX_RESCUE_RANK, Ranks, StuckAction, StuckWatch};
+use pimentotide_instance::Clock;
+use pimentotide_observe::Metrics;
 
-use super::super::beacon::Seat;
 use super::super::unix_millis;
 use super::engine::EngineHandle;
 use super::peers::Peers;
@@ -20,55 +22,52 @@
 const COORDINATOR_RANK: usize = 0;
 /// Versions reserved for orders that an unresponsive coordinator may still send.
 const VERSION_MARGIN: u64 = 100;
-/// Time between checks of the local engine.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Time without a pass after which rank 1 takes over; a switch holds passes for a fraction of it.
-const STUCK_TIMEOUT: Duration = Duration::from_millis(300);
-/// Additional delay per further rank; longer than a rescue takes, because a second one ends the first.
-const RANK_DELAY: Duration = Duration::from_millis(1_500);
 /// Delay per rank before another attempt, in which the rescue of another rank can end.
 const RETRY_DELAY: Duration = Duration::from_millis(1_500);
-/// Highest rank that takes over.
-pub(super) const MAX_RESCUE_RANK: u16 = 3;
 
 /// Watches the local engine until the task is aborted.
-pub(super) async fn watch(engine: EngineHandle, peers: Arc<Peers>) {
-    let mut last: Option<(Seat, u64, Instant)> = None;
+pub(super) async fn watch(engine: EngineHandle, peers: Arc<Peers>, metrics: Metrics) {
+    let clock = Clock::start();
+    let mut stuck = StuckWatch::default();
     loop {
-        tokio::time::sleep(CHECK_INTERVAL).await;
+        tokio::time::sleep(stuck.interval(engine.is_ordered())).await;
+        let seat = engine.seat();
+        if seat.is_none_or(|s| s.rank == 0 || s.rank > MAX_RESCUE_RANK) {
+            continue;
+        }
+        if stuck.is_alert(engine.is_ordered())
+            && let Err(failure) = engine.report().await
+        {
+            log::debug!("no engine report: {failure}");
+        }
         let Some((report, seat)) = engine.latest_report() else {
             continue;
         };
-        if seat.rank == 0 || seat.rank > MAX_RESCUE_RANK {
+        let action = stuck.observe(&report, clock.now());
+        if action == StuckAction::Wait {
             continue;
         }
-        let position = (seat.clone(), report.step);
-        match &last {
-            Some((seat, step, _)) if (seat, *step) == (&position.0, position.1) => {}
-            _ => last = Some((position.0, position.1, Instant::now())),
-        }
-        let stuck_for = last
-            .as_ref()
-            .map_or(Duration::ZERO, |(_, _, since)| since.elapsed());
-        if !is_stuck(&report, seat.rank, stuck_for) {
+        let Some(group) = peers.group(&seat, report.size) else {
             continue;
-        }
-        if let Some(group) = peers.group(&seat, report.size)
-            && rescue(&group).await
-        {
+        };
+        let (name, reason) = if action == StuckAction::Probe {
+            let outcome = group.probe_agent(COORDINATOR_RANK).await;
+            if !stuck.record_probe(outcome) {
+                continue;
+            }
+            ("dead", "the coordinator accepts no connections")
+        } else {
+            ("silent", "the coordinator is silent")
+        };
+        if rescue(&group, reason).await {
+            metrics.count("agent.rescues", ("coordinator", name), 1);
             tokio::time::sleep(RETRY_DELAY * u32::from(seat.rank)).await;
         }
     }
 }
 
-fn is_stuck(report: &EngineReport, rank: u16, stuck_for: Duration) -> bool {
-    let open = report.membership.as_ref().is_some_and(|m| m.open);
-    let work = report.running + report.waiting > 0;
-    open && work && stuck_for >= STUCK_TIMEOUT + RANK_DELAY * u32::from(rank - 1)
-}
-
 /// Releases the group if a pass is held; returns whether one was.
-async fn rescue(group: &Group) -> bool {
+async fn rescue(group: &Group, reason: &'static str) -> bool {
     group.avoid_agent(COORDINATOR_RANK);
     let report = group.report(group.holder()).await;
     let Some((report, step)) = report.and_then(|r| r.held.map(|step| (r, step))) else {
@@ -79,6 +78,6 @@
         .max(report.armed.unwrap_or(0))
         .max(report.prepared.unwrap_or(0));
     let version = unix_millis().max(highest + VERSION_MARGIN);
-    group.rescue(step, version).await;
+    group.rescue(step, version, reason).await;
     true
 }
--- a/app/src/lines/process.rs
+++ b/app/src/lines/process.rs
@@ -214,6 +214,8 @@
     pub ending: String,
     /// Reason why the pass is released.
     pub reason: &'static str,
+    /// Duration, ms.
+    pub took_ms: u128,
 }
 
 impl Line for Ready {
--- a/decision/experts/src/even/mod.rs
+++ b/decision/experts/src/even/mod.rs
@@ -13,6 +13,8 @@
 mod layer;
 mod rank;
 mod rescue;
+mod retry;
+mod stuck;
 mod switch;
 mod tree;
 
@@ -24,6 +26,8 @@
 pub use rank::{
     EngineOrder, EngineReport, FencedOrder, HeldExperts, Membership, OrderAnswer, PickedExperts,
 };
+pub use retry::{DIRECT_ORDER_TIMEOUTS, LOCAL_ORDER_TIMEOUTS, ask_again};
+pub use stuck::{MAX_RESCUE_RANK, ProbeOutcome, StuckAction, StuckWatch};
 pub use switch::{Ending, Ranks, Switch};
 pub use tree::RelayTree;
 
--- a/decision/experts/src/even/switch.rs
+++ b/decision/experts/src/even/switch.rs
@@ -70,6 +70,11 @@
     /// Requests the report of a rank as of now; `None` if there is no answer or it may be outdated.
     fn current_report(&self, rank: usize) -> impl Future<Output = Option<EngineReport>>;
 
+    /// Requests the reports of several ranks as of now, in their order.
+    fn current_reports(&self, ranks: &[usize]) -> impl Future<Output = Vec<Option<EngineReport>>> {
+        join_all(ranks.iter().map(|rank| self.current_report(*rank)))
+    }
+
     /// Sends an order; `None` if the outcome is unknown, as it may still take effect later.
     fn order(&self, rank: usize, order: FencedOrder) -> impl Future<Output = Option<OrderAnswer>>;
 
