Agents: a shift of demand is answered after 60 ms instead of 200 ms

Cause: the sample that mixes two demands was followed by one 200 ms later, an urgent change copied for up to 0.5 s, and the pass was held two slow passes ahead. While a shift is suspected the next counts are read after 60 ms, at most three times in a row; a sample after a suspicious one is not taken for mixed; one sample of 50 ms with enough choices is a window; an urgent change copies for 130 ms at most and holds the next pass. The thresholds moved to the decisions.

Taken out once: without early samples shift_of_demand_is_answered_soon_and_with_few_more_samples fails; with suspicion from 2 % steady_demand_with_noise_causes_neither_early_samples_nor_a_change fails; without the bound early_samples_end_if_choices_stay_too_few fails.

--- a/app/src/fleet/agent/coordinate.rs
+++ b/app/src/fleet/agent/coordinate.rs
@@ -5,7 +5,7 @@
 
 use pimentotide_experts::{
     EngineReport, EvenLayout, ExpertDemand, HeldExperts, Placement, PlacementChange, Switch,
-    SwitchEnding, imbalance_even, plan_even,
+    SwitchEnding, Urgency, imbalance_even, plan_even,
 };
 use pimentotide_instance::Clock;
 use pimentotide_model::Failure;
@@ -23,24 +23,10 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(60);
 /// Time between checks in a group whose messages are relayed.
 const RELAYED_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Ratio of maximum to mean rank load from which experts are moved.
-///
-/// Lower values are noise, and copies cost more than they save.
-const TRIGGER_IMBALANCE: f64 = 1.3;
-/// Ratio of maximum to mean rank load from which experts are moved after [`SHORT_WINDOW`].
-const URGENT_IMBALANCE: f64 = 1.8;
-/// Time over which demand is observed before an urgent change.
-const SHORT_WINDOW: Duration = Duration::from_millis(120);
-/// Time over which demand is observed before any other change, so that noise triggers none.
-const LONG_WINDOW: Duration = Duration::from_millis(500);
 /// Ratio of maximum to mean rank load that a new placement aims for.
 const TARGET_IMBALANCE: f64 = 1.1;
 /// Minimum relative reduction of the maximum rank load for which experts are moved.
 const MIN_GAIN_RATIO: f64 = 0.05;
-/// Maximum time in which the ranks receive the experts of one change.
-///
-/// A longer change ends when demand has moved on; what is left follows in further changes.
-const MAX_COPY_TIME: Duration = Duration::from_millis(500);
 /// Time for which the agents of other ranks may release a pass that is left held, if they do so at all.
 const RESCUE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Versions skipped after a refusal, in case an engine has a higher version than this clock yields.
@@ -142,6 +128,11 @@
             return Ok(interval);
         }
         self.demand.observe(&chosen, self.clock.now());
+        let early = self.demand.next_sample(interval);
+        if early < interval {
+            self.metrics.count("agent.surveys", ("reason", "shift"), 1);
+        }
+        let interval = early;
         let steady = states.iter().all(|s| s.report.map == first.report.map);
         let Some(placement) = self.placement(&seat, &states, steady) else {
             return Ok(interval);
@@ -198,20 +189,18 @@
             return;
         };
         let layers = old.len().max(1);
-        let layout = EvenLayout {
+        let mut layout = EvenLayout {
             ranks: states.len(),
             experts: counts.len() / layers,
             places: capacity.places,
             spare: capacity.spare,
-            copies: max_copies(&capacity, layers),
+            copies: 0,
         };
-        let (trigger, window) = match imbalance_even(&layout, &old, &counts) {
-            imbalance if imbalance >= URGENT_IMBALANCE => (true, SHORT_WINDOW),
-            imbalance => (imbalance >= TRIGGER_IMBALANCE, LONG_WINDOW),
-        };
-        if !trigger || self.demand.span() < window {
+        let imbalance = imbalance_even(&layout, &old, &counts);
+        let Some(urgency) = Urgency::of(imbalance, self.demand.span()) else {
             return;
-        }
+        };
+        layout.copies = max_copies(&capacity, layers, urgency.copy_time());
         let plan = plan_even(&layout, &old, &counts, TARGET_IMBALANCE);
         if plan.after > plan.before * (1.0 - MIN_GAIN_RATIO) {
             return;
@@ -227,6 +216,7 @@
         let change = change.filter(|_| self.ranks_have_known);
         let reverse = PlacementChange::between(&switch.new, &switch.old);
         let group = group
+            .with_urgency(urgency)
             .with_change(switch.version, change)
             .with_change(switch.rollback_version(), reverse);
         let ending = switch.run(&group).await;
@@ -281,10 +271,10 @@
     }
 }
 
-/// Returns the number of experts that a rank can receive within [`MAX_COPY_TIME`], at least one.
-fn max_copies(capacity: &RankCapacity, layers: usize) -> usize {
+/// Returns the number of experts that a rank can receive within `time`, at least one.
+fn max_copies(capacity: &RankCapacity, layers: usize, time: Duration) -> usize {
     let most = capacity.spare * layers;
-    let copies = MAX_COPY_TIME.as_nanos() / capacity.copy_time.as_nanos().max(1);
+    let copies = time.as_nanos() / capacity.copy_time.as_nanos().max(1);
     usize::try_from(copies)
         .unwrap_or(most)
         .clamp(1, most.max(1))
--- a/app/src/fleet/agent/ranks.rs
+++ b/app/src/fleet/agent/ranks.rs
@@ -10,7 +10,8 @@
 use futures_util::future::join_all;
 use pimentotide_experts::{
     DIRECT_ORDER_TIMEOUTS, EngineOrder, EngineReport, FencedOrder, HeldExperts, OrderAnswer,
-    Placement, PlacementChange, ProbeOutcome, Ranks, RelayTree, Switch, SwitchEnding, ask_again,
+    Placement, PlacementChange, ProbeOutcome, Ranks, RelayTree, Switch, SwitchEnding, Urgency,
+    ask_again,
 };
 use pimentotide_instance::PeerClient;
 use pimentotide_model::{ErrorKind, Failure, ZoneName};
@@ -33,7 +34,7 @@
 ///
 /// Arming a small group takes a fraction of a pass.
 const PASS_LEAD: u64 = 1;
-/// The same in a group whose messages are relayed.
+/// The same in a group whose messages are relayed, unless passes are slow until the switch.
 const RELAYED_PASS_LEAD: u64 = 2;
 /// Maximum number of ranks that one agent exchanges messages with itself.
 const MAX_DIRECT_RANKS: usize = 24;
@@ -47,6 +48,8 @@
     routes: Vec<RankRoute>,
     /// Changes from the last placement sent to the ranks, by version of the resulting one.
     changes: BTreeMap<u64, PlacementChange>,
+    /// Whether passes are slow until the switch, so that one pass more costs more than a short wait.
+    urgent: bool,
 }
 
 /// Path to a rank.
@@ -96,9 +99,16 @@
             links,
             routes,
             changes: BTreeMap::new(),
+            urgent: false,
         }
     }
 
+    /// Sets how urgent a switch is.
+    pub(super) fn with_urgency(mut self, urgency: Urgency) -> Self {
+        self.urgent = urgency == Urgency::Urgent;
+        self
+    }
+
     /// Sets the change in whose form the placement of `version` is sent.
     ///
     /// Ranks whose last placement is not the base of the change receive the whole placement.
@@ -339,7 +349,7 @@
     }
 
     fn pass_lead(&self) -> u64 {
-        if self.is_relayed() {
+        if self.is_relayed() && !self.urgent {
             RELAYED_PASS_LEAD
         } else {
             PASS_LEAD
--- a/decision/experts/src/even/demand.rs
+++ b/decision/experts/src/even/demand.rs
@@ -2,7 +2,10 @@
 //!
 //! Demand shifts abruptly: a sample differs little from the ones before it or a
 //! lot. The sample in which a shift is detected mixes the old and the new demand,
-//! so the window starts over with the next one.
+//! so the window starts over with the next one. If the sample before it differed
+//! somewhat, demand had shifted near its end, and the later one is not mixed.
+//!
+//! While a shift is suspected, the next sample is due early.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -15,6 +18,14 @@
 const MIN_CHOICES_PER_EXPERT: f64 = 200.0;
 /// Share of the choices that went to other experts than before from which demand has shifted.
 const SHIFT_RATIO: f64 = 0.15;
+/// The same from which a shift is suspected; noise of [`MIN_CHOICES_PER_EXPERT`] is about 0.04.
+const SUSPECT_RATIO: f64 = 0.08;
+/// Time until an early sample.
+const EARLY_INTERVAL: Duration = Duration::from_millis(60);
+/// Early samples after a shift until there are enough choices for a plan.
+///
+/// One at the usual time follows, so that steadily drifting demand costs about twice the messages.
+const MAX_EARLY_SAMPLES: u32 = 3;
 
 /// Expert choices within a sliding window that holds no shift of demand.
 #[derive(Debug, Default)]
@@ -25,6 +36,12 @@
     observed_at: Option<Time>,
     /// Whether the newest sample mixes two demands.
     mixed: bool,
+    /// Whether the newest sample differs somewhat from the window.
+    suspected: bool,
+    /// Whether demand has shifted and there are too few choices since.
+    unsettled: bool,
+    /// Number of early samples in a row.
+    early: u32,
 }
 
 #[derive(Debug)]
@@ -39,11 +56,18 @@
     pub fn observe(&mut self, counts: &[f64], now: Time) {
         let start = self.observed_at.replace(now).unwrap_or(now);
         self.len = self.len.max(counts.len());
-        let is_shift = !self.mixed && has_enough_choices(counts) && self.has_shifted(counts);
+        let moved = self.moved(counts).filter(|_| !self.mixed);
+        let is_shift = moved.is_some_and(|ratio| ratio > SHIFT_RATIO);
         if is_shift || self.mixed {
             self.recent.clear();
         }
-        self.mixed = is_shift;
+        self.early = if self.is_early_due() {
+            self.early + 1
+        } else {
+            0
+        };
+        self.mixed = is_shift && !self.suspected;
+        self.suspected = !is_shift && moved.is_some_and(|ratio| ratio > SUSPECT_RATIO);
         self.recent.push_back(Sample {
             start,
             end: now,
@@ -53,6 +77,20 @@
         while self.recent.front().is_some_and(is_expired) {
             self.recent.pop_front();
         }
+        self.unsettled = (self.unsettled || is_shift) && self.counts().is_none();
+    }
+
+    /// Time until the next sample, which is `interval` unless a shift is suspected.
+    pub fn next_sample(&self, interval: Duration) -> Duration {
+        if self.is_early_due() {
+            interval.min(EARLY_INTERVAL)
+        } else {
+            interval
+        }
+    }
+
+    fn is_early_due(&self) -> bool {
+        (self.unsettled || self.suspected) && self.early < MAX_EARLY_SAMPLES
     }
 
     /// Time that the window covers.
@@ -84,6 +122,9 @@
         self.recent.clear();
         self.observed_at = None;
         self.mixed = false;
+        self.suspected = false;
+        self.unsettled = false;
+        self.early = 0;
     }
 
     fn sum(&self) -> Vec<f64> {
@@ -97,16 +138,18 @@
         sum
     }
 
-    /// Whether the choices in `counts` are distributed differently from those of the window.
-    fn has_shifted(&self, counts: &[f64]) -> bool {
+    /// Share of the choices in `counts` that went to other experts than those of the window.
+    ///
+    /// `None` if there are too few choices.
+    fn moved(&self, counts: &[f64]) -> Option<f64> {
         let window = self.sum();
-        if !has_enough_choices(&window) {
-            return false;
+        if !has_enough_choices(counts) || !has_enough_choices(&window) {
+            return None;
         }
         let (old, new) = (window.iter().sum::<f64>(), counts.iter().sum::<f64>());
         let pairs = window.iter().zip(counts);
         let moved: f64 = pairs.map(|(o, n)| (o / old - n / new).abs()).sum();
-        moved / 2.0 > SHIFT_RATIO
+        Some(moved / 2.0)
     }
 }
 
--- a/decision/experts/src/even/mod.rs
+++ b/decision/experts/src/even/mod.rs
@@ -17,6 +17,7 @@
 mod stuck;
 mod switch;
 mod tree;
+mod trigger;
 
 use layer::Layer;
 
@@ -30,6 +31,7 @@
 pub use stuck::{MAX_RESCUE_RANK, ProbeOutcome, StuckAction, StuckWatch};
 pub use switch::{Ending, Ranks, Switch};
 pub use tree::RelayTree;
+pub use trigger::Urgency;
 
 /// Dimensions of a group and limits on its placements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/decision/experts/src/lib.rs
+++ b/decision/experts/src/lib.rs
@@ -24,8 +24,8 @@
     CodedCounts, DIRECT_ORDER_TIMEOUTS, Ending as SwitchEnding, EngineOrder, EngineReport,
     EvenLayout, EvenPlan, ExpertDemand, FencedOrder, HeldExperts, LOCAL_ORDER_TIMEOUTS,
     MAX_RESCUE_RANK, Membership, OrderAnswer, PickedExperts, Placement, PlacementChange,
-    PlacementId, ProbeOutcome, Ranks, RelayTree, StuckAction, StuckWatch, Switch, ask_again,
-    imbalance_even, plan_even,
+    PlacementId, ProbeOutcome, Ranks, RelayTree, StuckAction, StuckWatch, Switch, Urgency,
+    ask_again, imbalance_even, plan_even,
 };
 pub use manager::{Manager, ManagerLimits};
 pub use map::{ExpertMap, Layout, MAX_MAP_SLOTS, MapError, MapId, RankShape, Slot};
--- a/decision/experts/tests/it/even_timed.rs
+++ b/decision/experts/tests/it/even_timed.rs
@@ -17,7 +17,7 @@
 
 /// Ranks of the simulated group.
 pub(crate) const RANKS: usize = 63;
-/// Time of a pass.
+/// Time of a pass under balanced load.
 pub(crate) const PASS: Duration = Duration::from_millis(55);
 /// Time of a message to the local engine and its answer.
 const LOCAL: Duration = Duration::from_millis(2);
@@ -47,6 +47,8 @@
     rng: RefCell<ChaCha8Rng>,
     /// Unanswered orders, by the time at which they are applied.
     late: RefCell<Vec<(Duration, usize, FencedOrder)>>,
+    /// Time of a pass.
+    pub(crate) pass: Cell<Duration>,
     /// Time for which passes could not begin.
     pub(crate) waited: Cell<Duration>,
 }
@@ -61,6 +63,7 @@
             unreliable: Cell::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
             late: RefCell::default(),
+            pass: Cell::new(PASS),
             waited: Cell::default(),
         }
     }
@@ -96,7 +99,7 @@
     /// Runs passes: one at a time, the next as soon as none is held.
     pub(crate) async fn run_passes(&self) {
         loop {
-            self.clock.sleep(PASS).await;
+            self.clock.sleep(self.pass.get()).await;
             let (start, step) = (self.clock.now(), self.step().await);
             loop {
                 self.apply_late_orders();
--- a/decision/experts/tests/it/even_times.rs
+++ b/decision/experts/tests/it/even_times.rs
@@ -11,7 +11,7 @@
 };
 use pimentotide_model::Time;
 
-use crate::even_timed::{RANKS, TimedGroup, TimedRanks};
+use crate::even_timed::{PASS, RANKS, TimedGroup, TimedRanks};
 
 /// Time from the death of a coordinator to the next pass; callers bear 0.7 s.
 const MAX_RESCUE: Duration = Duration::from_millis(300);
@@ -225,3 +225,46 @@
     );
     assert!(at(&waits, 95) <= MAX_UNANSWERED_WAIT, "{summary}");
 }
+
+/// Time from the start of a switch to the first pass with the new map, and for which passes waited.
+fn time_in_force(lead: u64, start: Duration) -> (Duration, Duration) {
+    let group = TimedGroup::new(&placements().0, 0);
+    group.pass.set(2 * PASS);
+    let in_force = group.clock.run(async {
+        let change = switch();
+        let mut ranks = TimedRanks::new(&group, 0);
+        ranks.lead = lead;
+        let coordinator = async {
+            group.clock.sleep(start).await;
+            change.run(&ranks).await;
+            while group.engines.version() != Some(change.version) {
+                group.clock.sleep(Duration::from_millis(1)).await;
+            }
+            group.clock.now() - start
+        };
+        let coordinator = std::pin::pin!(coordinator);
+        let passes = std::pin::pin!(group.run_passes());
+        match select(coordinator, passes).await {
+            Either::Left((time, _)) => time,
+            Either::Right(_) => unreachable!("passes run forever"),
+        }
+    });
+    assert_eq!(group.engines.violation(), None);
+    (in_force, group.waited.get())
+}
+
+/// Load pattern: passes take twice as long until the switch.
+#[test]
+fn pass_held_one_ahead_puts_the_map_in_force_earlier_and_costs_less_than_a_pass() {
+    let mean = |lead: u64| {
+        let starts = (0..110).step_by(5).map(Duration::from_millis);
+        let times: Vec<(Duration, Duration)> = starts.map(|s| time_in_force(lead, s)).collect();
+        let count = times.len() as u32;
+        let in_force: Duration = times.iter().map(|t| t.0).sum();
+        let waited: Duration = times.iter().map(|t| t.1).sum();
+        (in_force / count, waited / count)
+    };
+    let (early, late) = (mean(1), mean(2));
+    assert!(early.0 + PASS <= late.0, "{early:?}, {late:?}");
+    assert!(early.1 <= PASS / 2, "{early:?}, {late:?}");
+}
--- a/decision/experts/tests/it/main.rs
+++ b/decision/experts/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod even_relay;
 mod even_rescue;
 mod even_script;
+mod even_shift;
 mod even_stuck;
 mod even_switch;
 mod even_timed;
