--- a/peers/instance/tests/it/link.rs
+++ b/peers/instance/tests/it/link.rs
@@ -86,6 +86,31 @@
     second.stop().await;
 }
 
+/// Failure: agents release a pass for a coordinator that is dead, but not for a slow one.
+#[actix_rt::test]
+async fn dead_process_is_told_from_one_that_does_not_answer() {
+    let is_dead =
+        |kind: ErrorKind| matches!(kind, ErrorKind::NotCurrent | ErrorKind::OutcomeUnknown);
+    let running = server(ANY_PORT, SECRET).await;
+    let timeouts = PeerTimeouts {
+        retry_delay: Duration::ZERO,
+        ..PeerTimeouts::default()
+    };
+    let client = PeerClient::with_timeouts(running.address(), token_of(SECRET), timeouts);
+    client.call::<_, String>("echo", ["a"]).await.unwrap();
+    running.stop().await;
+    for _ in 0..2 {
+        let failure = client.call::<_, String>("echo", ["b"]).await.unwrap_err();
+        assert!(is_dead(failure.kind), "{failure}");
+    }
+    // The kernel accepts connections for a frozen process; nobody reads them.
+    let frozen = std::net::TcpListener::bind(ANY_PORT).unwrap();
+    let client = PeerClient::connect(frozen.local_addr().unwrap(), token_of(SECRET));
+    let call = client.call::<_, String>("echo", ["c"]);
+    let answer = tokio::time::timeout(Duration::from_millis(100), call).await;
+    assert!(answer.is_err(), "{answer:?}");
+}
+
 #[test]
 fn token_is_hidden_in_debug_output() {
     assert_eq!(format!("{:?}", token_of(SECRET)), "Token(..)");
