--- a/decision/experts/src/even/mod.rs
+++ b/decision/experts/src/even/mod.rs
@@ -16,8 +16,11 @@
 mod layer;
 mod rank;
 mod rescue;
+mod retry;
+mod stuck;
 mod switch;
 mod tree;
+mod trigger;
 
 use layer::Layer;
 
@@ -27,8 +30,11 @@
 pub use rank::{
     EngineOrder, EngineReport, FencedOrder, HeldExperts, Membership, OrderAnswer, PickedExperts,
 };
+pub use retry::{DIRECT_ORDER_TIMEOUTS, LOCAL_ORDER_TIMEOUTS, ask_again};
+pub use stuck::{MAX_RESCUE_RANK, ProbeOutcome, StuckAction, StuckWatch};
 pub use switch::{Ending, Ranks, Switch};
 pub use tree::RelayTree;
+pub use trigger::Urgency;
 
 /// Dimensions of a group and limits on its placements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/decision/experts/src/even/switch.rs
+++ b/decision/experts/src/even/switch.rs
@@ -41,13 +41,13 @@
 /// Attempts to get an order accepted by all ranks.
 const MAX_ORDER_ATTEMPTS: u32 = 3;
 /// Delay between attempts.
-pub(super) const RETRY_INTERVAL: Duration = Duration::from_millis(40);
+pub(super) const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// Polls for loaded experts before the map is abandoned.
-const MAX_PREPARE_POLLS: u32 = 120;
+const MAX_PREPARE_POLLS: u32 = 240;
 /// Delay between these polls.
-const PREPARE_POLL_INTERVAL: Duration = Duration::from_millis(40);
+const PREPARE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Attempts at each step of an undo or release before the coordinator starts over.
-pub(super) const MAX_UNDO_ATTEMPTS: u32 = 200;
+pub(super) const MAX_UNDO_ATTEMPTS: u32 = 400;
 
 /// Ranks of one group.
 pub trait Ranks {
@@ -70,6 +70,11 @@
     /// Requests the report of a rank as of now; `None` if there is no answer or it may be outdated.
     fn current_report(&self, rank: usize) -> impl Future<Output = Option<EngineReport>>;
 
+    /// Requests the reports of several ranks as of now, in their order.
+    fn current_reports(&self, ranks: &[usize]) -> impl Future<Output = Vec<Option<EngineReport>>> {
+        join_all(ranks.iter().map(|rank| self.current_report(*rank)))
+    }
+
     /// Sends an order; `None` if the outcome is unknown, as it may still take effect later.
     fn order(&self, rank: usize, order: FencedOrder) -> impl Future<Output = Option<OrderAnswer>>;
 
