Fleet: deltas between configurations, and the history they are computed from

Cause: whole documents are up to 0.5 MB for each entry and change, though most changes alter, add or remove a few routes.

--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -6,15 +6,18 @@
 //! load balancing ([`Balancer`]) and retries ([`next_step`], [`RetryBudget`]).
 //! Requests and parts of prompts that crash upstreams are suspected and refused by all entries
 //! ([`CrashEvidence`], [`SuspectView`]).
+//! Replicas send changes of the configuration as [`Delta`]s from their [`DocumentHistory`].
 //! [`repair`] maintains the membership of the log. Performs no input or output.
 
 mod balancer;
 mod budget;
 mod change;
 mod declaration;
+mod delta;
 mod entries;
 mod evidence;
 mod gate;
+mod history;
 mod limit;
 mod listing;
 mod members;
@@ -37,9 +40,11 @@
 pub use declaration::{
     ColdLimit, Declaration, Engine, Fault, Limits, Route, RouteKind, Service, Workspace,
 };
+pub use delta::{Delta, DeltaError, DeltaPart, IndexedText, MAX_DELTA_RESULT_BYTES};
 pub use entries::{EntryCount, EntryRecord};
 pub use evidence::{CrashEvidence, CrashReport, RequestDigests, is_sound_run};
 pub use gate::{Admission, ServiceGate};
+pub use history::{DocumentHistory, MAX_DOCUMENTS, MAX_HISTORY_BYTES};
 pub use limit::{LimitReport, LimitView, NamedLimit, RequestRate};
 pub use listing::list_entries;
 pub use members::{MemberView, Repair, RepairOptions, repair};
--- a/decision/fleet/tests/it/main.rs
+++ b/decision/fleet/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod change;
 mod declaration;
+mod delta;
 mod entries;
 mod gate;
 mod limited_fleet;
