Entries receive changes of the configuration as deltas

Cause: each change sends the whole document to each entry. Change: from its second document on, an entry states `changes` in its polls; a replica that has the entry's document answers with a delta if that is under half of the document. A delta with a wrong base, length or digest is logged (`delta_failed`), counted and not applied, and the entry asks the same replica for the whole document. The lease is not extended by such an answer. Conclusion: whole documents remain for the first two documents of an entry and as the fallback.

--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -13,13 +13,13 @@
 use pimentotide_model::{ErrorKind, Failure, Time, UpstreamName, ZoneName};
 use pimentotide_observe::Metrics;
 use pimentotide_platform::{Control, StoredConfiguration, read_configuration};
-use serde_json::value::RawValue;
 use tokio::time::Instant as Deadline;
 
 use super::super::compact;
 use super::super::rpc::{
-    Document, EncodedUpdate, EntryReports, FleetView, Processes, RankCapacity, SeenRevisions,
+    EncodedUpdate, EntryReports, FleetView, Processes, RankCapacity, SeenRevisions,
 };
+use super::documents::Documents;
 use super::roster::Roster;
 use crate::lines::Ordered;
 
@@ -44,8 +44,8 @@
     first_seen: Arc<Mutex<BTreeMap<UpstreamName, (Time, Instant)>>>,
     /// Expert capacity of the latest configuration read.
     capacity: Arc<Mutex<Option<CachedCapacity>>>,
-    /// Latest configuration as entries receive it.
-    encoded: Arc<Mutex<Option<EncodedDocument>>>,
+    /// Configurations as entries receive them.
+    documents: Arc<Mutex<Documents>>,
 }
 
 /// Expert capacity of the configuration at a position of the log.
@@ -56,9 +56,6 @@
     capacity: Option<RankCapacity>,
 }
 
-/// Position of a configuration in the log, and its encoding.
-type EncodedDocument = (u64, Arc<RawValue>);
-
 impl ControlService {
     pub(super) fn new(
         replica: ReplicaHandle<FleetState>,
@@ -71,7 +68,7 @@
             metrics,
             first_seen: Arc::default(),
             capacity: Arc::default(),
-            encoded: Arc::default(),
+            documents: Arc::default(),
         }
     }
 
@@ -135,8 +132,17 @@
             .replica
             .query(move |s, _| (changes_since(s, seen), s.entries()));
         let (changes, recorded) = queried.await?;
+        let document = self
+            .documents
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .change_since(seen, changes.declared.as_ref())?;
+        if let Some(form) = document.form() {
+            self.metrics.count("control.documents", ("form", form), 1);
+        }
         Ok(EncodedUpdate {
-            declared: changes.declared.map(|d| self.encoded(&d)).transpose()?,
+            declared: document.whole,
+            delta: document.delta,
             fleet: changes.fleet,
             suspects: changes.suspects.as_ref().map(compact::encode).transpose()?,
             limits: changes.limits.as_ref().map(compact::encode).transpose()?,
@@ -146,25 +152,6 @@
         })
     }
 
-    /// Returns a configuration as entries receive it; encodes each one once.
-    fn encoded(&self, declared: &Declared) -> Result<Arc<RawValue>, Failure> {
-        let mut cached = self.encoded.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some((index, text)) = cached.as_ref()
-            && *index == declared.index
-        {
-            return Ok(text.clone());
-        }
-        let document = Document {
-            index: declared.index,
-            text: String::from_utf8_lossy(&declared.document).into_owned(),
-        };
-        let text = serde_json::value::to_raw_value(&document)
-            .map_err(|e| Failure::new(ErrorKind::Internal, e.to_string()))?;
-        let text: Arc<RawValue> = text.into();
-        *cached = Some((declared.index, text.clone()));
-        Ok(text)
-    }
-
     /// Records the reports of an entry; sound runs of contents that are no longer suspected are dropped.
     ///
     /// # Errors
@@ -292,7 +279,7 @@
     }
 }
 
-/// Parts of the state that an entry does not have yet.
+/// Configuration in force, and parts of the state that an entry does not have yet.
 struct Changes {
     declared: Option<Declared>,
     fleet: Option<FleetView>,
@@ -307,19 +294,19 @@
         revision: state.revision(),
         suspects: seen.suspects.map(|_| state.suspects().revision),
         limits: seen.limits.map(|_| state.limits().revision),
+        changes: seen.changes,
     }
 }
 
 fn changes_since(state: &FleetState, seen: SeenRevisions) -> Changes {
     let now = position(state, seen);
-    let declared = state.declared().filter(|d| d.index != seen.declared);
     let fleet = (now.revision != seen.revision).then(|| FleetView {
         revision: now.revision,
         closed: state.closed().clone(),
         upstreams: state.upstreams().values().cloned().collect(),
     });
     Changes {
-        declared: declared.cloned(),
+        declared: state.declared().cloned(),
         fleet,
         suspects: (now.suspects != seen.suspects).then(|| state.suspects().clone()),
         limits: (now.limits != seen.limits).then(|| state.limits().clone()),
--- a/app/src/fleet/control/mod.rs
+++ b/app/src/fleet/control/mod.rs
@@ -1,6 +1,7 @@
 //! Control role: a replica of the shared state and its servers.
 
 mod desk;
+mod documents;
 mod membership;
 mod methods;
 mod roster;
--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod callers;
 mod crashes;
+mod documents;
 mod follow;
 mod placing;
 mod relay;
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -11,7 +11,8 @@
 
 use pimentotide_fleet::{
     Balancer, BalancerOptions, BudgetOptions, ColdLimit, CrashEvidence, EntryCount, EntryPosition,
-    LimitView, Outcome, RetryAfterSchedule, RetryBudget, RouteTable, ServiceGate, Ticket,
+    IndexedText, LimitView, Outcome, RetryAfterSchedule, RetryBudget, RouteTable, ServiceGate,
+    Ticket,
 };
 use pimentotide_instance::Clock;
 use pimentotide_model::{ErrorKind, Failure, ServiceName, Time, ZoneName};
@@ -23,6 +24,7 @@
 use super::super::compact;
 use super::super::rpc::{FleetView, SeenRevisions, StateUpdate};
 use super::crashes::CrashChecks;
+use super::documents::receive;
 use super::report::ReportQueue;
 use super::signals::LimitReports;
 use crate::lines::{Declared, Ejected, LeaseLost, LeaseWon, UpstreamChanged, ZonesClosed};
@@ -69,6 +71,8 @@
     /// Contents that crash upstreams.
     pub(super) evidence: CrashEvidence,
     seen: SeenRevisions,
+    /// Text of the configuration, from which deltas start.
+    held: String,
     /// End of the lease.
     lease_end: Time,
     /// Time of the latest request whose answer confirmed the state.
@@ -114,6 +118,7 @@
                     limits: Some(0),
                     ..SeenRevisions::default()
                 },
+                held: String::new(),
                 lease_end: Time::ZERO,
                 confirmed_at: Time::ZERO,
                 logged_current: false,
@@ -197,9 +202,20 @@
         let limits: Option<LimitView> = limits.transpose()?;
         let now = self.now();
         let mut inner = self.lock();
-        if let Some(document) = update.declared
-            && document.index > inner.seen.declared
-        {
+        let held = IndexedText {
+            index: inner.seen.declared,
+            text: &inner.held,
+        };
+        let document = match receive(held, update.declared, update.delta, &self.metrics) {
+            Ok(document) => document,
+            // Nothing else is applied; the next poll asks the same replica for the whole document.
+            Err(_) if inner.seen.changes => {
+                inner.seen.changes = false;
+                return Ok(());
+            }
+            Err(e) => return Err(Failure::new(ErrorKind::Internal, e.to_string())),
+        };
+        if let Some(document) = document {
             let declaration = read_configuration(document.text.as_bytes())
                 .map_err(|e| Failure::new(ErrorKind::Internal, e.to_string()))?;
             let before = inner.table.as_ref().map(|t| t.declaration().version);
@@ -215,7 +231,10 @@
                 .collect();
             inner.balancer.set_cold_limits(cold_limits);
             inner.table = Some(Arc::new(RouteTable::new(declaration)));
+            // The first document is not followed by deltas: without changes, polls stay as they were.
+            inner.seen.changes = inner.seen.declared > 0;
             inner.seen.declared = document.index;
+            inner.held = document.text;
         }
         inner.update_entry_count(update.entries.len(), update.recorded, now);
         if let Some(position) = EntryPosition::among(&self.callers, &update.entries) {
--- a/app/src/fleet/rpc.rs
+++ b/app/src/fleet/rpc.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use pimentotide_consensus::DiskId;
-use pimentotide_fleet::{CrashReport, LimitReport, Record};
+use pimentotide_fleet::{CrashReport, Delta, LimitReport, Record};
 use pimentotide_model::{Fingerprint, InstanceName, ZoneName};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
@@ -35,13 +35,19 @@
     /// Position of the last change to limits; `None` from entries that do not follow them.
     #[serde(default)]
     pub(super) limits: Option<u64>,
+    /// Whether the entry takes deltas from its configuration; omitted unless it does.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub(super) changes: bool,
 }
 
 /// Shared state, at least as recent as the request for it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct StateUpdate {
-    /// Configuration; `None` if the entry has it already.
+    /// Configuration; `None` if the entry has it already or receives a delta.
     pub(super) declared: Option<Document>,
+    /// Delta to the configuration; only for entries that take deltas.
+    #[serde(default)]
+    pub(super) delta: Option<Delta>,
     /// Zones and upstreams; `None` if the entry has them already.
     pub(super) fleet: Option<FleetView>,
     /// Compact encoding of the suspected and refused contents; `None` if the entry has them already.
@@ -61,8 +67,11 @@
 /// [`StateUpdate`] as a replica sends it: the configuration is encoded once for all entries.
 #[derive(Clone, Debug, Serialize)]
 pub(super) struct EncodedUpdate {
-    /// Encoded [`Document`]; `None` if the entry has it already.
+    /// Encoded [`Document`]; `None` if the entry has it already or receives a delta.
     pub(super) declared: Option<Arc<RawValue>>,
+    /// Encoded [`Delta`]; only for entries that take deltas.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) delta: Option<Arc<RawValue>>,
     /// Zones and upstreams; `None` if the entry has them already.
     pub(super) fleet: Option<FleetView>,
     /// Compact encoding of the suspected and refused contents; `None` if the entry has them already.
--- a/app/src/lines/mod.rs
+++ b/app/src/lines/mod.rs
@@ -11,8 +11,8 @@
 use serde_json::Value;
 
 pub use process::{
-    Declared, Ejected, EngineOrdered, ExpertsMoved, GroupReleased, LeaseLost, LeaseWon,
-    MemberChanged, Ordered, ProcessSeen, Ready, Reloaded, ReplicaFollowed, ReplicaLost,
+    Declared, DeltaFailed, Ejected, EngineOrdered, ExpertsMoved, GroupReleased, LeaseLost,
+    LeaseWon, MemberChanged, Ordered, ProcessSeen, Ready, Reloaded, ReplicaFollowed, ReplicaLost,
     RoleChanged, Stopped, Stopping, SuspectsChanged, UpstreamChanged, ZonesClosed,
 };
 pub use request::{
@@ -49,6 +49,7 @@
         kind::<LeaseWon>(),
         kind::<LeaseLost>(),
         kind::<Declared>(),
+        kind::<DeltaFailed>(),
         kind::<UpstreamChanged>(),
         kind::<ZonesClosed>(),
         kind::<Ejected>(),
--- a/app/src/lines/process.rs
+++ b/app/src/lines/process.rs
@@ -81,6 +81,17 @@
     pub routes: usize,
 }
 
+/// An entry rejects a delta to its configuration and asks for the whole document.
+#[derive(Default, Serialize)]
+pub struct DeltaFailed {
+    /// Position of the configuration that the entry has.
+    pub held: u64,
+    /// Position of the configuration that the delta leads to.
+    pub index: u64,
+    /// Reason for the rejection.
+    pub detail: String,
+}
+
 /// The state of an upstream changes in the view of an entry.
 #[derive(Default, Serialize)]
 pub struct UpstreamChanged {
@@ -254,6 +265,11 @@
     const EVENT: &'static str = "declared";
 }
 
+impl Line for DeltaFailed {
+    const EVENT: &'static str = "delta_failed";
+    const LEVEL: Level = Level::Warn;
+}
+
 impl Line for UpstreamChanged {
     const EVENT: &'static str = "upstream_changed";
 }
--- a/app/tests/it/deployment.rs
+++ b/app/tests/it/deployment.rs
@@ -17,6 +17,10 @@
 /// Time limit of each wait for an expected state.
 pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 const CONTROLS: [u8; 3] = [1, 2, 3];
+/// Token of the calls between processes.
+pub(crate) const TOKEN: &str = "token-of-this-test";
+/// Binary under test.
+const BINARY: &str = env!("CARGO_BIN_EXE_pimentotide");
 /// Host of the first entry; others follow.
 pub(crate) const ENTRY: u8 = 4;
 
@@ -64,8 +68,7 @@
         let port = free_ports(&hosts).unwrap();
         let start = |host: u8, role: &str| {
             let path = settings(folder.path(), network, host, port, role);
-            let binary = Path::new(env!("CARGO_BIN_EXE_pimentotide"));
-            Process::spawn_with(binary, "serve", &path, &environment(host)).unwrap()
+            Process::spawn_with(Path::new(BINARY), "serve", &path, &environment(host)).unwrap()
         };
         let controls = CONTROLS.map(|host| start(host, "control")).into();
         let entries = (ENTRY..ENTRY + entries).map(|host| start(host, "entry"));
@@ -78,6 +81,34 @@
         }
     }
 
+    /// Reserves addresses without starting a process; the test provides control replicas at the first
+    /// port of their hosts.
+    pub(crate) fn reserve(network: u8) -> Self {
+        let hosts: Vec<IpAddr> = (1..=ENTRY).map(|host| ip(network, host)).collect();
+        Self {
+            network,
+            port: free_ports(&hosts).unwrap(),
+            controls: Vec::new(),
+            entries: Vec::new(),
+            folder: tempfile::tempdir().unwrap(),
+        }
+    }
+
+    /// Starts the first entry of reserved addresses.
+    pub(crate) fn start_entry(&mut self) {
+        let path = settings(self.folder.path(), self.network, ENTRY, self.port, "entry");
+        let entry = Process::spawn(Path::new(BINARY), "serve", &path).unwrap();
+        self.entries.push(entry);
+    }
+
+    /// Kills a control replica and starts it again with its data.
+    pub(crate) fn restart_control(&mut self, host: u8) {
+        let control = &mut self.controls[usize::from(host - CONTROLS[0])];
+        control.kill();
+        let path = self.folder.path().join(format!("control{host}.yaml"));
+        *control = Process::spawn(Path::new(BINARY), "serve", &path).unwrap();
+    }
+
     /// Returns the address of a host at an offset from the first port.
     pub(crate) fn address(&self, host: u8, offset: u16) -> SocketAddr {
         SocketAddr::new(ip(self.network, host), self.port + offset)
@@ -88,6 +119,15 @@
         self.address(host, 2)
     }
 
+    /// Returns the value of a metric of an entry, counted from 0; 0 if it is absent.
+    pub(crate) async fn entry_metric(&self, number: u8, series: &str) -> u64 {
+        let address = self.address(ENTRY + number, metrics_offset("entry"));
+        let request = "GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n";
+        let answer = wait_for_answer(address, request, "HTTP/1.1 200").await;
+        let value = answer.lines().find_map(|l| l.strip_prefix(series));
+        value.map_or(0, |v| v.trim().parse().unwrap())
+    }
+
     /// Returns the address of an entry for callers, counted from 0.
     pub(crate) fn entry(&self, number: u8) -> SocketAddr {
         self.address(ENTRY + number, 4)
@@ -130,8 +170,8 @@
     let text = format!(
         "role: {role}\ninstance: i{host}\nzone: z1\nip: {own}\nports: [{port}, {}]\nseeds: [{}]\n\
          first_start: true\ndata: {}\nlisten: {{callers: \"{own}:{}\", ready: \"{own}:{}\", \
-         control: \"{own}:{}\", directory: \"{own}:{}\"}}\ntoken: token-of-this-test\n\
-         bounds: {{revoke_ms: 5000, grace_s: 4}}\n",
+         control: \"{own}:{}\", directory: \"{own}:{}\"}}\nmetrics: \"{own}:{}\"\n\
+         token: {TOKEN}\nbounds: {{revoke_ms: 5000, grace_s: 4}}\n",
         port + 1,
         seeds.join(", "),
         folder.join(format!("data{host}")).display(),
@@ -139,12 +179,18 @@
         port + 5,
         port + 2,
         port + 3,
+        port + metrics_offset(role),
     );
     let path = folder.join(format!("{role}{host}.yaml"));
     fs::write(&path, text).unwrap();
     path
 }
 
+/// Returns the offset of the metrics, at a port that the role does not listen on.
+fn metrics_offset(role: &str) -> u16 {
+    if role == "control" { 4 } else { 2 }
+}
+
 /// Sends a request and returns the answer without its date.
 pub(crate) async fn send_request(address: SocketAddr, request: &str) -> Option<String> {
     let mut stream = TcpStream::connect(address).await.ok()?;
--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of the binary and its library.
 
+mod changes;
 mod crashes;
 mod deployment;
 mod endless;
--- a/decision/fleet/tests/it/delta.rs
+++ b/decision/fleet/tests/it/delta.rs
@@ -17,7 +17,7 @@
 
 fn route(number: usize, timeout: u64) -> String {
     format!(
-        r#"{{"name":"route-{number}","host":"h{}.example","pathPrefix":"/p{number}/","kind":"streaming","timeoutMs":{timeout},"targetLatencyMs":400,"trafficSplit":[{{"service":"s{}","weight":3}},{{"service":"s1","weight":1}}],"maxAttempts":2}}"#,
+        r#"{{"name":"route-{number}","host":"h{}.example","prefix":"/p{number}/","kind":"streaming","timeoutMs":{timeout},"targetLatencyMs":400,"shares":[{{"service":"s{}","weight":3}},{{"service":"s1","weight":1}}],"maxAttempts":2}}"#,
         number % 40,
         number % 7,
     )
@@ -28,7 +28,7 @@
         .map(|n| format!(r#"{{"name":"s{n}","engine":{{"slots":10,"stepMs":4.84}}}}"#))
         .collect();
     format!(
-        r#"{{"version":{version},"routeTable":[{}],"services":[{}]}}"#,
+        r#"{{"version":{version},"routes":[{}],"services":[{}]}}"#,
         routes.join(","),
         services.join(",")
     )
@@ -142,7 +142,7 @@
         let base = document(1, &routes[1..]);
         let target = document(2, &routes[..18]);
         let text = serde_json::to_string(&Delta::between(at(1, &base), at(2, &target))).unwrap();
-        let mut bytes = text.clone().into_bytes();
+        let mut bytes = text.into_bytes();
         let place = place.index(bytes.len());
         bytes[place] ^= 1 << bit;
         if let Ok(delta) = serde_json::from_slice::<Delta>(&bytes)
