Entries receive changed upstreams instead of the whole list

Cause: a change of one upstream sends all upstreams to each entry. Change: entries that state `changes` get the changed and removed records with a digest. A replica gives such deltas only from revisions that it recorded itself: the property test found that an upstream which changes and changes back between two of its observations was missing from deltas for an entry that had followed another replica (the digest detected it). Conclusion: the same field and fallback serve both subjects; polls stay as they were until the configuration changes.

--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -7,7 +7,7 @@
 
 use pimentotide_fleet::{
     Announcement, Command, CrashReport, Declaration, Declared, FleetState, LimitReport, LimitView,
-    Record, Reply, SuspectView,
+    Record, Reply, SuspectView, UpstreamDelta, UpstreamHistory,
 };
 use pimentotide_instance::replica::ReplicaHandle;
 use pimentotide_model::{ErrorKind, Failure, Time, UpstreamName, ZoneName};
@@ -46,6 +46,8 @@
     capacity: Arc<Mutex<Option<CachedCapacity>>>,
     /// Configurations as entries receive them.
     documents: Arc<Mutex<Documents>>,
+    /// Changes of upstreams that this replica has seen.
+    upstreams: Arc<Mutex<UpstreamHistory>>,
 }
 
 /// Expert capacity of the configuration at a position of the log.
@@ -69,6 +71,7 @@
             first_seen: Arc::default(),
             capacity: Arc::default(),
             documents: Arc::default(),
+            upstreams: Arc::default(),
         }
     }
 
@@ -128,9 +131,10 @@
         self.replica.read_index().await?;
         let entries = self.roster.entries();
         let replicas = self.member_addresses().await?;
+        let history = self.upstreams.clone();
         let queried = self
             .replica
-            .query(move |s, _| (changes_since(s, seen), s.entries()));
+            .query(move |s, _| (changes_since(s, seen, &history), s.entries()));
         let (changes, recorded) = queried.await?;
         let document = self
             .documents
@@ -144,6 +148,7 @@
             declared: document.whole,
             delta: document.delta,
             fleet: changes.fleet,
+            upstreams: changes.upstreams,
             suspects: changes.suspects.as_ref().map(compact::encode).transpose()?,
             limits: changes.limits.as_ref().map(compact::encode).transpose()?,
             replicas,
@@ -283,6 +288,7 @@
 struct Changes {
     declared: Option<Declared>,
     fleet: Option<FleetView>,
+    upstreams: Option<UpstreamDelta>,
     suspects: Option<SuspectView>,
     limits: Option<LimitView>,
 }
@@ -298,9 +304,18 @@
     }
 }
 
-fn changes_since(state: &FleetState, seen: SeenRevisions) -> Changes {
+fn changes_since(
+    state: &FleetState,
+    seen: SeenRevisions,
+    history: &Mutex<UpstreamHistory>,
+) -> Changes {
     let now = position(state, seen);
-    let fleet = (now.revision != seen.revision).then(|| FleetView {
+    let mut history = history.lock().unwrap_or_else(PoisonError::into_inner);
+    history.record(state);
+    let upstreams = seen.changes.then(|| history.delta(state, seen.revision));
+    let upstreams = upstreams.flatten();
+    let is_whole = now.revision != seen.revision && upstreams.is_none();
+    let fleet = is_whole.then(|| FleetView {
         revision: now.revision,
         closed: state.closed().clone(),
         upstreams: state.upstreams().values().cloned().collect(),
@@ -308,6 +323,7 @@
     Changes {
         declared: state.declared().cloned(),
         fleet,
+        upstreams,
         suspects: (now.suspects != seen.suspects).then(|| state.suspects().clone()),
         limits: (now.limits != seen.limits).then(|| state.limits().clone()),
     }
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -11,8 +11,7 @@
 
 use pimentotide_fleet::{
     Balancer, BalancerOptions, BudgetOptions, ColdLimit, CrashEvidence, EntryCount, EntryPosition,
-    IndexedText, LimitView, Outcome, RetryAfterSchedule, RetryBudget, RouteTable, ServiceGate,
-    Ticket,
+    LimitView, Outcome, RetryAfterSchedule, RetryBudget, RouteTable, ServiceGate, Ticket,
 };
 use pimentotide_instance::Clock;
 use pimentotide_model::{ErrorKind, Failure, ServiceName, Time, ZoneName};
@@ -73,6 +72,8 @@
     seen: SeenRevisions,
     /// Text of the configuration, from which deltas start.
     held: String,
+    /// Whether the configuration has changed, so that deltas are worth asking for.
+    takes_deltas: bool,
     /// End of the lease.
     lease_end: Time,
     /// Time of the latest request whose answer confirmed the state.
@@ -119,6 +120,7 @@
                     ..SeenRevisions::default()
                 },
                 held: String::new(),
+                takes_deltas: false,
                 lease_end: Time::ZERO,
                 confirmed_at: Time::ZERO,
                 logged_current: false,
@@ -192,7 +194,7 @@
     /// Fails if the configuration or the suspected contents cannot be parsed.
     pub(super) fn apply_update(
         &self,
-        update: StateUpdate,
+        mut update: StateUpdate,
         requested_at: Time,
     ) -> Result<(), Failure> {
         if let Some(text) = &update.suspects {
@@ -202,13 +204,11 @@
         let limits: Option<LimitView> = limits.transpose()?;
         let now = self.now();
         let mut inner = self.lock();
-        let held = IndexedText {
-            index: inner.seen.declared,
-            text: &inner.held,
-        };
-        let document = match receive(held, update.declared, update.delta, &self.metrics) {
-            Ok(document) => document,
-            // Nothing else is applied; the next poll asks the same replica for the whole document.
+        let Inner { seen, held, .. } = &*inner;
+        let received = receive(&mut update, *seen, held, &inner.balancer, &self.metrics);
+        let (document, fleet) = match received {
+            Ok(received) => received,
+            // Nothing else is applied; the next poll asks the same replica for the whole.
             Err(_) if inner.seen.changes => {
                 inner.seen.changes = false;
                 return Ok(());
@@ -232,7 +232,7 @@
             inner.balancer.set_cold_limits(cold_limits);
             inner.table = Some(Arc::new(RouteTable::new(declaration)));
             // The first document is not followed by deltas: without changes, polls stay as they were.
-            inner.seen.changes = inner.seen.declared > 0;
+            inner.takes_deltas = inner.seen.declared > 0;
             inner.seen.declared = document.index;
             inner.held = document.text;
         }
@@ -241,9 +241,8 @@
             inner.balancer.set_position(position, now);
         }
         inner.entry_addresses = update.entries;
-        if let Some(fleet) = update.fleet
-            && fleet.revision > inner.seen.revision
-        {
+        inner.seen.changes = inner.takes_deltas;
+        if let Some(fleet) = fleet {
             inner.apply_fleet(fleet, now);
         }
         if let Some(limits) = limits
--- a/app/src/fleet/rpc.rs
+++ b/app/src/fleet/rpc.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use pimentotide_consensus::DiskId;
-use pimentotide_fleet::{CrashReport, Delta, LimitReport, Record};
+use pimentotide_fleet::{CrashReport, Delta, LimitReport, Record, UpstreamDelta};
 use pimentotide_model::{Fingerprint, InstanceName, ZoneName};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
@@ -35,7 +35,7 @@
     /// Position of the last change to limits; `None` from entries that do not follow them.
     #[serde(default)]
     pub(super) limits: Option<u64>,
-    /// Whether the entry takes deltas from its configuration; omitted unless it does.
+    /// Whether the entry takes deltas from what it has; omitted unless it does.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub(super) changes: bool,
 }
@@ -48,8 +48,11 @@
     /// Delta to the configuration; only for entries that take deltas.
     #[serde(default)]
     pub(super) delta: Option<Delta>,
-    /// Zones and upstreams; `None` if the entry has them already.
+    /// Zones and upstreams; `None` if the entry has them already or receives a delta.
     pub(super) fleet: Option<FleetView>,
+    /// Delta to the zones and upstreams; only for entries that take deltas.
+    #[serde(default)]
+    pub(super) upstreams: Option<UpstreamDelta>,
     /// Compact encoding of the suspected and refused contents; `None` if the entry has them already.
     #[serde(default)]
     pub(super) suspects: Option<String>,
@@ -72,8 +75,11 @@
     /// Encoded [`Delta`]; only for entries that take deltas.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(super) delta: Option<Arc<RawValue>>,
-    /// Zones and upstreams; `None` if the entry has them already.
+    /// Zones and upstreams; `None` if the entry has them already or receives a delta.
     pub(super) fleet: Option<FleetView>,
+    /// Delta to the zones and upstreams; only for entries that take deltas.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) upstreams: Option<UpstreamDelta>,
     /// Compact encoding of the suspected and refused contents; `None` if the entry has them already.
     pub(super) suspects: Option<String>,
     /// Compact encoding of the limits of upstreams; `None` if the entry has them already.
--- a/app/src/lines/process.rs
+++ b/app/src/lines/process.rs
@@ -81,12 +81,14 @@
     pub routes: usize,
 }
 
-/// An entry rejects a delta to its configuration and asks for the whole document.
+/// An entry rejects a delta to what it has and asks for the whole.
 #[derive(Default, Serialize)]
 pub struct DeltaFailed {
-    /// Position of the configuration that the entry has.
+    /// Subject of the delta: `configuration` or `upstreams`.
+    pub subject: &'static str,
+    /// Position of the subject that the entry has.
     pub held: u64,
-    /// Position of the configuration that the delta leads to.
+    /// Position that the delta leads to.
     pub index: u64,
     /// Reason for the rejection.
     pub detail: String,
--- a/app/tests/it/changes.rs
+++ b/app/tests/it/changes.rs
@@ -7,9 +7,10 @@
 use jsonrpsee::RpcModule;
 use pimentotide_fleet::{Delta, IndexedText};
 use pimentotide_instance::{PeerClient, PeerServer, Token};
+use pimentotide_model::Fingerprint;
 use serde_json::{Value, json};
 
-use crate::deployment::{Deployment, TOKEN, WAIT_TIMEOUT, fixture, wait_for_answer};
+use crate::deployment::{Deployment, TOKEN, WAIT_TIMEOUT, announce, fixture, wait_for_answer};
 
 /// Method with which entries poll replicas.
 const FOLLOW: &str = "fleet_follow";
@@ -168,6 +169,45 @@
     assert_eq!(other["declared"]["text"], body(&third));
 }
 
+/// Guards against lists of upstreams that an entry of the previous version cannot read, and against
+/// whole lists for entries that take deltas.
+#[tokio::test]
+async fn replica_sends_changed_upstreams_only_to_entries_that_take_deltas() {
+    const UPSTREAMS: u16 = 5;
+    let deployment = Deployment::start(144, 1);
+    let control = deployment.control(1);
+    let spawn = async |number: u16| {
+        let address = ([127, 0, 0, 1], number).into();
+        announce(control, &format!("u{number}"), address).await;
+    };
+    let token = Token::open(TOKEN).unwrap();
+    let replica = PeerClient::connect(deployment.address(1, 0), token);
+    let poll = async |poll: &Value| replica.call::<_, Value>(FOLLOW, [poll]).await.unwrap();
+    for number in 1..UPSTREAMS {
+        spawn(number).await;
+    }
+    let mut old = json!({"declared": 0, "revision": 0, "suspects": 0, "limits": 0});
+    let held = poll(&old).await;
+    let listed = |answer: &Value| answer["fleet"]["upstreams"].as_array().unwrap().len();
+    assert_eq!(listed(&held), usize::from(UPSTREAMS - 1));
+    spawn(UPSTREAMS).await;
+    old["revision"] = held["fleet"]["revision"].clone();
+    let whole = poll(&old).await;
+    assert_eq!(fields(&whole), ANSWER_FIELDS.into());
+    assert_eq!(listed(&whole), usize::from(UPSTREAMS));
+
+    let mut new = old;
+    new["changes"] = true.into();
+    let changed = poll(&new).await;
+    let mut expected = BTreeSet::from(ANSWER_FIELDS);
+    expected.insert("upstreams");
+    assert_eq!(fields(&changed), expected);
+    assert!(changed["fleet"].is_null(), "{changed}");
+    let delta = &changed["upstreams"];
+    assert_eq!(delta["changed"].as_array().unwrap().len(), 1);
+    assert_eq!(delta["revision"], whole["fleet"]["revision"]);
+}
+
 /// Polls received by a stand-in replica, and the configurations that it answers with.
 #[derive(Default)]
 struct Script {
@@ -334,3 +374,54 @@
     }
     server.stop().await;
 }
+
+/// Guards against a damaged list of upstreams that goes into force or blocks the entry.
+#[actix_rt::test]
+async fn entry_rejects_a_wrong_list_of_upstreams_and_asks_for_the_whole() {
+    let routes: Vec<String> = (0..9).map(|n| route(n, 3_000)).collect();
+    let mut second = whole(11, &declare(2, &routes));
+    let list = |revision: u64| json!({"revision": revision, "closed": ["z9"], "upstreams": []});
+    second["fleet"] = list(3);
+    let delta = |from: u64, digest: Fingerprint| {
+        json!({"upstreams": {
+            "from": from, "revision": from + 1, "closed": [], "changed": [], "removed": [],
+            "digest": digest,
+        }})
+    };
+    let empty = Fingerprint::of([]);
+    let answers = vec![
+        whole(10, &declare(1, &routes)),
+        second,
+        delta(3, Fingerprint::default()),
+        json!({"fleet": list(4)}),
+        delta(4, empty),
+        delta(4, empty),
+    ];
+    let (deployment, server, script) = start_scripted(145, answers).await;
+    let polls = wait_for_polls(&script, 8).await;
+    let stated: Vec<(u64, bool)> = polls[..7]
+        .iter()
+        .map(|p| (p["revision"].as_u64().unwrap(), p["changes"] == true))
+        .collect();
+    let expected = [
+        (0, false),
+        (0, false),
+        (3, true),
+        (3, false),
+        (4, true),
+        (5, true),
+        (5, true),
+    ];
+    assert_eq!(stated, expected);
+    let log = deployment.entry_log(0);
+    let failed: Vec<&str> = log
+        .lines()
+        .filter(|l| l.contains("\"delta_failed\""))
+        .collect();
+    assert_eq!(failed.len(), 1, "{failed:?}");
+    assert!(
+        failed[0].contains("\"subject\":\"upstreams\""),
+        "{failed:?}"
+    );
+    server.stop().await;
+}
--- a/decision/fleet/src/balancer.rs
+++ b/decision/fleet/src/balancer.rs
@@ -248,6 +248,11 @@
         events
     }
 
+    /// Records of all upstreams.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.upstreams.values().map(|u| &u.record)
+    }
+
     /// Closed availability zones.
     pub fn closed(&self) -> &BTreeSet<ZoneName> {
         &self.closed
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -30,6 +30,7 @@
 mod stop;
 mod suspects;
 mod upstream;
+mod view;
 
 pub use balancer::{
     Balancer, BalancerOptions, Choice, ChoiceRequest, EntryPosition, Refusal, Ticket,
@@ -57,3 +58,4 @@
 pub use stop::{StopPhase, stop_phase};
 pub use suspects::{PROBATION, SuspectView};
 pub use upstream::{Load, Outcome, Signals};
+pub use view::{UpstreamDelta, UpstreamHistory};
--- a/decision/fleet/src/state.rs
+++ b/decision/fleet/src/state.rs
@@ -382,7 +382,7 @@
 /// Whether a later announcement of the same upstream changes anything that entries act on.
 ///
 /// A cold time that only decreases has no effect until it reaches 0.
-fn differs(old: &Announcement, new: &Announcement) -> bool {
+pub(crate) fn differs(old: &Announcement, new: &Announcement) -> bool {
     let became_cold = new.cold_ms > old.cold_ms;
     let became_warm = old.cold_ms > 0 && new.cold_ms == 0;
     let same = (old.born, old.stage, &old.service, old.address, &old.zone)
--- a/decision/fleet/tests/it/main.rs
+++ b/decision/fleet/tests/it/main.rs
@@ -19,3 +19,4 @@
 mod state;
 mod stop;
 mod suspects;
+mod view;
