--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -23,6 +23,7 @@
 use super::super::compact;
 use super::super::rpc::{FleetView, SeenRevisions, StateUpdate};
 use super::crashes::CrashChecks;
+use super::documents::receive;
 use super::report::ReportQueue;
 use super::signals::LimitReports;
 use crate::lines::{Declared, Ejected, LeaseLost, LeaseWon, UpstreamChanged, ZonesClosed};
@@ -71,6 +72,10 @@
     /// Contents that crash upstreams.
     pub(super) evidence: CrashEvidence,
     seen: SeenRevisions,
+    /// Text of the configuration, from which deltas start.
+    held: String,
+    /// Whether the configuration has changed, so that deltas are worth asking for.
+    takes_deltas: bool,
     /// End of the lease.
     lease_end: Time,
     /// Time of the latest request whose answer confirmed the state.
@@ -116,6 +121,8 @@
                     limits: Some(0),
                     ..SeenRevisions::default()
                 },
+                held: String::new(),
+                takes_deltas: false,
                 lease_end: Time::ZERO,
                 confirmed_at: Time::ZERO,
                 logged_current: false,
@@ -195,7 +202,7 @@
     /// Fails if the configuration or the suspected contents cannot be parsed.
     pub(super) fn apply_update(
         &self,
-        update: StateUpdate,
+        mut update: StateUpdate,
         requested_at: Time,
     ) -> Result<(), Failure> {
         if let Some(text) = &update.suspects {
@@ -205,9 +212,18 @@
         let limits: Option<LimitView> = limits.transpose()?;
         let now = self.now();
         let mut inner = self.lock();
-        if let Some(document) = update.declared
-            && document.index > inner.seen.declared
-        {
+        let Inner { seen, held, .. } = &*inner;
+        let received = receive(&mut update, *seen, held, &inner.balancer, &self.metrics);
+        let (document, fleet) = match received {
+            Ok(received) => received,
+            // Nothing else is applied; the next poll asks the same replica for the whole.
+            Err(_) if inner.seen.changes => {
+                inner.seen.changes = false;
+                return Ok(());
+            }
+            Err(e) => return Err(Failure::new(ErrorKind::Internal, e.to_string())),
+        };
+        if let Some(document) = document {
             let declaration = read_configuration(document.text.as_bytes())
                 .map_err(|e| Failure::new(ErrorKind::Internal, e.to_string()))?;
             let before = inner.table.as_ref().map(|t| t.declaration().version);
@@ -226,16 +242,18 @@
             let engines = engines.filter_map(|(name, s)| Some((name.clone(), s.engine?)));
             inner.balancer.set_engines(engines);
             inner.table = Some(Arc::new(RouteTable::new(declaration)));
+            // The first document is not followed by deltas: without changes, polls stay as they were.
+            inner.takes_deltas = inner.seen.declared > 0;
             inner.seen.declared = document.index;
+            inner.held = document.text;
         }
         inner.update_entry_count(update.entries.len(), update.recorded, now);
         if let Some(position) = EntryPosition::among(&self.callers, &update.entries) {
             inner.balancer.set_position(position, now);
         }
         inner.entry_addresses = update.entries;
-        if let Some(fleet) = update.fleet
-            && fleet.revision > inner.seen.revision
-        {
+        inner.seen.changes = inner.takes_deltas;
+        if let Some(fleet) = fleet {
             inner.apply_fleet(fleet, now);
         }
         if let Some(limits) = limits
--- a/app/src/lines/mod.rs
+++ b/app/src/lines/mod.rs
@@ -11,9 +11,10 @@
 use serde_json::Value;
 
 pub use process::{
-    Declared, Ejected, EngineOrdered, EngineSlow, ExpertsMoved, GroupReleased, LeaseLost, LeaseWon,
-    MemberChanged, Ordered, ProcessSeen, Ready, Reloaded, ReplicaFollowed, ReplicaLost,
-    RoleChanged, Stopped, Stopping, SuspectsChanged, UpstreamChanged, UpstreamSlow, ZonesClosed,
+    Declared, DeltaFailed, Ejected, EngineOrdered, EngineSlow, ExpertsMoved, GroupReleased,
+    LeaseLost, LeaseWon, MemberChanged, Ordered, ProcessSeen, Ready, Reloaded, ReplicaFollowed,
+    ReplicaLost, RoleChanged, Stopped, Stopping, SuspectsChanged, UpstreamChanged, UpstreamSlow,
+    ZonesClosed,
 };
 pub use request::{
     Answered, BrokenOff, Considered, Interrupted, Placed, Refused, Routed, StreamKept,
@@ -50,6 +51,7 @@
         kind::<LeaseWon>(),
         kind::<LeaseLost>(),
         kind::<Declared>(),
+        kind::<DeltaFailed>(),
         kind::<UpstreamChanged>(),
         kind::<ZonesClosed>(),
         kind::<Ejected>(),
--- a/app/src/lines/process.rs
+++ b/app/src/lines/process.rs
@@ -81,6 +81,19 @@
     pub routes: usize,
 }
 
+/// An entry rejects a delta to what it has and asks for the whole.
+#[derive(Default, Serialize)]
+pub struct DeltaFailed {
+    /// Subject of the delta: `configuration` or `upstreams`.
+    pub subject: &'static str,
+    /// Position of the subject that the entry has.
+    pub held: u64,
+    /// Position that the delta leads to.
+    pub index: u64,
+    /// Reason for the rejection.
+    pub detail: String,
+}
+
 /// The state of an upstream changes in the view of an entry.
 #[derive(Default, Serialize)]
 pub struct UpstreamChanged {
@@ -274,6 +287,11 @@
     const EVENT: &'static str = "declared";
 }
 
+impl Line for DeltaFailed {
+    const EVENT: &'static str = "delta_failed";
+    const LEVEL: Level = Level::Warn;
+}
+
 impl Line for UpstreamChanged {
     const EVENT: &'static str = "upstream_changed";
 }
