A replica judges beacons by the boot clock

Cause: the age of beacons was read from the monotonic clock, which does not count a suspension, so a replica that resumed listed the entries that were live before it for up to 1.6 s. Change: BootInstant. Tried: with Instant, an entry killed 5 s earlier was listed after the pause; with BootInstant it is not. Beacons that waited in the socket during the pause still count as fresh for 1.6 s.

--- a/app/src/fleet/control/roster.rs
+++ b/app/src/fleet/control/roster.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use pimentotide_fleet::list_entries;
+use pimentotide_instance::BootInstant;
 use pimentotide_platform::{Directory, Entries, Place};
 
 use super::super::FleetSettings;
@@ -31,7 +32,10 @@
 }
 
 /// Latest beacon of each address, and when it was received.
-type ReceivedBeacons<B> = BTreeMap<SocketAddr, (B, Instant)>;
+///
+/// By the boot clock, since a replica that resumes from a suspension would otherwise list the processes
+/// that were live before it.
+type ReceivedBeacons<B> = BTreeMap<SocketAddr, (B, BootInstant)>;
 
 /// Stores a beacon unless a newer one of its address is stored.
 ///
@@ -47,8 +51,8 @@
     F: Fn(&B) -> BeaconVersion,
     K: Fn(&B) -> (bool, bool),
 {
-    let now = Instant::now();
-    received.retain(|_, (_, at)| now.duration_since(*at) < REMOVAL_TIMEOUT);
+    let now = BootInstant::now();
+    received.retain(|_, (_, at)| now.since(*at) < REMOVAL_TIMEOUT);
     let stored = received.get(&address).map(|(b, _)| b);
     if stored.is_some_and(|stored| order(stored) > order(&beacon)) {
         return false;
@@ -59,10 +63,10 @@
 }
 
 fn live<B>(received: &ReceivedBeacons<B>) -> impl Iterator<Item = &B> {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let alive = received
         .values()
-        .filter(move |(_, at)| now.duration_since(*at) < BEACON_TIMEOUT);
+        .filter(move |(_, at)| now.since(*at) < BEACON_TIMEOUT);
     alive.map(|(beacon, _)| beacon)
 }
 
--- a/app/tests/it/suspended.rs
+++ b/app/tests/it/suspended.rs
@@ -195,6 +195,40 @@
     }
 }
 
+/// Guards against a replica that lists an entry to callers by a beacon from before a suspension that
+/// its monotonic clock has not counted.
+#[tokio::test]
+async fn replica_that_was_suspended_lists_no_entry_of_before() {
+    let clocks = Clocks::build(1..=1);
+    let paused = clocks.paused(1);
+    let mut deployment = Deployment::start_with(25, 1, |host| match host {
+        1 => vec![("LD_PRELOAD", &clocks.library), ("SUSPENDED_MS", &paused)],
+        _ => Vec::new(),
+    });
+    declare(deployment.control(1), "7", "\"k1\"").await;
+    let directory = deployment.address(1, 3);
+    let resolve = fixture("resolve.http", &[]);
+    let entry = deployment.entry(0).to_string();
+    wait_for_text(directory, &resolve, &entry).await;
+    deployment.entries[0].kill();
+    deployment.controls[0].pause();
+    tokio::time::sleep(REVOKE_TIME).await;
+    let resolves: Vec<_> = (0..REQUESTS)
+        .map(|_| {
+            let resolve = resolve.clone();
+            tokio::spawn(async move { send_request(directory, &resolve).await })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    clocks.stand_still(1, REVOKE_TIME + Duration::from_millis(100));
+    deployment.controls[0].resume();
+    for resolve in resolves {
+        let answer = resolve.await.unwrap().unwrap_or_default();
+        assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}");
+        assert!(!answer.contains(&entry), "{answer}");
+    }
+}
+
 /// Whether an order is accepted within the time in which a leader is elected.
 async fn is_accepted(control: SocketAddr, order: &str) -> bool {
     let limit = Instant::now() + ELECTION_TIME;
--- a/peers/instance/src/clock.rs
+++ b/peers/instance/src/clock.rs
@@ -23,6 +23,11 @@
         let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
         Self(time.expect("the kernel has a boot clock").into())
     }
+
+    /// Time since an earlier point; zero if `earlier` is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
 }
 
 /// Clock that starts at zero and counts suspensions of the instance; copies share the origin.
