Test: a request whose answer is lost is neither run again nor reported as not run

Six ways to lose an answer (closed, cut head, 102, cut body, 503 without the mark, no HTTP) at a route that must not repeat, with three upstreams and the real entry: each request ran once and was answered 502. The entry needed no change. Tried: with Unsent in place of Broken for failed connections, the entry answered 503, and the test failed.

--- a/app/tests/it/deployment.rs
+++ b/app/tests/it/deployment.rs
@@ -25,6 +25,15 @@
     Template::open(name).unwrap().fill(values)
 }
 
+/// Replaces a text in the body of a message, and sets its length.
+pub(crate) fn edit_body(message: &str, from: &str, to: &str) -> String {
+    let (head, body) = message.split_once("\r\n\r\n").unwrap();
+    let edited = body.replace(from, to);
+    let length = |body: &str| format!("Content-Length: {}", body.len());
+    let head = head.replace(&length(body), &length(&edited));
+    format!("{head}\r\n\r\n{edited}")
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
         if std::thread::panicking() {
--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod lines;
 mod local;
+mod lost;
 mod operator;
 mod options;
 mod settings;
