Stalled streams, dripping bodies and unread answers end in time; a stop waits for bodies under way

Cause: the wait of an entry for a stream began again with each byte, comment line or repeated event, so that a stalled upstream held its stream until the deadline. A stream that its caller does not read kept its place at the upstream beyond its deadline. A request whose body was on its way did not count as open, so that a planned stop cut it off. Change: only new complete events end a wait; comments stay in front of the next event. DeadlineStream drops an unread stream 0.2 s after its deadline. Requests are tracked from their heads on.

--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod callers;
 mod crashes;
+mod deadline;
 mod follow;
 mod placing;
 mod relay;
@@ -122,7 +123,8 @@
         self.state.stop();
         loop {
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-            match stop_phase(start.elapsed(), self.state.open_requests(), self.grace) {
+            let open = usize::from(self.state.has_requests());
+            match stop_phase(start.elapsed(), open, self.grace) {
                 StopPhase::Accepting => {}
                 StopPhase::Refusing => self.state.refuse_new(),
                 StopPhase::Ended => break,
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -160,6 +160,10 @@
     fn is_stopping(&self) -> bool {
         self.state.is_stopping()
     }
+
+    fn track(&self) -> impl Sized + use<> {
+        self.state.track_received()
+    }
 }
 
 /// Logs a refusal and returns it.
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -49,6 +49,8 @@
     suspect_changes: watch::Sender<()>,
     /// Number of open requests.
     open: AtomicUsize,
+    /// Shared by the guards of requests that are being received or wait for the head of an answer.
+    received: Arc<()>,
     /// Whether the entry drains; new requests are still served until `refusing`.
     stopping: AtomicBool,
     /// Whether new requests are refused.
@@ -125,6 +127,7 @@
             limit_reports: LimitReports::default(),
             suspect_changes: watch::Sender::default(),
             open: AtomicUsize::new(0),
+            received: Arc::default(),
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             stopped: Notify::new(),
@@ -366,6 +369,16 @@
         OpenRequest(self.clone())
     }
 
+    /// Tracks a request from its head on, while the guard exists.
+    pub(super) fn track_received(&self) -> Arc<()> {
+        self.received.clone()
+    }
+
+    /// Whether any request is being received, runs or is being answered.
+    pub(super) fn has_requests(&self) -> bool {
+        Arc::strong_count(&self.received) > 1 || self.open_requests() > 0
+    }
+
     pub(super) fn open_requests(&self) -> usize {
         self.open.load(Ordering::Relaxed)
     }
--- a/app/src/fleet/entry/streaming.rs
+++ b/app/src/fleet/entry/streaming.rs
@@ -19,12 +19,16 @@
 use tokio::time::Instant;
 
 use super::attempt::{Attempt, Running, SendError, TicketGuard};
+use super::deadline::DeadlineStream;
 use super::relay::{log_body_error, refuse};
 use crate::lines::{Answered, BrokenOff};
 
 /// Maximum time from the last event to the end of a stream without a length; a stream that is cut
 /// off by a stalled group ends much later.
 const MAX_END_DELAY: Duration = Duration::from_millis(500);
+/// Time beyond the deadline after which a stream that its caller does not read is ended; one that is
+/// read ends earlier.
+const UNREAD_MARGIN: Duration = Duration::from_millis(200);
 
 /// Stream to one caller, across the upstreams that produce it.
 struct StreamRun {
@@ -90,7 +94,7 @@
                         return Relayed::Streamed {
                             status,
                             headers,
-                            body: Box::pin(stream::unfold(Some(run), next_events)),
+                            body: Box::pin(run.into_body()),
                         };
                     }
                     Next::End => {
@@ -196,6 +200,22 @@
 }
 
 impl StreamRun {
+    /// Returns the stream of events for the caller, which ends at the deadline also if it is not read.
+    fn into_body(self) -> DeadlineStream<Result<Bytes, Failure>> {
+        let request = self.attempt.call.id.clone();
+        let metrics = self.attempt.state.metrics().clone();
+        let deadline = Instant::from_std(self.attempt.answer_deadline()) + UNREAD_MARGIN;
+        let events = stream::unfold(Some(self), next_events);
+        DeadlineStream::new(events, deadline, move || {
+            log::warn!("request {request}: the caller did not read its answer before the deadline");
+            metrics.count("entry.interruptions", ("ended", "unread"), 1);
+            Err(Failure::new(
+                ErrorKind::StreamBroken,
+                "the answer was not read in time",
+            ))
+        })
+    }
+
     /// Attaches the stream of an upstream.
     fn attach(&mut self, body: Body, unframed: bool, ticket: TicketGuard) {
         self.source = Some(Source {
@@ -207,13 +227,17 @@
     }
 
     /// Waits for complete events of the current source.
+    ///
+    /// The wait starts again only with an event that is new, since a stalled upstream may go on to
+    /// send single bytes or comments.
     async fn next(&mut self) -> Next {
+        let mut waiting_since = Instant::now();
         loop {
             let Some(source) = &mut self.source else {
                 return Next::Ended(Ended::Broken);
             };
             let limit = Instant::from_std(self.attempt.answer_deadline());
-            let silence = Instant::now() + self.attempt.state.silence();
+            let silence = waiting_since + self.attempt.state.silence();
             let reading = tokio::time::timeout_at(limit.min(silence), source.body.next());
             let withdrawn = self.attempt.state.until_refused(&self.attempt.digests);
             let part = tokio::select! {
@@ -222,10 +246,14 @@
                     return self.end(Outcome::Neutral, Ended::Withdrawn);
                 }
             };
-            let before = self.cursor.forwarded();
+            let (before, progress) = (self.cursor.forwarded(), self.cursor.progress());
             match part {
                 Ok(Some(Ok(bytes))) => match self.cursor.push(&bytes) {
-                    Ok(events) if events.is_empty() => {}
+                    Ok(events) if events.is_empty() => {
+                        if self.cursor.progress() > progress {
+                            waiting_since = Instant::now();
+                        }
+                    }
                     Ok(events) => {
                         source.last_event = Some(Instant::now());
                         self.attempt.record_events(self.cursor.forwarded() - before);
--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -14,4 +14,5 @@
 mod options;
 mod settings;
 mod soak;
+mod stalled;
 mod suspended;
--- a/peers/caller/src/body.rs
+++ b/peers/caller/src/body.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use actix_web::web;
+use actix_web::body::{self, BoxBody, SizedStream};
+use actix_web::http::ConnectionType;
+use actix_web::{HttpResponse, web};
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use futures_util::{StreamExt, stream};
 use pimentotide_model::{ErrorKind, Failure};
 
 /// Maximum time between two chunks of a body.
@@ -47,6 +49,25 @@
     }
 }
 
+/// Ends the connection after an answer, with a body whose stream fails at its end.
+///
+/// The server would otherwise go on to read the rest of a request body in chunks, which may never end.
+pub(crate) async fn close_after(response: HttpResponse) -> HttpResponse {
+    let (mut response, body) = response.into_parts();
+    let body = body::to_bytes(body).await.unwrap_or_default();
+    let length = body.len() as u64;
+    let end = stream::once(async {
+        // Lets the server write out the answer, which the error would discard.
+        tokio::task::yield_now().await;
+        Err(slow_caller("the request body was not read"))
+    });
+    let parts = stream::once(std::future::ready(Ok(body))).chain(end);
+    response
+        .head_mut()
+        .set_connection_type(ConnectionType::Close);
+    response.set_body(BoxBody::new(SizedStream::new(length, Box::pin(parts))))
+}
+
 fn slow_caller(detail: &str) -> Failure {
     Failure::new(ErrorKind::SlowCaller, detail)
 }
--- a/peers/caller/src/routes.rs
+++ b/peers/caller/src/routes.rs
@@ -93,8 +93,11 @@
     S: Service,
 {
     let id = new_id();
-    let call = body::read(payload, limits.max_body_bytes).await;
-    let call = call.and_then(|body| parse::completion(&request, id, body, CHAT));
+    let body = match body::read(payload, limits.max_body_bytes).await {
+        Ok(body) => body,
+        Err(failure) => return body::close_after(problem(&failure, id)).await,
+    };
+    let call = parse::completion(&request, id, body, CHAT);
     respond(&service.0, id, call).await
 }
 
@@ -110,8 +113,11 @@
     let id = new_id();
     let name = request.match_info().get("service").unwrap_or_default();
     let path = request.match_info().get("path").unwrap_or_default();
-    let call = body::read(payload, limits.max_body_bytes).await;
-    let call = call.and_then(|body| parse::plain(&request, id, body, name, path));
+    let body = match body::read(payload, limits.max_body_bytes).await {
+        Ok(body) => body,
+        Err(failure) => return body::close_after(problem(&failure, id)).await,
+    };
+    let call = parse::plain(&request, id, body, name, path);
     respond(&service.0, id, call).await
 }
 
--- /dev/null
+++ b/peers/caller/tests/it/main.rs
@@ -0,0 +1,3 @@
+//! Integration tests of the interface for callers.
+
+mod bodies;
--- a/peers/upstream/src/cursor.rs
+++ b/peers/upstream/src/cursor.rs
@@ -33,6 +33,9 @@
     splitter: EventSplitter,
     last: Option<u64>,
     forwarded: u64,
+    /// Identifier of the last skipped event of the current upstream.
+    skipped: Option<u64>,
+    progress: u64,
 }
 
 impl StreamCursor {
@@ -54,6 +57,14 @@
         self.forwarded
     }
 
+    /// Returns the number of events that brought the stream forward: those forwarded, and those
+    /// skipped in ascending order.
+    ///
+    /// An upstream that repeats one event makes no progress.
+    pub fn progress(&self) -> u64 {
+        self.progress
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub fn is_partial(&self) -> bool {
         self.splitter.is_partial()
@@ -62,6 +73,7 @@
     /// Discards an incomplete event before the stream resumes on another upstream.
     pub fn discard_partial(&mut self) {
         self.splitter = EventSplitter::default();
+        self.skipped = None;
     }
 
     /// Appends received bytes and returns the complete events that the caller has not received.
@@ -75,7 +87,13 @@
         while let Some(event) = self.splitter.next_event().map_err(CursorError::Event)? {
             let id = event_id(&event.0);
             match (id, self.last) {
-                (Some(id), Some(last)) if id <= last => continue,
+                (Some(id), Some(last)) if id <= last => {
+                    if self.skipped.is_none_or(|skipped| id > skipped) {
+                        self.skipped = Some(id);
+                        self.progress += 1;
+                    }
+                    continue;
+                }
                 (Some(id), Some(last)) if id > last + 1 => {
                     return Err(CursorError::Gap { last, found: id });
                 }
@@ -83,6 +101,7 @@
             }
             self.last = id.or(self.last);
             self.forwarded += 1;
+            self.progress += 1;
             out.extend_from_slice(&event.0);
         }
         Ok(out.freeze())
--- a/peers/upstream/src/sse.rs
+++ b/peers/upstream/src/sse.rs
@@ -1,4 +1,7 @@
 //! Incremental splitting of a byte stream into server-sent events.
+//!
+//! Comment lines and blank lines alone are no event. They stay in front of the next event, so that
+//! a peer that sends nothing else makes no progress.
 
 use bytes::{Bytes, BytesMut};
 use derive_more::Display;
@@ -39,8 +42,10 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
-    /// Length of the prefix of `buffer` in which no separator starts.
+    /// Length of the prefix of `buffer` in which no separator starts, or only those of comments.
     scanned: usize,
+    /// Length of the prefix of `buffer` that consists of complete comments.
+    comments: usize,
 }
 
 impl EventSplitter {
@@ -53,25 +58,32 @@
     ///
     /// # Errors
     ///
-    /// Fails if an incomplete event exceeds [`MAX_EVENT_BYTES`].
+    /// Fails if an incomplete event and the comments before it exceed [`MAX_EVENT_BYTES`].
     pub fn next_event(&mut self) -> Result<Option<Event>, EventError> {
-        let Some(end) = self.event_end() else {
-            if self.buffer.len() > MAX_EVENT_BYTES {
-                return Err(EventError::TooLong);
+        while let Some(end) = self.block_end() {
+            if is_comment(&self.buffer[self.comments..end]) {
+                self.comments = end;
+                self.scanned = end;
+                continue;
             }
-            self.scanned = self.buffer.len().saturating_sub(MAX_SEPARATOR_BYTES - 1);
-            return Ok(None);
-        };
-        self.scanned = 0;
-        Ok(Some(Event(self.buffer.split_to(end).freeze())))
+            self.scanned = 0;
+            self.comments = 0;
+            return Ok(Some(Event(self.buffer.split_to(end).freeze())));
+        }
+        if self.buffer.len() > MAX_EVENT_BYTES {
+            return Err(EventError::TooLong);
+        }
+        let unscanned = self.buffer.len().saturating_sub(MAX_SEPARATOR_BYTES - 1);
+        self.scanned = unscanned.max(self.comments);
+        Ok(None)
     }
 
     /// Returns whether the buffer holds bytes of an incomplete event.
     pub fn is_partial(&self) -> bool {
-        !self.buffer.is_empty()
+        !is_comment(&self.buffer[self.comments..])
     }
 
-    fn event_end(&self) -> Option<usize> {
+    fn block_end(&self) -> Option<usize> {
         let rest = &self.buffer[self.scanned..];
         let ends = SEPARATORS.iter().filter_map(|s| {
             let at = rest.windows(s.len()).position(|w| w == *s)?;
@@ -83,3 +95,9 @@
 
 const SEPARATORS: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
 const MAX_SEPARATOR_BYTES: usize = 4;
+
+/// Returns whether `block` has only comment lines and blank lines.
+fn is_comment(block: &[u8]) -> bool {
+    let mut lines = block.split(|byte| *byte == b'\n');
+    lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+}
