--- a/app/src/fleet/agent/engine.rs
+++ b/app/src/fleet/agent/engine.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use pimentotide_experts::{
-    EngineReport, FencedOrder, HeldExperts, LOCAL_ORDER_TIMEOUTS, OrderAnswer, PickedExperts,
-    ask_again,
+    EngineOrder, EngineReport, FencedOrder, HeldExperts, LOCAL_ORDER_TIMEOUTS, OrderAnswer,
+    PickedExperts, ask_again,
 };
 use pimentotide_instance::Clock;
 use pimentotide_model::{ErrorKind, Failure, Ran, Time};
@@ -24,6 +24,8 @@
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time between polls of the engine report.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after an order about a pass in which reports decide whether the pass is released.
+const PASS_ORDER_MEMORY: Duration = Duration::from_secs(1);
 /// Time after an order in which a switch may be under way; copies take up to 0.5 s.
 const ORDER_MEMORY: Duration = Duration::from_secs(2);
 
@@ -37,6 +39,8 @@
     clock: Clock,
     last_counts: LastCounts,
     ordered_at: Arc<Mutex<Option<Instant>>>,
+    /// Time of the last order to hold or release a pass or to disarm.
+    pass_ordered: Arc<Mutex<Option<Instant>>>,
 }
 
 /// State of one rank as the coordinator reads it.
@@ -66,6 +70,7 @@
 
 enum EngineRequest {
     Report(oneshot::Sender<Result<EngineReport, EngineError>>),
+    CurrentReport(oneshot::Sender<Result<EngineReport, EngineError>>),
     Held(oneshot::Sender<Result<HeldExperts, EngineError>>),
     Picked(oneshot::Sender<Result<PickedExperts, EngineError>>),
     Order(
@@ -85,6 +90,7 @@
             clock: Clock::start(),
             last_counts: Arc::default(),
             ordered_at: Arc::default(),
+            pass_ordered: Arc::default(),
         };
         actix_rt::spawn(serve(EngineClient::open(address, ENGINE_TIMEOUT), receiver));
         actix_rt::spawn(poll_reports(engine.clone()));
@@ -125,7 +131,12 @@
     /// Requests a report and stores it; a failure clears the stored one.
     pub(super) async fn report(&self) -> Result<EngineReport, Failure> {
         let asked_at = self.clock.now();
-        let result = self.request(EngineRequest::Report).await;
+        // A report that decides on the release of a pass must not be a late copy of an earlier one.
+        let result = if self.is_pass_ordered() {
+            self.request(EngineRequest::CurrentReport).await
+        } else {
+            self.request(EngineRequest::Report).await
+        };
         *self.report.lock().unwrap_or_else(PoisonError::into_inner) = result.as_ref().ok().cloned();
         let pace = result.as_ref().ok().map(|report| (report.pace, asked_at));
         *self.pace.lock().unwrap_or_else(PoisonError::into_inner) = pace;
@@ -178,6 +189,18 @@
         ordered_at.is_some_and(|at| at.elapsed() < ORDER_MEMORY)
     }
 
+    /// Whether this agent has lately passed on an order to hold or release a pass or to disarm.
+    fn is_pass_ordered(&self) -> bool {
+        let ordered_at = *self.lock_pass_ordered();
+        ordered_at.is_some_and(|at| at.elapsed() < PASS_ORDER_MEMORY)
+    }
+
+    fn lock_pass_ordered(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.pass_ordered
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_ordered(&self) -> MutexGuard<'_, Option<Instant>> {
         self.ordered_at
             .lock()
@@ -187,6 +210,12 @@
     /// Sends the engine an order and logs the outcome.
     pub(super) async fn order(&self, order: FencedOrder) -> Result<OrderAnswer, Failure> {
         *self.lock_ordered() = Some(Instant::now());
+        match order.order {
+            EngineOrder::Hold { .. } | EngineOrder::Go { .. } | EngineOrder::Disarm { .. } => {
+                *self.lock_pass_ordered() = Some(Instant::now());
+            }
+            EngineOrder::Prepare { .. } | EngineOrder::Arm { .. } => {}
+        }
         let (text, fence) = (order.order.to_string(), order.fence);
         let answer = self
             .request(|reply| EngineRequest::Order(order, reply))
@@ -226,6 +255,7 @@
     // Sending fails if the caller no longer waits, which needs no handling.
     match request {
         EngineRequest::Report(reply) => drop(reply.send(client.report().await)),
+        EngineRequest::CurrentReport(reply) => drop(reply.send(client.current_report().await)),
         EngineRequest::Held(reply) => drop(reply.send(client.held().await)),
         EngineRequest::Picked(reply) => drop(reply.send(client.picked().await)),
         EngineRequest::Order(fenced, reply) => drop(reply.send(order(&client, &fenced).await)),
--- a/decision/experts/src/even/trigger.rs
+++ b/decision/experts/src/even/trigger.rs
@@ -16,8 +16,11 @@
 ///
 /// A longer change ends when demand has moved on; what is left follows in further changes.
 const MAX_COPY_TIME: Duration = Duration::from_millis(500);
-/// The same for an urgent change; more copies would lower the load little, and passes are slow.
-const URGENT_COPY_TIME: Duration = Duration::from_millis(130);
+/// The same for an urgent change, whose passes are slow.
+///
+/// With 130 ms, a rank that receives an expert in 35 ms needed several changes for one shift, which
+/// copied half as much again in all.
+const URGENT_COPY_TIME: Duration = Duration::from_millis(300);
 
 /// Why a map is changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
