FairQueue: targets, cost by work, memory bound and a share for the oldest

Cause: an entry that orders requests needs more than priority and deadline: a backlog served in order of arrival made nearly every request late for 8 s. Change: a request may state a target (those that can no longer meet it wait apart), its cost, its memory, a wait limit and that it is sent again. Optional bounds limit the memory and serve the oldest request once in ten. Requests pushed without these are queued as before; their tests are unchanged.

--- a/decision/routing/src/lib.rs
+++ b/decision/routing/src/lib.rs
@@ -24,5 +24,7 @@
     AttemptOutcome, CacheAction, CacheChange, CacheEvent, CacheSnapshot, Candidate, Candidates,
     Decision, Finished, Placement, Placer, PlacerSettings, Reason, Ticket, Wait,
 };
-pub use queue::{FairQueue, Queued, Shed, ShedReason};
+pub use queue::{
+    Backlog, FairQueue, QueueBounds, QueueRequest, Queued, REQUEST_COST, Shed, ShedReason,
+};
 pub use retry::{Denial, FailedAttempt, Retry, RetryBudget};
--- a/decision/routing/src/queue/flow.rs
+++ b/decision/routing/src/queue/flow.rs
@@ -1,26 +1,60 @@
 //! Queue of one priority: weighted fair queueing over workspaces by virtual time.
+//!
+//! Requests whose target can no longer be met wait apart, and are served after all others.
 
 use std::collections::BTreeMap;
 
-use pimentotide_model::{Deadline, RequestId, WorkspaceName};
+use pimentotide_model::{Deadline, RequestId, Time, WorkspaceName};
 
 use super::Queued;
 
-/// Virtual time that one request costs a workspace of weight 1.
-const REQUEST_COST: u64 = 1 << 20;
-
 /// Position of a request within its priority.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub(super) struct Position {
     workspace: WorkspaceName,
-    key: (Deadline, u64),
+    late: bool,
+    key: (Time, u64),
 }
 
 #[derive(Debug)]
 struct Flow<T> {
-    items: BTreeMap<(Deadline, u64), Queued<T>>,
+    /// Requests by target, or by deadline without one.
+    items: BTreeMap<(Time, u64), Queued<T>>,
+    /// Requests whose target can no longer be met, by deadline.
+    late: BTreeMap<(Time, u64), Queued<T>>,
     weight: u32,
     start: u64,
+    /// Cost of all its requests.
+    cost: u64,
+}
+
+impl<T> Flow<T> {
+    fn is_empty(&self) -> bool {
+        self.items.is_empty() && self.late.is_empty()
+    }
+
+    fn len(&self) -> usize {
+        self.items.len() + self.late.len()
+    }
+
+    fn list(&mut self, late: bool) -> &mut BTreeMap<(Time, u64), Queued<T>> {
+        if late {
+            &mut self.late
+        } else {
+            &mut self.items
+        }
+    }
+
+    /// Moves requests whose target can no longer be met.
+    fn expire(&mut self, now: Time) {
+        while let Some(first) = self.items.first_entry() {
+            if !first.get().request.is_late(now) {
+                return;
+            }
+            let queued = first.remove();
+            self.late.insert((queued.deadline, queued.sequence), queued);
+        }
+    }
 }
 
 /// Requests of one priority.
@@ -60,75 +94,122 @@
             .entry(queued.workspace.clone())
             .or_insert_with(|| Flow {
                 items: BTreeMap::new(),
+                late: BTreeMap::new(),
                 weight,
                 start: virtual_time,
+                cost: 0,
             });
         flow.weight = weight;
-        if flow.items.is_empty() {
+        if flow.is_empty() {
             flow.start = flow.start.max(virtual_time);
         }
-        flow.items
-            .insert((queued.deadline, queued.sequence), queued);
+        flow.cost += queued.request.cost;
+        let by = queued.request.target.unwrap_or(queued.deadline);
+        flow.items.insert((by, queued.sequence), queued);
         self.count += 1;
     }
 
     /// Re-adds a popped request and refunds its cost.
     pub(super) fn requeue(&mut self, queued: Queued<T>, weight: u32) {
         let workspace = queued.workspace.clone();
+        let cost = queued.request.cost;
         self.push(queued, weight);
         if let Some(flow) = self.flows.get_mut(&workspace) {
-            flow.start = flow.start.saturating_sub(REQUEST_COST / u64::from(weight));
+            flow.start = flow.start.saturating_sub(cost / u64::from(weight));
+        }
+    }
+
+    /// Moves requests whose target can no longer be met behind all others.
+    pub(super) fn expire(&mut self, now: Time) {
+        for flow in self.flows.values_mut() {
+            flow.expire(now);
         }
     }
 
     /// Returns the position of the next request to serve.
-    fn first(&self) -> Option<Position> {
+    pub(super) fn first(&self) -> Option<Position> {
+        self.first_of(false).or_else(|| self.first_of(true))
+    }
+
+    fn first_of(&self, late: bool) -> Option<Position> {
+        let firsts = self.flows.iter().filter_map(|(workspace, flow)| {
+            let list = if late { &flow.late } else { &flow.items };
+            let (key, _) = list.first_key_value()?;
+            Some((flow.start, *key, workspace))
+        });
+        firsts.min().map(|(_, key, workspace)| Position {
+            workspace: workspace.clone(),
+            late,
+            key,
+        })
+    }
+
+    /// Returns the request at a position.
+    pub(super) fn get(&self, position: &Position) -> Option<&Queued<T>> {
+        let flow = self.flows.get(&position.workspace)?;
+        let list = if position.late {
+            &flow.late
+        } else {
+            &flow.items
+        };
+        list.get(&position.key)
+    }
+
+    /// Returns the position of the last request of the workspace with the most work per weight.
+    pub(super) fn last(&self) -> Option<Position> {
         self.flows
             .iter()
-            .filter_map(|(w, f)| f.items.first_key_value().map(|(key, _)| (f.start, *key, w)))
-            .min()
-            .map(|(_, key, workspace)| Position {
-                workspace: workspace.clone(),
-                key,
-            })
+            .filter(|(_, f)| !f.is_empty())
+            .max_by_key(|(_, f)| f.cost / u64::from(f.weight))
+            .and_then(|(w, f)| position_of_last(w, f))
     }
 
-    /// Returns the position of the last request of the workspace with the most requests per weight.
-    pub(super) fn last(&self) -> Option<Position> {
+    /// Returns the last request whose target can no longer be met, of the workspace with the most
+    /// work per weight.
+    pub(super) fn last_late(&self) -> Option<Position> {
         self.flows
             .iter()
-            .filter(|(_, f)| !f.items.is_empty())
-            .max_by_key(|(_, f)| f.items.len() as u64 * REQUEST_COST / u64::from(f.weight))
+            .filter(|(_, f)| !f.late.is_empty())
+            .max_by_key(|(_, f)| f.cost / u64::from(f.weight))
             .and_then(|(w, f)| position_of_last(w, f))
     }
 
-    /// Returns the last request of the workspace with the most requests per weight, if
-    /// `workspace` would have fewer per weight even with one more.
-    pub(super) fn over_share(&self, workspace: &WorkspaceName, weight: u32) -> Option<Position> {
-        let own = self.flows.get(workspace).map_or(0, |f| f.items.len()) as u64 + 1;
+    /// Returns the last request of the workspace with the most work per weight, if `workspace`
+    /// would have less per weight even with `cost` more.
+    pub(super) fn over_share(
+        &self,
+        workspace: &WorkspaceName,
+        weight: u32,
+        cost: u64,
+    ) -> Option<Position> {
+        let own = self.flows.get(workspace).map_or(0, |f| f.cost) + cost;
         let last = self.last()?;
         let flow = self.flows.get(&last.workspace)?;
-        let queued = flow.items.len() as u64;
-        let over = queued * u64::from(weight) > own * u64::from(flow.weight);
+        let over =
+            u128::from(flow.cost) * u128::from(weight) > u128::from(own) * u128::from(flow.weight);
         (over && last.workspace != *workspace).then_some(last)
     }
 
     /// Removes a request without charging its workspace.
     pub(super) fn remove(&mut self, position: &Position) -> Option<Queued<T>> {
         let flow = self.flows.get_mut(&position.workspace)?;
-        let queued = flow.items.remove(&position.key)?;
+        let queued = flow.list(position.late).remove(&position.key)?;
+        flow.cost -= queued.request.cost;
         self.count -= 1;
         self.evict_idle();
         Some(queued)
     }
 
-    /// Removes the next request to serve and charges its workspace.
-    pub(super) fn pop(&mut self) -> Option<Queued<T>> {
-        let position = self.first()?;
+    /// Removes a request to serve it and charges its workspace.
+    pub(super) fn serve(&mut self, position: &Position) -> Option<Queued<T>> {
+        let in_turn = self.first().is_some_and(|first| first == *position);
+        let cost = self.get(position)?.request.cost;
         let flow = self.flows.get_mut(&position.workspace)?;
-        self.virtual_time = self.virtual_time.max(flow.start);
-        flow.start += REQUEST_COST / u64::from(flow.weight.max(1));
-        self.remove(&position)
+        if in_turn {
+            self.virtual_time = self.virtual_time.max(flow.start);
+        }
+        flow.start += cost / u64::from(flow.weight.max(1));
+        self.remove(position)
     }
 
     /// Returns the position of the request with `id`.
@@ -141,9 +222,12 @@
     /// Iterates over all requests and their positions.
     pub(super) fn iter(&self) -> impl Iterator<Item = (Position, &Queued<T>)> {
         self.flows.iter().flat_map(|(workspace, flow)| {
-            flow.items.iter().map(move |(key, queued)| {
+            let items = flow.items.iter().map(|item| (false, item));
+            let late = flow.late.iter().map(|item| (true, item));
+            items.chain(late).map(move |(late, (key, queued))| {
                 let position = Position {
                     workspace: workspace.clone(),
+                    late,
                     key: *key,
                 };
                 (position, queued)
@@ -151,23 +235,32 @@
         })
     }
 
+    /// Removes all requests.
+    pub(super) fn into_requests(self) -> impl Iterator<Item = Queued<T>> {
+        self.flows
+            .into_values()
+            .flat_map(|f| f.items.into_values().chain(f.late.into_values()))
+    }
+
     /// Iterates over workspaces with queued requests: their number and first deadline.
     pub(super) fn backlog(&self) -> impl Iterator<Item = (&WorkspaceName, usize, Deadline)> {
         self.flows.iter().filter_map(|(workspace, flow)| {
-            let ((deadline, _), _) = flow.items.first_key_value()?;
-            Some((workspace, flow.items.len(), *deadline))
+            let queued = flow.items.values().chain(flow.late.values());
+            let deadline = queued.map(|q| q.deadline).min()?;
+            Some((workspace, flow.len(), deadline))
         })
     }
 
-    /// Estimates the requests served before a new one of `workspace`.
-    pub(super) fn ahead(&self, workspace: &WorkspaceName, weight: u32) -> f64 {
-        let own = self.flows.get(workspace).map_or(0, |f| f.items.len()) as f64;
+    /// Estimates the requests served before a new one of `workspace`, which is `late` or not.
+    pub(super) fn ahead(&self, workspace: &WorkspaceName, weight: u32, late: bool) -> f64 {
+        let count = |f: &Flow<T>| if late { f.len() } else { f.items.len() } as f64;
+        let own = self.flows.get(workspace).map_or(0.0, count);
         let rounds = (own + 1.0) / f64::from(weight);
         let others: f64 = self
             .flows
             .iter()
             .filter(|(name, _)| *name != workspace)
-            .map(|(_, f)| (f.items.len() as f64).min(rounds * f64::from(f.weight)))
+            .map(|(_, f)| count(f).min(rounds * f64::from(f.weight)))
             .sum();
         own + others
     }
@@ -176,13 +269,17 @@
     fn evict_idle(&mut self) {
         let virtual_time = self.virtual_time;
         self.flows
-            .retain(|_, f| !f.items.is_empty() || f.start > virtual_time);
+            .retain(|_, f| !f.is_empty() || f.start > virtual_time);
     }
 }
 
+/// Returns the request of a workspace that is served last.
 fn position_of_last<T>(workspace: &WorkspaceName, flow: &Flow<T>) -> Option<Position> {
-    flow.items.last_key_value().map(|(key, _)| Position {
+    let last = flow.late.last_key_value().map(|(key, _)| (true, key));
+    let last = last.or_else(|| flow.items.last_key_value().map(|(key, _)| (false, key)));
+    last.map(|(late, key)| Position {
         workspace: workspace.clone(),
+        late,
         key: *key,
     })
 }
--- a/decision/routing/tests/it/main.rs
+++ b/decision/routing/tests/it/main.rs
@@ -8,4 +8,5 @@
 mod health;
 mod placement;
 mod queue;
+mod queue_order;
 mod retry;
