Fleet: priority ranks, a bound on upstreams' queues, ranked retry times

Cause: entries send up to two requests per slot beyond the running ones in order of arrival, and tell refused callers to return without regard to urgency. Change: PriorityRanks derives the ranks of a service from a configuration; ChoiceRequest may carry a bound on the wait at an upstream; the retry schedule has a slot sequence for each rank; AdmissionQueue sets the terms of a FairQueue. Nothing uses them yet, and choices without a bound are unchanged. An entry with the bound sends to an upstream last reported full once its excess can be finished, within its share of the service's rate; it would otherwise never learn that there is room again. Taken out once each, a test failed: the bound, the expiry of old reports, the share of sends by them, the slot sequences, the workspace's precedence, the restriction to services with different priorities. Conclusion: decisions for ordered admission are in place for the entry.

--- a/app/src/fleet/entry/placing.rs
+++ b/app/src/fleet/entry/placing.rs
@@ -91,6 +91,7 @@
             service: &self.service,
             tried: &self.tried,
             may_queue: false,
+            bound: None,
         };
         let choice = state.balancer.choose(&request, now, &mut rand::rng());
         if choice.is_ok() && self.sends == 0 {
--- a/decision/fleet/src/balancer.rs
+++ b/decision/fleet/src/balancer.rs
@@ -14,6 +14,7 @@
 //! order of names, and uses other upstreams only once its subset is full.
 
 mod limits;
+mod room;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -23,11 +24,14 @@
 use rand::{Rng, RngExt};
 
 use self::limits::next_allowance;
+use self::room::StaleSends;
 use crate::upstream::{Cold, Upstream};
 use crate::{
     ColdLimit, FleetState, LimitView, Load, Outcome, RateLimit, Record, Stage, UpstreamEvent,
 };
 
+pub use self::room::QueueBound;
+
 /// Load added to the score of an upstream in another availability zone.
 const ZONE_PENALTY: f64 = 0.02;
 /// Upper bound of the random load that keeps entries from making the same choice.
@@ -69,6 +73,8 @@
     pub tried: &'a [UpstreamName],
     /// Whether the request may queue at a full upstream.
     pub may_queue: bool,
+    /// Bound on its wait at an upstream; `None` if only that of the balancer applies.
+    pub bound: Option<QueueBound>,
 }
 
 /// In-flight request at an upstream; passed to [`Balancer::finish`] when it has ended.
@@ -177,6 +183,7 @@
     cold_limits: BTreeMap<ServiceName, ColdLimit>,
     /// Limits that all entries share.
     shared_limits: LimitView,
+    stale_sends: StaleSends,
 }
 
 impl Balancer {
@@ -190,6 +197,7 @@
             upstreams: BTreeMap::new(),
             cold_limits: BTreeMap::new(),
             shared_limits: LimitView::default(),
+            stale_sends: StaleSends::default(),
         }
     }
 
@@ -419,11 +427,20 @@
         }
         eligible.retain_mut(|u| !u.is_limited(now));
         let queue = self.options.queue;
-        let has_room = |u: &Upstream| {
-            now >= u.full_until && u.outstanding() < f64::from(u.slots()) * (1.0 + queue)
+        let max_outstanding = |u: &Upstream| match &request.bound {
+            Some(bound) => bound.max_outstanding(u, queue),
+            None => f64::from(u.slots()) * (1.0 + queue),
         };
+        let has_room = |u: &Upstream| now >= u.full_until && u.outstanding() < max_outstanding(u);
         if eligible.iter().any(|u| has_room(u)) {
             eligible.retain(|u| has_room(u));
+        } else if let Some(bound) = &request.bound {
+            let rate: f64 = eligible.iter().map(|u| bound.rate_of(u)).sum();
+            eligible.retain(|u| bound.is_stale(u, queue, now));
+            let share = rate / self.entries as f64;
+            if eligible.is_empty() || !self.stale_sends.take(request.service, share, now) {
+                return Err(Refusal::Full);
+            }
         } else if !request.may_queue {
             return Err(Refusal::Full);
         }
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -4,10 +4,12 @@
 //! configuration, the closed availability zones and the announced upstreams.
 //! Each entry derives its routes from it ([`RouteTable`]) and decides locally on
 //! load balancing ([`Balancer`]) and retries ([`next_step`], [`RetryBudget`]).
+//! Requests to services with routes of different priorities wait in an [`AdmissionQueue`].
 //! Requests and parts of prompts that crash upstreams are suspected and refused by all entries
 //! ([`CrashEvidence`], [`SuspectView`]).
 //! [`repair`] maintains the membership of the log. Performs no input or output.
 
+mod admission;
 mod balancer;
 mod budget;
 mod change;
@@ -18,6 +20,7 @@
 mod limit;
 mod listing;
 mod members;
+mod priority;
 mod prompts;
 mod rate;
 mod retry;
@@ -28,8 +31,12 @@
 mod suspects;
 mod upstream;
 
+pub use admission::{
+    AdmissionQueue, AdmissionTerms, BEGIN_RATIO, MAX_QUEUED, MAX_QUEUED_BYTES, MAX_WAIT_RATIO,
+    OLDEST_IN, RankBacklog, request_work,
+};
 pub use balancer::{
-    Balancer, BalancerOptions, Choice, ChoiceRequest, EntryPosition, Refusal, Ticket,
+    Balancer, BalancerOptions, Choice, ChoiceRequest, EntryPosition, QueueBound, Refusal, Ticket,
     UpstreamCounts,
 };
 pub use budget::{BudgetOptions, RetryBudget};
@@ -43,9 +50,10 @@
 pub use limit::{LimitReport, LimitView, NamedLimit, RequestRate};
 pub use listing::list_entries;
 pub use members::{MemberView, Repair, RepairOptions, repair};
+pub use priority::{LOWEST_RANK, PriorityRanks};
 pub use prompts::Prompt;
 pub use rate::RateLimit;
-pub use retry::{Ended, Limit, Next, Policy, Step, is_in_time, next_step};
+pub use retry::{Ended, Limit, Next, Policy, Step, is_in_time, latest_send, next_step};
 pub use retry_after::{RetryAfterSchedule, RetryWindow};
 pub use route::{Match, Mismatch, RouteTable};
 pub use state::{Announcement, Command, Declared, FleetState, Record, Reply, Stage};
--- a/decision/fleet/src/retry.rs
+++ b/decision/fleet/src/retry.rs
@@ -80,6 +80,11 @@
     now + MIN_TIME_LEFT < policy.deadline
 }
 
+/// Returns the time from which a request is no longer sent.
+pub fn latest_send(policy: &Policy) -> Time {
+    policy.deadline - MIN_TIME_LEFT
+}
+
 /// Returns the limit that prevents a retry, apart from the retry budget.
 fn retry_limit(ended: Ended, policy: &Policy, now: Time) -> Option<Limit> {
     if policy.crashing {
--- a/decision/fleet/src/retry_after.rs
+++ b/decision/fleet/src/retry_after.rs
@@ -10,11 +10,16 @@
 use pimentotide_model::Time;
 use rand::{Rng, RngExt};
 
+use crate::priority::LOWEST_RANK;
+
 /// Lower bound on the rate of retries, requests per second.
 const MIN_RATE: f64 = 0.1;
 /// Part of the maximum delay, at its end, over which callers beyond the last slot are spread.
 const OVERFLOW_RATIO: f64 = 0.25;
 
+/// Number of priority ranks.
+const RANKS: usize = LOWEST_RANK as usize + 1;
+
 /// Bounds on the retry of a refused request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryWindow {
@@ -29,14 +34,16 @@
 /// Retry slots that one entry has assigned for a service.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryAfterSchedule {
-    /// First free slot.
-    next: Time,
+    /// First free slot of each priority rank.
+    next: [Time; RANKS],
 }
 
 impl RetryAfterSchedule {
     /// Creates an empty schedule.
     pub fn new() -> Self {
-        Self { next: Time::ZERO }
+        Self {
+            next: [Time::ZERO; RANKS],
+        }
     }
 
     /// Assigns the next slot to a caller; returns the delay until then, with jitter.
@@ -44,14 +51,37 @@
     where
         R: Rng,
     {
-        let slot = self.next.max(now + window.min_delay);
+        self.assign_ranked(LOWEST_RANK, window, now, rng)
+    }
+
+    /// Assigns the next slot to a caller of a priority rank, before those of less urgent ranks.
+    ///
+    /// A slot moves the later ones of less urgent ranks back, and is not moved by theirs.
+    pub fn assign_ranked<R>(
+        &mut self,
+        rank: u8,
+        window: &RetryWindow,
+        now: Time,
+        rng: &mut R,
+    ) -> Duration
+    where
+        R: Rng,
+    {
+        let rank = usize::from(rank.min(LOWEST_RANK));
+        let slot = self.next[rank].max(now + window.min_delay);
         let delay = slot.since(now);
         if delay > window.max_delay {
             let max_delay = window.max_delay.max(window.min_delay);
             return max_delay.mul_f64(1.0 - rng.random_range(0.0..OVERFLOW_RATIO));
         }
         let interval = Duration::from_secs_f64(1.0 / window.rate.max(MIN_RATE));
-        self.next = slot + interval;
+        for next in &mut self.next[rank..] {
+            *next = if *next > slot {
+                *next + interval
+            } else {
+                slot + interval
+            };
+        }
         delay
             + interval
                 .mul_f64(rng.random_range(0.0..1.0))
--- a/decision/fleet/src/route.rs
+++ b/decision/fleet/src/route.rs
@@ -9,7 +9,7 @@
 
 use pimentotide_model::{ServiceName, WorkspaceName};
 
-use crate::{Declaration, Route, Service};
+use crate::{Declaration, PriorityRanks, Route, Service};
 
 /// Lookup table of one configuration.
 #[derive(Debug, Default)]
@@ -19,6 +19,7 @@
     prefixes: HashMap<Arc<str>, HashMap<Arc<str>, usize>>,
     /// Index of the workspace by key.
     keys: HashMap<Arc<str>, usize>,
+    ranks: PriorityRanks,
 }
 
 /// Result of a lookup.
@@ -54,6 +55,7 @@
             .flat_map(|(index, w)| w.keys.iter().map(move |key| (key.clone(), index)))
             .collect();
         Self {
+            ranks: PriorityRanks::of(&declaration),
             declaration,
             prefixes,
             keys,
@@ -70,6 +72,12 @@
         self.declaration.services.get(name)
     }
 
+    /// Returns the priority rank of a request to a service; `None` if its requests are not ordered.
+    pub fn rank(&self, found: &Match<'_>, service: &ServiceName) -> Option<u8> {
+        let pair = (found.priority, found.route.priority);
+        self.ranks.rank(service, pair)
+    }
+
     /// Looks up a request by its host, its path without query and its key.
     ///
     /// # Errors
--- a/decision/fleet/src/upstream.rs
+++ b/decision/fleet/src/upstream.rs
@@ -70,6 +70,8 @@
     pub(crate) backoff_until: Time,
     pub(crate) cold: Option<Cold>,
     pub(crate) limit: Option<UpstreamLimit>,
+    /// Usual time from sending a request until it is finished; `None` before the first.
+    pub(crate) usual: Option<Duration>,
     reported: Option<(Load, Time)>,
     /// Requests sent minus requests ended by this entry since the last load report.
     sent_since_report: i64,
@@ -102,6 +104,7 @@
             backoff_until: Time::ZERO,
             cold: None,
             limit: None,
+            usual: None,
             reported: None,
             sent_since_report: 0,
             good: 0.0,
@@ -123,6 +126,12 @@
         (reported + self.sent_since_report).max(i64::from(self.in_flight)) as f64
     }
 
+    /// Returns the time since the last load report; zero if there is none.
+    pub(crate) fn report_age(&self, now: Time) -> Duration {
+        let reported = self.reported.map(|(_, at)| now.since(at));
+        reported.unwrap_or_default()
+    }
+
     pub(crate) fn report_load(&mut self, load: Load, now: Time) {
         self.reported = Some((load, now));
         self.sent_since_report = 0;
--- a/decision/fleet/tests/it/balancer.rs
+++ b/decision/fleet/tests/it/balancer.rs
@@ -61,6 +61,7 @@
             service: &"advice".into(),
             tried,
             may_queue: false,
+            bound: None,
         };
         self.balancer.choose(&request, at(now), &mut self.rng)
     }
@@ -247,6 +248,7 @@
                 service: &service,
                 tried: &[],
                 may_queue: false,
+                bound: None,
             };
             if entry.choose(&request, at(ms), &mut rng).is_ok() {
                 sent.push(ms);
--- a/decision/fleet/tests/it/declaration.rs
+++ b/decision/fleet/tests/it/declaration.rs
@@ -4,7 +4,7 @@
 
 use insta::assert_snapshot;
 use pimentotide_fleet::{
-    Declaration, Limits, Mismatch, Route, RouteKind, RouteTable, Service, Workspace,
+    Declaration, Limits, Mismatch, PriorityRanks, Route, RouteKind, RouteTable, Service, Workspace,
 };
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
@@ -123,3 +123,51 @@
     assert_eq!((count("advice"), count("orders")), (90, 10));
     assert_eq!(found.service(found.weight()), None);
 }
+
+/// Guards against ranks that depend on the route before the workspace, or that lump pairs together.
+#[test]
+fn ranks_follow_the_workspace_before_the_route() {
+    let mut declaration = declaration();
+    declaration.routes[0].priority = 1;
+    declaration.routes.push(Route {
+        public: true,
+        priority: 3,
+        ..route("open", "h.example", "/o/")
+    });
+    let ranks = PriorityRanks::of(&declaration);
+    let rank = |pair| ranks.rank(&"advice".into(), pair);
+    let pairs = [(0, 1), (0, 2), (1, 1), (2, 2), (3, 3)];
+    let ranked: Vec<Option<u8>> = pairs.into_iter().map(rank).collect();
+    assert_eq!(ranked, [Some(0), Some(1), Some(2), Some(3), Some(4)]);
+    let table = RouteTable::new(declaration);
+    let found = table.find("h.example", "/a/b/c", Some("k1")).unwrap();
+    assert_eq!(table.rank(&found, &"advice".into()), Some(1));
+}
+
+/// Guards against requests that wait in an entry although no route is more urgent than another.
+#[test]
+fn services_with_routes_of_one_priority_are_not_ordered() {
+    let mut declaration = declaration();
+    let ranks = PriorityRanks::of(&declaration);
+    assert_eq!(ranks, PriorityRanks::default());
+    declaration.routes[0].priority = 1;
+    declaration.routes[0].split = vec![("advice".into(), 1), ("orders".into(), 0)];
+    let ranks = PriorityRanks::of(&declaration);
+    assert_eq!(ranks.rank(&"orders".into(), (0, 2)), None);
+    assert_eq!(ranks.rank(&"advice".into(), (0, 1)), Some(0));
+}
+
+/// Guards against a priority beyond the range of the header when a configuration has many.
+#[test]
+fn ranks_beyond_the_last_are_the_last() {
+    let mut declaration = declaration();
+    for priority in 3..20 {
+        let name = format!("r{priority}");
+        declaration.routes.push(Route {
+            priority,
+            ..route(&name, "h.example", &format!("/{name}/"))
+        });
+    }
+    let ranks = PriorityRanks::of(&declaration);
+    assert_eq!(ranks.rank(&"advice".into(), (19, 19)), Some(9));
+}
--- a/decision/fleet/tests/it/limited_fleet.rs
+++ b/decision/fleet/tests/it/limited_fleet.rs
@@ -69,6 +69,7 @@
         service: &"advice".into(),
         tried: &[],
         may_queue: false,
+        bound: None,
     };
     balancer.choose(&request, at(now), rng)
 }
--- a/decision/fleet/tests/it/main.rs
+++ b/decision/fleet/tests/it/main.rs
@@ -13,6 +13,7 @@
 mod prompts;
 mod retry;
 mod retry_after;
+mod room;
 mod signals;
 mod spread;
 mod state;
--- a/decision/fleet/tests/it/retry_after.rs
+++ b/decision/fleet/tests/it/retry_after.rs
@@ -91,3 +91,17 @@
         assert!(delay <= window.max_delay, "{delay:?}");
     }
 }
+
+/// Guards against urgent callers that return behind all the less urgent ones refused before them.
+#[test]
+fn more_urgent_callers_return_before_less_urgent_ones() {
+    let mut schedule = RetryAfterSchedule::new();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut assign = |rank: u8| schedule.assign_ranked(rank, &WINDOW, at(0), &mut rng);
+    let bulk: Vec<Duration> = (0..10).map(|_| assign(5)).collect();
+    let urgent = [assign(0), assign(0)];
+    assert!(urgent[0] <= Duration::from_millis(1_200), "{urgent:?}");
+    assert!(urgent[1] <= Duration::from_millis(1_400), "{urgent:?}");
+    let next = assign(5);
+    assert!(next > bulk[9], "{next:?} after {bulk:?}");
+}
--- a/decision/fleet/tests/it/signals.rs
+++ b/decision/fleet/tests/it/signals.rs
@@ -55,6 +55,7 @@
             service: &"advice".into(),
             tried,
             may_queue: false,
+            bound: None,
         };
         self.balancer.choose(&request, at(now), &mut self.rng)
     }
--- a/decision/fleet/tests/it/spread.rs
+++ b/decision/fleet/tests/it/spread.rs
@@ -109,6 +109,7 @@
             service: &"advice".into(),
             tried: &[],
             may_queue: false,
+            bound: None,
         };
         let Ok(choice) = balancers[entry].choose(&request, at(ms), &mut rng) else {
             queued += 1;
