Ordered admission: entries share the room they see; simulated loads

Cause: a simulation of 4 entries before 8 upstreams showed that the bound on upstreams' queues had no effect: each entry took all the room that it saw, and engines had up to 25 requests waiting. Late requests of light workspaces were never served beside a heavy one. Change: an entry counts its share of what an upstream can have finished, and bounds the streams that have not begun by its share of the room. Late requests of a workspace two requests behind its share are served. Tests in virtual time for five loads, each beside sending in order of arrival.

--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -213,13 +213,16 @@
                 .lock()
                 .balancer
                 .report_load(&guard.upstream, load, now);
-            self.state.notify_waiting();
         }
         let sent_at = self.last_send.as_ref().map_or(Time::ZERO, |s| s.sent_at);
         if let Some(ticket) = &guard.ticket {
             self.state
                 .record_signals(&self.call.id, ticket, &answer.signals, sent_at);
         }
+        if let Some(ticket) = &guard.ticket {
+            self.state.lock().balancer.record_begun(ticket);
+        }
+        self.state.notify_waiting();
         let upstream = guard.upstream.clone();
         if answer.not_run {
             let outcome = if answer.misdirected {
--- a/app/src/fleet/entry/ordered.rs
+++ b/app/src/fleet/entry/ordered.rs
@@ -202,6 +202,7 @@
         (!order.target.is_zero()).then(|| QueueBound {
             wait: order.target.mul_f64(BEGIN_RATIO),
             usual,
+            streams: self.kind == RouteKind::Streaming,
         })
     }
 
--- a/app/tests/it/ordered.rs
+++ b/app/tests/it/ordered.rs
@@ -176,6 +176,31 @@
     assert!(!arrivals.iter().any(|a| a.attempt == "gone"));
 }
 
+/// Guards against callers that are refused because the queue is full of requests whose callers have
+/// left.
+#[tokio::test]
+async fn callers_that_left_make_room_in_the_queue() {
+    const MAX_QUEUED: usize = 64;
+    let (deployment, upstream, mut calls) = start(34).await;
+    let gone: Vec<JoinHandle<String>> = (BULK..MAX_QUEUED)
+        .map(|n| send(deployment.entry(0), "/b/", &format!("gone{n}")))
+        .collect();
+    wait_until(|| queued(&deployment) >= MAX_QUEUED).await;
+    for call in gone {
+        call.abort();
+    }
+    // The entry sees the end of a connection when it next reads from it.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for number in 0..URGENT {
+        calls.push(send(deployment.entry(0), "/b/", &format!("c{number}")));
+    }
+    wait_until(|| queued(&deployment) >= MAX_QUEUED + URGENT).await;
+    upstream.released.send_replace(true);
+    for answer in answers(calls).await {
+        assert!(answer.contains("200 OK"), "{answer}");
+    }
+}
+
 /// Guards against waiting requests that are placed by an expired view, or held until their
 /// deadline.
 #[tokio::test]
--- a/decision/fleet/src/balancer.rs
+++ b/decision/fleet/src/balancer.rs
@@ -427,11 +427,15 @@
         }
         eligible.retain_mut(|u| !u.is_limited(now));
         let queue = self.options.queue;
-        let max_outstanding = |u: &Upstream| match &request.bound {
-            Some(bound) => bound.max_outstanding(u, queue),
-            None => f64::from(u.slots()) * (1.0 + queue),
+        let entries = self.entries;
+        let has_room = |u: &Upstream| match &request.bound {
+            Some(bound) => bound.has_room(u, queue, entries, now),
+            None => now >= u.full_until && u.outstanding() < f64::from(u.slots()) * (1.0 + queue),
         };
-        let has_room = |u: &Upstream| now >= u.full_until && u.outstanding() < max_outstanding(u);
+        let bound = request.bound.as_ref();
+        if bound.is_some_and(|b| !b.is_open(eligible.iter().map(|u| &**u), queue, entries)) {
+            return Err(Refusal::Full);
+        }
         if eligible.iter().any(|u| has_room(u)) {
             eligible.retain(|u| has_room(u));
         } else if let Some(bound) = &request.bound {
--- a/decision/fleet/src/upstream.rs
+++ b/decision/fleet/src/upstream.rs
@@ -60,6 +60,8 @@
     pub(crate) health: Health,
     /// In-flight requests of this entry.
     pub(crate) in_flight: u32,
+    /// Those of them that it has not begun to answer.
+    pub(crate) unanswered: u32,
     /// Whether another upstream responded at its address.
     pub(crate) gone: bool,
     /// Time until which it is avoided because it was full.
@@ -75,6 +77,8 @@
     reported: Option<(Load, Time)>,
     /// Requests sent minus requests ended by this entry since the last load report.
     sent_since_report: i64,
+    /// Requests ended by this entry since the last load report.
+    finished_since_report: u32,
     /// Decayed number of good outcomes.
     good: f64,
     /// Decayed number of failures.
@@ -98,6 +102,7 @@
             record,
             health: Health::default(),
             in_flight: 0,
+            unanswered: 0,
             gone: false,
             full_until: Time::ZERO,
             leaving: false,
@@ -107,6 +112,7 @@
             usual: None,
             reported: None,
             sent_since_report: 0,
+            finished_since_report: 0,
             good: 0.0,
             bad: 0.0,
             decayed_at: Time::ZERO,
@@ -132,13 +138,22 @@
         reported.unwrap_or_default()
     }
 
+    /// Estimates the running and queued requests if this entry's share of those that the upstream
+    /// has finished since its last report is `share`, or the number that this entry has seen end.
+    pub(crate) fn outstanding_after(&self, share: f64) -> f64 {
+        let unseen = (share - f64::from(self.finished_since_report)).max(0.0);
+        (self.outstanding() - unseen).max(f64::from(self.in_flight))
+    }
+
     pub(crate) fn report_load(&mut self, load: Load, now: Time) {
         self.reported = Some((load, now));
         self.sent_since_report = 0;
+        self.finished_since_report = 0;
     }
 
     pub(crate) fn record_send(&mut self, now: Time) {
         self.in_flight += 1;
+        self.unanswered += 1;
         self.sent_since_report += 1;
         self.health.record_sent(now);
         if let Some(cold) = self.cold.as_mut().filter(|c| now < c.until) {
@@ -180,7 +195,9 @@
     /// Records the outcome of a send; true if the upstream is to be ejected.
     pub(crate) fn record_outcome(&mut self, outcome: Outcome, now: Time) -> bool {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.unanswered = self.unanswered.min(self.in_flight);
         self.sent_since_report -= 1;
+        self.finished_since_report += 1;
         self.decay_outcomes(now);
         match outcome {
             Outcome::Good => {
--- a/decision/fleet/tests/it/main.rs
+++ b/decision/fleet/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions on routing, retries and membership.
 
+mod admission;
 mod balancer;
 mod budget;
 mod change;
--- a/decision/routing/src/queue/flow.rs
+++ b/decision/routing/src/queue/flow.rs
@@ -1,6 +1,8 @@
 //! Queue of one priority: weighted fair queueing over workspaces by virtual time.
 //!
-//! Requests whose target can no longer be met wait apart, and are served after all others.
+//! Requests whose target can no longer be met wait apart, and are served after all others, except
+//! those of a workspace that falls behind its share: without that, a workspace with ever new
+//! requests would keep the late ones of others waiting.
 
 use std::collections::BTreeMap;
 
@@ -8,6 +10,9 @@
 
 use super::Queued;
 
+/// Requests by which a workspace may fall behind its share before its late ones are served.
+const LATE_LAG: u64 = 2;
+
 /// Position of a request within its priority.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Position {
@@ -128,7 +133,18 @@
 
     /// Returns the position of the next request to serve.
     pub(super) fn first(&self) -> Option<Position> {
-        self.first_of(false).or_else(|| self.first_of(true))
+        let (on_time, late) = (self.first_of(false), self.first_of(true));
+        match (on_time, late) {
+            (Some(on_time), Some(late)) if self.is_deprived(&late, &on_time) => Some(late),
+            (on_time, late) => on_time.or(late),
+        }
+    }
+
+    /// Whether the workspace of a late request is behind its share, compared with that of another.
+    fn is_deprived(&self, late: &Position, other: &Position) -> bool {
+        let start = |p: &Position| self.flows.get(&p.workspace).map_or(0, |f| f.start);
+        let cost = self.get(late).map_or(0, |q| q.request.cost);
+        start(late) + LATE_LAG * cost < start(other)
     }
 
     fn first_of(&self, late: bool) -> Option<Position> {
--- a/decision/routing/tests/it/queue_order.rs
+++ b/decision/routing/tests/it/queue_order.rs
@@ -153,6 +153,28 @@
     assert!((3..=4).contains(&heavy), "{heavy} of 33: {first:?}");
 }
 
+/// One workspace with ever new requests: guards against late requests of another one that wait
+/// although it is below its share.
+#[test]
+fn late_requests_of_a_workspace_below_its_share_are_served() {
+    let mut queue = queue();
+    for id in 0..4 {
+        queue.push_request(request(id, "light", URGENT, at(0)), (), at(0));
+    }
+    let mut light = 0;
+    for step in 0..20 {
+        let now = at(1_000 + step);
+        queue.push_request(
+            request(100 + u128::from(step), "heavy", URGENT, now),
+            (),
+            now,
+        );
+        let queued = queue.pop(now).expect("a queued request");
+        light += usize::from(queued.workspace.as_str() == "light");
+    }
+    assert_eq!(light, 4);
+}
+
 /// Large prompts: guards against waiting bodies that fill the memory of the entry.
 #[test]
 fn waiting_bodies_stay_within_their_bound() {
