Ordered admission: tests of the share at each upstream and of work

Cause: with the limit of unanswered streams at each upstream, or the counts of work, taken out once, no test failed. Change: a test for each. With the wake-up at the end of a send taken out none failed: a load report or the timer of 50 ms wakes the task too.

--- a/decision/fleet/tests/it/admission.rs
+++ b/decision/fleet/tests/it/admission.rs
@@ -414,3 +414,13 @@
     assert!(urgent(&ordered) >= 0.5, "{}", urgent(&ordered));
     assert!(ordered.longest <= MAX_QUEUED as usize);
 }
+
+/// Guards against work that leaves out prompts, expected answers or requests without counts.
+#[test]
+fn work_is_prompt_tokens_and_ten_times_the_expected_answer_tokens() {
+    assert_eq!(request_work(Some((200, 4_000)), Some(30)), 500);
+    assert_eq!(request_work(Some((200, 40)), None), 600);
+    assert_eq!(request_work(Some((200, 4_000)), None), 2_760);
+    assert_eq!(request_work(None, None), 1_024);
+    assert_eq!(request_work(Some((u64::MAX, 1)), None), 1 << 20);
+}
--- a/decision/fleet/tests/it/room.rs
+++ b/decision/fleet/tests/it/room.rs
@@ -160,3 +160,18 @@
     fixture.balancer.set_entries(4, at(0));
     assert_eq!(fixture.fill(Some(whole)).len(), 88);
 }
+
+/// Guards against several streams sent to the one upstream that every entry believes to have room.
+#[test]
+fn streams_that_have_not_begun_stay_within_the_share_of_each_upstream() {
+    let mut fixture = Fixture::new(2);
+    fixture.balancer.set_entries(4, at(0));
+    fixture.report(10, 20, at(1));
+    let load = Load {
+        running: 9,
+        waiting: 0,
+        slots: SLOTS,
+    };
+    fixture.balancer.report_load(&"u0".into(), load, at(1));
+    assert_eq!(fixture.fill(Some(BOUND)).len(), 1);
+}
