Ordered admission: a test of callers that leave the queue

Cause: with the departure of disconnected callers taken out, no test failed: late requests were displaced and made the room that the test looked for. Change: the test counts those that still wait; it fails with that protection taken out.

--- a/app/src/fleet/entry/admission.rs
+++ b/app/src/fleet/entry/admission.rs
@@ -184,6 +184,18 @@
 }
 
 impl EntryState {
+    /// Wakes the admission of waiting requests, if there are any.
+    pub(super) fn notify_waiting(&self) {
+        if !self.lock().admissions.is_empty() {
+            self.admission.notify_one();
+        }
+    }
+
+    /// Waits until waiting requests may be admitted.
+    pub(super) async fn until_notified(&self) {
+        self.admission.notified().await;
+    }
+
     /// Admits waiting requests as far as upstreams have room; returns the time until this may
     /// change by itself, `None` if nothing waits.
     fn admit(self: &Arc<Self>) -> Option<Duration> {
--- a/app/src/fleet/entry/placing.rs
+++ b/app/src/fleet/entry/placing.rs
@@ -4,11 +4,13 @@
 
 use derive_more::Display;
 use pimentotide_fleet::{
-    Choice, ChoiceRequest, LOWEST_RANK, PROBATION, Refusal, RetryWindow, RouteKind, is_in_time,
+    Admission, Choice, ChoiceRequest, LOWEST_RANK, PROBATION, Refusal, RetryWindow, RouteKind,
+    is_in_time,
 };
-use pimentotide_model::{ErrorKind, Failure, Ran};
+use pimentotide_model::{ErrorKind, Failure, Ran, Time};
 
 use super::attempt::Attempt;
+use super::state::Inner;
 
 /// Maximum wait for an upstream; a group forms in less.
 const MAX_WAIT: Duration = Duration::from_millis(1_200);
@@ -185,6 +187,21 @@
     }
 }
 
+impl Inner {
+    /// Chooses an upstream, if the gate of the service admits a request now.
+    pub(super) fn choose(
+        &mut self,
+        request: &ChoiceRequest<'_>,
+        now: Time,
+    ) -> Result<Choice, Denial> {
+        if let Admission::Wait(pause) = self.gate(request.service).admit(now) {
+            return Err(Denial::Gate(pause));
+        }
+        let choice = self.balancer.choose(request, now, &mut rand::rng());
+        choice.map_err(Denial::Refusal)
+    }
+}
+
 fn blocked(denial: Denial) -> Blocked {
     let refusal = match denial {
         Denial::Gate(pause) => {
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -10,9 +10,8 @@
 use std::time::Duration;
 
 use pimentotide_fleet::{
-    Admission, Balancer, BalancerOptions, BudgetOptions, Choice, ChoiceRequest, ColdLimit,
-    CrashEvidence, EntryCount, EntryPosition, LimitView, Outcome, RetryAfterSchedule, RetryBudget,
-    RouteTable, ServiceGate, Ticket,
+    Balancer, BalancerOptions, BudgetOptions, ColdLimit, CrashEvidence, EntryCount, EntryPosition,
+    LimitView, Outcome, RetryAfterSchedule, RetryBudget, RouteTable, ServiceGate, Ticket,
 };
 use pimentotide_instance::Clock;
 use pimentotide_model::{ErrorKind, Failure, ServiceName, Time, ZoneName};
@@ -25,7 +24,6 @@
 use super::super::rpc::{FleetView, SeenRevisions, StateUpdate};
 use super::admission::Admissions;
 use super::crashes::CrashChecks;
-use super::placing::Denial;
 use super::report::ReportQueue;
 use super::signals::LimitReports;
 use crate::lines::{Declared, Ejected, LeaseLost, LeaseWon, UpstreamChanged, ZonesClosed};
@@ -59,7 +57,7 @@
     stopped: Notify,
     started: Notify,
     /// Signals events that may let a waiting request be admitted.
-    admission: Notify,
+    pub(super) admission: Notify,
 }
 
 /// Part of the state that changes with updates and with each request.
@@ -253,18 +251,6 @@
         Ok(())
     }
 
-    /// Wakes the admission of waiting requests, if there are any.
-    pub(super) fn notify_waiting(&self) {
-        if !self.lock().admissions.is_empty() {
-            self.admission.notify_one();
-        }
-    }
-
-    /// Waits until waiting requests may be admitted.
-    pub(super) async fn until_notified(&self) {
-        self.admission.notified().await;
-    }
-
     /// Waits for the first configuration, up to `limit`.
     pub(super) async fn wait_for_start(&self, limit: Duration) {
         let started = self.started.notified();
@@ -441,19 +427,6 @@
         self.lease_end
     }
 
-    /// Chooses an upstream, if the gate of the service admits a request now.
-    pub(super) fn choose(
-        &mut self,
-        request: &ChoiceRequest<'_>,
-        now: Time,
-    ) -> Result<Choice, Denial> {
-        if let Admission::Wait(pause) = self.gate(request.service).admit(now) {
-            return Err(Denial::Gate(pause));
-        }
-        let choice = self.balancer.choose(request, now, &mut rand::rng());
-        choice.map_err(Denial::Refusal)
-    }
-
     /// Position of the last applied view of suspected contents.
     pub(super) fn seen_suspects(&self) -> u64 {
         self.seen.suspects.unwrap_or(0)
--- a/app/tests/it/ordered.rs
+++ b/app/tests/it/ordered.rs
@@ -176,31 +176,44 @@
     assert!(!arrivals.iter().any(|a| a.attempt == "gone"));
 }
 
-/// Guards against callers that are refused because the queue is full of requests whose callers have
-/// left.
+/// Guards against requests that stay in the queue, and take its room, after their callers have left.
 #[tokio::test]
 async fn callers_that_left_make_room_in_the_queue() {
-    const MAX_QUEUED: usize = 64;
+    const GONE: usize = 20;
     let (deployment, upstream, mut calls) = start(34).await;
-    let gone: Vec<JoinHandle<String>> = (BULK..MAX_QUEUED)
+    let gone: Vec<JoinHandle<String>> = (0..GONE)
         .map(|n| send(deployment.entry(0), "/b/", &format!("gone{n}")))
         .collect();
-    wait_until(|| queued(&deployment) >= MAX_QUEUED).await;
+    wait_until(|| queued(&deployment) == BULK + GONE).await;
     for call in gone {
         call.abort();
     }
-    // The entry sees the end of a connection when it next reads from it.
-    tokio::time::sleep(Duration::from_secs(1)).await;
-    for number in 0..URGENT {
+    // The entry learns of each end by itself; each new request tells how many wait.
+    let limit = Instant::now() + WAIT_TIMEOUT;
+    for number in 1.. {
         calls.push(send(deployment.entry(0), "/b/", &format!("c{number}")));
+        wait_until(|| queued(&deployment) == BULK + GONE + number).await;
+        if last_waiting(&deployment) == BULK + number {
+            break;
+        }
+        assert!(Instant::now() < limit && number < GONE, "they still wait");
+        tokio::time::sleep(Duration::from_millis(200)).await;
     }
-    wait_until(|| queued(&deployment) >= MAX_QUEUED + URGENT).await;
     upstream.released.send_replace(true);
     for answer in answers(calls).await {
         assert!(answer.contains("200 OK"), "{answer}");
     }
 }
 
+/// Returns the number of requests that waited when the latest one was queued.
+fn last_waiting(deployment: &Deployment) -> usize {
+    let log = deployment.entry_log(0);
+    let last = log.lines().rfind(|l| l.contains("\"queued\""));
+    let (_, rest) = last.unwrap().split_once("\"waiting\":").unwrap();
+    let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().unwrap()
+}
+
 /// Guards against waiting requests that are placed by an expired view, or held until their
 /// deadline.
 #[tokio::test]
