--- a/app/src/fleet/agent/engine.rs
+++ b/app/src/fleet/agent/engine.rs
@@ -4,11 +4,15 @@
 //! thread, so all requests go through one task, which handles them concurrently.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
-
-use pimentotide_experts::{EngineReport, FencedOrder, HeldExperts, OrderAnswer, PickedExperts};
-use pimentotide_model::{ErrorKind, Failure, Ran};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use pimentotide_experts::{
+    EngineReport, FencedOrder, HeldExperts, LOCAL_ORDER_TIMEOUTS, OrderAnswer, PickedExperts,
+    ask_again,
+};
+use pimentotide_instance::Clock;
+use pimentotide_model::{ErrorKind, Failure, Ran, Time};
 use pimentotide_platform::{EngineClient, EngineError};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
@@ -18,19 +22,21 @@
 
 /// Timeout of a request to the local engine.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(300);
-/// Timeout of an order, which the engine answers immediately.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(60);
-/// Maximum attempts per order.
-const ORDER_ATTEMPTS: u32 = 3;
 /// Time between polls of the engine report.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after an order in which a switch may be under way; copies take up to 0.5 s.
+const ORDER_MEMORY: Duration = Duration::from_secs(2);
 
 /// Handle of the local engine; clones share it.
 #[derive(Clone)]
 pub(super) struct EngineHandle {
     requests: mpsc::UnboundedSender<EngineRequest>,
     report: Arc<Mutex<Option<EngineReport>>>,
+    /// Pace in the latest report, and when that was requested.
+    pace: Arc<Mutex<Option<(f64, Time)>>>,
+    clock: Clock,
     last_counts: LastCounts,
+    ordered_at: Arc<Mutex<Option<Instant>>>,
 }
 
 /// State of one rank as the coordinator reads it.
@@ -75,7 +81,10 @@
         let engine = Self {
             requests,
             report: Arc::default(),
+            pace: Arc::default(),
+            clock: Clock::start(),
             last_counts: Arc::default(),
+            ordered_at: Arc::default(),
         };
         actix_rt::spawn(serve(EngineClient::open(address, ENGINE_TIMEOUT), receiver));
         actix_rt::spawn(poll_reports(engine.clone()));
@@ -103,10 +112,23 @@
         self.latest_report().map(|(_, seat)| seat)
     }
 
+    /// Returns the pace in the latest report, and when that was requested; `None` without a report.
+    pub(super) fn latest_pace(&self) -> Option<(f64, Time)> {
+        *self.pace.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the time by the clock of [`latest_pace`](Self::latest_pace).
+    pub(super) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
     /// Requests a report and stores it; a failure clears the stored one.
     pub(super) async fn report(&self) -> Result<EngineReport, Failure> {
+        let asked_at = self.clock.now();
         let result = self.request(EngineRequest::Report).await;
         *self.report.lock().unwrap_or_else(PoisonError::into_inner) = result.as_ref().ok().cloned();
+        let pace = result.as_ref().ok().map(|report| (report.pace, asked_at));
+        *self.pace.lock().unwrap_or_else(PoisonError::into_inner) = pace;
         result
     }
 
@@ -150,8 +172,21 @@
         )
     }
 
+    /// Whether this agent has passed on an order lately.
+    pub(super) fn is_ordered(&self) -> bool {
+        let ordered_at = *self.lock_ordered();
+        ordered_at.is_some_and(|at| at.elapsed() < ORDER_MEMORY)
+    }
+
+    fn lock_ordered(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.ordered_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sends the engine an order and logs the outcome.
     pub(super) async fn order(&self, order: FencedOrder) -> Result<OrderAnswer, Failure> {
+        *self.lock_ordered() = Some(Instant::now());
         let (text, fence) = (order.order.to_string(), order.fence);
         let answer = self
             .request(|reply| EngineRequest::Order(order, reply))
@@ -199,14 +234,10 @@
 
 /// Sends an order and retries it on failure; orders are idempotent.
 async fn order(client: &EngineClient, fenced: &FencedOrder) -> Result<OrderAnswer, EngineError> {
-    let mut answer = client.order(fenced, ORDER_TIMEOUT).await;
-    for _ in 1..ORDER_ATTEMPTS {
-        if answer.is_ok() {
-            break;
-        }
-        answer = client.order(fenced, ORDER_TIMEOUT).await;
-    }
-    answer
+    ask_again(&LOCAL_ORDER_TIMEOUTS, |timeout| {
+        client.order(fenced, timeout)
+    })
+    .await
 }
 
 async fn poll_reports(engine: EngineHandle) {
--- a/app/src/fleet/agent/mod.rs
+++ b/app/src/fleet/agent/mod.rs
@@ -13,6 +13,7 @@
 mod ranks;
 mod relay;
 mod rescue;
+mod slow;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -20,6 +21,7 @@
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
+use pimentotide_experts::MAX_RESCUE_RANK;
 use pimentotide_instance::{PeerClient, PeerServer, PeerTimeouts, Token};
 use pimentotide_model::ZoneName;
 
@@ -33,7 +35,6 @@
 use engine::EngineHandle;
 use peers::Peers;
 use relay::AgentLinks;
-use rescue::MAX_RESCUE_RANK;
 
 /// Time between beacons.
 const BEACON_INTERVAL: Duration = Duration::from_millis(400);
@@ -69,7 +70,7 @@
         let calls = PeerServer::bind(settings.calls(), token.clone(), [module]).await?;
         let replicas = Replicas::new(settings);
         let peers = Arc::new(Peers::new(settings.calls(), engine.clone(), links));
-        let watched = (engine.clone(), peers.clone());
+        let watched = (engine.clone(), peers.clone(), scraped.metrics().clone());
         let mut tasks = vec![
             actix_rt::spawn(send_beacons(
                 settings.clone(),
@@ -78,12 +79,18 @@
                 engine.clone(),
             )),
             actix_rt::spawn(follow_processes(
-                replicas,
+                replicas.clone(),
                 engine.clone(),
                 peers.clone(),
                 token,
                 path.to_owned(),
             )),
+            actix_rt::spawn(slow::report_pace(
+                settings.clone(),
+                address,
+                replicas,
+                engine.clone(),
+            )),
         ];
         if settings.rebalance {
             let metrics = scraped.metrics().clone();
@@ -94,7 +101,8 @@
         }
         // Without fencing, a coordinator that resumes could release a pass at the same time.
         if settings.bounds.fenced {
-            tasks.push(actix_rt::spawn(rescue::watch(watched.0, watched.1)));
+            let (engine, peers, metrics) = watched;
+            tasks.push(actix_rt::spawn(rescue::watch(engine, peers, metrics)));
         }
         Ok(Self { calls, tasks })
     }
--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -7,19 +7,19 @@
 
 use pimentotide_fleet::{
     Announcement, Command, CrashReport, Declaration, Declared, FleetState, LimitReport, LimitView,
-    Record, Reply, SuspectView,
+    Record, Reply, SuspectView, UpstreamDelta, UpstreamHistory,
 };
 use pimentotide_instance::replica::ReplicaHandle;
 use pimentotide_model::{ErrorKind, Failure, Time, UpstreamName, ZoneName};
 use pimentotide_observe::Metrics;
 use pimentotide_platform::{Control, StoredConfiguration, read_configuration};
-use serde_json::value::RawValue;
 use tokio::time::Instant as Deadline;
 
 use super::super::compact;
 use super::super::rpc::{
-    Document, EncodedUpdate, EntryReports, FleetView, Processes, RankCapacity, SeenRevisions,
+    EncodedUpdate, EntryReports, FleetView, Processes, RankCapacity, SeenRevisions,
 };
+use super::documents::Documents;
 use super::roster::Roster;
 use crate::lines::Ordered;
 
@@ -44,8 +44,10 @@
     first_seen: Arc<Mutex<BTreeMap<UpstreamName, (Time, Instant)>>>,
     /// Expert capacity of the latest configuration read.
     capacity: Arc<Mutex<Option<CachedCapacity>>>,
-    /// Latest configuration as entries receive it.
-    encoded: Arc<Mutex<Option<EncodedDocument>>>,
+    /// Configurations as entries receive them.
+    documents: Arc<Mutex<Documents>>,
+    /// Changes of upstreams that this replica has seen.
+    upstreams: Arc<Mutex<UpstreamHistory>>,
 }
 
 /// Expert capacity of the configuration at a position of the log.
@@ -56,9 +58,6 @@
     capacity: Option<RankCapacity>,
 }
 
-/// Position of a configuration in the log, and its encoding.
-type EncodedDocument = (u64, Arc<RawValue>);
-
 impl ControlService {
     pub(super) fn new(
         replica: ReplicaHandle<FleetState>,
@@ -71,7 +70,8 @@
             metrics,
             first_seen: Arc::default(),
             capacity: Arc::default(),
-            encoded: Arc::default(),
+            documents: Arc::default(),
+            upstreams: Arc::default(),
         }
     }
 
@@ -116,55 +116,52 @@
     pub(super) async fn next_update(&self, seen: SeenRevisions) -> Result<EncodedUpdate, Failure> {
         let until = Deadline::now() + POLL_TIMEOUT;
         let mut applied = self.replica.applied();
+        let slow = self.roster.slow().engines();
         loop {
             applied.mark_unchanged();
             let changed = self
                 .replica
                 .query(move |s, _| position(s, seen) != seen)
                 .await?;
-            if changed || Deadline::now() >= until {
+            if changed || Deadline::now() >= until || self.roster.slow().engines() != slow {
                 break;
             }
             // After a timeout the loop ends with one more query, which fails if the replica has stopped.
-            let _ = tokio::time::timeout_at(until, applied.changed()).await;
+            tokio::select! {
+                _ = tokio::time::timeout_at(until, applied.changed()) => {}
+                () = self.roster.slow().changed(&slow) => {}
+            }
         }
         self.replica.read_index().await?;
         let entries = self.roster.entries();
         let replicas = self.member_addresses().await?;
+        let history = self.upstreams.clone();
         let queried = self
             .replica
-            .query(move |s, _| (changes_since(s, seen), s.entries()));
+            .query(move |s, _| (changes_since(s, seen, &history), s.entries()));
         let (changes, recorded) = queried.await?;
+        let document = self
+            .documents
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .change_since(seen, changes.declared.as_ref())?;
+        if let Some(form) = document.form() {
+            self.metrics.count("control.documents", ("form", form), 1);
+        }
         Ok(EncodedUpdate {
-            declared: changes.declared.map(|d| self.encoded(&d)).transpose()?,
+            declared: document.whole,
+            delta: document.delta,
             fleet: changes.fleet,
+            upstreams: changes.upstreams,
             suspects: changes.suspects.as_ref().map(compact::encode).transpose()?,
             limits: changes.limits.as_ref().map(compact::encode).transpose()?,
             replicas,
             entries,
             recorded,
+            slow: self.roster.slow().engines(),
         })
     }
 
-    /// Returns a configuration as entries receive it; encodes each one once.
-    fn encoded(&self, declared: &Declared) -> Result<Arc<RawValue>, Failure> {
-        let mut cached = self.encoded.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some((index, text)) = cached.as_ref()
-            && *index == declared.index
-        {
-            return Ok(text.clone());
-        }
-        let document = Document {
-            index: declared.index,
-            text: String::from_utf8_lossy(&declared.document).into_owned(),
-        };
-        let text = serde_json::value::to_raw_value(&document)
-            .map_err(|e| Failure::new(ErrorKind::Internal, e.to_string()))?;
-        let text: Arc<RawValue> = text.into();
-        *cached = Some((declared.index, text.clone()));
-        Ok(text)
-    }
-
     /// Records the reports of an entry; sound runs of contents that are no longer suspected are dropped.
     ///
     /// # Errors
@@ -292,10 +289,11 @@
     }
 }
 
-/// Parts of the state that an entry does not have yet.
+/// Configuration in force, and parts of the state that an entry does not have yet.
 struct Changes {
     declared: Option<Declared>,
     fleet: Option<FleetView>,
+    upstreams: Option<UpstreamDelta>,
     suspects: Option<SuspectView>,
     limits: Option<LimitView>,
 }
@@ -307,20 +305,30 @@
         revision: state.revision(),
         suspects: seen.suspects.map(|_| state.suspects().revision),
         limits: seen.limits.map(|_| state.limits().revision),
+        changes: seen.changes,
     }
 }
 
-fn changes_since(state: &FleetState, seen: SeenRevisions) -> Changes {
+fn changes_since(
+    state: &FleetState,
+    seen: SeenRevisions,
+    history: &Mutex<UpstreamHistory>,
+) -> Changes {
     let now = position(state, seen);
-    let declared = state.declared().filter(|d| d.index != seen.declared);
-    let fleet = (now.revision != seen.revision).then(|| FleetView {
+    let mut history = history.lock().unwrap_or_else(PoisonError::into_inner);
+    history.record(state);
+    let upstreams = seen.changes.then(|| history.delta(state, seen.revision));
+    let upstreams = upstreams.flatten();
+    let is_whole = now.revision != seen.revision && upstreams.is_none();
+    let fleet = is_whole.then(|| FleetView {
         revision: now.revision,
         closed: state.closed().clone(),
         upstreams: state.upstreams().values().cloned().collect(),
     });
     Changes {
-        declared: declared.cloned(),
+        declared: state.declared().cloned(),
         fleet,
+        upstreams,
         suspects: (now.suspects != seen.suspects).then(|| state.suspects().clone()),
         limits: (now.limits != seen.limits).then(|| state.limits().clone()),
     }
--- a/app/src/fleet/control/mod.rs
+++ b/app/src/fleet/control/mod.rs
@@ -1,9 +1,11 @@
 //! Control role: a replica of the shared state and its servers.
 
 mod desk;
+mod documents;
 mod membership;
 mod methods;
 mod roster;
+mod slow;
 mod upkeep;
 
 use std::collections::BTreeMap;
--- a/app/src/fleet/control/roster.rs
+++ b/app/src/fleet/control/roster.rs
@@ -3,14 +3,16 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use pimentotide_fleet::list_entries;
+use pimentotide_instance::BootInstant;
 use pimentotide_platform::{Directory, Entries, Place};
 
 use super::super::FleetSettings;
 use super::super::beacon::{AgentBeacon, Beacon, BeaconVersion, EntryBeacon};
 use super::super::directory::{MAX_ADDRESSES, list_ttl};
+use super::slow::SlowEngines;
 use crate::lines::ProcessSeen;
 
 /// Silence after which a process is no longer listed; four beacon intervals.
@@ -22,6 +24,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Roster {
     table: Arc<Mutex<ProcessTable>>,
+    slow: SlowEngines,
 }
 
 #[derive(Debug, Default)]
@@ -31,7 +34,10 @@
 }
 
 /// Latest beacon of each address, and when it was received.
-type ReceivedBeacons<B> = BTreeMap<SocketAddr, (B, Instant)>;
+///
+/// By the boot clock, since a replica that resumes from a suspension would otherwise list the processes
+/// that were live before it.
+type ReceivedBeacons<B> = BTreeMap<SocketAddr, (B, BootInstant)>;
 
 /// Stores a beacon unless a newer one of its address is stored.
 ///
@@ -47,8 +53,8 @@
     F: Fn(&B) -> BeaconVersion,
     K: Fn(&B) -> (bool, bool),
 {
-    let now = Instant::now();
-    received.retain(|_, (_, at)| now.duration_since(*at) < REMOVAL_TIMEOUT);
+    let now = BootInstant::now();
+    received.retain(|_, (_, at)| now.since(*at) < REMOVAL_TIMEOUT);
     let stored = received.get(&address).map(|(b, _)| b);
     if stored.is_some_and(|stored| order(stored) > order(&beacon)) {
         return false;
@@ -59,10 +65,10 @@
 }
 
 fn live<B>(received: &ReceivedBeacons<B>) -> impl Iterator<Item = &B> {
-    let now = Instant::now();
+    let now = BootInstant::now();
     let alive = received
         .values()
-        .filter(move |(_, at)| now.duration_since(*at) < BEACON_TIMEOUT);
+        .filter(move |(_, at)| now.since(*at) < BEACON_TIMEOUT);
     alive.map(|(beacon, _)| beacon)
 }
 
@@ -80,6 +86,7 @@
     pub(super) fn receive(&self, beacon: Beacon) {
         let mut table = self.lock();
         match beacon {
+            Beacon::Slow(slow) => self.slow.receive(&slow),
             Beacon::Entry(entry) => {
                 let (callers, state) = (entry.callers, (entry.accepting, entry.stopping));
                 let states = |b: &EntryBeacon| (b.accepting, b.stopping);
@@ -126,6 +133,11 @@
         accepting
     }
 
+    /// Returns the slow engines.
+    pub(super) fn slow(&self) -> &SlowEngines {
+        &self.slow
+    }
+
     /// Returns the number of live entries.
     pub(super) fn entry_count(&self) -> usize {
         live(&self.lock().entries).count()
--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -4,12 +4,15 @@
 mod attempt;
 mod callers;
 mod crashes;
+mod deadline;
+mod documents;
 mod follow;
 mod ordered;
 mod placing;
 mod relay;
 mod report;
 mod signals;
+mod slow;
 mod state;
 mod streaming;
 
@@ -125,7 +128,8 @@
         self.state.stop();
         loop {
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-            match stop_phase(start.elapsed(), self.state.open_requests(), self.grace) {
+            let open = usize::from(self.state.has_requests());
+            match stop_phase(start.elapsed(), open, self.grace) {
                 StopPhase::Accepting => {}
                 StopPhase::Refusing => self.state.refuse_new(),
                 StopPhase::Ended => break,
--- a/app/src/fleet/entry/placing.rs
+++ b/app/src/fleet/entry/placing.rs
@@ -108,12 +108,7 @@
             });
         }
         let mut state = self.state.lock();
-        let request = ChoiceRequest {
-            service: &self.service,
-            tried: &self.tried,
-            may_queue: false,
-            bound: None,
-        };
+        let request = self.choice_request();
         let choice = state.choose(&request, now);
         if choice.is_ok() && self.sends == 0 {
             state.budget.earn(&self.service, now);
@@ -121,6 +116,16 @@
         choice.map_err(blocked)
     }
 
+    /// Returns what the balancer needs to know of this request.
+    pub(super) fn choice_request(&self) -> ChoiceRequest<'_> {
+        ChoiceRequest {
+            service: &self.service,
+            tried: &self.tried,
+            may_queue: false,
+            bound: None,
+        }
+    }
+
     fn blocked_failure(&self, blocked: &Blocked) -> Failure {
         match blocked.min_delay {
             Some(min_delay) => self.failure_after(blocked.kind, &blocked.detail, min_delay),
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -3,6 +3,8 @@
 //! Requests are served only under a lease: for a limited time after a replica
 //! last confirmed the configuration.
 
+mod measure;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -24,6 +26,7 @@
 use super::super::rpc::{FleetView, SeenRevisions, StateUpdate};
 use super::admission::Admissions;
 use super::crashes::CrashChecks;
+use super::documents::receive;
 use super::report::ReportQueue;
 use super::signals::LimitReports;
 use crate::lines::{Declared, Ejected, LeaseLost, LeaseWon, UpstreamChanged, ZonesClosed};
@@ -48,8 +51,12 @@
     limit_reports: LimitReports,
     /// Signals changes to suspected and refused contents.
     suspect_changes: watch::Sender<()>,
+    /// Whether any engine is slow; signals changes to the list.
+    slow_changes: watch::Sender<bool>,
     /// Number of open requests.
     open: AtomicUsize,
+    /// Shared by the guards of requests that are being received or wait for the head of an answer.
+    received: Arc<()>,
     /// Whether the entry drains; new requests are still served until `refusing`.
     stopping: AtomicBool,
     /// Whether new requests are refused.
@@ -74,6 +81,10 @@
     /// Contents that crash upstreams.
     pub(super) evidence: CrashEvidence,
     seen: SeenRevisions,
+    /// Text of the configuration, from which deltas start.
+    held: String,
+    /// Whether the configuration has changed, so that deltas are worth asking for.
+    takes_deltas: bool,
     /// End of the lease.
     lease_end: Time,
     /// Time of the latest request whose answer confirmed the state.
@@ -120,6 +131,8 @@
                     limits: Some(0),
                     ..SeenRevisions::default()
                 },
+                held: String::new(),
+                takes_deltas: false,
                 lease_end: Time::ZERO,
                 confirmed_at: Time::ZERO,
                 logged_current: false,
@@ -130,7 +143,9 @@
             reports: ReportQueue::default(),
             limit_reports: LimitReports::default(),
             suspect_changes: watch::Sender::default(),
+            slow_changes: watch::Sender::default(),
             open: AtomicUsize::new(0),
+            received: Arc::default(),
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             stopped: Notify::new(),
@@ -167,6 +182,11 @@
         self.suspect_changes.subscribe()
     }
 
+    /// Signals changes to the list of slow engines; the value is whether there are any.
+    pub(super) fn slow_changes(&self) -> &watch::Sender<bool> {
+        &self.slow_changes
+    }
+
     pub(super) fn notify_suspects(&self) {
         self.suspect_changes.send_replace(());
     }
@@ -194,7 +214,7 @@
     /// Fails if the configuration or the suspected contents cannot be parsed.
     pub(super) fn apply_update(
         &self,
-        update: StateUpdate,
+        mut update: StateUpdate,
         requested_at: Time,
     ) -> Result<(), Failure> {
         if let Some(text) = &update.suspects {
@@ -204,9 +224,18 @@
         let limits: Option<LimitView> = limits.transpose()?;
         let now = self.now();
         let mut inner = self.lock();
-        if let Some(document) = update.declared
-            && document.index > inner.seen.declared
-        {
+        let Inner { seen, held, .. } = &*inner;
+        let received = receive(&mut update, *seen, held, &inner.balancer, &self.metrics);
+        let (document, fleet) = match received {
+            Ok(received) => received,
+            // Nothing else is applied; the next poll asks the same replica for the whole.
+            Err(_) if inner.seen.changes => {
+                inner.seen.changes = false;
+                return Ok(());
+            }
+            Err(e) => return Err(Failure::new(ErrorKind::Internal, e.to_string())),
+        };
+        if let Some(document) = document {
             let declaration = read_configuration(document.text.as_bytes())
                 .map_err(|e| Failure::new(ErrorKind::Internal, e.to_string()))?;
             let before = inner.table.as_ref().map(|t| t.declaration().version);
@@ -221,17 +250,22 @@
                 .filter_map(|(name, s)| Some((name.clone(), s.cold?)))
                 .collect();
             inner.balancer.set_cold_limits(cold_limits);
+            let engines = declaration.services.iter();
+            let engines = engines.filter_map(|(name, s)| Some((name.clone(), s.engine?)));
+            inner.balancer.set_engines(engines);
             inner.table = Some(Arc::new(RouteTable::new(declaration)));
+            // The first document is not followed by deltas: without changes, polls stay as they were.
+            inner.takes_deltas = inner.seen.declared > 0;
             inner.seen.declared = document.index;
+            inner.held = document.text;
         }
         inner.update_entry_count(update.entries.len(), update.recorded, now);
         if let Some(position) = EntryPosition::among(&self.callers, &update.entries) {
             inner.balancer.set_position(position, now);
         }
         inner.entry_addresses = update.entries;
-        if let Some(fleet) = update.fleet
-            && fleet.revision > inner.seen.revision
-        {
+        inner.seen.changes = inner.takes_deltas;
+        if let Some(fleet) = fleet {
             inner.apply_fleet(fleet, now);
         }
         if let Some(limits) = limits
@@ -240,6 +274,7 @@
             inner.seen.limits = Some(limits.revision);
             inner.balancer.update_limits(limits, now);
         }
+        self.apply_slow(&mut inner, &update.slow);
         inner.lease_end = inner.lease_end.max(requested_at + self.lease);
         inner.confirmed_at = inner.confirmed_at.max(requested_at);
         if inner.table.is_some() {
@@ -278,55 +313,6 @@
         inner.table.as_ref().map(|t| t.declaration().version)
     }
 
-    /// Sets the gauges to the current state.
-    pub(super) fn measure(&self, metrics: &Metrics) {
-        let now = self.now();
-        let current = self.is_current();
-        let inner = self.lock();
-        let counts = inner.balancer.counts(now);
-        let states = [
-            ("usable", counts.usable),
-            ("cold", counts.cold),
-            ("ejected", counts.ejected),
-            ("backoff", counts.backoff),
-            ("limited", counts.limited),
-            ("out", counts.out),
-        ];
-        for (state, count) in states {
-            metrics.gauge("entry.upstreams", ("state", state), count as u64);
-        }
-        for (service, left) in inner.budget.left(now) {
-            metrics.gauge("entry.repeats_left", ("service", service), left);
-        }
-        let age = now.since(inner.confirmed_at).as_millis() as u64;
-        let version = inner.table.as_ref().map_or(0, |t| t.declaration().version);
-        let figures = [
-            ("current", u64::from(current)),
-            ("age_ms", age),
-            ("version", version),
-            ("revision", inner.seen.revision),
-            ("entries", inner.entries.get(now) as u64),
-        ];
-        for (figure, value) in figures {
-            metrics.gauge("entry.knowledge", ("figure", figure), value);
-        }
-        inner.admissions.measure(metrics, now);
-        let suspects = inner.evidence.shared();
-        let refused = [
-            ("refused", suspects.refused.len()),
-            ("refused_parts", suspects.refused_parts.len()),
-        ];
-        for (state, count) in refused {
-            metrics.gauge("entry.suspects", ("state", state), count as u64);
-        }
-        metrics.gauge(
-            "entry.open",
-            ("scope", "requests"),
-            self.open_requests() as u64,
-        );
-        metrics.gauge("entry.open", ("scope", "sends"), counts.in_flight as u64);
-    }
-
     /// Returns the routes.
     ///
     /// # Errors
@@ -382,6 +368,16 @@
         OpenRequest(self.clone())
     }
 
+    /// Tracks a request from its head on, while the guard exists.
+    pub(super) fn track_received(&self) -> Arc<()> {
+        self.received.clone()
+    }
+
+    /// Whether any request is being received, runs or is being answered.
+    pub(super) fn has_requests(&self) -> bool {
+        Arc::strong_count(&self.received) > 1 || self.open_requests() > 0
+    }
+
     pub(super) fn open_requests(&self) -> usize {
         self.open.load(Ordering::Relaxed)
     }
@@ -457,7 +453,7 @@
     }
 
     /// Returns whether the lease is valid and logs a change.
-    fn check_lease(&mut self, now: Time) -> bool {
+    pub(super) fn check_lease(&mut self, now: Time) -> bool {
         let current = self.table.is_some() && now < self.lease_end;
         if current != self.logged_current {
             self.logged_current = current;
--- a/app/src/fleet/entry/streaming.rs
+++ b/app/src/fleet/entry/streaming.rs
@@ -2,7 +2,8 @@
 //!
 //! The caller receives the head with the first event, so that a send that fails
 //! earlier stays invisible. A stream that is interrupted later resumes at another
-//! upstream after the last event sent to the caller, under the first head.
+//! upstream after the last event sent to the caller, under the first head. So does one whose
+//! upstream becomes slow, if everything that this needs is at hand.
 //!
 //! A stream that is delimited by the close of its connection is complete if it ends between two
 //! events, soon after the last one, and its upstream has not crashed.
@@ -18,13 +19,17 @@
 use pimentotide_upstream::StreamCursor;
 use tokio::time::Instant;
 
-use super::attempt::{Attempt, Running, SendError, TicketGuard};
+use super::attempt::{Attempt, Destination, Running, SendError, TicketGuard};
+use super::deadline::DeadlineStream;
 use super::relay::{log_body_error, refuse};
 use crate::lines::{Answered, BrokenOff};
 
 /// Maximum time from the last event to the end of a stream without a length; a stream that is cut
 /// off by a stalled group ends much later.
 const MAX_END_DELAY: Duration = Duration::from_millis(500);
+/// Time beyond the deadline after which a stream that its caller does not read is ended; one that is
+/// read ends earlier.
+const UNREAD_MARGIN: Duration = Duration::from_millis(200);
 
 /// Stream to one caller, across the upstreams that produce it.
 struct StreamRun {
@@ -90,7 +95,7 @@
                         return Relayed::Streamed {
                             status,
                             headers,
-                            body: Box::pin(stream::unfold(Some(run), next_events)),
+                            body: Box::pin(run.into_body()),
                         };
                     }
                     Next::End => {
@@ -102,7 +107,8 @@
                             unframed: false,
                         };
                     }
-                    Next::Ended(ended) => (ended, upstream),
+                    // A stream that was moved ended at another upstream.
+                    Next::Ended(ended) => (ended, run.attempt.last_upstream().unwrap_or(upstream)),
                 }
             }
             Err(SendError::Ended(ended, upstream)) => (ended, upstream),
@@ -196,6 +202,22 @@
 }
 
 impl StreamRun {
+    /// Returns the stream of events for the caller, which ends at the deadline also if it is not read.
+    fn into_body(self) -> DeadlineStream<Result<Bytes, Failure>> {
+        let request = self.attempt.call.id.clone();
+        let metrics = self.attempt.state.metrics().clone();
+        let deadline = Instant::from_std(self.attempt.answer_deadline()) + UNREAD_MARGIN;
+        let events = stream::unfold(Some(self), next_events);
+        DeadlineStream::new(events, deadline, move || {
+            log::warn!("request {request}: the caller did not read its answer before the deadline");
+            metrics.count("entry.interruptions", ("ended", "unread"), 1);
+            Err(Failure::new(
+                ErrorKind::StreamBroken,
+                "the answer was not read in time",
+            ))
+        })
+    }
+
     /// Attaches the stream of an upstream.
     fn attach(&mut self, body: Body, unframed: bool, ticket: TicketGuard) {
         self.source = Some(Source {
@@ -207,25 +229,42 @@
     }
 
     /// Waits for complete events of the current source.
+    ///
+    /// The wait starts again only with an event that is new, since a stalled upstream may go on to
+    /// send single bytes or comments.
     async fn next(&mut self) -> Next {
+        let mut waiting_since = Instant::now();
         loop {
             let Some(source) = &mut self.source else {
                 return Next::Ended(Ended::Broken);
             };
             let limit = Instant::from_std(self.attempt.answer_deadline());
-            let silence = Instant::now() + self.attempt.state.silence();
+            let silence = waiting_since + self.attempt.state.silence();
             let reading = tokio::time::timeout_at(limit.min(silence), source.body.next());
             let withdrawn = self.attempt.state.until_refused(&self.attempt.digests);
+            let relieved = self.attempt.until_relieved();
+            let resumable = self.cursor.forwarded() == 0 || self.cursor.last().is_some();
             let part = tokio::select! {
                 part = reading => part,
                 () = withdrawn, if !self.attempt.is_sound() => {
                     return self.end(Outcome::Neutral, Ended::Withdrawn);
                 }
+                next = relieved, if resumable => match self.move_to(next).await {
+                    Ok(()) => {
+                        waiting_since = Instant::now();
+                        continue;
+                    }
+                    Err(ended) => return Next::Ended(ended),
+                },
             };
-            let before = self.cursor.forwarded();
+            let (before, progress) = (self.cursor.forwarded(), self.cursor.progress());
             match part {
                 Ok(Some(Ok(bytes))) => match self.cursor.push(&bytes) {
-                    Ok(events) if events.is_empty() => {}
+                    Ok(events) if events.is_empty() => {
+                        if self.cursor.progress() > progress {
+                            waiting_since = Instant::now();
+                        }
+                    }
                     Ok(events) => {
                         source.last_event = Some(Instant::now());
                         self.attempt.record_events(self.cursor.forwarded() - before);
@@ -266,6 +305,29 @@
         Next::Ended(ended)
     }
 
+    /// Abandons the slow upstream and resumes the stream at the next one.
+    async fn move_to(&mut self, next: Destination) -> Result<(), Ended> {
+        if let Some(source) = self.source.take() {
+            let upstream = source.ticket.upstream.clone();
+            source.ticket.end(Outcome::Neutral);
+            self.attempt.record_relief(&upstream);
+        }
+        self.cursor.discard_partial();
+        let last = self.cursor.last().map(|id| id.to_string());
+        match self.attempt.send_to(next, last).await {
+            Ok(running) if running.answer.status.is_success() => {
+                let Running { answer, ticket } = running;
+                self.attach(answer.body, answer.unframed, ticket);
+                Ok(())
+            }
+            Ok(running) => {
+                running.ticket.end(Outcome::Failed);
+                Err(Ended::Failed)
+            }
+            Err((ended, _)) => Err(ended),
+        }
+    }
+
     fn finish(&mut self) {
         if let Some(source) = self.source.take() {
             self.attempt.count_answer("stream");
@@ -290,7 +352,7 @@
     async fn resume(&mut self, ended: Ended) -> Result<(), Failure> {
         let mut ended = ended;
         loop {
-            let upstream = self.attempt.tried.last().cloned();
+            let upstream = self.attempt.last_upstream();
             let upstream = upstream.unwrap_or_else(|| "none".into());
             let step = self
                 .attempt
--- a/app/src/lines/mod.rs
+++ b/app/src/lines/mod.rs
@@ -11,13 +11,14 @@
 use serde_json::Value;
 
 pub use process::{
-    Declared, Ejected, EngineOrdered, ExpertsMoved, GroupReleased, LeaseLost, LeaseWon,
-    MemberChanged, Ordered, ProcessSeen, Ready, Reloaded, ReplicaFollowed, ReplicaLost,
-    RoleChanged, Stopped, Stopping, SuspectsChanged, UpstreamChanged, ZonesClosed,
+    Declared, DeltaFailed, Ejected, EngineOrdered, EngineSlow, ExpertsMoved, GroupReleased,
+    LeaseLost, LeaseWon, MemberChanged, Ordered, ProcessSeen, Ready, Reloaded, ReplicaFollowed,
+    ReplicaLost, RoleChanged, Stopped, Stopping, SuspectsChanged, UpstreamChanged, UpstreamSlow,
+    ZonesClosed,
 };
 pub use request::{
-    Answered, BrokenOff, Considered, Interrupted, Placed, Queued, Refused, Routed, SuspectRequest,
-    UpstreamCrashed, UpstreamSignal,
+    Answered, BrokenOff, Considered, Interrupted, Placed, Queued, Refused, Routed, StreamKept,
+    SuspectRequest, UpstreamCrashed, UpstreamSignal,
 };
 
 /// Event name and field names of one kind of log line.
@@ -40,6 +41,7 @@
         kind::<Placed<'_>>(),
         kind::<Queued<'_>>(),
         kind::<Interrupted<'_>>(),
+        kind::<StreamKept<'_>>(),
         kind::<UpstreamSignal<'_>>(),
         kind::<UpstreamCrashed>(),
         kind::<BrokenOff<'_>>(),
@@ -50,9 +52,12 @@
         kind::<LeaseWon>(),
         kind::<LeaseLost>(),
         kind::<Declared>(),
+        kind::<DeltaFailed>(),
         kind::<UpstreamChanged>(),
         kind::<ZonesClosed>(),
         kind::<Ejected>(),
+        kind::<UpstreamSlow>(),
+        kind::<EngineSlow>(),
         kind::<SuspectsChanged>(),
         kind::<Ordered<'_>>(),
         kind::<RoleChanged>(),
--- a/app/src/lines/process.rs
+++ b/app/src/lines/process.rs
@@ -81,6 +81,19 @@
     pub routes: usize,
 }
 
+/// An entry rejects a delta to what it has and asks for the whole.
+#[derive(Default, Serialize)]
+pub struct DeltaFailed {
+    /// Subject of the delta: `configuration` or `upstreams`.
+    pub subject: &'static str,
+    /// Position of the subject that the entry has.
+    pub held: u64,
+    /// Position that the delta leads to.
+    pub index: u64,
+    /// Reason for the rejection.
+    pub detail: String,
+}
+
 /// The state of an upstream changes in the view of an entry.
 #[derive(Default, Serialize)]
 pub struct UpstreamChanged {
@@ -110,6 +123,24 @@
     pub upstream: String,
 }
 
+/// The pace of an upstream changes in the view of an entry.
+#[derive(Default, Serialize)]
+pub struct UpstreamSlow {
+    /// Name of the upstream.
+    pub upstream: String,
+    /// Time per unit of work relative to a normal upstream.
+    pub pace: f64,
+    /// Whether it gets no requests while another one has room.
+    pub avoided: bool,
+}
+
+/// An agent begins, changes or ends its announcements that its engine is slow.
+#[derive(Default, Serialize)]
+pub struct EngineSlow {
+    /// Pace that it announces, percent; `None` if it announces none any more.
+    pub pace: Option<u16>,
+}
+
 /// Other contents or parts of prompts are refused because they crash upstreams.
 #[derive(Default, Serialize)]
 pub struct SuspectsChanged {
@@ -214,6 +245,8 @@
     pub ending: String,
     /// Reason why the pass is released.
     pub reason: &'static str,
+    /// Duration, ms.
+    pub took_ms: u128,
 }
 
 impl Line for Ready {
@@ -254,6 +287,11 @@
     const EVENT: &'static str = "declared";
 }
 
+impl Line for DeltaFailed {
+    const EVENT: &'static str = "delta_failed";
+    const LEVEL: Level = Level::Warn;
+}
+
 impl Line for UpstreamChanged {
     const EVENT: &'static str = "upstream_changed";
 }
@@ -267,6 +305,14 @@
     const LEVEL: Level = Level::Warn;
 }
 
+impl Line for UpstreamSlow {
+    const EVENT: &'static str = "upstream_slow";
+}
+
+impl Line for EngineSlow {
+    const EVENT: &'static str = "engine_slow";
+}
+
 impl Line for SuspectsChanged {
     const EVENT: &'static str = "suspects_changed";
     const LEVEL: Level = Level::Warn;
--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of the binary and its library.
 
+mod changes;
 mod crashes;
 mod deployment;
 mod endless;
@@ -9,9 +10,12 @@
 mod limits;
 mod lines;
 mod local;
+mod lost;
 mod operator;
 mod options;
 mod ordered;
 mod settings;
+mod slow;
 mod soak;
+mod stalled;
 mod suspended;
--- a/decision/experts/src/even/mod.rs
+++ b/decision/experts/src/even/mod.rs
@@ -6,6 +6,9 @@
 //! can receive only a few new experts per change, so a large shift of popularity
 //! takes several changes, the most useful first. A rank copies its new experts one
 //! after the other, so the rank with most copies determines how long a change takes.
+//!
+//! A rank may be slower than the others. Its load is multiplied by its pace, so that it
+//! gives experts away, down to none.
 
 mod change;
 mod counts;
@@ -13,8 +16,11 @@
 mod layer;
 mod rank;
 mod rescue;
+mod retry;
+mod stuck;
 mod switch;
 mod tree;
+mod trigger;
 
 use layer::Layer;
 
@@ -24,8 +30,11 @@
 pub use rank::{
     EngineOrder, EngineReport, FencedOrder, HeldExperts, Membership, OrderAnswer, PickedExperts,
 };
+pub use retry::{DIRECT_ORDER_TIMEOUTS, LOCAL_ORDER_TIMEOUTS, ask_again};
+pub use stuck::{MAX_RESCUE_RANK, ProbeOutcome, StuckAction, StuckWatch};
 pub use switch::{Ending, Ranks, Switch};
 pub use tree::RelayTree;
+pub use trigger::Urgency;
 
 /// Dimensions of a group and limits on its placements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,12 +71,19 @@
 ///
 /// A layer is not changed further once its most loaded rank is within `goal` times
 /// the mean: each further copy costs more than it saves. Layers whose counts are
-/// all zero stay unchanged.
-pub fn plan_even(layout: &EvenLayout, current: &Placement, counts: &[f64], goal: f64) -> EvenPlan {
+/// all zero stay unchanged. `paces` holds the time of each rank per unit of work relative to a
+/// normal rank; the mean is the load divided in proportion to the speeds.
+pub fn plan_even(
+    layout: &EvenLayout,
+    current: &Placement,
+    counts: &[f64],
+    paces: &[f64],
+    goal: f64,
+) -> EvenPlan {
     let loads = counts.chunks(layout.experts.max(1));
     let layers = current.iter().zip(loads);
     let mut layers: Vec<Layer<'_>> = layers
-        .map(|(held, loads)| Layer::new(layout, held, loads))
+        .map(|(held, loads)| Layer::new(layout, held, loads, paces))
         .collect();
     let before = mean_imbalance(&layers);
     let mut room = vec![layout.copies; layout.ranks];
@@ -77,6 +93,9 @@
             open.swap_remove(position);
         }
     }
+    for layer in &mut layers {
+        layer.relieve_slow_ranks(goal, &mut room);
+    }
     EvenPlan {
         before,
         after: mean_imbalance(&layers),
@@ -97,13 +116,19 @@
     sum / layers.len().max(1) as f64
 }
 
-/// Load of the most loaded rank relative to the mean, averaged over layers.
-pub fn imbalance_even(layout: &EvenLayout, placement: &Placement, counts: &[f64]) -> f64 {
+/// Load of the most loaded rank relative to the mean, averaged over layers; see [`plan_even`] for
+/// `paces`.
+pub fn imbalance_even(
+    layout: &EvenLayout,
+    placement: &Placement,
+    counts: &[f64],
+    paces: &[f64],
+) -> f64 {
     let loads = counts.chunks(layout.experts.max(1));
     let layers: Vec<Layer<'_>> = placement
         .iter()
         .zip(loads)
-        .map(|(held, loads)| Layer::new(layout, held, loads))
+        .map(|(held, loads)| Layer::new(layout, held, loads, paces))
         .collect();
     mean_imbalance(&layers)
 }
--- a/decision/experts/src/even/rescue.rs
+++ b/decision/experts/src/even/rescue.rs
@@ -60,8 +60,8 @@
     where
         R: Ranks,
     {
-        let reports = fenced.iter().map(|rank| ranks.current_report(*rank));
-        let reports = join_all(reports).await;
+        let all: Vec<usize> = fenced.iter().copied().collect();
+        let reports = ranks.current_reports(&all).await;
         if reports.iter().flatten().any(|r| self.is_stale(r)) {
             return DisarmOutcome::Superseded;
         }
@@ -73,20 +73,21 @@
             return DisarmOutcome::Pending;
         }
         // The coordinator's rank comes first.
-        let first = fenced.iter().filter(|rank| **rank == COORDINATOR_RANK);
-        let others = fenced.iter().filter(|rank| **rank != COORDINATOR_RANK);
-        let others: Vec<usize> = others.copied().collect();
-        for group in [first.copied().collect(), others.clone()] {
-            for version in &versions {
+        let (first, others): (Vec<usize>, Vec<usize>) =
+            all.iter().partition(|rank| **rank == COORDINATOR_RANK);
+        for group in [&first, &others] {
+            // All versions at once: the order among them does not matter.
+            let answers = versions.iter().map(|version| async move {
                 let disarm = self.fenced(EngineOrder::Disarm { version: *version });
-                let answers = ranks.orders(&group, &disarm).await;
-                if answers.contains(&Some(OrderAnswer::Fenced)) {
-                    return DisarmOutcome::Superseded;
-                }
-                // A refusal means that the version is in use, so that no rank is armed for it.
-                if answers.contains(&None) {
-                    return DisarmOutcome::Pending;
-                }
+                ranks.orders(group, &disarm).await
+            });
+            let answers = join_all(answers).await.concat();
+            if answers.contains(&Some(OrderAnswer::Fenced)) {
+                return DisarmOutcome::Superseded;
+            }
+            // A refusal means that the version is in use, so that no rank is armed for it.
+            if answers.contains(&None) {
+                return DisarmOutcome::Pending;
             }
         }
         if others.len() + 1 == ranks.size() {
--- a/decision/fleet/src/balancer.rs
+++ b/decision/fleet/src/balancer.rs
@@ -12,9 +12,13 @@
 //! upstream again, and all entries choose the same upstreams that were last reported idle.
 //! So each entry prefers a deterministic subset of equal size, adjacent in the
 //! order of names, and uses other upstreams only once its subset is full.
+//!
+//! An upstream whose engine is so slow that one request there delays its whole group is avoided
+//! while another one has room.
 
 mod limits;
 mod room;
+mod slow;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -24,13 +28,15 @@
 use rand::{Rng, RngExt};
 
 use self::limits::next_allowance;
-use self::room::StaleSends;
+use self::room::{Room, StaleSends};
+use self::slow::SlowUpstreams;
 use crate::upstream::{Cold, Upstream};
 use crate::{
     ColdLimit, FleetState, LimitView, Load, Outcome, RateLimit, Record, Stage, UpstreamEvent,
 };
 
 pub use self::room::QueueBound;
+pub use self::slow::{PaceChange, Relief};
 
 /// Load added to the score of an upstream in another availability zone.
 const ZONE_PENALTY: f64 = 0.02;
@@ -133,6 +139,8 @@
     pub backoff: usize,
     /// In service, with a limit that they named in an answer.
     pub limited: usize,
+    /// Avoided because they are slow.
+    pub slow: usize,
     /// Draining, leaving, or in a closed zone.
     pub out: usize,
     /// In-flight requests of this entry at all upstreams.
@@ -184,6 +192,8 @@
     /// Limits that all entries share.
     shared_limits: LimitView,
     stale_sends: StaleSends,
+    /// Upstreams listed as slow, and the pace from which they are avoided.
+    slow: SlowUpstreams,
 }
 
 impl Balancer {
@@ -198,6 +208,7 @@
             cold_limits: BTreeMap::new(),
             shared_limits: LimitView::default(),
             stale_sends: StaleSends::default(),
+            slow: SlowUpstreams::default(),
         }
     }
 
@@ -251,11 +262,17 @@
                 .insert(upstream.record.announcement.upstream.clone(), upstream);
         }
         self.divide_limits(now);
+        self.apply_paces();
         let removed = old.values().map(|p| &p.record);
         events.extend(removed.filter_map(|r| UpstreamEvent::between(Some(r), None)));
         events
     }
 
+    /// Records of all upstreams.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.upstreams.values().map(|u| &u.record)
+    }
+
     /// Closed availability zones.
     pub fn closed(&self) -> &BTreeSet<ZoneName> {
         &self.closed
@@ -277,6 +294,8 @@
                 &mut counts.ejected
             } else if upstream.is_cold(now) {
                 &mut counts.cold
+            } else if upstream.pace > self.avoided_pace(&announcement.service) {
+                &mut counts.slow
             } else if upstream.limit.is_some() {
                 &mut counts.limited
             } else {
@@ -388,6 +407,7 @@
     where
         R: Rng,
     {
+        let avoided_pace = self.avoided_pace(request.service);
         let mut eligible: Vec<&mut Upstream> = self
             .upstreams
             .values_mut()
@@ -426,27 +446,14 @@
             return Err(Refusal::Limited(next));
         }
         eligible.retain_mut(|u| !u.is_limited(now));
-        let queue = self.options.queue;
-        let entries = self.entries;
-        let has_room = |u: &Upstream| match &request.bound {
-            Some(bound) => bound.has_room(u, queue, entries, now),
-            None => now >= u.full_until && u.outstanding() < f64::from(u.slots()) * (1.0 + queue),
+        let room = Room {
+            queue: self.options.queue,
+            entries: self.entries,
+            now,
         };
-        let bound = request.bound.as_ref();
-        if bound.is_some_and(|b| !b.is_open(eligible.iter().map(|u| &**u), queue, entries)) {
-            return Err(Refusal::Full);
-        }
-        if eligible.iter().any(|u| has_room(u)) {
-            eligible.retain(|u| has_room(u));
-        } else if let Some(bound) = &request.bound {
-            let rate: f64 = eligible.iter().map(|u| bound.rate_of(u)).sum();
-            eligible.retain(|u| bound.is_stale(u, queue, now));
-            let share = rate / self.entries as f64;
-            if eligible.is_empty() || !self.stale_sends.take(request.service, share, now) {
-                return Err(Refusal::Full);
-            }
-        } else if !request.may_queue {
-            return Err(Refusal::Full);
+        room.retain(&mut eligible, request, &mut self.stale_sends)?;
+        if eligible.iter().any(|u| u.pace <= avoided_pace) {
+            eligible.retain(|u| u.pace <= avoided_pace);
         }
         let is_free = |u: &&mut Upstream| u.outstanding() < f64::from(u.slots());
         if eligible.iter().take(subset).any(is_free) {
@@ -460,7 +467,8 @@
             } else {
                 ZONE_PENALTY
             };
-            u.outstanding() / f64::from(u.slots()) + penalty + rng.random_range(0.0..MAX_JITTER)
+            let load = u.outstanding() / f64::from(u.slots()) * u.pace;
+            load + penalty + rng.random_range(0.0..MAX_JITTER)
         };
         let scored = eligible.into_iter().map(|u| (score(u), u));
         let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
--- a/decision/fleet/src/balancer/room.rs
+++ b/decision/fleet/src/balancer/room.rs
@@ -13,7 +13,7 @@
 
 use pimentotide_model::{ServiceName, Time};
 
-use super::{Balancer, Ticket};
+use super::{Balancer, ChoiceRequest, Refusal, Ticket};
 use crate::RateLimit;
 use crate::upstream::Upstream;
 
@@ -122,6 +122,57 @@
     }
 }
 
+/// Room at the upstreams in the view of one entry.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Room {
+    /// Requests that may queue at an upstream, per slot.
+    pub(super) queue: f64,
+    /// Number of entries that share the room.
+    pub(super) entries: usize,
+    pub(super) now: Time,
+}
+
+impl Room {
+    /// Keeps the upstreams with room for a request, or those where it may go without.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request may go to none of them.
+    pub(super) fn retain(
+        self,
+        eligible: &mut Vec<&mut Upstream>,
+        request: &ChoiceRequest<'_>,
+        stale_sends: &mut StaleSends,
+    ) -> Result<(), Refusal> {
+        let Self {
+            queue,
+            entries,
+            now,
+        } = self;
+        let bound = request.bound.as_ref();
+        if bound.is_some_and(|b| !b.is_open(eligible.iter().map(|u| &**u), queue, entries)) {
+            return Err(Refusal::Full);
+        }
+        let has_room = |u: &Upstream| match bound {
+            Some(bound) => bound.has_room(u, queue, entries, now),
+            None => u.has_room(queue, now),
+        };
+        if eligible.iter().any(|u| has_room(u)) {
+            eligible.retain(|u| has_room(u));
+        } else if let Some(bound) = bound {
+            let rate: f64 = eligible.iter().map(|u| bound.rate_of(u)).sum();
+            eligible.retain(|u| bound.is_stale(u, queue, now));
+            let share = rate / entries as f64;
+            if eligible.is_empty() || !stale_sends.take(request.service, share, now) {
+                return Err(Refusal::Full);
+            }
+        } else if !request.may_queue {
+            return Err(Refusal::Full);
+        }
+        Ok(())
+    }
+}
+
 /// Sends of an entry to upstreams whose reports have lost their effect, by service.
 #[derive(Debug, Default)]
 pub(super) struct StaleSends(std::collections::BTreeMap<ServiceName, RateLimit>);
--- a/decision/fleet/src/upstream.rs
+++ b/decision/fleet/src/upstream.rs
@@ -74,6 +74,8 @@
     pub(crate) limit: Option<UpstreamLimit>,
     /// Usual time from sending a request until it is finished; `None` before the first.
     pub(crate) usual: Option<Duration>,
+    /// Time per unit of work relative to a normal upstream; 1 unless it is listed as slow.
+    pub(crate) pace: f64,
     reported: Option<(Load, Time)>,
     /// Requests sent minus requests ended by this entry since the last load report.
     sent_since_report: i64,
@@ -110,6 +112,7 @@
             cold: None,
             limit: None,
             usual: None,
+            pace: 1.0,
             reported: None,
             sent_since_report: 0,
             finished_since_report: 0,
@@ -145,6 +148,11 @@
         (self.outstanding() - unseen).max(f64::from(self.in_flight))
     }
 
+    /// Whether it may get a request while `queue` requests per slot may wait there.
+    pub(crate) fn has_room(&self, queue: f64, now: Time) -> bool {
+        now >= self.full_until && self.outstanding() < f64::from(self.slots()) * (1.0 + queue)
+    }
+
     pub(crate) fn report_load(&mut self, load: Load, now: Time) {
         self.reported = Some((load, now));
         self.sent_since_report = 0;
