--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -13,6 +13,7 @@
 use pimentotide_platform::{Answer, AnswerError, Call, SendOptions, UpstreamClient};
 
 use super::crashes::{Interruption, check_crash, refuses_connections};
+use super::ordered::Order;
 use super::state::{EntryState, OpenRequest};
 use crate::lines::{Interrupted, Placed};
 
@@ -38,6 +39,8 @@
     pub(super) service: ServiceName,
     pub(super) workspace: Option<WorkspaceName>,
     pub(super) priority: Option<u8>,
+    /// Terms on which it is admitted in order; `None` if its service's requests are not ordered.
+    pub(super) order: Option<Order>,
     pub(super) policy: Policy,
     pub(super) tried: Vec<UpstreamName>,
     pub(super) sends: u32,
@@ -88,15 +91,39 @@
 }
 
 /// Ticket for an upstream, returned with its outcome; a drop counts as neutral.
+#[derive(derive_more::Debug)]
+#[debug("{upstream}")]
 pub(super) struct TicketGuard {
     state: Arc<EntryState>,
     ticket: Option<Ticket>,
+    sent_at: Time,
     pub(super) upstream: UpstreamName,
 }
 
 impl TicketGuard {
+    pub(super) fn new(state: Arc<EntryState>, ticket: Ticket) -> Self {
+        Self {
+            sent_at: state.now(),
+            state,
+            upstream: ticket.upstream.clone(),
+            ticket: Some(ticket),
+        }
+    }
+
+    /// Leaves the ticket to another guard.
+    pub(super) fn release(mut self) {
+        self.ticket = None;
+    }
+
     pub(super) fn end(mut self, outcome: Outcome) {
         if let Some(ticket) = self.ticket.take() {
+            if outcome == Outcome::Good {
+                let duration = self.state.now().since(self.sent_at);
+                self.state
+                    .lock()
+                    .balancer
+                    .record_duration(&ticket, duration);
+            }
             self.state.finish_send(&ticket, outcome);
         }
     }
@@ -146,11 +173,7 @@
 
     /// Returns a chosen upstream whose place is given back unless the request is sent there.
     pub(super) fn destination(&self, choice: Choice) -> Destination {
-        let ticket = TicketGuard {
-            state: self.state.clone(),
-            ticket: Some(choice.ticket.clone()),
-            upstream: choice.ticket.upstream.clone(),
-        };
+        let ticket = TicketGuard::new(self.state.clone(), choice.ticket.clone());
         Destination { choice, ticket }
     }
 
@@ -275,6 +298,10 @@
             self.state
                 .record_signals(&self.call.id, ticket, &answer.signals, sent_at);
         }
+        if let Some(ticket) = &guard.ticket {
+            self.state.lock().balancer.record_begun(ticket);
+        }
+        self.state.notify_waiting();
         let upstream = guard.upstream.clone();
         if answer.not_run {
             let outcome = if answer.misdirected {
--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -1,11 +1,13 @@
 //! Entry role: relays requests of callers directly to upstreams.
 
+mod admission;
 mod attempt;
 mod callers;
 mod crashes;
 mod deadline;
 mod documents;
 mod follow;
+mod ordered;
 mod placing;
 mod relay;
 mod report;
@@ -91,6 +93,7 @@
                 replicas.clone(),
                 token.clone(),
             )),
+            actix_rt::spawn(admission::admit_waiting(state.clone())),
             actix_rt::spawn(signals::report_limits(
                 state.clone(),
                 replicas.clone(),
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -3,6 +3,8 @@
 //! Requests are served only under a lease: for a limited time after a replica
 //! last confirmed the configuration.
 
+mod measure;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -22,6 +24,7 @@
 use super::super::FleetSettings;
 use super::super::compact;
 use super::super::rpc::{FleetView, SeenRevisions, StateUpdate};
+use super::admission::Admissions;
 use super::crashes::CrashChecks;
 use super::documents::receive;
 use super::report::ReportQueue;
@@ -60,6 +63,8 @@
     refusing: AtomicBool,
     stopped: Notify,
     started: Notify,
+    /// Signals events that may let a waiting request be admitted.
+    pub(super) admission: Notify,
 }
 
 /// Part of the state that changes with updates and with each request.
@@ -71,6 +76,8 @@
     pub(super) retry_schedules: BTreeMap<ServiceName, RetryAfterSchedule>,
     /// Admission by recent refusals of upstreams, by service.
     gates: BTreeMap<ServiceName, ServiceGate>,
+    /// Requests that wait to be admitted in order.
+    pub(super) admissions: Admissions,
     /// Contents that crash upstreams.
     pub(super) evidence: CrashEvidence,
     seen: SeenRevisions,
@@ -117,6 +124,7 @@
                 budget: RetryBudget::new(budget, entry_count),
                 retry_schedules: BTreeMap::new(),
                 gates: BTreeMap::new(),
+                admissions: Admissions::default(),
                 evidence: CrashEvidence::default(),
                 seen: SeenRevisions {
                     suspects: Some(0),
@@ -142,6 +150,7 @@
             refusing: AtomicBool::new(false),
             stopped: Notify::new(),
             started: Notify::new(),
+            admission: Notify::new(),
         }
     }
 
@@ -272,6 +281,8 @@
             self.started.notify_waiters();
         }
         inner.check_lease(now);
+        drop(inner);
+        self.notify_waiting();
         Ok(())
     }
 
@@ -302,55 +313,6 @@
         inner.table.as_ref().map(|t| t.declaration().version)
     }
 
-    /// Sets the gauges to the current state.
-    pub(super) fn measure(&self, metrics: &Metrics) {
-        let now = self.now();
-        let current = self.is_current();
-        let inner = self.lock();
-        let counts = inner.balancer.counts(now);
-        let states = [
-            ("usable", counts.usable),
-            ("cold", counts.cold),
-            ("ejected", counts.ejected),
-            ("backoff", counts.backoff),
-            ("limited", counts.limited),
-            ("slow", counts.slow),
-            ("out", counts.out),
-        ];
-        for (state, count) in states {
-            metrics.gauge("entry.upstreams", ("state", state), count as u64);
-        }
-        for (service, left) in inner.budget.left(now) {
-            metrics.gauge("entry.repeats_left", ("service", service), left);
-        }
-        let age = now.since(inner.confirmed_at).as_millis() as u64;
-        let version = inner.table.as_ref().map_or(0, |t| t.declaration().version);
-        let figures = [
-            ("current", u64::from(current)),
-            ("age_ms", age),
-            ("version", version),
-            ("revision", inner.seen.revision),
-            ("entries", inner.entries.get(now) as u64),
-        ];
-        for (figure, value) in figures {
-            metrics.gauge("entry.knowledge", ("figure", figure), value);
-        }
-        let suspects = inner.evidence.shared();
-        let refused = [
-            ("refused", suspects.refused.len()),
-            ("refused_parts", suspects.refused_parts.len()),
-        ];
-        for (state, count) in refused {
-            metrics.gauge("entry.suspects", ("state", state), count as u64);
-        }
-        metrics.gauge(
-            "entry.open",
-            ("scope", "requests"),
-            self.open_requests() as u64,
-        );
-        metrics.gauge("entry.open", ("scope", "sends"), counts.in_flight as u64);
-    }
-
     /// Returns the routes.
     ///
     /// # Errors
@@ -383,7 +345,13 @@
 
     pub(super) fn finish_send(&self, ticket: &Ticket, outcome: Outcome) {
         let now = self.now();
-        let ejected = self.lock().balancer.finish(ticket, outcome, now);
+        let mut inner = self.lock();
+        let ejected = inner.balancer.finish(ticket, outcome, now);
+        let is_waiting = !inner.admissions.is_empty();
+        drop(inner);
+        if is_waiting {
+            self.admission.notify_one();
+        }
         if ejected {
             self.metrics
                 .count("entry.ejections", ("scope", "upstream"), 1);
@@ -431,6 +399,7 @@
 
     pub(super) fn refuse_new(&self) {
         self.refusing.store(true, Ordering::Relaxed);
+        self.notify_waiting();
     }
 
     pub(super) fn is_refusing(&self) -> bool {
@@ -444,6 +413,16 @@
         self.gates.entry(service.clone()).or_default()
     }
 
+    /// Position of the configuration in force.
+    pub(super) fn declared(&self) -> u64 {
+        self.seen.declared
+    }
+
+    /// Returns the end of the lease.
+    pub(super) fn lease_end(&self) -> Time {
+        self.lease_end
+    }
+
     /// Position of the last applied view of suspected contents.
     pub(super) fn seen_suspects(&self) -> u64 {
         self.seen.suspects.unwrap_or(0)
--- a/app/src/lines/mod.rs
+++ b/app/src/lines/mod.rs
@@ -17,7 +17,7 @@
     ZonesClosed,
 };
 pub use request::{
-    Answered, BrokenOff, Considered, Interrupted, Placed, Refused, Routed, StreamKept,
+    Answered, BrokenOff, Considered, Interrupted, Placed, Queued, Refused, Routed, StreamKept,
     SuspectRequest, UpstreamCrashed, UpstreamSignal,
 };
 
@@ -39,6 +39,7 @@
         kind::<Reloaded>(),
         kind::<Routed<'_>>(),
         kind::<Placed<'_>>(),
+        kind::<Queued<'_>>(),
         kind::<Interrupted<'_>>(),
         kind::<StreamKept<'_>>(),
         kind::<UpstreamSignal<'_>>(),
--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -13,6 +13,7 @@
 mod lost;
 mod operator;
 mod options;
+mod ordered;
 mod settings;
 mod slow;
 mod soak;
--- a/decision/fleet/src/balancer.rs
+++ b/decision/fleet/src/balancer.rs
@@ -17,6 +17,7 @@
 //! while another one has room.
 
 mod limits;
+mod room;
 mod slow;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -27,12 +28,14 @@
 use rand::{Rng, RngExt};
 
 use self::limits::next_allowance;
+use self::room::{Room, StaleSends};
 use self::slow::SlowUpstreams;
 use crate::upstream::{Cold, Upstream};
 use crate::{
     ColdLimit, FleetState, LimitView, Load, Outcome, RateLimit, Record, Stage, UpstreamEvent,
 };
 
+pub use self::room::QueueBound;
 pub use self::slow::{PaceChange, Relief};
 
 /// Load added to the score of an upstream in another availability zone.
@@ -76,6 +79,8 @@
     pub tried: &'a [UpstreamName],
     /// Whether the request may queue at a full upstream.
     pub may_queue: bool,
+    /// Bound on its wait at an upstream; `None` if only that of the balancer applies.
+    pub bound: Option<QueueBound>,
 }
 
 /// In-flight request at an upstream; passed to [`Balancer::finish`] when it has ended.
@@ -186,6 +191,7 @@
     cold_limits: BTreeMap<ServiceName, ColdLimit>,
     /// Limits that all entries share.
     shared_limits: LimitView,
+    stale_sends: StaleSends,
     /// Upstreams listed as slow, and the pace from which they are avoided.
     slow: SlowUpstreams,
 }
@@ -201,6 +207,7 @@
             upstreams: BTreeMap::new(),
             cold_limits: BTreeMap::new(),
             shared_limits: LimitView::default(),
+            stale_sends: StaleSends::default(),
             slow: SlowUpstreams::default(),
         }
     }
@@ -439,13 +446,12 @@
             return Err(Refusal::Limited(next));
         }
         eligible.retain_mut(|u| !u.is_limited(now));
-        let queue = self.options.queue;
-        let has_room = |u: &Upstream| u.has_room(queue, now);
-        if eligible.iter().any(|u| has_room(u)) {
-            eligible.retain(|u| has_room(u));
-        } else if !request.may_queue {
-            return Err(Refusal::Full);
-        }
+        let room = Room {
+            queue: self.options.queue,
+            entries: self.entries,
+            now,
+        };
+        room.retain(&mut eligible, request, &mut self.stale_sends)?;
         if eligible.iter().any(|u| u.pace <= avoided_pace) {
             eligible.retain(|u| u.pace <= avoided_pace);
         }
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -4,11 +4,13 @@
 //! configuration, the closed availability zones and the announced upstreams.
 //! Each entry derives its routes from it ([`RouteTable`]) and decides locally on
 //! load balancing ([`Balancer`]) and retries ([`next_step`], [`RetryBudget`]).
+//! Requests to services with routes of different priorities wait in an [`AdmissionQueue`].
 //! Requests and parts of prompts that crash upstreams are suspected and refused by all entries
 //! ([`CrashEvidence`], [`SuspectView`]).
 //! Replicas send changes of the configuration as [`Delta`]s from their [`DocumentHistory`].
 //! [`repair`] maintains the membership of the log. Performs no input or output.
 
+mod admission;
 mod balancer;
 mod budget;
 mod change;
@@ -21,6 +23,7 @@
 mod limit;
 mod listing;
 mod members;
+mod priority;
 mod prompts;
 mod rate;
 mod retry;
@@ -33,9 +36,13 @@
 mod upstream;
 mod view;
 
+pub use admission::{
+    AdmissionQueue, AdmissionTerms, BEGIN_RATIO, MAX_QUEUED, MAX_QUEUED_BYTES, MAX_WAIT_RATIO,
+    OLDEST_IN, RankBacklog, request_work,
+};
 pub use balancer::{
-    Balancer, BalancerOptions, Choice, ChoiceRequest, EntryPosition, PaceChange, Refusal, Relief,
-    Ticket, UpstreamCounts,
+    Balancer, BalancerOptions, Choice, ChoiceRequest, EntryPosition, PaceChange, QueueBound,
+    Refusal, Relief, Ticket, UpstreamCounts,
 };
 pub use budget::{BudgetOptions, RetryBudget};
 pub use change::{UpstreamChange, UpstreamEvent};
@@ -50,9 +57,12 @@
 pub use limit::{LimitReport, LimitView, NamedLimit, RequestRate};
 pub use listing::list_entries;
 pub use members::{MemberView, Repair, RepairOptions, repair};
+pub use priority::{LOWEST_RANK, PriorityRanks};
 pub use prompts::Prompt;
 pub use rate::RateLimit;
-pub use retry::{Ended, Limit, Next, Policy, Step, is_in_time, may_relieve, next_step};
+pub use retry::{
+    Ended, Limit, Next, Policy, Step, is_in_time, latest_send, may_relieve, next_step,
+};
 pub use retry_after::{RetryAfterSchedule, RetryWindow};
 pub use route::{Match, Mismatch, RouteTable};
 pub use slow::{MIN_SLOW_PERCENT, SlowEngine, SlowList, SlowReporter};
--- a/decision/fleet/tests/it/main.rs
+++ b/decision/fleet/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions on routing, retries and membership.
 
+mod admission;
 mod balancer;
 mod budget;
 mod change;
@@ -14,6 +15,7 @@
 mod prompts;
 mod retry;
 mod retry_after;
+mod room;
 mod signals;
 mod slow;
 mod spread;
--- a/decision/fleet/tests/it/slow.rs
+++ b/decision/fleet/tests/it/slow.rs
@@ -76,6 +76,7 @@
             service: &"advice".into(),
             tried,
             may_queue: false,
+            bound: None,
         };
         let choice = self.balancer.choose(&request, at(0), &mut self.rng);
         choice.expect("an upstream with room")
@@ -86,6 +87,7 @@
             service: &"advice".into(),
             tried: std::slice::from_ref(&choice.ticket.upstream),
             may_queue: false,
+            bound: None,
         };
         self.balancer.relief(&choice.ticket, &request, at(0))
     }
@@ -268,6 +270,7 @@
         service: &"advice".into(),
         tried: &tried,
         may_queue: false,
+        bound: None,
     };
     let relief = fixture.balancer.relief(&running.ticket, &request, at(0));
     assert_eq!(relief, Relief::NoRoom);
