--- a/app/src/fleet/agent/coordinate.rs
+++ b/app/src/fleet/agent/coordinate.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use pimentotide_experts::{
-    EngineReport, EvenLayout, ExpertDemand, HeldExperts, Placement, PlacementChange, Switch,
-    SwitchEnding, Urgency, imbalance_even, plan_even,
+    DIRECT_WINDOW, EngineReport, EvenLayout, ExpertDemand, HeldExperts, Placement, PlacementChange,
+    RELAYED_WINDOW, Switch, SwitchEnding, Urgency, imbalance_even, plan_even,
 };
 use pimentotide_instance::Clock;
 use pimentotide_model::Failure;
@@ -198,10 +198,15 @@
         };
         let paces: Vec<f64> = states.iter().map(|s| s.report.pace).collect();
         let imbalance = imbalance_even(&layout, &old, &counts, &paces);
-        let Some(urgency) = Urgency::of(imbalance, self.demand.span()) else {
+        let window = if group.is_relayed() {
+            RELAYED_WINDOW
+        } else {
+            DIRECT_WINDOW
+        };
+        let Some(urgency) = Urgency::of(imbalance, self.demand.span(), window) else {
             return;
         };
-        layout.copies = max_copies(&capacity, layers, urgency.copy_time());
+        layout.copies = max_copies(&capacity, layers, urgency.copy_time(capacity.copy_time));
         let plan = plan_even(&layout, &old, &counts, &paces, TARGET_IMBALANCE);
         if plan.after > plan.before * (1.0 - MIN_GAIN_RATIO) {
             return;
--- a/decision/experts/src/even/mod.rs
+++ b/decision/experts/src/even/mod.rs
@@ -34,7 +34,7 @@
 pub use stuck::{MAX_RESCUE_RANK, ProbeOutcome, StuckAction, StuckWatch};
 pub use switch::{Ending, Ranks, Switch};
 pub use tree::RelayTree;
-pub use trigger::Urgency;
+pub use trigger::{DIRECT_WINDOW, RELAYED_WINDOW, Urgency};
 
 /// Dimensions of a group and limits on its placements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/decision/experts/tests/it/even_shift.rs
+++ b/decision/experts/tests/it/even_shift.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use pimentotide_experts::{
-    EvenLayout, ExpertDemand, Placement, Urgency, imbalance_even, plan_even,
+    EvenLayout, ExpertDemand, Placement, RELAYED_WINDOW, Urgency, imbalance_even, plan_even,
 };
 use pimentotide_model::Time;
 use rand::{RngExt, SeedableRng};
@@ -89,7 +89,7 @@
         let imbalance = demand.counts().map_or(1.0, |counts| {
             imbalance_even(&LAYOUT, &placement, &counts, &[])
         });
-        if Urgency::of(imbalance, demand.span()) == Some(Urgency::Urgent) {
+        if Urgency::of(imbalance, demand.span(), RELAYED_WINDOW) == Some(Urgency::Urgent) {
             return (now + READ - shift, samples);
         }
         assert!(samples < 100, "no change");
@@ -130,7 +130,8 @@
             if let Some(counts) = demand.counts() {
                 let imbalance = imbalance_even(&LAYOUT, &placement, &counts, &[]);
                 highest = highest.max(imbalance);
-                changes += u32::from(Urgency::of(imbalance, demand.span()).is_some());
+                changes +=
+                    u32::from(Urgency::of(imbalance, demand.span(), RELAYED_WINDOW).is_some());
             }
         }
     }
