--- a/app/src/fleet/agent/ranks.rs
+++ b/app/src/fleet/agent/ranks.rs
@@ -30,7 +30,7 @@
 const CURRENT_REPORT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Limit for the answer of the coordinator's agent to a probe.
 ///
-/// Shorter than the limit for a connection, whose end would make a frozen process look dead.
+/// Shorter than the limit for a connection, whose end would make a frozen process look crashed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Passes from the last one begun to the one that is held for a switch.
 ///
--- a/app/src/fleet/control/slow.rs
+++ b/app/src/fleet/control/slow.rs
@@ -11,7 +11,7 @@
 
 /// Time from a change to the end of the polls that wait for it.
 ///
-/// Changes of many engines within it end a poll once; entries hear of a change within 100 ms.
+/// Changes of many engines within it end a poll once; entries receive a change within 100 ms.
 const SETTLE_TIME: Duration = Duration::from_millis(50);
 
 /// Slow engines; clones share them.
--- a/app/src/fleet/entry/placing.rs
+++ b/app/src/fleet/entry/placing.rs
@@ -116,7 +116,7 @@
         choice.map_err(blocked)
     }
 
-    /// Returns what the balancer needs to know of this request.
+    /// Returns the properties of this request that the balancer needs.
     pub(super) fn choice_request(&self) -> ChoiceRequest<'_> {
         ChoiceRequest {
             service: &self.service,
--- a/app/tests/it/ordered.rs
+++ b/app/tests/it/ordered.rs
@@ -198,7 +198,7 @@
     for call in gone {
         call.abort();
     }
-    // The entry learns of each end by itself; each new request tells how many wait.
+    // The entry learns of each end by itself; the line of each new request has the number that wait.
     let limit = Instant::now() + WAIT_TIMEOUT;
     for number in 1.. {
         calls.push(send(deployment.entry(0), "/b/", &format!("c{number}")));
--- a/app/tests/it/slow.rs
+++ b/app/tests/it/slow.rs
@@ -341,8 +341,8 @@
     ended.abort();
 }
 
-/// Guards against streams that are moved although nothing is heard of the agent any more, and
-/// against a rank that is avoided forever because its agent died while it was slow.
+/// Guards against streams that are moved although their agent is silent, and
+/// against a rank that is avoided forever because its agent crashed while it was slow.
 #[tokio::test]
 async fn nothing_is_moved_from_an_upstream_whose_agent_is_silent() {
     let fixture = Fixture::start(32).await;
--- a/decision/experts/src/even/demand.rs
+++ b/decision/experts/src/even/demand.rs
@@ -40,7 +40,7 @@
     suspected: bool,
     /// Whether demand has shifted and there are too few choices since.
     unsettled: bool,
-    /// Number of early samples in a row.
+    /// Number of consecutive early samples.
     early: u32,
 }
 
--- a/decision/experts/src/even/stuck.rs
+++ b/decision/experts/src/even/stuck.rs
@@ -2,9 +2,9 @@
 //!
 //! Two signs count. A group that has work and begins no pass for a while is
 //! stuck, whatever the cause. If in addition the engine of rank 1 holds a pass and
-//! nobody accepts connections at the coordinator's address, the process is dead and
+//! nobody accepts connections at the coordinator's address, the process has crashed and
 //! there is nothing to wait for. A coordinator that accepts connections but does not
-//! answer may be frozen or short of CPU time, which only time can tell.
+//! answer may be frozen or short of CPU time, which only a timeout can decide.
 
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
 const STUCK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Additional delay per further rank; longer than a rescue takes, because a second one ends the first.
 const RANK_DELAY: Duration = Duration::from_millis(1_500);
-/// Failed connections in a row from which the coordinator is dead; one may be a passing fault.
+/// Consecutive failed connections from which the coordinator counts as crashed; one may be a transient fault.
 const MAX_FAILED_PROBES: u32 = 2;
 /// Time between checks of the local engine.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
--- a/decision/experts/tests/it/even_times.rs
+++ b/decision/experts/tests/it/even_times.rs
@@ -19,7 +19,7 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which an agent remembers the last order.
 const ORDER_MEMORY: Duration = Duration::from_secs(2);
-/// Time until a connection to a dead process fails.
+/// Time until a connection to a crashed process fails.
 const REFUSED_AFTER: Duration = Duration::from_millis(5);
 /// Time until a killed agent runs again.
 const RESTART: Duration = Duration::from_millis(500);
--- a/decision/fleet/src/balancer/room.rs
+++ b/decision/fleet/src/balancer/room.rs
@@ -1,6 +1,6 @@
 //! Bound on the requests that wait at an upstream, for requests that have to begin in time.
 //!
-//! An entry hears of the sends of others only when an upstream answers one of its own. If each
+//! An entry sees the sends of others only when an upstream answers one of its own. If each
 //! entry took all that an upstream can have finished since as room, they would together fill its
 //! queue; so each takes its share, or what it has seen end, whichever is more. For the same reason
 //! the streams that it has sent and that have not begun stay within its share of the room that it
--- a/decision/fleet/src/slow.rs
+++ b/decision/fleet/src/slow.rs
@@ -1,8 +1,8 @@
 //! Engines that are slower than normal: when an agent reports its own, and which ones a replica lists.
 //!
 //! An engine states its pace in its reports. Its agent sends it to all replicas while it is slow,
-//! and for a while the normal one after that. A replica lists what it was told last. Silence
-//! ends both: an engine of which nothing is heard counts as normal.
+//! and for a while the normal one after that. A replica lists the latest report. Silence
+//! ends both: an engine without a recent report counts as normal.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -82,7 +82,7 @@
     before >= f64::from(MIN_SLOW_PERCENT) && (percent - before).abs() < before * MIN_CHANGE_RATIO
 }
 
-/// Slow engines as one replica knows them from the datagrams of agents.
+/// Slow engines of one replica, from the datagrams of agents.
 #[derive(Clone, Debug, Default)]
 pub struct SlowList {
     /// Latest datagram of each agent, by the agent's address.
--- a/decision/fleet/tests/it/admission.rs
+++ b/decision/fleet/tests/it/admission.rs
@@ -18,7 +18,7 @@
 
 const UPSTREAMS: usize = 8;
 const SLOTS: usize = 10;
-/// Entries that share the upstreams and know of each other only what upstreams report.
+/// Entries that share the upstreams and see each other only through the loads that upstreams report.
 const ENTRIES: usize = 4;
 /// Usual duration of a stream, ms; all upstreams finish 40 per second.
 const USUAL_MS: u64 = 2_000;
--- a/dev/bench/src/bin/delta_cost.rs
+++ b/dev/bench/src/bin/delta_cost.rs
@@ -23,7 +23,7 @@
     MostAdded,
     Reversed,
     AllAltered,
-    /// All records are equal, so that none tells a place.
+    /// All records are equal, so that none identifies a position.
     EqualRecords,
 }
 
--- a/peers/instance/tests/it/link.rs
+++ b/peers/instance/tests/it/link.rs
@@ -86,7 +86,7 @@
     second.stop().await;
 }
 
-/// Failure: agents release a pass for a coordinator that is dead, but not for a slow one.
+/// Failure: agents release a pass for a coordinator that has crashed, but not for a slow one.
 #[actix_rt::test]
 async fn dead_process_is_told_from_one_that_does_not_answer() {
     let is_dead =
