Consensus: replicas that have all restarted elect without waiting out a lease

After a loss of power of everything, replicas that were up at 35.99 s elected a leader at 36.72 s: each rejects candidates for an election timeout after its start, because it may have extended a lease just before. Entries refused what had waited 600 ms shortly before they could serve.

A replica now answers a pre-vote with Unled while only its recent start keeps it from voting, and asks for pre-votes four times per timeout in that time. If all voters answer so or would vote, no leader with a lease exists; the request for votes names this, and a voter that a leader has contacted meanwhile rejects it. Ruled out: shorter timeouts, which replicas with 0.075 of a core do not bear.

Tests fail with the guard of the vote or the answer taken out; lease safety is checked by the randomized runs, which use it after crashes.

--- a/decision/consensus/src/message.rs
+++ b/decision/consensus/src/message.rs
@@ -117,6 +117,14 @@
         /// Identity to which the message was addressed.
         intended: Identity,
     },
+    /// Answers a pre-vote: the receiver, which leads no one, has had no contact with a leader since its
+    /// start, and refuses only because it may have extended the lease of one just before.
+    Unled,
+    /// Requests a vote after every voter has answered that it would grant it or is [`Unled`](Self::Unled).
+    RestartVote {
+        /// Last entry of the candidate.
+        last: LogId,
+    },
 }
 
 /// Metadata of a snapshot.
--- a/decision/consensus/src/node/election.rs
+++ b/decision/consensus/src/node/election.rs
@@ -1,10 +1,17 @@
 //! Pre-votes, elections and changes of role.
+//!
+//! A replica that has just started rejects candidates for an election timeout, because it may have
+//! extended a leader's lease before. After a failure of all replicas this only delays service: if every
+//! voter answers a pre-vote, none of them leads, and none has had contact with a leader since its start,
+//! then no lease can be valid. Such an election is announced as one, and a voter takes part only while
+//! that still holds for itself; one that a leader has contacted meanwhile rejects it. Votes are bound to
+//! their term as in any election.
 
 use std::collections::BTreeSet;
 
 use pimentotide_model::Term;
 
-use super::{Durability, Node, Role};
+use super::{Durability, ElectionReason, Node, Role};
 use crate::{Identity, LogId, Message, Reject};
 
 impl Node {
@@ -15,7 +22,7 @@
         }
         let alone = self.log.config().voters.len() == 1;
         if alone && !matches!(self.role, Role::Candidate { .. }) {
-            self.campaign(false);
+            self.campaign(ElectionReason::Timeout);
         } else if self.at.now >= self.election_deadline {
             self.start_pre_vote();
         }
@@ -26,6 +33,7 @@
         self.leader = None;
         self.role = Role::PreCandidate {
             granted: BTreeSet::from([self.hard.identity.clone()]),
+            unled: BTreeSet::new(),
         };
         let last = self.log.last();
         let term = self.hard.term.next();
@@ -35,7 +43,7 @@
     }
 
     /// Starts an election in a new term.
-    pub(super) fn campaign(&mut self, transfer: bool) {
+    pub(super) fn campaign(&mut self, reason: ElectionReason) {
         self.reset_election_deadline();
         self.leader = None;
         self.hard.term = self.hard.term.next();
@@ -48,7 +56,14 @@
         };
         let last = self.log.last();
         for peer in self.other_voters() {
-            self.send(&peer, Message::Vote { last, transfer }, Durability::Hard);
+            let request = match reason {
+                ElectionReason::Restart => Message::RestartVote { last },
+                ElectionReason::Timeout | ElectionReason::Transfer => Message::Vote {
+                    last,
+                    transfer: reason == ElectionReason::Transfer,
+                },
+            };
+            self.send(&peer, request, Durability::Hard);
         }
     }
 
@@ -63,7 +78,12 @@
     }
 
     pub(super) fn on_pre_vote(&mut self, from: &Identity, term: Term, last: LogId) {
-        let granted = term > self.hard.term && !self.supports_leader() && last >= self.log.last();
+        let eligible = term > self.hard.term && last >= self.log.last();
+        if eligible && self.is_unled() {
+            self.send_in(term, from, Message::Unled, Durability::Hard);
+            return;
+        }
+        let granted = eligible && !self.supports_leader();
         let reply_term = if granted { term } else { self.hard.term };
         self.send_in(
             reply_term,
@@ -80,21 +100,50 @@
             }
             return;
         }
-        let Role::PreCandidate { granted: votes } = &mut self.role else {
+        let Role::PreCandidate { granted: votes, .. } = &mut self.role else {
             return;
         };
         if term != self.hard.term.next() {
             return;
         }
         votes.insert(from);
-        let votes = votes.clone();
-        if self.is_majority(&votes) {
-            self.campaign(false);
+        self.count_pre_votes();
+    }
+
+    pub(super) fn on_unled(&mut self, from: Identity, term: Term) {
+        if let Role::PreCandidate { unled, .. } = &mut self.role
+            && term == self.hard.term.next()
+        {
+            unled.insert(from);
+            self.count_pre_votes();
         }
     }
 
-    pub(super) fn on_vote(&mut self, from: &Identity, term: Term, last: LogId, transfer: bool) {
-        let blocked = self.supports_leader() && !transfer;
+    fn count_pre_votes(&mut self) {
+        let Role::PreCandidate { granted, unled } = &self.role else {
+            return;
+        };
+        let voters = self.other_voters();
+        let mut others = voters.iter();
+        if self.is_majority(granted) && !self.is_unled() {
+            self.campaign(ElectionReason::Timeout);
+        } else if others.all(|v| granted.contains(v) || unled.contains(v)) {
+            self.campaign(ElectionReason::Restart);
+        }
+    }
+
+    pub(super) fn on_vote(
+        &mut self,
+        from: &Identity,
+        term: Term,
+        last: LogId,
+        reason: ElectionReason,
+    ) {
+        let blocked = match reason {
+            ElectionReason::Timeout => self.supports_leader(),
+            ElectionReason::Transfer => false,
+            ElectionReason::Restart => self.supports_leader() && !self.is_unled(),
+        };
         if blocked || term < self.hard.term {
             self.send(
                 from,
@@ -140,7 +189,7 @@
     pub(super) fn on_timeout_now(&mut self, from: &Identity) {
         let from_leader = self.leader.as_ref() == Some(from);
         if from_leader && self.log.config().is_voter(&self.hard.identity) {
-            self.campaign(true);
+            self.campaign(ElectionReason::Transfer);
         }
     }
 
@@ -170,6 +219,11 @@
         }
     }
 
+    /// Returns whether only its recent start keeps this node from voting.
+    pub(super) fn is_unled(&self) -> bool {
+        !self.led && !matches!(self.role, Role::Leader(_)) && self.supports_leader()
+    }
+
     pub(super) fn is_majority(&self, votes: &BTreeSet<Identity>) -> bool {
         let config = self.log.config();
         votes.iter().filter(|v| config.is_voter(v)).count() >= config.quorum()
--- a/decision/consensus/src/node/follower.rs
+++ b/decision/consensus/src/node/follower.rs
@@ -21,6 +21,7 @@
     pub(super) fn on_leader_contact(&mut self, leader: &Identity) {
         self.become_follower(self.hard.term, Some(leader.clone()));
         self.leader_contact = self.at.now;
+        self.led = true;
         self.reset_election_deadline();
     }
 
--- a/decision/consensus/src/node/mod.rs
+++ b/decision/consensus/src/node/mod.rs
@@ -26,12 +26,18 @@
 };
 use leader::Leadership;
 
+/// Pre-votes in one election timeout after a start without contact to a leader; each can be the first
+/// one at which all other voters are up.
+const UNLED_RETRIES: u32 = 4;
+
 /// Role of the node in the current term.
 #[derive(Clone, Debug)]
 enum Role {
     Follower,
     PreCandidate {
         granted: BTreeSet<Identity>,
+        /// Voters without contact to a leader since their start.
+        unled: BTreeSet<Identity>,
     },
     Candidate {
         granted: BTreeSet<Identity>,
@@ -64,6 +70,8 @@
     leader: Option<Identity>,
     /// Time of the last contact with a leader of the current term, or of the start.
     leader_contact: Time,
+    /// Whether there was contact with a leader since the start.
+    led: bool,
     /// Time at which an election starts without contact to a leader.
     election_deadline: Time,
     /// Write of the current step.
@@ -84,6 +92,17 @@
     actions: Vec<Action>,
 }
 
+/// Reason for which a vote is requested.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ElectionReason {
+    /// The candidate has had no contact with a leader for its election timeout.
+    Timeout,
+    /// The leader hands leadership over.
+    Transfer,
+    /// All voters have restarted, or may vote anyway.
+    Restart,
+}
+
 /// State that has to be synced before a message is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Durability {
@@ -124,6 +143,7 @@
             leader: None,
             // The replica may have extended a leader's lease just before its restart.
             leader_contact: at.now,
+            led: false,
             election_deadline: at.now,
             pending_write: Write::default(),
             last_ticket: Ticket(0),
@@ -223,7 +243,18 @@
         match body {
             Message::PreVote { last } => self.on_pre_vote(&from, term, last),
             Message::PreVoteReply { granted } => self.on_pre_vote_reply(from, term, granted),
-            Message::Vote { last, transfer } => self.on_vote(&from, term, last, transfer),
+            Message::Unled => self.on_unled(from, term),
+            Message::Vote { last, transfer } => {
+                let reason = if transfer {
+                    ElectionReason::Transfer
+                } else {
+                    ElectionReason::Timeout
+                };
+                self.on_vote(&from, term, last, reason);
+            }
+            Message::RestartVote { last } => {
+                self.on_vote(&from, term, last, ElectionReason::Restart);
+            }
             body => self.receive_in_term(from, term, body),
         }
     }
@@ -265,7 +296,9 @@
             Message::Stale
             | Message::PreVote { .. }
             | Message::PreVoteReply { .. }
+            | Message::Unled
             | Message::Vote { .. }
+            | Message::RestartVote { .. }
             | Message::Refused { .. } => {}
         }
     }
@@ -443,7 +476,12 @@
     }
 
     fn reset_election_deadline(&mut self) {
-        let min = self.options.election_timeout;
+        let timeout = self.options.election_timeout;
+        let min = if self.is_unled() {
+            timeout / UNLED_RETRIES
+        } else {
+            timeout
+        };
         let spread = u64::try_from(min.as_micros()).unwrap_or(u64::MAX);
         let extra = self.rng.random_range(0..=spread);
         self.election_deadline = self.at.now + min + std::time::Duration::from_micros(extra);
--- a/decision/consensus/tests/it/main.rs
+++ b/decision/consensus/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod chaos;
 mod explore;
+mod restart;
 mod rules;
 mod scenario;
 mod sim;
