Agents: the coordinator looks for its group again as soon as it was formed

After a loss of power the coordinator of a group of 12 read its first counts 0.9 s after it followed a replica: its list lacked an agent whose beacon was due within 400 ms, and was requested again after 800 ms.

Agents announce a new seat at once, and an incomplete list is requested again after 100 ms, later after a quarter of the time since the group was formed.

--- a/app/src/fleet/agent/engine.rs
+++ b/app/src/fleet/agent/engine.rs
@@ -15,7 +15,7 @@
 use pimentotide_model::{ErrorKind, Failure, Ran, Time};
 use pimentotide_platform::{EngineClient, EngineError};
 use serde::{Deserialize, Serialize};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::super::beacon::Seat;
 use crate::lines::EngineOrdered;
@@ -41,6 +41,8 @@
     ordered_at: Arc<Mutex<Option<Instant>>>,
     /// Time of the last order to hold or release a pass or to disarm.
     pass_ordered: Arc<Mutex<Option<Instant>>>,
+    /// Seat in the last report that named one.
+    seats: Arc<watch::Sender<Option<Seat>>>,
 }
 
 /// State of one rank as the coordinator reads it.
@@ -91,6 +93,7 @@
             last_counts: Arc::default(),
             ordered_at: Arc::default(),
             pass_ordered: Arc::default(),
+            seats: Arc::default(),
         };
         actix_rt::spawn(serve(EngineClient::open(address, ENGINE_TIMEOUT), receiver));
         actix_rt::spawn(poll_reports(engine.clone()));
@@ -104,15 +107,15 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .clone()?;
-        let membership = report.membership.as_ref()?;
-        let seat = Seat {
-            group: membership.group.clone(),
-            epoch: membership.epoch,
-            rank: membership.rank,
-        };
+        let seat = seat_of(&report)?;
         Some((report, seat))
     }
 
+    /// Returns a receiver of changes of the engine's seat; a failed report is no change.
+    pub(super) fn seat_changes(&self) -> watch::Receiver<Option<Seat>> {
+        self.seats.subscribe()
+    }
+
     /// Returns the engine's seat by its last report.
     pub(super) fn seat(&self) -> Option<Seat> {
         self.latest_report().map(|(_, seat)| seat)
@@ -140,6 +143,13 @@
         *self.report.lock().unwrap_or_else(PoisonError::into_inner) = result.as_ref().ok().cloned();
         let pace = result.as_ref().ok().map(|report| (report.pace, asked_at));
         *self.pace.lock().unwrap_or_else(PoisonError::into_inner) = pace;
+        if let Some(seat) = result.as_ref().ok().and_then(seat_of) {
+            self.seats.send_if_modified(|last| {
+                let is_new = last.as_ref() != Some(&seat);
+                *last = Some(seat);
+                is_new
+            });
+        }
         result
     }
 
@@ -245,6 +255,16 @@
     }
 }
 
+/// Returns the seat that a report names; `None` outside a group.
+fn seat_of(report: &EngineReport) -> Option<Seat> {
+    let membership = report.membership.as_ref()?;
+    Some(Seat {
+        group: membership.group.clone(),
+        epoch: membership.epoch,
+        rank: membership.rank,
+    })
+}
+
 async fn serve(client: EngineClient, mut requests: mpsc::UnboundedReceiver<EngineRequest>) {
     while let Some(request) = requests.recv().await {
         actix_rt::spawn(handle_request(client.clone(), request));
--- a/app/src/fleet/agent/mod.rs
+++ b/app/src/fleet/agent/mod.rs
@@ -18,10 +18,10 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
-use pimentotide_experts::MAX_RESCUE_RANK;
+use pimentotide_experts::{MAX_RESCUE_RANK, list_interval};
 use pimentotide_instance::{PeerClient, PeerServer, PeerTimeouts, Token};
 use pimentotide_model::ZoneName;
 
@@ -127,6 +127,7 @@
         return;
     };
     let mut order = BeaconVersion::start();
+    let mut seats = engine.seat_changes();
     loop {
         let beacon = AgentBeacon {
             calls: settings.calls(),
@@ -140,7 +141,8 @@
             .into_iter()
             .map(|a| settings.beacons_at(a.ip()));
         sender.send(&beacon.into(), to).await;
-        tokio::time::sleep(BEACON_INTERVAL).await;
+        // The coordinator waits for the beacons of all ranks of a group that was formed anew.
+        let _ = tokio::time::timeout(BEACON_INTERVAL, seats.changed()).await;
     }
 }
 
@@ -157,6 +159,8 @@
     let mut turn = rand::random_range(0..64_usize);
     let mut client: Option<PeerClient> = None;
     let mut answered = false;
+    let mut seats = engine.seat_changes();
+    let mut formed_at = Instant::now();
     loop {
         let replica = client.get_or_insert_with(|| {
             PeerClient::with_timeouts(replica_at(&replicas, turn), token.clone(), TIMEOUTS)
@@ -186,7 +190,17 @@
                 replicas.add_seeds(&path);
             }
         }
-        tokio::time::sleep(PROCESSES_INTERVAL).await;
+        let interval = match engine.latest_report() {
+            Some((report, seat))
+                if seat.rank <= MAX_RESCUE_RANK && !peers.knows_group(&seat, report.size) =>
+            {
+                list_interval(formed_at.elapsed(), PROCESSES_INTERVAL)
+            }
+            Some(_) | None => PROCESSES_INTERVAL,
+        };
+        if let Ok(Ok(())) = tokio::time::timeout(interval, seats.changed()).await {
+            formed_at = Instant::now();
+        }
     }
 }
 
--- a/app/src/fleet/agent/peers.rs
+++ b/app/src/fleet/agent/peers.rs
@@ -24,6 +24,24 @@
     shape: Option<RankCapacity>,
 }
 
+impl PeerState {
+    /// Returns the agents of the group of `seat`, in rank order.
+    fn members(&self, seat: &Seat, size: u16) -> Vec<Option<&AgentBeacon>> {
+        let mut found = vec![None; usize::from(size)];
+        for agent in self.agents.values() {
+            let other = agent.seat.as_ref();
+            let Some(other) = other.filter(|s| s.group == seat.group && s.epoch == seat.epoch)
+            else {
+                continue;
+            };
+            if let Some(place) = found.get_mut(usize::from(other.rank)) {
+                *place = Some(agent);
+            }
+        }
+        found
+    }
+}
+
 impl Peers {
     pub(super) fn new(own_address: SocketAddr, engine: EngineHandle, links: AgentLinks) -> Self {
         Self {
@@ -52,20 +70,19 @@
         self.lock().shape
     }
 
+    /// Whether the agents of all ranks of the group of `seat` are known.
+    pub(super) fn knows_group(&self, seat: &Seat, size: u16) -> bool {
+        let state = self.lock();
+        let members = state.members(seat, size);
+        let own = usize::from(seat.rank);
+        let mut others = members.iter().enumerate().filter(|(rank, _)| *rank != own);
+        others.all(|(_, agent)| agent.is_some_and(|a| a.calls != self.own_address))
+    }
+
     /// Returns the group of `seat`; `None` unless the agents of all ranks are known.
     pub(super) fn group(&self, seat: &Seat, size: u16) -> Option<Group> {
         let state = self.lock();
-        let mut found: Vec<Option<&AgentBeacon>> = vec![None; usize::from(size)];
-        for agent in state.agents.values() {
-            let other = agent.seat.as_ref();
-            let Some(other) = other.filter(|s| s.group == seat.group && s.epoch == seat.epoch)
-            else {
-                continue;
-            };
-            if let Some(place) = found.get_mut(usize::from(other.rank)) {
-                *place = Some(agent);
-            }
-        }
+        let found = state.members(seat, size);
         let routes: Option<Vec<RankRoute>> = (0..size)
             .map(|rank| {
                 if rank == seat.rank {
--- a/decision/experts/src/even/mod.rs
+++ b/decision/experts/src/even/mod.rs
@@ -13,6 +13,7 @@
 mod change;
 mod counts;
 mod demand;
+mod formation;
 mod layer;
 mod rank;
 mod rescue;
@@ -27,6 +28,7 @@
 pub use change::{PlacementChange, PlacementId};
 pub use counts::CodedCounts;
 pub use demand::ExpertDemand;
+pub use formation::list_interval;
 pub use rank::{
     EngineOrder, EngineReport, FencedOrder, HeldExperts, Membership, OrderAnswer, PickedExperts,
 };
--- a/decision/experts/src/lib.rs
+++ b/decision/experts/src/lib.rs
@@ -25,7 +25,7 @@
     EngineReport, EvenLayout, EvenPlan, ExpertDemand, FencedOrder, HeldExperts,
     LOCAL_ORDER_TIMEOUTS, MAX_RESCUE_RANK, Membership, OrderAnswer, PickedExperts, Placement,
     PlacementChange, PlacementId, ProbeOutcome, RELAYED_WINDOW, Ranks, RelayTree, StuckAction,
-    StuckWatch, Switch, Urgency, ask_again, imbalance_even, plan_even,
+    StuckWatch, Switch, Urgency, ask_again, imbalance_even, list_interval, plan_even,
 };
 pub use manager::{Manager, ManagerLimits};
 pub use map::{ExpertMap, Layout, MAX_MAP_SLOTS, MapError, MapId, RankShape, Slot};
--- a/decision/experts/tests/it/main.rs
+++ b/decision/experts/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod decisions;
 mod even_change;
 mod even_exhaustive;
+mod even_formation;
 mod even_group;
 mod even_paces;
 mod even_plan;
