Entries: the wait for the first configuration depends on the caller's time

An entry held every caller for 600 ms after its start: one with a deadline of 600 ms until the deadline, and one with 8 s left no longer than that. Both now wait as long as for an upstream, 0.3 of their time and 1.2 s at most, so that callers whose time is short are refused while they can still go elsewhere.

--- a/app/src/fleet/entry/placing.rs
+++ b/app/src/fleet/entry/placing.rs
@@ -86,7 +86,7 @@
 
     /// Returns the maximum wait for an upstream regardless of other requests.
     pub(super) fn max_wait(&self) -> Duration {
-        MAX_WAIT.min(self.remaining().mul_f64(MAX_WAIT_RATIO))
+        max_wait(self.remaining())
     }
 
     fn choose(&self) -> Result<Choice, Blocked> {
@@ -207,6 +207,11 @@
     }
 }
 
+/// Returns the maximum wait of a caller with this time left for a configuration or an upstream.
+pub(super) fn max_wait(remaining: Duration) -> Duration {
+    MAX_WAIT.min(remaining.mul_f64(MAX_WAIT_RATIO))
+}
+
 fn blocked(denial: Denial) -> Blocked {
     let refusal = match denial {
         Denial::Gate(pause) => {
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -12,6 +12,7 @@
 
 use super::attempt::{Attempt, Running, SendError};
 use super::ordered::Order;
+use super::placing::max_wait;
 use super::state::EntryState;
 use super::streaming;
 use crate::lines::{Answered, Refused};
@@ -27,8 +28,6 @@
 /// If only this entry started, the caller loses little time; if all did, control
 /// has elected a leader by then.
 const RETRY_DELAY_START: Duration = Duration::from_millis(1_200);
-/// Maximum wait for the first configuration; most starts need less, and a retry would arrive no sooner.
-const MAX_START_WAIT: Duration = Duration::from_millis(600);
 /// Retry delay at a stopping entry.
 pub(super) const RETRY_DELAY_STOPPING: Duration = Duration::from_millis(50);
 /// Maximum request body before the first configuration.
@@ -143,7 +142,8 @@
 
 impl Relay for EntryRelay {
     async fn relay(&self, call: Call) -> Relayed {
-        self.state.wait_for_start(MAX_START_WAIT).await;
+        let timeout = call.timeout.unwrap_or(DEFAULT_TIMEOUT);
+        self.state.wait_for_start(max_wait(timeout)).await;
         match self.prepare(call) {
             Ok((attempt, RouteKind::Streaming)) => streaming::run(attempt).await,
             Ok((attempt, _)) => run_whole(attempt).await,
