Entries: new streams wait for a moment while passes are nearly as long as streams may pause

Entries see the gaps of their own streams. While these are 0.7 of the target or more, new streams start at half of the rate of arrivals, within what their own target leaves, and for three targets at most.

--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -8,6 +8,7 @@
 mod documents;
 mod follow;
 mod ordered;
+mod pace;
 mod placing;
 mod relay;
 mod report;
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -6,7 +6,9 @@
 use actix_web::http::StatusCode;
 use actix_web::http::header::{HeaderName, HeaderValue};
 use bytes::Bytes;
-use pimentotide_fleet::{Ended, Mismatch, Outcome, Policy, RequestDigests, RouteKind, Step};
+use pimentotide_fleet::{
+    Ended, Mismatch, Outcome, Policy, RequestDigests, RouteKind, Step, StreamTargets,
+};
 use pimentotide_model::{ErrorKind, Failure, Fingerprint, Ran};
 use pimentotide_platform::{AnswerError, Call, Relay, Relayed};
 
@@ -84,6 +86,13 @@
         };
         let kind = found.route.kind;
         let order = Order::of(&table, &found, &service, &call);
+        let arrived = self.state.clock().past(call.received);
+        let gap = found.route.max_gap.filter(|_| kind == RouteKind::Streaming);
+        let targets = gap.map(|gap| StreamTargets {
+            arrived,
+            first_event: found.route.target_latency,
+            gap,
+        });
         let attempt = Attempt {
             route: found.route.name.clone(),
             kind,
@@ -95,6 +104,7 @@
                     .map_or(found.priority.min(LOWEST_PRIORITY), |o| o.rank),
             ),
             order,
+            targets,
             state: self.state.clone(),
             _open: self.state.track_request(),
             service,
--- a/app/src/fleet/entry/streaming.rs
+++ b/app/src/fleet/entry/streaming.rs
@@ -266,7 +266,8 @@
                         }
                     }
                     Ok(events) => {
-                        source.last_event = Some(Instant::now());
+                        let last = source.last_event.replace(Instant::now());
+                        self.attempt.record_progress(last);
                         self.attempt.record_events(self.cursor.forwarded() - before);
                         return Next::Events(events);
                     }
