Callers: a refusal of a body that is still being sent reaches its caller

Ruled out: a reset by the accept queue; the request that failed is the one of 5 MiB. Before: caller_that_sends_a_large_body_receives_the_refusal fails (reset while it writes). After: passes, with the tests for bodies without end and for hidden requests.

--- a/peers/caller/src/lib.rs
+++ b/peers/caller/src/lib.rs
@@ -13,6 +13,7 @@
 mod routes;
 mod server;
 
+pub use body::close_after;
 pub use call::{Answer, AnswerBody, Call, EntryAdvice, Health, PieceStream, Service};
 pub use headers::{
     ADAPTER_HEADER, DEADLINE_HEADER, KEY_HEADER, PRIORITY_HEADER, REQUEST_HEADER, SERVICE_HEADER,
--- a/peers/caller/src/routes.rs
+++ b/peers/caller/src/routes.rs
@@ -87,15 +87,15 @@
     service: web::ThinData<S>,
     limits: web::Data<Limits>,
     request: HttpRequest,
-    payload: web::Payload,
+    mut payload: web::Payload,
 ) -> HttpResponse
 where
     S: Service,
 {
     let id = new_id();
-    let body = match body::read(payload, limits.max_body_bytes).await {
+    let body = match body::read(&mut payload, limits.max_body_bytes).await {
         Ok(body) => body,
-        Err(failure) => return body::close_after(problem(&failure, id)).await,
+        Err(failure) => return body::close_after(problem(&failure, id), payload).await,
     };
     let call = parse::completion(&request, id, body, CHAT);
     respond(&service.0, id, call).await
@@ -105,7 +105,7 @@
     service: web::ThinData<S>,
     limits: web::Data<Limits>,
     request: HttpRequest,
-    payload: web::Payload,
+    mut payload: web::Payload,
 ) -> HttpResponse
 where
     S: Service,
@@ -113,9 +113,9 @@
     let id = new_id();
     let name = request.match_info().get("service").unwrap_or_default();
     let path = request.match_info().get("path").unwrap_or_default();
-    let body = match body::read(payload, limits.max_body_bytes).await {
+    let body = match body::read(&mut payload, limits.max_body_bytes).await {
         Ok(body) => body,
-        Err(failure) => return body::close_after(problem(&failure, id)).await,
+        Err(failure) => return body::close_after(problem(&failure, id), payload).await,
     };
     let call = parse::plain(&request, id, body, name, path);
     respond(&service.0, id, call).await
--- a/peers/caller/tests/it/bodies.rs
+++ b/peers/caller/tests/it/bodies.rs
@@ -12,6 +12,8 @@
 use tokio::net::TcpStream;
 
 const MAX_BODY_BYTES: usize = 64;
+/// Body that fills the buffers of a connection several times.
+const LARGE_BODY_BYTES: usize = 32 << 20;
 /// Time in which the server acts, however busy the machine is.
 const GIVE_UP_TIME: Duration = Duration::from_secs(30);
 
@@ -86,6 +88,31 @@
     server.stop().await;
 }
 
+/// Guards against a refusal that is lost since the connection is reset while the caller still sends.
+#[actix_rt::test]
+async fn caller_that_sends_a_large_body_receives_the_refusal() {
+    let server = serve();
+    let (mut reader, mut writer) = TcpStream::connect(server.address())
+        .await
+        .unwrap()
+        .into_split();
+    let body = vec![b'x'; LARGE_BODY_BYTES];
+    let head = format!(
+        "POST /services/s/p HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    let exchange = async {
+        writer.write_all(head.as_bytes()).await?;
+        writer.write_all(&body).await?;
+        let mut answer = String::new();
+        reader.read_to_string(&mut answer).await.map(|_| answer)
+    };
+    let answer = tokio::time::timeout(GIVE_UP_TIME, exchange).await;
+    let answer = answer.expect("the connection ends").expect("no reset");
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    server.stop().await;
+}
+
 /// Guards against bytes of a refused body that are taken for the next request, and against a body of
 /// which the server and its neighbour see different ends.
 #[actix_rt::test]
