Entries: all requests are admitted in order; the second way of placing requests goes

The queue's other parts (in time before late, shares of workspaces, bound on what waits at an upstream) need no priorities. Change: every service is ordered; place_at_once with its polls is removed. Requests beyond the limits that upstreams name are refused at once as before, now for services with several priorities too. Test replaced: services_with_routes_of_one_priority_are_not_ordered asserted the old rule; its successor asserts one rank for requests of one priority, and the lowest for a service to which no route leads.

--- a/app/src/fleet/entry/admission.rs
+++ b/app/src/fleet/entry/admission.rs
@@ -18,9 +18,11 @@
 use tokio::sync::oneshot;
 
 use super::attempt::TicketGuard;
-use super::placing::{CHOOSE_INTERVAL, Denial};
+use super::placing::Denial;
 use super::state::{EntryState, Inner};
 
+/// Time until the next attempt to choose an upstream if no event is known to end the denial.
+const CHOOSE_INTERVAL: Duration = Duration::from_millis(50);
 /// Minimum time between checks for waits that have ended; the measured rate sinks with each check.
 const SHED_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -148,7 +150,7 @@
         self.services.get_mut(service)?.queue.cancel(id)
     }
 
-    /// Sets the gauges of each priority rank, once a service is ordered.
+    /// Sets the gauges of each priority rank, once a request has waited.
     pub(super) fn measure(&self, metrics: &Metrics, now: Time) {
         if self.services.is_empty() {
             return;
@@ -307,10 +309,9 @@
         Denial::Gate(_) | Denial::Refusal(Refusal::Empty | Refusal::Cold) => {
             now >= queued.item.no_upstream_until
         }
-        Denial::Refusal(Refusal::Limited(None)) => true,
-        Denial::Refusal(Refusal::Limited(Some(pause)) | Refusal::Backoff(pause)) => {
-            now + pause >= queued.deadline
-        }
+        // Waiting requests would only use up what newer ones could have.
+        Denial::Refusal(Refusal::Limited(_)) => true,
+        Denial::Refusal(Refusal::Backoff(pause)) => now + pause >= queued.deadline,
         Denial::Refusal(Refusal::Full) => false,
     }
 }
--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -38,9 +38,8 @@
     pub(super) version: u64,
     pub(super) service: ServiceName,
     pub(super) workspace: Option<WorkspaceName>,
-    pub(super) priority: Option<u8>,
-    /// Terms on which it is admitted in order; `None` if its service's requests are not ordered.
-    pub(super) order: Option<Order>,
+    /// Terms on which it is admitted.
+    pub(super) order: Order,
     /// Targets of a stream; `None` if its route names none.
     pub(super) targets: Option<StreamTargets>,
     pub(super) policy: Policy,
@@ -253,7 +252,7 @@
             workspace: self.workspace.as_deref(),
             timeout: left,
             last_event,
-            priority: self.priority,
+            priority: Some(self.order.rank),
         };
         let sending = client.send(&self.call, &send);
         let limit = tokio::time::Instant::from_std(self.answer_deadline());
--- a/app/src/fleet/entry/ordered.rs
+++ b/app/src/fleet/entry/ordered.rs
@@ -1,4 +1,4 @@
-//! Admission in order of a request to a service whose routes have different priorities.
+//! Admission of a request in order of priority, target and share.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,11 +18,11 @@
     Denial, MAX_RETRY_DELAY, MIN_RETRY_FULL, MIN_RETRY_NO_UPSTREAM, TYPICAL_STREAM_TIME,
     TYPICAL_WHOLE_TIME,
 };
-use super::relay::{LOWEST_PRIORITY, RETRY_DELAY_STALE, RETRY_DELAY_STOPPING, mismatch_failure};
+use super::relay::{RETRY_DELAY_STALE, RETRY_DELAY_STOPPING, mismatch_failure};
 use super::state::EntryState;
 use crate::lines::Queued;
 
-/// Terms of a request whose service's requests are ordered.
+/// Terms on which a request is admitted.
 #[derive(Clone, Debug)]
 pub(super) struct Order {
     /// Priority rank; 0 is the most urgent.
@@ -34,18 +34,18 @@
 }
 
 impl Order {
-    /// Returns the terms of a request; `None` if those of its service are not ordered.
+    /// Returns the terms of a request.
     pub(super) fn of(
         table: &RouteTable,
         found: &Match<'_>,
         service: &ServiceName,
         call: &Call,
-    ) -> Option<Self> {
-        Some(Self {
-            rank: table.rank(found, service)?,
+    ) -> Self {
+        Self {
+            rank: table.rank(found, service),
             target: found.route.target_latency,
             work: request_work(call.tokens, call.length_hint),
-        })
+        }
     }
 }
 
@@ -78,7 +78,7 @@
     /// # Errors
     ///
     /// Fails if the request is refused, or if it may no longer be sent.
-    pub(super) async fn place_in_order(&mut self) -> Result<Choice, Failure> {
+    pub(super) async fn place(&mut self) -> Result<Choice, Failure> {
         let arrived = self.state.now();
         let no_upstream_until = arrived + self.max_wait();
         let wait = Wait {
@@ -90,8 +90,8 @@
             },
             no_upstream_until,
         };
-        while let Some(order) = self.order.clone() {
-            let waiting = match self.enter(&order, wait)? {
+        loop {
+            let waiting = match self.enter(wait)? {
                 Ok(choice) => return Ok(choice),
                 Err(waiting) => waiting,
             };
@@ -106,11 +106,10 @@
                 Reply::Redeclared => self.match_again()?,
             }
         }
-        self.place_at_once().await
     }
 
     /// Chooses an upstream if no other request waits and one has room, otherwise enters the queue.
-    fn enter(&self, order: &Order, wait: Wait) -> Result<Result<Choice, Waiting>, Failure> {
+    fn enter(&self, wait: Wait) -> Result<Result<Choice, Waiting>, Failure> {
         let now = self.state.now();
         if !is_in_time(&self.policy, now) {
             return Err(self.failure(ErrorKind::DeadlineExceeded, "no time left to send it"));
@@ -121,7 +120,7 @@
             drop(state);
             return Err(self.not_current());
         }
-        let bound = self.queue_bound(order);
+        let bound = self.queue_bound();
         let denial = match state.admissions.denial(&self.service) {
             Some(denial) => denial,
             None => {
@@ -137,7 +136,7 @@
                             state.budget.earn(&self.service, now);
                         }
                         drop(state);
-                        self.count_admitted(order);
+                        self.count_admitted();
                         return Ok(Ok(choice));
                     }
                     Err(denial) => denial,
@@ -151,7 +150,7 @@
             no_upstream_until: wait.no_upstream_until,
             reply: sender,
         };
-        let terms = self.terms(order, wait);
+        let terms = self.terms(wait);
         let declared = state.declared();
         state.admissions.start_at(declared);
         let entered = state
@@ -161,7 +160,7 @@
         pimentotide_observe::event(&Queued {
             request: &self.call.id,
             route: &self.route,
-            rank: order.rank,
+            rank: self.order.rank,
             ahead: entered.ahead,
             waiting: entered.waiting,
             reason: denial.to_string(),
@@ -178,7 +177,8 @@
         Ok(Err(waiting))
     }
 
-    fn terms(&self, order: &Order, wait: Wait) -> AdmissionTerms {
+    fn terms(&self, wait: Wait) -> AdmissionTerms {
+        let order = &self.order;
         let received = self.state.clock().past(self.call.received);
         let has_target = self.sends == 0 && !order.target.is_zero();
         AdmissionTerms {
@@ -194,7 +194,8 @@
         }
     }
 
-    fn queue_bound(&self, order: &Order) -> Option<QueueBound> {
+    fn queue_bound(&self) -> Option<QueueBound> {
+        let order = &self.order;
         let usual = match self.kind {
             RouteKind::Streaming => TYPICAL_STREAM_TIME,
             RouteKind::Idempotent | RouteKind::NonIdempotent => TYPICAL_WHOLE_TIME,
@@ -228,9 +229,7 @@
             state.budget.earn(&self.service, now);
         }
         drop(state);
-        if let Some(order) = &self.order {
-            self.count_admitted(order);
-        }
+        self.count_admitted();
         guard.release();
         Ok(choice)
     }
@@ -247,11 +246,8 @@
             let detail = "its route leads to another service now";
             return Err(self.failure(ErrorKind::NoUpstream, detail));
         }
-        let order = Order::of(&table, &found, &self.service, &self.call);
-        let priority = found.priority.min(LOWEST_PRIORITY);
-        self.priority = Some(order.as_ref().map_or(priority, |o| o.rank));
+        self.order = Order::of(&table, &found, &self.service, &self.call);
         self.version = table.declaration().version;
-        self.order = order;
         Ok(())
     }
 
@@ -260,19 +256,21 @@
             Denial::Gate(_) | Denial::Refusal(Refusal::Empty) => {
                 (ErrorKind::NoUpstream, MIN_RETRY_NO_UPSTREAM)
             }
-            Denial::Refusal(Refusal::Backoff(left)) => (ErrorKind::Overloaded, left),
+            Denial::Refusal(Refusal::Backoff(left) | Refusal::Limited(Some(left))) => {
+                (ErrorKind::Overloaded, left)
+            }
             Denial::Refusal(_) => (ErrorKind::Overloaded, MIN_RETRY_FULL),
         };
         let (reason, text) = match refused.reason {
-            Some(ShedReason::Full) => ("full", "the queue is full"),
-            Some(ShedReason::OverShare) => ("displaced", "displaced from the full queue"),
-            Some(ShedReason::Deadline) => ("deadline", "it cannot begin before its deadline"),
-            Some(ShedReason::Waited) => ("waited", "it has waited, or would wait, too long"),
-            None => ("denied", "waiting is of no use"),
+            Some(ShedReason::Full) => ("full", ": the queue is full"),
+            Some(ShedReason::OverShare) => ("displaced", ": displaced from the full queue"),
+            Some(ShedReason::Deadline) => ("deadline", ": it cannot begin before its deadline"),
+            Some(ShedReason::Waited) => ("waited", ": it has waited, or would wait, too long"),
+            None => ("denied", ""),
         };
         let metrics = self.state.metrics();
         metrics.count("entry.queue_refused", ("reason", reason), 1);
-        let detail = format!("{}: {text}", refused.denial);
+        let detail = format!("{}{text}", refused.denial);
         let min_delay = refused.retry.min(MAX_RETRY_DELAY).max(min_delay);
         self.failure_after(kind, &detail, min_delay)
     }
@@ -290,8 +288,8 @@
         Ok(())
     }
 
-    fn count_admitted(&self, order: &Order) {
-        let rank = order.rank.to_string();
+    fn count_admitted(&self) {
+        let rank = self.order.rank.to_string();
         let metrics = self.state.metrics();
         metrics.count("entry.admitted", ("rank", &rank), 1);
     }
--- a/app/src/fleet/entry/placing.rs
+++ b/app/src/fleet/entry/placing.rs
@@ -4,8 +4,7 @@
 
 use derive_more::Display;
 use pimentotide_fleet::{
-    Admission, Choice, ChoiceRequest, LOWEST_RANK, PROBATION, Refusal, RetryWindow, RouteKind,
-    is_in_time,
+    Admission, Choice, ChoiceRequest, PROBATION, Refusal, RetryWindow, RouteKind,
 };
 use pimentotide_model::{ErrorKind, Failure, Ran, Time};
 
@@ -16,8 +15,6 @@
 const MAX_WAIT: Duration = Duration::from_millis(1_200);
 /// Maximum share of the caller's remaining time spent on that wait.
 const MAX_WAIT_RATIO: f64 = 0.3;
-/// Time between attempts to choose an upstream.
-pub(super) const CHOOSE_INTERVAL: Duration = Duration::from_millis(50);
 /// Minimum retry delay if there was no upstream; a group forms in less.
 pub(super) const MIN_RETRY_NO_UPSTREAM: Duration = Duration::from_millis(1_000);
 /// Minimum retry delay if all upstreams were full.
@@ -44,78 +41,12 @@
     Refusal(Refusal),
 }
 
-/// Reason why no upstream can be chosen now.
-struct Blocked {
-    kind: ErrorKind,
-    detail: String,
-    /// Minimum delay of a retry by the caller; `None` if it follows from the kind.
-    min_delay: Option<Duration>,
-    /// Delay before the next attempt; `None` if waiting is useless.
-    retry_in: Option<Duration>,
-}
-
 impl Attempt {
-    /// Chooses an upstream, waiting for one for a share of the remaining time.
-    ///
-    /// # Errors
-    ///
-    /// Fails if no upstream becomes available in that time or waiting is useless.
-    pub(super) async fn place(&mut self) -> Result<Choice, Failure> {
-        match self.order {
-            Some(_) => self.place_in_order().await,
-            None => self.place_at_once().await,
-        }
-    }
-
-    /// Chooses an upstream as soon as there is one, regardless of other requests.
-    pub(super) async fn place_at_once(&self) -> Result<Choice, Failure> {
-        let start = self.state.now();
-        let max_wait = self.max_wait();
-        loop {
-            let blocked = match self.choose() {
-                Ok(choice) => return Ok(choice),
-                Err(blocked) => blocked,
-            };
-            let waited = self.state.now().since(start);
-            match blocked.retry_in {
-                Some(pause) if waited + pause < max_wait => tokio::time::sleep(pause).await,
-                Some(_) | None => return Err(self.blocked_failure(&blocked)),
-            }
-        }
-    }
-
     /// Returns the maximum wait for an upstream regardless of other requests.
     pub(super) fn max_wait(&self) -> Duration {
         max_wait(self.remaining())
     }
 
-    fn choose(&self) -> Result<Choice, Blocked> {
-        let now = self.state.now();
-        if !is_in_time(&self.policy, now) {
-            return Err(Blocked {
-                kind: ErrorKind::DeadlineExceeded,
-                detail: "no time left to send it".to_owned(),
-                min_delay: None,
-                retry_in: None,
-            });
-        }
-        if self.state.is_refused(&self.digests) {
-            return Err(Blocked {
-                kind: ErrorKind::CrashingRequest,
-                detail: CRASHING_DETAIL.to_owned(),
-                min_delay: None,
-                retry_in: None,
-            });
-        }
-        let mut state = self.state.lock();
-        let request = self.choice_request();
-        let choice = state.choose(&request, now);
-        if choice.is_ok() && self.sends == 0 {
-            state.budget.earn(&self.service, now);
-        }
-        choice.map_err(blocked)
-    }
-
     /// Returns the properties of this request that the balancer needs.
     pub(super) fn choice_request(&self) -> ChoiceRequest<'_> {
         ChoiceRequest {
@@ -126,13 +57,6 @@
         }
     }
 
-    fn blocked_failure(&self, blocked: &Blocked) -> Failure {
-        match blocked.min_delay {
-            Some(min_delay) => self.failure_after(blocked.kind, &blocked.detail, min_delay),
-            None => self.failure(blocked.kind, &blocked.detail),
-        }
-    }
-
     /// Returns a failure that states whether the request may have run and when to retry.
     pub(super) fn failure(&self, kind: ErrorKind, detail: &str) -> Failure {
         match kind {
@@ -187,8 +111,7 @@
             .retry_schedules
             .entry(self.service.clone())
             .or_default();
-        let rank = self.order.as_ref().map_or(LOWEST_RANK, |o| o.rank);
-        failure.with_retry(schedule.assign_ranked(rank, &window, now, &mut rand::rng()))
+        failure.with_retry(schedule.assign_ranked(self.order.rank, &window, now, &mut rand::rng()))
     }
 }
 
@@ -211,32 +134,3 @@
 pub(super) fn max_wait(remaining: Duration) -> Duration {
     MAX_WAIT.min(remaining.mul_f64(MAX_WAIT_RATIO))
 }
-
-fn blocked(denial: Denial) -> Blocked {
-    let refusal = match denial {
-        Denial::Gate(pause) => {
-            return Blocked {
-                kind: ErrorKind::NoUpstream,
-                detail: denial.to_string(),
-                min_delay: None,
-                retry_in: Some(pause),
-            };
-        }
-        Denial::Refusal(refusal) => refusal,
-    };
-    let (kind, min_delay, retry_in) = match refusal {
-        Refusal::Empty => (ErrorKind::NoUpstream, None, Some(CHOOSE_INTERVAL)),
-        Refusal::Cold => (ErrorKind::Overloaded, None, Some(CHOOSE_INTERVAL)),
-        // Requests running and queued there take longer than a caller would wait here.
-        Refusal::Full => (ErrorKind::Overloaded, None, None),
-        // Waiting requests would only use up what newer ones could have.
-        Refusal::Limited(next) => (ErrorKind::Overloaded, next, None),
-        Refusal::Backoff(left) => (ErrorKind::Overloaded, Some(left), Some(left)),
-    };
-    Blocked {
-        kind,
-        min_delay,
-        detail: refusal.to_string(),
-        retry_in,
-    }
-}
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -19,8 +19,6 @@
 use super::streaming;
 use crate::lines::{Answered, Refused};
 
-/// Priority of the least urgent requests at an upstream.
-pub(super) const LOWEST_PRIORITY: u8 = 9;
 /// Timeout of a request whose caller sends none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Retry delay at an entry whose lease has expired; the caller can use another one.
@@ -98,11 +96,6 @@
             kind,
             version: table.declaration().version,
             workspace: found.workspace.cloned(),
-            priority: Some(
-                order
-                    .as_ref()
-                    .map_or(found.priority.min(LOWEST_PRIORITY), |o| o.rank),
-            ),
             order,
             targets,
             state: self.state.clone(),
--- a/decision/fleet/src/priority.rs
+++ b/decision/fleet/src/priority.rs
@@ -1,4 +1,4 @@
-//! Priority ranks of requests to services whose routes have different priorities.
+//! Priority ranks of requests to a service, by the priorities of its routes and workspaces.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -13,8 +13,6 @@
 type Pair = (u8, u8);
 
 /// Pairs of priorities that one configuration allows, by service, the most urgent first.
-///
-/// Lists only services to which it has routes of different priorities.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PriorityRanks {
     services: BTreeMap<ServiceName, Vec<Pair>>,
@@ -31,24 +29,22 @@
                 }
             }
         }
-        let services = routes.into_iter().filter_map(|(service, routes)| {
-            let priorities: BTreeSet<u8> = routes.iter().map(|r| r.priority).collect();
-            if priorities.len() < 2 {
-                return None;
-            }
+        let services = routes.into_iter().map(|(service, routes)| {
             let pairs: BTreeSet<Pair> = routes.iter().flat_map(|r| pairs(declaration, r)).collect();
-            Some((service.clone(), pairs.into_iter().collect()))
+            (service.clone(), pairs.into_iter().collect())
         });
         Self {
             services: services.collect(),
         }
     }
 
-    /// Returns the rank of a pair, 0 first; `None` if requests to the service are not ordered.
-    pub fn rank(&self, service: &ServiceName, pair: (u8, u8)) -> Option<u8> {
-        let pairs = self.services.get(service)?;
+    /// Returns the rank of a pair, 0 first; the lowest if no route leads to the service.
+    pub fn rank(&self, service: &ServiceName, pair: (u8, u8)) -> u8 {
+        let Some(pairs) = self.services.get(service) else {
+            return LOWEST_RANK;
+        };
         let position = pairs.partition_point(|p| *p < pair);
-        Some(u8::try_from(position).map_or(LOWEST_RANK, |p| p.min(LOWEST_RANK)))
+        u8::try_from(position).map_or(LOWEST_RANK, |p| p.min(LOWEST_RANK))
     }
 }
 
--- a/decision/fleet/src/route.rs
+++ b/decision/fleet/src/route.rs
@@ -72,8 +72,8 @@
         self.declaration.services.get(name)
     }
 
-    /// Returns the priority rank of a request to a service; `None` if its requests are not ordered.
-    pub fn rank(&self, found: &Match<'_>, service: &ServiceName) -> Option<u8> {
+    /// Returns the priority rank of a request to a service.
+    pub fn rank(&self, found: &Match<'_>, service: &ServiceName) -> u8 {
         let pair = (found.priority, found.route.priority);
         self.ranks.rank(service, pair)
     }
--- a/decision/fleet/tests/it/declaration.rs
+++ b/decision/fleet/tests/it/declaration.rs
@@ -4,7 +4,8 @@
 
 use insta::assert_snapshot;
 use pimentotide_fleet::{
-    Declaration, Limits, Mismatch, PriorityRanks, Route, RouteKind, RouteTable, Service, Workspace,
+    Declaration, LOWEST_RANK, Limits, Mismatch, PriorityRanks, Route, RouteKind, RouteTable,
+    Service, Workspace,
 };
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
@@ -137,24 +138,28 @@
     let ranks = PriorityRanks::of(&declaration);
     let rank = |pair| ranks.rank(&"advice".into(), pair);
     let pairs = [(0, 1), (0, 2), (1, 1), (2, 2), (3, 3)];
-    let ranked: Vec<Option<u8>> = pairs.into_iter().map(rank).collect();
-    assert_eq!(ranked, [Some(0), Some(1), Some(2), Some(3), Some(4)]);
+    let ranked: Vec<u8> = pairs.into_iter().map(rank).collect();
+    assert_eq!(ranked, [0, 1, 2, 3, 4]);
     let table = RouteTable::new(declaration);
     let found = table.find("h.example", "/a/b/c", Some("k1")).unwrap();
-    assert_eq!(table.rank(&found, &"advice".into()), Some(1));
+    assert_eq!(table.rank(&found, &"advice".into()), 1);
 }
 
-/// Guards against requests that wait in an entry although no route is more urgent than another.
+/// Guards against an order among requests of equal priority, and against ranks taken up by routes
+/// that lead to another service.
 #[test]
-fn services_with_routes_of_one_priority_are_not_ordered() {
+fn services_with_routes_of_one_priority_have_one_rank() {
     let mut declaration = declaration();
+    for workspace in declaration.workspaces.iter_mut().flatten() {
+        workspace.priority = None;
+    }
     let ranks = PriorityRanks::of(&declaration);
-    assert_eq!(ranks, PriorityRanks::default());
+    assert_eq!(ranks.rank(&"advice".into(), (2, 2)), 0);
     declaration.routes[0].priority = 1;
     declaration.routes[0].split = vec![("advice".into(), 1), ("orders".into(), 0)];
     let ranks = PriorityRanks::of(&declaration);
-    assert_eq!(ranks.rank(&"orders".into(), (0, 2)), None);
-    assert_eq!(ranks.rank(&"advice".into(), (0, 1)), Some(0));
+    assert_eq!(ranks.rank(&"advice".into(), (1, 1)), 0);
+    assert_eq!(ranks.rank(&"orders".into(), (2, 2)), LOWEST_RANK);
 }
 
 /// Guards against a priority beyond the range of the header when a configuration has many.
@@ -169,5 +174,5 @@
         });
     }
     let ranks = PriorityRanks::of(&declaration);
-    assert_eq!(ranks.rank(&"advice".into(), (19, 19)), Some(9));
+    assert_eq!(ranks.rank(&"advice".into(), (19, 19)), 9);
 }
