Entries: the whole retry budget of a window can be spent at once

Change: requests and retries of the last windows are counted; a retry is allowed if no window that began earlier exceeds its budget, by the rule's own definition of the requests of a window. Half of the allowance from the start of an entry on, as before. Test: all_streams_of_a_broken_group_may_be_resumed_at_once; the property over all windows counts the window half a window before as the rule does.

--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -124,7 +124,7 @@
             inner: Mutex::new(Inner {
                 table: None,
                 balancer,
-                budget: RetryBudget::new(budget, entry_count),
+                budget: RetryBudget::open(budget, entry_count, clock.now()),
                 retry_schedules: BTreeMap::new(),
                 gates: BTreeMap::new(),
                 pacers: BTreeMap::new(),
@@ -489,7 +489,7 @@
         self.entries.update(live, recorded, now);
         let entries = self.entries.get(now);
         self.balancer.set_entries(entries, now);
-        self.budget.set_entries(entries, now);
+        self.budget.set_entries(entries);
     }
 }
 
