Entries: new streams are no longer paced by the gaps of running ones

Conclusion: removed with its constants, its log line, its metric and its tests, which tested nothing else.

--- a/app/src/explain/cause.rs
+++ b/app/src/explain/cause.rs
@@ -4,8 +4,8 @@
 
 use super::Record;
 use crate::lines::{
-    Answered, BrokenOff, Ejected, Interrupted, Paced, Queued, Ready, Refused, StreamKept,
-    UpstreamCrashed, UpstreamSignal, UpstreamSlow,
+    Answered, BrokenOff, Ejected, Interrupted, Queued, Ready, Refused, StreamKept, UpstreamCrashed,
+    UpstreamSignal, UpstreamSlow,
 };
 
 /// Returns one sentence per relevant line of the request, in order.
@@ -35,12 +35,6 @@
     match record.event.as_str() {
         Interrupted::EVENT => Some(interrupted(record, related)),
         Refused::EVENT => Some(refused(record)),
-        Paced::EVENT => Some(format!(
-            "Its start was delayed by up to {} ms: events of running streams came {} ms apart, with a target of {} ms.",
-            record.number("wait_ms"),
-            record.number("gap_ms"),
-            record.number("target_ms")
-        )),
         StreamKept::EVENT => Some(format!(
             "Upstream {} was slow, but the stream stayed there: {}.",
             record.text("upstream"),
--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use pimentotide_fleet::{
-    Choice, Ended, Next, Outcome, Policy, RequestDigests, RouteKind, Step, StreamTargets, Ticket,
-    is_sound_run, next_step,
+    Choice, Ended, Next, Outcome, Policy, RequestDigests, RouteKind, Step, Ticket, is_sound_run,
+    next_step,
 };
 use pimentotide_model::{Failure, ServiceName, Time, UpstreamName, WorkspaceName};
 use pimentotide_platform::{Answer, AnswerError, Call, SendOptions, UpstreamClient};
@@ -40,8 +40,6 @@
     pub(super) workspace: Option<WorkspaceName>,
     /// Terms on which it is admitted.
     pub(super) order: Order,
-    /// Targets of a stream; `None` if its route names none.
-    pub(super) targets: Option<StreamTargets>,
     pub(super) policy: Policy,
     pub(super) tried: Vec<UpstreamName>,
     pub(super) sends: u32,
@@ -178,7 +176,6 @@
     ///
     /// Fails if the send ended without a usable response, or if no upstream was available.
     pub(super) async fn send(&mut self, last_event: Option<String>) -> Result<Running, SendError> {
-        self.pace().await;
         let choice = self.place().await.map_err(SendError::Refused)?;
         let destination = self.destination(choice);
         let sent = self.send_to(destination, last_event).await;
@@ -341,11 +338,6 @@
         self.last_send.as_ref().map(|s| &s.ticket)
     }
 
-    /// Returns the time of the latest send.
-    pub(super) fn last_sent_at(&self) -> Option<Time> {
-        self.last_send.as_ref().map(|s| s.sent_at)
-    }
-
     /// Returns the upstream of the latest send.
     pub(super) fn last_upstream(&self) -> Option<UpstreamName> {
         self.tried.last().cloned()
--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -8,7 +8,6 @@
 mod documents;
 mod follow;
 mod ordered;
-mod pace;
 mod placing;
 mod relay;
 mod report;
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -6,9 +6,7 @@
 use actix_web::http::StatusCode;
 use actix_web::http::header::{HeaderName, HeaderValue};
 use bytes::Bytes;
-use pimentotide_fleet::{
-    Ended, Mismatch, Outcome, Policy, RequestDigests, RouteKind, Step, StreamTargets,
-};
+use pimentotide_fleet::{Ended, Mismatch, Outcome, Policy, RequestDigests, RouteKind, Step};
 use pimentotide_model::{ErrorKind, Failure, Fingerprint, Ran};
 use pimentotide_platform::{AnswerError, Call, Relay, Relayed};
 
@@ -84,20 +82,12 @@
         };
         let kind = found.route.kind;
         let order = Order::of(&table, &found, &service, &call);
-        let arrived = self.state.clock().past(call.received);
-        let gap = found.route.max_gap.filter(|_| kind == RouteKind::Streaming);
-        let targets = gap.map(|gap| StreamTargets {
-            arrived,
-            first_event: found.route.target_latency,
-            gap,
-        });
         let attempt = Attempt {
             route: found.route.name.clone(),
             kind,
             version: table.declaration().version,
             workspace: found.workspace.cloned(),
             order,
-            targets,
             state: self.state.clone(),
             _open: self.state.track_request(),
             service,
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -13,8 +13,7 @@
 
 use pimentotide_fleet::{
     Balancer, BalancerOptions, BudgetOptions, ColdLimit, CrashEvidence, EntryCount, EntryPosition,
-    LimitView, Outcome, RetryAfterSchedule, RetryBudget, RouteTable, ServiceGate, StreamPacer,
-    Ticket,
+    LimitView, Outcome, RetryAfterSchedule, RetryBudget, RouteTable, ServiceGate, Ticket,
 };
 use pimentotide_instance::Clock;
 use pimentotide_model::{ErrorKind, Failure, ServiceName, Time, ZoneName};
@@ -77,8 +76,6 @@
     pub(super) retry_schedules: BTreeMap<ServiceName, RetryAfterSchedule>,
     /// Admission by recent refusals of upstreams, by service.
     gates: BTreeMap<ServiceName, ServiceGate>,
-    /// Starts of streams while passes are long, by service.
-    pacers: BTreeMap<ServiceName, StreamPacer>,
     /// Requests that wait to be admitted in order.
     pub(super) admissions: Admissions,
     /// Contents that crash upstreams.
@@ -127,7 +124,6 @@
                 budget: RetryBudget::open(budget, entry_count, clock.now()),
                 retry_schedules: BTreeMap::new(),
                 gates: BTreeMap::new(),
-                pacers: BTreeMap::new(),
                 admissions: Admissions::default(),
                 evidence: CrashEvidence::default(),
                 seen: SeenRevisions {
@@ -422,11 +418,6 @@
         self.gates.entry(service.clone()).or_default()
     }
 
-    /// Returns the pacer of the streams of a service.
-    pub(super) fn pacer(&mut self, service: &ServiceName) -> &mut StreamPacer {
-        self.pacers.entry(service.clone()).or_default()
-    }
-
     /// Position of the configuration in force.
     pub(super) fn declared(&self) -> u64 {
         self.seen.declared
--- a/app/src/fleet/entry/streaming.rs
+++ b/app/src/fleet/entry/streaming.rs
@@ -266,8 +266,7 @@
                         }
                     }
                     Ok(events) => {
-                        let last = source.last_event.replace(Instant::now());
-                        self.attempt.record_progress(last);
+                        source.last_event = Some(Instant::now());
                         self.attempt.record_events(self.cursor.forwarded() - before);
                         return Next::Events(events);
                     }
--- a/app/src/lines/mod.rs
+++ b/app/src/lines/mod.rs
@@ -17,8 +17,8 @@
     ZonesClosed,
 };
 pub use request::{
-    Answered, BrokenOff, Considered, Interrupted, Paced, Placed, Queued, Refused, Routed,
-    StreamKept, SuspectRequest, UpstreamCrashed, UpstreamSignal,
+    Answered, BrokenOff, Considered, Interrupted, Placed, Queued, Refused, Routed, StreamKept,
+    SuspectRequest, UpstreamCrashed, UpstreamSignal,
 };
 
 /// Event name and field names of one kind of log line.
@@ -40,7 +40,6 @@
         kind::<Routed<'_>>(),
         kind::<Placed<'_>>(),
         kind::<Queued<'_>>(),
-        kind::<Paced<'_>>(),
         kind::<Interrupted<'_>>(),
         kind::<StreamKept<'_>>(),
         kind::<UpstreamSignal<'_>>(),
--- a/app/src/lines/request.rs
+++ b/app/src/lines/request.rs
@@ -91,23 +91,6 @@
     pub left_ms: u128,
 }
 
-/// The start of a stream is delayed, since running streams are close to the target for their gaps.
-#[derive(Default, Serialize)]
-pub struct Paced<'a> {
-    /// Id of the request.
-    pub request: &'a str,
-    /// Name of the route.
-    pub route: &'a str,
-    /// Latest gap between two events of a running stream, ms.
-    pub gap_ms: u128,
-    /// Target of the route for such gaps, ms.
-    pub target_ms: u128,
-    /// Longest time until it starts, ms.
-    pub wait_ms: u128,
-    /// Time left until the deadline of the caller or the route, ms.
-    pub left_ms: u128,
-}
-
 /// A send ended without a complete answer.
 #[derive(Default, Serialize)]
 pub struct Interrupted<'a> {
@@ -251,11 +234,6 @@
     const ROUTINE: bool = true;
 }
 
-impl Line for Paced<'_> {
-    const EVENT: &'static str = "paced";
-    const ROUTINE: bool = true;
-}
-
 impl Line for Interrupted<'_> {
     const EVENT: &'static str = "interrupted";
 }
--- a/decision/fleet/tests/it/main.rs
+++ b/decision/fleet/tests/it/main.rs
@@ -12,7 +12,6 @@
 mod limits;
 mod listing;
 mod members;
-mod pacing;
 mod prompts;
 mod retry;
 mod retry_after;
