Revert: entries spend at most half of the allowance of a retry budget at once

The streams that the larger budget resumed waited at the closed gate of the group until their callers left; the group was down for 4.8 s, callers of streams wait 2 s.

--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -121,7 +121,7 @@
             inner: Mutex::new(Inner {
                 table: None,
                 balancer,
-                budget: RetryBudget::open(budget, entry_count, clock.now()),
+                budget: RetryBudget::new(budget, entry_count),
                 retry_schedules: BTreeMap::new(),
                 gates: BTreeMap::new(),
                 admissions: Admissions::default(),
@@ -480,7 +480,7 @@
         self.entries.update(live, recorded, now);
         let entries = self.entries.get(now);
         self.balancer.set_entries(entries, now);
-        self.budget.set_entries(entries);
+        self.budget.set_entries(entries, now);
     }
 }
 
