Entries: streams are refused before their callers leave

Cause: callers of a stream leave after 2 s, four targets or eight target gaps without an event, whichever is longest, by the platform's PROTOCOL; a request waited for its turn for up to half of its deadline of 8 s. Change: the adapter derives the patience of a route's callers; a stream waits for at most 0.7 of it, the rest is for the wait at the upstream and the first event. While all upstreams refuse requests or are cold, requests wait as long as in any queue; only a service without upstreams keeps its shorter wait. Test: callers_that_lose_patience_are_refused_before_they_leave; it fails without the bound.

--- a/app/src/fleet/entry/admission.rs
+++ b/app/src/fleet/entry/admission.rs
@@ -33,8 +33,8 @@
     pub(super) tried: Vec<UpstreamName>,
     /// Bound on its wait at an upstream.
     pub(super) bound: Option<QueueBound>,
-    /// End of its wait if the service has no upstream, or only cold ones.
-    pub(super) no_upstream_until: Time,
+    /// End of its wait if the service has no upstream.
+    pub(super) absent_until: Time,
     /// Receiver of the decision.
     pub(super) reply: oneshot::Sender<Reply>,
 }
@@ -306,13 +306,11 @@
 /// Whether a request would wait in vain.
 fn is_hopeless(queued: &Queued<Waiter>, denial: Denial, now: Time) -> bool {
     match denial {
-        Denial::Gate(_) | Denial::Refusal(Refusal::Empty | Refusal::Cold) => {
-            now >= queued.item.no_upstream_until
-        }
+        Denial::Refusal(Refusal::Empty) => now >= queued.item.absent_until,
         // Waiting requests would only use up what newer ones could have.
         Denial::Refusal(Refusal::Limited(_)) => true,
         Denial::Refusal(Refusal::Backoff(pause)) => now + pause >= queued.deadline,
-        Denial::Refusal(Refusal::Full) => false,
+        Denial::Gate(_) | Denial::Refusal(Refusal::Cold | Refusal::Full) => false,
     }
 }
 
--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -38,6 +38,8 @@
     pub(super) version: u64,
     pub(super) service: ServiceName,
     pub(super) workspace: Option<WorkspaceName>,
+    /// Time without an event after which its caller leaves; `None` if it waits until its deadline.
+    pub(super) patience: Option<Duration>,
     /// Terms on which it is admitted.
     pub(super) order: Order,
     pub(super) policy: Policy,
--- a/app/src/fleet/entry/ordered.rs
+++ b/app/src/fleet/entry/ordered.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use pimentotide_fleet::{
-    AdmissionTerms, BEGIN_RATIO, Choice, ChoiceRequest, MAX_WAIT_RATIO, Match, QueueBound, Refusal,
-    RouteKind, RouteTable, is_in_time, latest_send, request_work,
+    AdmissionTerms, BEGIN_RATIO, Choice, ChoiceRequest, Match, QueueBound, Refusal, RouteKind,
+    RouteTable, is_in_time, latest_send, request_work,
 };
 use pimentotide_model::{ErrorKind, Failure, RequestId, ServiceName, Time};
 use pimentotide_platform::Call;
@@ -16,7 +16,7 @@
 use super::attempt::{Attempt, TicketGuard};
 use super::placing::{
     Denial, MAX_RETRY_DELAY, MIN_RETRY_FULL, MIN_RETRY_NO_UPSTREAM, TYPICAL_STREAM_TIME,
-    TYPICAL_WHOLE_TIME,
+    TYPICAL_WHOLE_TIME, max_absent_wait,
 };
 use super::relay::{RETRY_DELAY_STALE, RETRY_DELAY_STOPPING, mismatch_failure};
 use super::state::EntryState;
@@ -69,7 +69,7 @@
 struct Wait {
     arrived: Time,
     until: Time,
-    no_upstream_until: Time,
+    absent_until: Time,
 }
 
 impl Attempt {
@@ -80,15 +80,10 @@
     /// Fails if the request is refused, or if it may no longer be sent.
     pub(super) async fn place(&mut self) -> Result<Choice, Failure> {
         let arrived = self.state.now();
-        let no_upstream_until = arrived + self.max_wait();
         let wait = Wait {
             arrived,
-            until: if self.sends == 0 {
-                arrived + self.remaining().mul_f64(MAX_WAIT_RATIO)
-            } else {
-                no_upstream_until
-            },
-            no_upstream_until,
+            until: self.wait_end(arrived),
+            absent_until: arrived + max_absent_wait(self.remaining()),
         };
         loop {
             let waiting = match self.enter(wait)? {
@@ -147,7 +142,7 @@
         let waiter = Waiter {
             tried: self.tried.clone(),
             bound,
-            no_upstream_until: wait.no_upstream_until,
+            absent_until: wait.absent_until,
             reply: sender,
         };
         let terms = self.terms(wait);
--- a/app/src/fleet/entry/placing.rs
+++ b/app/src/fleet/entry/placing.rs
@@ -4,17 +4,17 @@
 
 use derive_more::Display;
 use pimentotide_fleet::{
-    Admission, Choice, ChoiceRequest, PROBATION, Refusal, RetryWindow, RouteKind,
+    Admission, Choice, ChoiceRequest, PROBATION, Refusal, RetryWindow, RouteKind, WaitLimits,
 };
 use pimentotide_model::{ErrorKind, Failure, Ran, Time};
 
 use super::attempt::Attempt;
 use super::state::Inner;
 
-/// Maximum wait for an upstream; a group forms in less.
-const MAX_WAIT: Duration = Duration::from_millis(1_200);
+/// Maximum wait for a configuration, or while a service has no upstream; a group forms in less.
+const MAX_ABSENT_WAIT: Duration = Duration::from_millis(1_200);
 /// Maximum share of the caller's remaining time spent on that wait.
-const MAX_WAIT_RATIO: f64 = 0.3;
+const MAX_ABSENT_RATIO: f64 = 0.3;
 /// Minimum retry delay if there was no upstream; a group forms in less.
 pub(super) const MIN_RETRY_NO_UPSTREAM: Duration = Duration::from_millis(1_000);
 /// Minimum retry delay if all upstreams were full.
@@ -42,9 +42,18 @@
 }
 
 impl Attempt {
-    /// Returns the maximum wait for an upstream regardless of other requests.
-    pub(super) fn max_wait(&self) -> Duration {
-        max_wait(self.remaining())
+    /// Returns the end of a wait for its turn that begins now.
+    pub(super) fn wait_end(&self, now: Time) -> Time {
+        let since = match self.sends {
+            0 => self.state.clock().past(self.call.received),
+            _ => now,
+        };
+        let limits = WaitLimits {
+            since,
+            patience: self.patience,
+            deadline: self.policy.deadline,
+        };
+        limits.end(now)
     }
 
     /// Returns the properties of this request that the balancer needs.
@@ -130,7 +139,8 @@
     }
 }
 
-/// Returns the maximum wait of a caller with this time left for a configuration or an upstream.
-pub(super) fn max_wait(remaining: Duration) -> Duration {
-    MAX_WAIT.min(remaining.mul_f64(MAX_WAIT_RATIO))
+/// Returns the maximum wait of a caller with this time left for a configuration, or while a service
+/// has no upstream.
+pub(super) fn max_absent_wait(remaining: Duration) -> Duration {
+    MAX_ABSENT_WAIT.min(remaining.mul_f64(MAX_ABSENT_RATIO))
 }
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -12,7 +12,7 @@
 
 use super::attempt::{Attempt, Running, SendError};
 use super::ordered::Order;
-use super::placing::max_wait;
+use super::placing::max_absent_wait;
 use super::state::EntryState;
 use super::streaming;
 use crate::lines::{Answered, Refused};
@@ -83,6 +83,7 @@
         let kind = found.route.kind;
         let order = Order::of(&table, &found, &service, &call);
         let attempt = Attempt {
+            patience: found.route.patience,
             route: found.route.name.clone(),
             kind,
             version: table.declaration().version,
@@ -136,7 +137,7 @@
 impl Relay for EntryRelay {
     async fn relay(&self, call: Call) -> Relayed {
         let timeout = call.timeout.unwrap_or(DEFAULT_TIMEOUT);
-        self.state.wait_for_start(max_wait(timeout)).await;
+        self.state.wait_for_start(max_absent_wait(timeout)).await;
         match self.prepare(call) {
             Ok((attempt, RouteKind::Streaming)) => streaming::run(attempt).await,
             Ok((attempt, _)) => run_whole(attempt).await,
--- a/decision/fleet/src/declaration.rs
+++ b/decision/fleet/src/declaration.rs
@@ -61,8 +61,9 @@
     pub public: bool,
     /// Whether an interrupted stream may resume at another upstream.
     pub resumable: bool,
-    /// Target for the largest gap between events of a stream; `None` if there is none.
-    pub max_gap: Option<Duration>,
+    /// Time without an event after which callers abandon a stream; `None` if they wait until their
+    /// deadline.
+    pub patience: Option<Duration>,
 }
 
 impl Route {
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -37,8 +37,8 @@
 mod view;
 
 pub use admission::{
-    AdmissionQueue, AdmissionTerms, BEGIN_RATIO, MAX_QUEUED, MAX_QUEUED_BYTES, MAX_WAIT_RATIO,
-    OLDEST_IN, RankBacklog, request_work,
+    AdmissionQueue, AdmissionTerms, BEGIN_RATIO, MAX_QUEUED, MAX_QUEUED_BYTES, OLDEST_IN,
+    RankBacklog, WaitLimits, request_work,
 };
 pub use balancer::{
     Balancer, BalancerOptions, Choice, ChoiceRequest, EntryPosition, PaceChange, QueueBound,
--- a/decision/fleet/tests/it/admission.rs
+++ b/decision/fleet/tests/it/admission.rs
@@ -8,7 +8,7 @@
 
 use pimentotide_fleet::{
     AdmissionQueue, AdmissionTerms, BEGIN_RATIO, Balancer, BalancerOptions, ChoiceRequest, Command,
-    EntryPosition, Load, MAX_QUEUED, MAX_WAIT_RATIO, Outcome, QueueBound, Ticket, request_work,
+    EntryPosition, Load, MAX_QUEUED, Outcome, QueueBound, Ticket, WaitLimits, request_work,
 };
 use pimentotide_model::Time;
 use rand::{RngExt, SeedableRng};
@@ -40,6 +40,7 @@
     workspace: &'static str,
     work: u64,
     duration: u64,
+    sent: Option<u64>,
     begun: Option<u64>,
     refused: Option<u64>,
 }
@@ -52,6 +53,7 @@
             workspace,
             work: request_work(None, None),
             duration: USUAL_MS,
+            sent: None,
             begun: None,
             refused: None,
         }
@@ -122,6 +124,8 @@
     repeats: bool,
     /// Whether requests are sent in order of arrival, two for each slot beyond those running.
     in_arrival_order: bool,
+    /// Time without an event after which callers leave, ms; `None` if they wait until their deadline.
+    patience: Option<u64>,
     /// Period in which engines take six times as long.
     slow: std::ops::Range<u64>,
 }
@@ -145,6 +149,7 @@
             longest: 0,
             repeats: false,
             in_arrival_order: false,
+            patience: None,
             slow: 0..0,
         }
     }
@@ -184,6 +189,11 @@
         }
         let request = &self.requests[number];
         let deadline = at(now + DEADLINE_MS);
+        let limits = WaitLimits {
+            since: at(now),
+            patience: self.patience.map(Duration::from_millis),
+            deadline,
+        };
         let before = (TARGET_MS as f64 * (1.0 - BEGIN_RATIO)) as u64;
         let terms = AdmissionTerms {
             rank: request.rank,
@@ -194,7 +204,7 @@
             work: request.work,
             bytes: 1_000,
             arrived: at(now),
-            until: at(now) + deadline.since(at(now)).mul_f64(MAX_WAIT_RATIO),
+            until: limits.end(at(now)),
         };
         let queue = &mut self.entries[entry].queue;
         let id = queue.next_id();
@@ -237,7 +247,9 @@
             return false;
         };
         let upstream: usize = choice.ticket.upstream[1..].parse().unwrap();
-        let rank = self.requests[number].rank;
+        let request = &mut self.requests[number];
+        request.sent = Some(now);
+        let rank = request.rank;
         self.engines[upstream].waiting.push((rank, now, number));
         self.sends.insert(number, (choice.ticket, now));
         true
@@ -415,6 +427,45 @@
     assert!(ordered.longest <= MAX_QUEUED as usize);
 }
 
+/// Streams at twice the capacity, whose callers leave after 2 s without an event: guards against
+/// callers that leave before they are told when to return.
+#[test]
+fn callers_that_lose_patience_are_refused_before_they_leave() {
+    const PATIENCE_MS: u64 = 2_000;
+    let requests = arrivals(10, 80, 0, 6_000, |at| Request::new(at, 1, "w"));
+    let mut world = World::new(requests);
+    world.patience = Some(PATIENCE_MS);
+    let world = world.run();
+    for request in &world.requests {
+        let decided = request.sent.or(request.refused);
+        let waited = decided.map(|at| at - request.arrives);
+        assert!(waited.is_some_and(|w| w < PATIENCE_MS), "{request:?}");
+    }
+    let left = |r: &&Request| r.begun.is_some_and(|at| at > r.arrives + PATIENCE_MS);
+    let left = world.requests.iter().filter(left).count();
+    assert!(left <= world.requests.len() / 50, "{left} left unanswered");
+    // Upstreams finish 240 requests in these 6 s.
+    assert!(world.in_period(0..6_000) >= 228);
+}
+
+/// Guards against a wait for a place that leaves no time to return, on routes of any time scale.
+#[test]
+fn wait_ends_with_time_left_to_return() {
+    let end = |patience: Option<u64>, deadline: u64, now: u64| {
+        let limits = WaitLimits {
+            since: at(1_000),
+            patience: patience.map(Duration::from_millis),
+            deadline: at(1_000 + deadline),
+        };
+        limits.end(at(1_000 + now)).since(at(1_000)).as_millis()
+    };
+    assert_eq!(end(Some(2_000), 8_000, 0), 1_400);
+    assert_eq!(end(Some(2_000), 8_000, 900), 1_400);
+    assert_eq!(end(Some(2_000), 2_000, 0), 1_000);
+    assert_eq!(end(Some(20_000), 80_000, 0), 14_000);
+    assert_eq!(end(None, 600, 200), 400);
+}
+
 /// Guards against work that leaves out prompts, expected answers or requests without counts.
 #[test]
 fn work_is_prompt_tokens_and_ten_times_the_expected_answer_tokens() {
--- a/decision/fleet/tests/it/declaration.rs
+++ b/decision/fleet/tests/it/declaration.rs
@@ -21,7 +21,7 @@
         attempts: 2,
         public: false,
         resumable: false,
-        max_gap: None,
+        patience: None,
     }
 }
 
@@ -158,8 +158,10 @@
     declaration.routes[0].priority = 1;
     declaration.routes[0].split = vec![("advice".into(), 1), ("orders".into(), 0)];
     let ranks = PriorityRanks::of(&declaration);
-    assert_eq!(ranks.rank(&"advice".into(), (1, 1)), 0);
-    assert_eq!(ranks.rank(&"orders".into(), (2, 2)), LOWEST_RANK);
+    let rank = |service: &str, pair| ranks.rank(&service.into(), pair);
+    assert_eq!((rank("advice", (1, 1)), rank("advice", (2, 2))), (0, 1));
+    assert_eq!(rank("orders", (2, 2)), 0);
+    assert_eq!(rank("other", (2, 2)), LOWEST_RANK);
 }
 
 /// Guards against a priority beyond the range of the header when a configuration has many.
