--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -39,7 +39,7 @@
     pub(super) service: ServiceName,
     pub(super) workspace: Option<WorkspaceName>,
     /// Time without an event after which its caller leaves; `None` if it waits until its deadline.
-    pub(super) patience: Option<Duration>,
+    pub(super) abandon_after: Option<Duration>,
     /// Terms on which it is admitted.
     pub(super) order: Order,
     pub(super) policy: Policy,
--- a/app/src/fleet/entry/placing.rs
+++ b/app/src/fleet/entry/placing.rs
@@ -50,7 +50,7 @@
         };
         let limits = WaitLimits {
             since,
-            patience: self.patience,
+            abandon_after: self.abandon_after,
             deadline: self.policy.deadline,
         };
         limits.end(now)
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -83,7 +83,7 @@
         let kind = found.route.kind;
         let order = Order::of(&table, &found, &service, &call);
         let attempt = Attempt {
-            patience: found.route.patience,
+            abandon_after: found.route.abandon_after,
             route: found.route.name.clone(),
             kind,
             version: table.declaration().version,
--- a/decision/fleet/src/admission.rs
+++ b/decision/fleet/src/admission.rs
@@ -19,8 +19,9 @@
 pub const OLDEST_IN: u32 = 10;
 /// Part of the time left to its deadline that a request waits at most.
 const MAX_WAIT_RATIO: f64 = 0.5;
-/// Part of the patience of its caller that a stream waits at most; its first event needs the rest.
-const PATIENCE_RATIO: f64 = 0.7;
+/// Part of the time until its caller would abandon it that a stream waits at most; its first event
+/// needs the rest.
+const ABANDON_RATIO: f64 = 0.7;
 /// Part of a target within which a sent request is expected to begin; the rest may pass before.
 pub const BEGIN_RATIO: f64 = 0.5;
 /// Bound of the queue's policy, which the wait of each request stays below.
@@ -51,7 +52,7 @@
     /// Time at which its caller began to wait.
     pub since: Time,
     /// Time without an event after which its caller leaves; `None` if it waits until its deadline.
-    pub patience: Option<Duration>,
+    pub abandon_after: Option<Duration>,
     /// Time by which it must be answered.
     pub deadline: Time,
 }
@@ -59,14 +60,14 @@
 impl WaitLimits {
     /// Returns the end of a wait that begins now.
     ///
-    /// A refused caller has to have time left to return, and one that has lost patience would leave
-    /// without having been told when.
+    /// A refused caller has to have time left to return, and one that abandons its stream has not been
+    /// told when.
     pub fn end(&self, now: Time) -> Time {
         let latest = now + self.deadline.since(now).mul_f64(MAX_WAIT_RATIO);
-        let patience = self
-            .patience
-            .map(|p| self.since + p.mul_f64(PATIENCE_RATIO));
-        patience.map_or(latest, |end| end.min(latest))
+        let abandoned = self
+            .abandon_after
+            .map(|time| self.since + time.mul_f64(ABANDON_RATIO));
+        abandoned.map_or(latest, |end| end.min(latest))
     }
 }
 
--- a/decision/fleet/src/declaration.rs
+++ b/decision/fleet/src/declaration.rs
@@ -63,7 +63,7 @@
     pub resumable: bool,
     /// Time without an event after which callers abandon a stream; `None` if they wait until their
     /// deadline.
-    pub patience: Option<Duration>,
+    pub abandon_after: Option<Duration>,
 }
 
 impl Route {
--- a/decision/fleet/tests/it/admission.rs
+++ b/decision/fleet/tests/it/admission.rs
@@ -125,7 +125,7 @@
     /// Whether requests are sent in order of arrival, two for each slot beyond those running.
     in_arrival_order: bool,
     /// Time without an event after which callers leave, ms; `None` if they wait until their deadline.
-    patience: Option<u64>,
+    abandon_after: Option<u64>,
     /// Period in which engines take six times as long.
     slow: std::ops::Range<u64>,
 }
@@ -149,7 +149,7 @@
             longest: 0,
             repeats: false,
             in_arrival_order: false,
-            patience: None,
+            abandon_after: None,
             slow: 0..0,
         }
     }
@@ -191,7 +191,7 @@
         let deadline = at(now + DEADLINE_MS);
         let limits = WaitLimits {
             since: at(now),
-            patience: self.patience.map(Duration::from_millis),
+            abandon_after: self.abandon_after.map(Duration::from_millis),
             deadline,
         };
         let before = (TARGET_MS as f64 * (1.0 - BEGIN_RATIO)) as u64;
@@ -430,18 +430,18 @@
 /// Streams at twice the capacity, whose callers leave after 2 s without an event: guards against
 /// callers that leave before they are told when to return.
 #[test]
-fn callers_that_lose_patience_are_refused_before_they_leave() {
-    const PATIENCE_MS: u64 = 2_000;
+fn callers_are_refused_before_they_abandon_their_streams() {
+    const ABANDON_MS: u64 = 2_000;
     let requests = arrivals(10, 80, 0, 6_000, |at| Request::new(at, 1, "w"));
     let mut world = World::new(requests);
-    world.patience = Some(PATIENCE_MS);
+    world.abandon_after = Some(ABANDON_MS);
     let world = world.run();
     for request in &world.requests {
         let decided = request.sent.or(request.refused);
         let waited = decided.map(|at| at - request.arrives);
-        assert!(waited.is_some_and(|w| w < PATIENCE_MS), "{request:?}");
+        assert!(waited.is_some_and(|w| w < ABANDON_MS), "{request:?}");
     }
-    let left = |r: &&Request| r.begun.is_some_and(|at| at > r.arrives + PATIENCE_MS);
+    let left = |r: &&Request| r.begun.is_some_and(|at| at > r.arrives + ABANDON_MS);
     let left = world.requests.iter().filter(left).count();
     assert!(left <= world.requests.len() / 50, "{left} left unanswered");
     // Upstreams finish 240 requests in these 6 s.
@@ -451,10 +451,10 @@
 /// Guards against a wait for a place that leaves no time to return, on routes of any time scale.
 #[test]
 fn wait_ends_with_time_left_to_return() {
-    let end = |patience: Option<u64>, deadline: u64, now: u64| {
+    let end = |abandon_after: Option<u64>, deadline: u64, now: u64| {
         let limits = WaitLimits {
             since: at(1_000),
-            patience: patience.map(Duration::from_millis),
+            abandon_after: abandon_after.map(Duration::from_millis),
             deadline: at(1_000 + deadline),
         };
         limits.end(at(1_000 + now)).since(at(1_000)).as_millis()
--- a/decision/fleet/tests/it/declaration.rs
+++ b/decision/fleet/tests/it/declaration.rs
@@ -21,7 +21,7 @@
         attempts: 2,
         public: false,
         resumable: false,
-        patience: None,
+        abandon_after: None,
     }
 }
 
