Entries: the queue of a service holds the callers of a whole entry

Cause: since all services are ordered, a burst of over 64 callers at one entry is refused as 'the queue is full' while the gate of a service that has just started is closed, or before upstreams have answered. Change: 1,024 instead of 64, half of the connections that an entry accepts; the bound of 4 MB on their bodies stays. Test: queue_holds_the_callers_of_a_whole_entry, which fails with 64.

--- a/decision/fleet/src/admission.rs
+++ b/decision/fleet/src/admission.rs
@@ -12,7 +12,9 @@
 use crate::priority::LOWEST_RANK;
 
 /// Maximum number of requests that wait.
-pub const MAX_QUEUED: u32 = 64;
+///
+/// Half of the connections that an entry accepts: while a group forms, all callers of an entry may wait.
+pub const MAX_QUEUED: u32 = 1_024;
 /// Maximum size of the bodies of all waiting requests together.
 pub const MAX_QUEUED_BYTES: u64 = 4 << 20;
 /// While several ranks wait, one in this many admissions is the request that has waited longest.
--- a/decision/fleet/tests/it/admission.rs
+++ b/decision/fleet/tests/it/admission.rs
@@ -466,6 +466,29 @@
     assert_eq!(end(None, 600, 200), 400);
 }
 
+/// All callers of an entry arrive while a group forms: guards against a queue that refuses those who
+/// can be served a moment later.
+#[test]
+fn queue_holds_the_callers_of_a_whole_entry() {
+    let mut queue = AdmissionQueue::new("advice".into());
+    for number in 0..1_000 {
+        let terms = AdmissionTerms {
+            rank: 1,
+            resend: false,
+            workspace: Some("w".into()),
+            target: Some(at(200)),
+            deadline: at(DEADLINE_MS),
+            work: request_work(None, None),
+            bytes: 1_000,
+            arrived: at(0),
+            until: at(1_400),
+        };
+        let id = queue.next_id();
+        assert!(queue.push(id, terms, number, at(0)).is_empty(), "{number}");
+    }
+    assert_eq!(std::iter::from_fn(|| queue.pop(at(400))).count(), 1_000);
+}
+
 /// Guards against work that leaves out prompts, expected answers or requests without counts.
 #[test]
 fn work_is_prompt_tokens_and_ten_times_the_expected_answer_tokens() {
