--- a/app/tests/it/deployment.rs
+++ b/app/tests/it/deployment.rs
@@ -169,6 +169,19 @@
         }
     }
 
+    /// Waits until an entry has logged `text`; lines are written after what they tell of.
+    pub(crate) async fn wait_for_log(&self, number: u8, text: &str) {
+        let limit = Instant::now() + WAIT_TIMEOUT;
+        loop {
+            let log = self.entry_log(number);
+            if log.contains(text) {
+                return;
+            }
+            assert!(Instant::now() < limit, "entry {number} lacks {text}: {log}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     /// Returns the log of an entry, counted from 0.
     pub(crate) fn entry_log(&self, number: u8) -> String {
         let name = format!("entry{}.log", ENTRY + number);
--- a/app/tests/it/endless.rs
+++ b/app/tests/it/endless.rs
@@ -89,5 +89,5 @@
         failed += usize::from(!answer.unwrap_or_default().contains("200 OK"));
     }
     assert!(failed <= MAX_LATE_FAILURES, "{failed} requests failed");
-    assert!(deployment.entry_log(0).contains("answer too long"));
+    deployment.wait_for_log(0, "answer too long").await;
 }
--- a/app/tests/it/stalled.rs
+++ b/app/tests/it/stalled.rs
@@ -105,8 +105,7 @@
         let stream = send_request(deployment.entry(0), &fixture("stream.http", &[])).await;
         let stream = stream.unwrap_or_default();
         assert!(stream.contains("data: end"), "{part:?}: {stream}");
-        let log = deployment.entry_log(0);
-        assert!(log.contains("\"Silent\""), "{part:?}: {log}");
+        deployment.wait_for_log(0, "\"Silent\"").await;
     }
 }
 
