Experts: an urgent change makes as many copies as leave the least load until the next one

Passes are slow until the first change of the map; that copied 6 experts a rank, one after the other at 76 ms each, so it took 0.55 s after 0.34 s of detection. Change: plan_urgent compares 1, 2, 4, ... copies a rank and takes the plan with the least load above the goal over the first and a second change, by the copy time of the engines and the observed overhead of changes. Test: slow_copies_are_divided_between_two_changes fails with all copies at once.

--- a/app/src/fleet/agent/coordinate.rs
+++ b/app/src/fleet/agent/coordinate.rs
@@ -4,8 +4,9 @@
 use std::time::{Duration, Instant};
 
 use pimentotide_experts::{
-    DIRECT_WINDOW, EngineReport, EvenLayout, ExpertDemand, HeldExperts, Placement, PlacementChange,
-    RELAYED_WINDOW, Switch, SwitchEnding, Urgency, imbalance_even, plan_even,
+    ChangeTimes, DIRECT_WINDOW, EngineReport, EvenLayout, ExpertDemand, HeldExperts, Placement,
+    PlacementChange, RELAYED_WINDOW, Switch, SwitchEnding, Urgency, imbalance_even, plan_even,
+    plan_urgent,
 };
 use pimentotide_instance::Clock;
 use pimentotide_model::Failure;
@@ -29,6 +30,8 @@
 const MIN_GAIN_RATIO: f64 = 0.05;
 /// Time for which the agents of other ranks may release a pass that is left held, if they do so at all.
 const RESCUE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time of a change beside its copies before one has been observed.
+const INITIAL_OVERHEAD: Duration = Duration::from_millis(100);
 /// Versions skipped after a refusal, in case an engine has a higher version than this clock yields.
 const VERSION_SKIP: u64 = 10_000;
 
@@ -50,6 +53,8 @@
     left_held: Option<(u64, Instant)>,
     /// Placement that all ranks use, as last read or switched to.
     known: Option<KnownPlacement>,
+    /// Usual time of a change beside its copies.
+    overhead: Duration,
     /// Whether the agents of the ranks received the known placement, so that changes apply to it.
     ranks_have_known: bool,
 }
@@ -86,6 +91,7 @@
         },
         left_held: None,
         known: None,
+        overhead: INITIAL_OVERHEAD,
         ranks_have_known: false,
     };
     let mut interval = CHECK_INTERVAL;
@@ -207,7 +213,14 @@
             return;
         };
         layout.copies = max_copies(&capacity, layers, urgency.copy_time(capacity.copy_time));
-        let plan = plan_even(&layout, &old, &counts, &paces, TARGET_IMBALANCE);
+        let times = ChangeTimes {
+            copy: capacity.copy_time,
+            overhead: self.overhead,
+        };
+        let plan = match urgency {
+            Urgency::Urgent => plan_urgent(&layout, &old, &counts, &paces, TARGET_IMBALANCE, times),
+            Urgency::Ordinary => plan_even(&layout, &old, &counts, &paces, TARGET_IMBALANCE),
+        };
         if plan.after > plan.before * (1.0 - MIN_GAIN_RATIO) {
             return;
         }
@@ -239,6 +252,8 @@
         match ending {
             SwitchEnding::NotPrepared => self.version_offset += VERSION_SKIP,
             SwitchEnding::Switched(_) => {
+                let copying = capacity.copy_time * plan.rank_copies as u32;
+                self.overhead = (self.overhead + start.elapsed().saturating_sub(copying)) / 2;
                 self.known = Some(KnownPlacement {
                     epoch: switch.epoch,
                     version: switch.version,
--- a/decision/experts/src/even/mod.rs
+++ b/decision/experts/src/even/mod.rs
@@ -22,6 +22,7 @@
 mod switch;
 mod tree;
 mod trigger;
+mod urgent;
 
 use layer::Layer;
 
@@ -37,6 +38,7 @@
 pub use switch::{Ending, Ranks, Switch};
 pub use tree::RelayTree;
 pub use trigger::{DIRECT_WINDOW, RELAYED_WINDOW, Urgency};
+pub use urgent::{ChangeTimes, plan_urgent};
 
 /// Dimensions of a group and limits on its placements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,6 +69,8 @@
     pub after: f64,
     /// Number of expert copies that ranks have to receive.
     pub copies: usize,
+    /// Number of them at the rank that receives most.
+    pub rank_copies: usize,
 }
 
 /// Improves a placement for the popularity in `counts`, the layer with the highest load first.
@@ -102,6 +106,7 @@
         before,
         after: mean_imbalance(&layers),
         copies: layers.iter().map(Layer::copies).sum(),
+        rank_copies: layout.copies - room.iter().min().copied().unwrap_or(layout.copies),
         placement: layers.into_iter().map(Layer::into_held).collect(),
     }
 }
--- a/decision/experts/src/even/trigger.rs
+++ b/decision/experts/src/even/trigger.rs
@@ -15,12 +15,12 @@
 /// The same in a group whose messages are relayed: about one pass.
 pub const RELAYED_WINDOW: Duration = Duration::from_millis(50);
 /// Time over which demand is observed before any other change, so that noise triggers none.
-const LONG_WINDOW: Duration = Duration::from_millis(500);
+pub(super) const LONG_WINDOW: Duration = Duration::from_millis(500);
 /// Maximum time in which the ranks receive the experts of one change.
 ///
 /// A longer change ends when demand has moved on; what is left follows in further changes.
 const MAX_COPY_TIME: Duration = Duration::from_millis(500);
-/// Experts that a rank receives in an urgent change, whose passes are slow; more lower the load little.
+/// Most experts that a rank receives in an urgent change; more lower the load little.
 const URGENT_COPIES: u32 = 8;
 
 /// Why a map is changed.
--- a/decision/experts/src/lib.rs
+++ b/decision/experts/src/lib.rs
@@ -21,11 +21,11 @@
 pub use command::{Command, Refusal, Reply};
 pub use decisions::{DecidedMap, Decisions, GroupState, StagedMap};
 pub use even::{
-    CodedCounts, DIRECT_ORDER_TIMEOUTS, DIRECT_WINDOW, Ending as SwitchEnding, EngineOrder,
-    EngineReport, EvenLayout, EvenPlan, ExpertDemand, FencedOrder, HeldExperts,
+    ChangeTimes, CodedCounts, DIRECT_ORDER_TIMEOUTS, DIRECT_WINDOW, Ending as SwitchEnding,
+    EngineOrder, EngineReport, EvenLayout, EvenPlan, ExpertDemand, FencedOrder, HeldExperts,
     LOCAL_ORDER_TIMEOUTS, MAX_RESCUE_RANK, Membership, OrderAnswer, PickedExperts, Placement,
     PlacementChange, PlacementId, ProbeOutcome, RELAYED_WINDOW, Ranks, RelayTree, StuckAction,
-    StuckWatch, Switch, Urgency, ask_again, imbalance_even, list_interval, plan_even,
+    StuckWatch, Switch, Urgency, ask_again, imbalance_even, list_interval, plan_even, plan_urgent,
 };
 pub use manager::{Manager, ManagerLimits};
 pub use map::{ExpertMap, Layout, MAX_MAP_SLOTS, MapError, MapId, RankShape, Slot};
--- a/decision/experts/tests/it/main.rs
+++ b/decision/experts/tests/it/main.rs
@@ -17,6 +17,7 @@
 mod even_switch;
 mod even_timed;
 mod even_times;
+mod even_urgent;
 mod fencing;
 mod group;
 mod manager;
