Agents leave replicas that are not members of the log

Cause: after a power loss that takes the disks of two replicas, these answer the agents' question for the other agents with an empty list of members and without the capacity of a rank. Change: an agent follows a replica only while it is a member by its own view. Test: replica_without_its_log_is_not_a_member_although_others_list_it.

--- a/app/src/fleet/agent/mod.rs
+++ b/app/src/fleet/agent/mod.rs
@@ -22,8 +22,9 @@
 
 use actix_rt::task::JoinHandle;
 use pimentotide_experts::{MAX_RESCUE_RANK, list_interval};
+use pimentotide_fleet::is_member;
 use pimentotide_instance::{PeerClient, PeerServer, PeerTimeouts, Token};
-use pimentotide_model::ZoneName;
+use pimentotide_model::{ErrorKind, Failure, ZoneName};
 
 use super::beacon::{AgentBeacon, BeaconVersion};
 use super::datagram::Sender;
@@ -167,7 +168,8 @@
         });
         let seat = engine.seat().filter(|s| s.rank <= MAX_RESCUE_RANK);
         let group = seat.map(|s| s.group);
-        match replica.call::<_, Processes>(PROCESSES, [group]).await {
+        let answer = replica.call::<_, Processes>(PROCESSES, [group]).await;
+        match answer.and_then(|p| checked(p, replica.address())) {
             Ok(processes) => {
                 if !answered {
                     pimentotide_observe::event(&ReplicaFollowed {
@@ -204,6 +206,20 @@
     }
 }
 
+/// Returns the processes that a replica lists.
+///
+/// # Errors
+///
+/// Fails if the replica is not a member of the log: it has no configuration, without which the
+/// coordinator plans nothing.
+fn checked(processes: Processes, replica: SocketAddr) -> Result<Processes, Failure> {
+    if is_member(replica, &processes.replicas) {
+        return Ok(processes);
+    }
+    let detail = format!("{replica} is not a member of the log");
+    Err(Failure::new(ErrorKind::NotCurrent, detail))
+}
+
 /// Returns the replica at `turn`, round robin; an unspecified address if there are none.
 fn replica_at(replicas: &Replicas, turn: usize) -> SocketAddr {
     let addresses = replicas.list();
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -56,7 +56,7 @@
 pub use history::{DocumentHistory, MAX_DOCUMENTS, MAX_HISTORY_BYTES};
 pub use limit::{LimitReport, LimitView, NamedLimit, RequestRate};
 pub use listing::list_entries;
-pub use members::{MemberView, Repair, RepairOptions, repair};
+pub use members::{MemberView, Repair, RepairOptions, is_member, repair};
 pub use priority::{LOWEST_RANK, PriorityRanks};
 pub use prompts::Prompt;
 pub use rate::RateLimit;
--- a/decision/fleet/src/members.rs
+++ b/decision/fleet/src/members.rs
@@ -6,6 +6,7 @@
 //! unreachable voter is removed only while enough voters remain, because it
 //! rejoins by itself once it is reachable.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use pimentotide_consensus::DiskId;
@@ -66,3 +67,11 @@
     let longest = voters.filter(is_silent).max_by_key(|m| m.silent_for)?;
     Some(Repair::Remove(longest.name.clone()))
 }
+
+/// Whether a replica at `address` that lists these members of the log is a member by its own view.
+///
+/// One that has lost its disk or was removed goes on answering, but knows no configuration until it has
+/// joined again.
+pub fn is_member(address: SocketAddr, members: &[SocketAddr]) -> bool {
+    members.contains(&address)
+}
--- a/decision/fleet/tests/it/members.rs
+++ b/decision/fleet/tests/it/members.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use pimentotide_consensus::DiskId;
-use pimentotide_fleet::{MemberView, Repair, RepairOptions, repair};
+use pimentotide_fleet::{MemberView, Repair, RepairOptions, is_member, repair};
 use pimentotide_model::InstanceName;
 
 const OPTIONS: RepairOptions = RepairOptions {
@@ -77,3 +77,16 @@
         Some(Repair::Remove("d".into()))
     );
 }
+
+/// Guards against agents that follow a replica which has lost its disk: it answers, but has no
+/// configuration, so that maps of experts were no longer changed after a power loss.
+#[test]
+fn replica_without_its_log_is_not_a_member_although_others_list_it() {
+    let address = |host: u8| std::net::SocketAddr::from(([10, 0, 0, host], 7420));
+    let listed_by_others = [address(1), address(2), address(3)];
+    assert!(is_member(address(2), &listed_by_others));
+    let empty_log: [std::net::SocketAddr; 0] = [];
+    assert!(!is_member(address(2), &empty_log));
+    let removed_from = [address(1), address(3)];
+    assert!(!is_member(address(2), &removed_from));
+}
