--- a/review/platform/main.rs
+++ b/review/platform/main.rs
@@ -3,7 +3,6 @@
 mod standin;
 
 use standin::*;
-use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -31,10 +30,11 @@
     let number = |n: usize| {
         numbers
             .get(n)
-            .and_then(|a| a.parse::<u16>().ok())
+            .and_then(|a| a.parse::<u64>().ok())
             .unwrap_or(0)
     };
-    let run = Run::attach((number(1) as u8, number(2) as u8), number(3));
+    let net = (number(1) as u8, number(2) as u8);
+    let run = Run::attach(net, number(3) as u16, number(5));
     if number(4) == 1 {
         run.faulty.lock().unwrap().push(name.clone());
     }
@@ -235,12 +235,10 @@
                     b"",
                     Duration::from_secs(4),
                 );
-                if !matches!(&answer, Ok(a) if a.status == 200) {
-                    of.note(&format!(
-                        "client: {id}: {}",
-                        answer.map_or_else(|e| e.to_string(), |a| a.status.to_string())
-                    ));
-                }
+                of.note(&format!(
+                    "client: GET /read/work-20 {id}: {}",
+                    answer.map_or_else(|e| e.to_string(), |a| a.status.to_string())
+                ));
             });
             sleep_ms(100);
         }
@@ -296,17 +294,19 @@
     start_core(&run);
     run.settings("entry-1", "entry", 11, "zone-1", &[1, 2, 3], true);
     run.start("entry-1");
-    let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
+    // Each worker is a process. One that has crashed is back after some seconds, with another id.
+    let names: Arc<Mutex<Vec<String>>> = Arc::default();
     for n in 1..=6u8 {
-        Worker::start(
-            &run,
-            &format!("i-{n}"),
-            "desk",
-            "zone-1",
-            20 + n,
-            vec![1, 2, 3],
-            arrivals.clone(),
-        );
+        let (of, names) = (run.clone(), names.clone());
+        thread::spawn(move || {
+            for start in 0.. {
+                let name = format!("i-{n}-{start}");
+                names.lock().unwrap().push(name.clone());
+                of.start_worker(&name, "zone-1", 20 + n, false);
+                of.ended(&name, Duration::from_secs(200));
+                sleep_ms(2500);
+            }
+        });
     }
     if !run.wait_ready(11, Duration::from_secs(15)) {
         run.finish(NOT_RUN, "the entry did not become ready");
@@ -314,10 +314,9 @@
     run.until(4.0);
     let caller = run.address(11, run.ports.callers);
     let events = std::env::var("EVENTS").unwrap_or_else(|_| "3".into());
-    let path = if run.trouble {
-        format!("/draft/crash-{events}-30")
-    } else {
-        format!("/draft/stream-{events}-30")
+    let path = match run.trouble {
+        true => format!("/draft/crash-{events}-30"),
+        false => format!("/draft/stream-{events}-30"),
     };
     // Other callers lodge orders meanwhile.
     let lost: Arc<Mutex<Vec<(f64, String)>>> = Arc::default();
@@ -340,17 +339,17 @@
                     id.as_bytes(),
                     Duration::from_secs(4),
                 );
-                if !matches!(&answer, Ok(a) if a.status == 200) {
-                    of.note(&format!(
-                        "client: order {id}: {}",
-                        answer.map_or_else(|e| e.to_string(), |a| a.status.to_string())
-                    ));
+                let served = matches!(&answer, Ok(a) if a.status == 200);
+                let told = answer.map_or_else(|e| e.to_string(), |a| a.status.to_string());
+                of.note(&format!("client: order {id}: {told}"));
+                if !served {
                     cut.lock().unwrap().push((of.now(), id));
                 }
             });
             sleep_ms(40);
         }
     });
+    let mut whole = 0;
     for n in 0..14 {
         let id = format!("p{n}");
         let headers = [
@@ -366,56 +365,69 @@
             b"the same prompt",
             Duration::from_secs(8),
         ) {
-            Ok(a) => run.note(&format!(
-                "client: {id}: {} with {} bytes",
-                a.status,
-                a.body.len()
-            )),
+            Ok(a) => {
+                whole += usize::from(a.status == 200);
+                run.note(&format!(
+                    "client: {id}: {} with {} bytes",
+                    a.status,
+                    a.body.len()
+                ));
+            }
             Err(e) => run.note(&format!("client: {id}: {e}")),
         }
         sleep_ms(2500);
     }
-    let seen: Vec<Arrival> = arrivals
-        .lock()
-        .unwrap()
-        .iter()
-        .filter(|a| a.id.starts_with('p') && a.ran)
-        .cloned()
-        .collect();
-    run.note(&format!("the request reached workers {} times", seen.len()));
+    let names = names.lock().unwrap().clone();
+    let mut crashes: Vec<(f64, String)> = Vec::new();
+    for name in &names {
+        for line in run.worker_notes(name).lines() {
+            run.note(&format!("(recorded by {name}) {}", line.trim()));
+            if line.contains("it crashes the worker") {
+                let words: Vec<&str> = line.split_whitespace().collect();
+                let of = words.iter().position(|w| *w == "ran");
+                let id = of.and_then(|p| words.get(p.wrapping_sub(1)));
+                let at = of
+                    .and_then(|p| words.get(p + 2))
+                    .and_then(|w| w.trim_end_matches(':').parse().ok());
+                if let (Some(id), Some(at)) = (id, at) {
+                    crashes.push((at, (*id).to_owned()));
+                }
+            }
+        }
+    }
+    crashes.sort_by(|a, b| a.0.total_cmp(&b.0));
+    run.note(&format!("the request crashed {} workers", crashes.len()));
     if !run.trouble {
-        run.finish(
-            if seen.len() == 14 { HELD } else { NOT_RUN },
-            "nothing crashes",
-        );
+        run.finish(if whole == 14 { HELD } else { NOT_RUN }, "nothing crashes");
     }
-    let Some(third) = seen.get(2).map(|a| a.at) else {
+    let Some(third) = crashes.get(2).map(|c| c.0) else {
         run.finish(HELD, "the request crashed fewer than three workers");
     };
     // connectivityWindowMs is 3 s; one second more for the run that crashed the third.
-    let late: Vec<&Arrival> = seen.iter().filter(|a| a.at > third + 4.0).collect();
+    let late: Vec<&(f64, String)> = crashes.iter().filter(|c| c.0 > third + 4.0).collect();
     // A client's own retries are new requests: of each attempt, only the sends after its first count.
-    let firsts: BTreeSet<&str> = late.iter().map(|a| a.id.as_str()).collect();
     let again = late
         .iter()
-        .filter(|a| seen.iter().any(|b| b.id == a.id && b.at < a.at))
+        .filter(|a| crashes.iter().any(|b| b.1 == a.1 && b.0 < a.0))
         .count();
-    run.note(&format!(
-        "it crashed the third after {third:.3}; more than 4 s later {} sends of {} attempts reached workers, {again} of them retries",
-        late.len(),
-        firsts.len()
-    ));
     let after = lost
         .lock()
         .unwrap()
         .iter()
         .filter(|(at, _)| *at > third + 4.0)
         .count();
+    run.note(&format!(
+        "the run that crashed the third began at {third:.3}; more than 4 s later {} sends reached workers, {again} of them retries",
+        late.len()
+    ));
     run.note(&format!(
         "orders of other callers without an answer of a worker in that time: {after}"
     ));
     if again > 3 {
-        run.finish(BROKEN, &format!("BUDGET: a request that has crashed three workers reaches workers in {again} retries more"));
+        run.finish(
+            BROKEN,
+            &format!("BUDGET: a request that has crashed three workers reaches workers in {again} retries more"),
+        );
     }
     run.finish(HELD, "a request that crashes workers is no longer sent");
 }
@@ -475,6 +487,9 @@
                             .filter_map(|l| l.parse().ok())
                             .collect();
                         if ids == (1..=28).collect::<Vec<u64>>() {
+                            of.note(&format!(
+                                "client: POST /draft/stream-28-30 {id}: 200, whole"
+                            ));
                             *whole.lock().unwrap() += 1;
                         } else {
                             of.note(&format!(
@@ -547,6 +562,7 @@
                     Ok(a) if a.status == 200 => {
                         let text = String::from_utf8_lossy(&a.body).into_owned();
                         if text == half(&id, 1) + &half(&id, 2) {
+                            of.note(&format!("client: {method} {path} {id}: 200, whole"));
                             *whole.lock().unwrap() += 1;
                         } else {
                             let stamp = a.headers.get("pimentotide-server-stamp").cloned().unwrap_or_default();
@@ -592,7 +608,7 @@
     let (short, whole) = (short.lock().unwrap().clone(), *whole.lock().unwrap());
     for name in &names {
         for line in run.worker_notes(name).lines() {
-            run.note(&format!("(by the clock of worker {name}) {}", line.trim()));
+            run.note(&format!("(recorded by {name}) {}", line.trim()));
         }
     }
     run.note(&format!(
--- a/review/platform/standin.rs
+++ b/review/platform/standin.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -58,6 +58,8 @@
     pub ports: Ports,
     net: (u8, u8),
     nodes: Mutex<BTreeMap<String, Node>>,
+    /// Whether the script ends, so that nothing more is started.
+    over: AtomicBool,
     pub trouble: bool,
     /// Workers that spoil some of their streams, and give some of their other answers without a length.
     pub faulty: Mutex<Vec<String>>,
@@ -101,6 +103,7 @@
             start: Instant::now(),
             net,
             nodes: Mutex::default(),
+            over: AtomicBool::new(false),
             trouble,
             faulty: Mutex::default(),
             answers: AtomicU64::new(0),
@@ -112,6 +115,10 @@
     /// Starts a stand-in worker as a process of its own.
     pub fn start_worker(&self, name: &str, zone: &str, machine: u8, faulty: bool) {
         let p = self.ports;
+        let mut nodes = self.nodes.lock().unwrap();
+        if self.over.load(Ordering::SeqCst) {
+            return;
+        }
         let file = OpenOptions::new()
             .create(true)
             .append(true)
@@ -126,16 +133,14 @@
                 p.callers.to_string(),
             ])
             .arg(u8::from(faulty).to_string())
+            .arg((unix_ms() - self.start.elapsed().as_millis() as u64).to_string())
             .stdin(Stdio::null())
             .stdout(file)
             .stderr(Stdio::null())
             .spawn()
             .expect("this program can be started");
         self.note(&format!("worker {name} starts"));
-        self.nodes
-            .lock()
-            .unwrap()
-            .insert(name.to_owned(), Node { child });
+        nodes.insert(name.to_owned(), Node { child });
     }
 
     /// What a worker that is a process of its own has recorded.
@@ -144,7 +149,7 @@
     }
 
     /// The run as a worker process sees it; it records to its standard output.
-    pub fn attach(net: (u8, u8), base: u16) -> Arc<Run> {
+    pub fn attach(net: (u8, u8), base: u16, started: u64) -> Arc<Run> {
         let record = OpenOptions::new()
             .write(true)
             .open("/dev/stdout")
@@ -153,9 +158,10 @@
             ports: Ports::from(base),
             dir: PathBuf::new(),
             record: Mutex::new(record),
-            start: Instant::now(),
+            start: Instant::now() - Duration::from_millis(unix_ms().saturating_sub(started)),
             net,
             nodes: Mutex::default(),
+            over: AtomicBool::new(false),
             trouble: true,
             faulty: Mutex::default(),
             answers: AtomicU64::new(0),
@@ -316,6 +322,7 @@
         self.note(verdict);
         self.note(&format!("exit {code}"));
         println!("{verdict} (exit {code})");
+        self.over.store(true, Ordering::SeqCst);
         let nodes = std::mem::take(&mut *self.nodes.lock().unwrap());
         for (_, mut node) in nodes {
             unsafe { kill(node.child.id() as i32, SIGKILL) };
@@ -594,41 +601,12 @@
             run.note(&format!("worker {id} cannot listen: {e}"));
             std::process::exit(NOT_RUN);
         });
-        let life = Arc::new(Life::default());
         let (of, name, place) = (run.clone(), id.to_owned(), zone.to_owned());
-        let lives = life.clone();
         thread::spawn(move || {
-            let mut listener = Some(listener);
-            let mut start = 0u64;
-            loop {
-                let open = listener.take().unwrap_or_else(|| bind_again(address));
-                let _ = open.set_nonblocking(true);
-                while lives.start.load(Ordering::SeqCst) == start {
-                    let Ok((stream, _)) = open.accept() else {
-                        sleep_ms(2);
-                        continue;
-                    };
-                    let _ = stream.set_nonblocking(false);
-                    lives.open.lock().unwrap().push(stream.try_clone().unwrap());
-                    let (of, place, arrivals, lives) =
-                        (of.clone(), place.clone(), arrivals.clone(), lives.clone());
-                    let name = incarnation(&name, start);
-                    thread::spawn(move || {
-                        let end = stream.try_clone();
-                        serve_connection(&of, &name, &place, &arrivals, &lives, start, stream);
-                        if let Ok(end) = end {
-                            let _ = end.shutdown(std::net::Shutdown::Both);
-                        }
-                    });
-                }
-                // A crash: the port closes, and all connections with it.
-                drop(open);
-                for stream in lives.open.lock().unwrap().drain(..) {
-                    let _ = stream.shutdown(std::net::Shutdown::Both);
-                }
-                sleep_ms(BACK_MS);
-                start += 1;
-                lives.up.store(start, Ordering::SeqCst);
+            for stream in listener.incoming().flatten() {
+                let (of, name, place, arrivals) =
+                    (of.clone(), name.clone(), place.clone(), arrivals.clone());
+                thread::spawn(move || serve_connection(&of, &name, &place, &arrivals, stream));
             }
         });
         let (of, name, service, zone) = (
@@ -638,20 +616,9 @@
             zone.to_owned(),
         );
         thread::spawn(move || {
-            let (mut born, mut sequence, mut turn) = (unix_ms(), 0u64, machine as usize);
-            let mut start = 0;
+            let (born, mut sequence, mut turn) = (unix_ms(), 0u64, machine as usize);
             loop {
-                let up = life.up.load(Ordering::SeqCst);
-                if life.start.load(Ordering::SeqCst) != up {
-                    // A worker that has crashed sends nothing.
-                    sleep_ms(20);
-                    continue;
-                }
-                if up != start {
-                    (born, sequence, start) = (unix_ms(), 0, up);
-                }
                 sequence += 1;
-                let name = incarnation(&name, start);
                 let body = format!(
                     "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":{sequence},\"born\":{born}}}"
                 );
@@ -671,13 +638,8 @@
                     }
                     turn += 1;
                 }
-                // About every heartbeatMs, and at once after a start.
-                for _ in 0..60 {
-                    if life.start.load(Ordering::SeqCst) != up {
-                        break;
-                    }
-                    sleep_ms(20);
-                }
+                // About every heartbeatMs.
+                sleep_ms(1200);
             }
         });
     }
@@ -711,44 +673,11 @@
     run.answers.fetch_add(1, Ordering::Relaxed) % 50 == 20
 }
 
-/// Time until a worker that has crashed is back.
-pub const BACK_MS: u64 = 2500;
-
-/// Starts of one worker.
-#[derive(Default)]
-struct Life {
-    /// Number of crashes.
-    start: AtomicU64,
-    /// Number of crashes after which it is back.
-    up: AtomicU64,
-    open: Mutex<Vec<TcpStream>>,
-}
-
-/// Each start of a worker has another id.
-fn incarnation(name: &str, start: u64) -> String {
-    if start == 0 {
-        name.to_owned()
-    } else {
-        format!("{name}-{start}")
-    }
-}
-
-fn bind_again(address: SocketAddr) -> TcpListener {
-    loop {
-        if let Ok(listener) = TcpListener::bind(address) {
-            return listener;
-        }
-        sleep_ms(20);
-    }
-}
-
 fn serve_connection(
     run: &Run,
     worker: &str,
     zone: &str,
     arrivals: &Mutex<Vec<Arrival>>,
-    life: &Life,
-    start: u64,
     mut stream: TcpStream,
 ) {
     let _ = stream.set_nodelay(true);
@@ -876,16 +805,11 @@
                 }
                 if matches!(kind, Kind::Crash(..)) {
                     sleep_ms(pause);
-                    if life
-                        .start
-                        .compare_exchange(start, start + 1, Ordering::SeqCst, Ordering::SeqCst)
-                        .is_ok()
-                    {
-                        run.note(&format!(
-                            "worker {worker}: {first} {id} ran from {at:.3}: it crashes the worker"
-                        ));
-                    }
-                    return;
+                    run.note(&format!(
+                        "worker {worker}: {first} {id} ran from {at:.3}: it crashes the worker"
+                    ));
+                    // SAFETY: ends this process, which is a worker of its own.
+                    unsafe { kill(std::process::id() as i32, SIGKILL) };
                 }
                 sent.and_then(|()| stream.write_all(b"0\r\n\r\n"))
             }
