--- a/review/platform/main.rs
+++ b/review/platform/main.rs
@@ -127,7 +127,7 @@
         // One machine with a disk, as faultTolerance allows; it is back after a second, without its disk.
         run.end("core-1");
         run.wipe("core-1");
-        run.settings("core-1", "control", 1, "zone-1", &[1, 2, 3], false);
+        run.settings("core-1", "control", 1, "zone-1", &[1, 2, 4], false);
         sleep_ms(1000);
         run.start("core-1");
     }
