--- a/review/platform/main.rs
+++ b/review/platform/main.rs
@@ -7,6 +7,11 @@
 use std::thread;
 use std::time::Duration;
 
+/// Longest time for which a worker is faulty at a stretch, seconds.
+const GARBLE_S: f64 = 5.0;
+/// Times at which a worker begins to give some of its answers without a length.
+const UNFRAMED: [f64; 3] = [7.0, 14.0, 21.0];
+
 fn main() {
     match std::env::args().nth(1).as_deref() {
         Some("disk") => disk(),
@@ -36,7 +41,10 @@
     let net = (number(1) as u8, number(2) as u8);
     let run = Run::attach(net, number(3) as u16, number(5));
     if number(4) == 1 {
-        run.faulty.lock().unwrap().push(name.clone());
+        let times = UNFRAMED
+            .iter()
+            .map(|at| (name.clone(), *at, *at + GARBLE_S));
+        run.faulty.lock().unwrap().extend(times);
     }
     Worker::start(
         &run,
@@ -455,16 +463,20 @@
     }
     run.until(4.0);
     if run.trouble {
-        run.faulty.lock().unwrap().push("i-1".to_owned());
+        let times = [5.0, 20.0, 35.0].map(|at| ("i-1".to_owned(), at, at + GARBLE_S));
+        run.faulty.lock().unwrap().extend(times);
     }
     let caller = run.address(11, run.ports.callers);
     let wrong: Arc<Mutex<Vec<String>>> = Arc::default();
     let whole = Arc::new(Mutex::new(0));
     let mut threads = Vec::new();
-    for c in 0..8 {
+    for c in 0..16 {
         let (of, wrong, whole) = (run.clone(), wrong.clone(), whole.clone());
         threads.push(thread::spawn(move || {
-            for n in 0..55 {
+            for n in 0.. {
+                if of.now() > 44.0 {
+                    break;
+                }
                 let id = format!("s{c}x{n}");
                 let headers = [
                     ("Host", "desk.example"),
@@ -584,14 +596,14 @@
             .filter(|_| crash > 1)
             .cloned()
             .unwrap_or_else(|| "i-1".to_owned());
-        run.until(crash as f64 * 7.0);
+        run.until(UNFRAMED[crash - 1]);
         if !run.trouble {
             continue;
         }
         // The worker is killed while it sends such an answer.
         let begun = |text: &str| text.matches("begins to answer without a length").count();
         let before = begun(&run.worker_notes(&name));
-        let until = run.now() + 6.0;
+        let until = run.now() + GARBLE_S;
         while run.now() < until && begun(&run.worker_notes(&name)) == before {
             sleep_ms(5);
         }
