Control: a replaced voter is removed before the next loss may come

Cause: the successor is a voter while the removed replica still is one, so that the log has four voters and needs three. A silent voter was removed only after 6 s, counted anew by each leader. A disk lost in that time leaves two of four.

Evidence: member_changed and role_changed of the case show the addition, no removal, and two candidates without a leader. A lost replacement and the refused identity of the empty disk are ruled out (docs/incidents/replaced-voter.md).

Change: a silent voter is removed after a third of bounds.settle_ms (connectivityWindowMs of the platform) while the log could not bear `loss` more, else after 6 s as before.

Changed check: unreachable_voter_stays_until_it_is_replaced asked that a voter of four that is silent for 3 s stays. That is the fault itself. It now asks the same up to the shorter time, and voter_stays_for_longer_while_the_log_bears_another_loss asks it for all 6 s where nothing is lost by waiting.

--- a/app/src/fleet/control/membership.rs
+++ b/app/src/fleet/control/membership.rs
@@ -3,13 +3,12 @@
 //! A replica that is not a member or has no leader requests to join. The leader
 //! removes members that lost their disk or stay silent.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use pimentotide_consensus::{DiskId, RoleKind};
+use pimentotide_consensus::{Member, RoleKind};
 use pimentotide_fleet::{FleetState, MemberView, Repair, RepairOptions, repair};
 use pimentotide_instance::replica::{DiskHealth, ReplicaHandle, ReplicaStatus};
 use pimentotide_instance::{PeerClient, PeerTimeouts, Token};
@@ -24,6 +23,9 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Silence after which a surplus voter is removed; longer than an ordinary restart.
 const MAX_SILENCE: Duration = Duration::from_secs(6);
+/// Part of the settling time after which a surplus voter counts as silent if the log cannot bear
+/// another loss; the rest is for the election of a leader and the commit of the removal.
+const DEGRADED_SILENCE_RATIO: f64 = 1.0 / 3.0;
 /// File written to check whether the disk accepts writes.
 const PROBE_FILE: &str = "probe";
 /// Size of the probe file; more than one record of the log.
@@ -52,8 +54,6 @@
     metrics: Metrics,
     /// Last logged role, term and leader.
     logged_role: Arc<Mutex<Option<RoleState>>>,
-    /// Last contact with each member, while this replica leads.
-    last_contact: Arc<Mutex<BTreeMap<InstanceName, Instant>>>,
 }
 
 impl Members {
@@ -70,11 +70,11 @@
             token,
             repairs: RepairOptions {
                 max_silence: MAX_SILENCE,
-                min_voters: 2 * settings.loss + 1,
+                degraded_silence: settings.settle_time().mul_f64(DEGRADED_SILENCE_RATIO),
+                max_losses: settings.loss,
             },
             metrics,
             logged_role: Arc::default(),
-            last_contact: Arc::default(),
         }
     }
 
@@ -89,7 +89,7 @@
             return Err(Failure::new(ErrorKind::NotLeader, "ask the leader"));
         }
         let requester = Some((&joining.name, joining.disk));
-        match repair(&self.views(&status), requester, &self.repairs) {
+        match repair(&member_views(&status), requester, &self.repairs) {
             Some(Repair::Remove(name)) => {
                 log_member_change(&name, "remove", "its disk was lost");
                 self.replica.remove(name).await?;
@@ -104,39 +104,6 @@
         Ok(())
     }
 
-    fn views(&self, status: &ReplicaStatus) -> Vec<MemberView> {
-        let now = Instant::now();
-        let mut last_contact = self
-            .last_contact
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let leads = status.log.role == RoleKind::Leader;
-        if !leads {
-            last_contact.clear();
-        }
-        let mut view = |name: &InstanceName, disk: DiskId, voter| {
-            let peer = status.log.peers.iter().find(|p| p.name == *name);
-            let last = last_contact.entry(name.clone()).or_insert(now);
-            if peer.is_none_or(|p| p.reachable) {
-                *last = now;
-            }
-            MemberView {
-                name: name.clone(),
-                disk,
-                voter,
-                silent_for: now.duration_since(*last),
-            }
-        };
-        let config = &status.log.config;
-        let mut views: Vec<MemberView> = config
-            .voters
-            .iter()
-            .map(|(n, m)| view(n, m.disk, true))
-            .collect();
-        views.extend(config.learners.iter().map(|(n, m)| view(n, m.disk, false)));
-        views
-    }
-
     async fn check(&self, others: &[SocketAddr]) -> Result<(), Failure> {
         let status = self.replica.status().await?;
         self.report_role(&status);
@@ -145,7 +112,8 @@
         }
         let me = &status.log.identity;
         if status.log.role == RoleKind::Leader {
-            if let Some(Repair::Remove(name)) = repair(&self.views(&status), None, &self.repairs) {
+            if let Some(Repair::Remove(name)) = repair(&member_views(&status), None, &self.repairs)
+            {
                 log_member_change(&name, "remove", "it has been silent");
                 self.replica.remove(name).await?;
             }
@@ -236,6 +204,21 @@
     }
 }
 
+/// Returns the leader's view of all members; its own silence is zero.
+fn member_views(status: &ReplicaStatus) -> Vec<MemberView> {
+    let config = &status.log.config;
+    let view = |(name, member): (&InstanceName, &Member)| {
+        let peer = status.log.peers.iter().find(|p| p.name == *name);
+        MemberView {
+            name: name.clone(),
+            disk: member.disk,
+            voter: config.voters.contains_key(name),
+            silent_for: peer.map_or(Duration::ZERO, |p| p.silent_for),
+        }
+    };
+    config.members().map(view).collect()
+}
+
 fn log_member_change(member: &InstanceName, change: &'static str, reason: &'static str) {
     pimentotide_observe::event(&MemberChanged {
         member: member.to_string(),
--- a/app/src/fleet/settings.rs
+++ b/app/src/fleet/settings.rs
@@ -131,6 +131,8 @@
 pub struct Bounds {
     /// Time within which a revoked key stops working, ms.
     pub revoke_ms: u64,
+    /// Time after a disturbance of the control replicas within which they bear the next one, ms.
+    pub settle_ms: u64,
     /// Time from the stop signal to the exit of a process, seconds.
     pub grace_s: f64,
     /// Retries allowed per request.
@@ -151,6 +153,7 @@
     fn default() -> Self {
         Self {
             revoke_ms: 5_000,
+            settle_ms: 3_000,
             grace_s: 8.0,
             repeat_ratio: 0.2,
             repeat_window_s: 10.0,
@@ -240,6 +243,11 @@
             .collect()
     }
 
+    /// Returns the time after a disturbance of the control replicas within which they bear the next.
+    pub fn settle_time(&self) -> Duration {
+        Duration::from_millis(self.bounds.settle_ms)
+    }
+
     /// Returns the lease of an entry on its last confirmed configuration.
     ///
     /// The lease is short enough that a revoked key stops working in time even if
--- a/app/tests/it/deployment.rs
+++ b/app/tests/it/deployment.rs
@@ -127,6 +127,44 @@
         *control = Process::spawn(Path::new(BINARY), "serve", &path).unwrap();
     }
 
+    /// Starts a control replica with an empty disk at a host that has none.
+    pub(crate) fn add_control(&mut self, host: u8) {
+        let path = settings(self.folder.path(), self.network, host, self.port, "control");
+        self.controls.push(self.spawn_later(&path));
+    }
+
+    /// Kills a control replica and starts it again with an empty disk.
+    pub(crate) fn wipe_control(&mut self, host: u8) {
+        let number = usize::from(host - CONTROLS[0]);
+        self.controls[number].kill();
+        fs::remove_dir_all(self.folder.path().join(format!("data{host}"))).unwrap();
+        let path = self.folder.path().join(format!("control{host}.yaml"));
+        self.controls[number] = self.spawn_later(&path);
+    }
+
+    /// Starts a process that is not part of the first start of the deployment.
+    fn spawn_later(&self, path: &Path) -> Process {
+        let text = fs::read_to_string(path).unwrap();
+        let later = text.replace("first_start: true", "first_start: false");
+        fs::write(path, later).unwrap();
+        Process::spawn(Path::new(BINARY), "serve", path).unwrap()
+    }
+
+    /// Waits until a control replica has logged `text`.
+    pub(crate) async fn wait_for_control_log(&self, host: u8, text: &str) {
+        let limit = Instant::now() + WAIT_TIMEOUT;
+        while !self.control_log(host).contains(text) {
+            assert!(Instant::now() < limit, "replica {host} lacks {text}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Returns the log of a control replica.
+    pub(crate) fn control_log(&self, host: u8) -> String {
+        let name = format!("control{host}.log");
+        fs::read_to_string(self.folder.path().join(name)).unwrap()
+    }
+
     /// Returns the address of a host at an offset from the first port.
     pub(crate) fn address(&self, host: u8, offset: u16) -> SocketAddr {
         SocketAddr::new(ip(self.network, host), self.port + offset)
--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -14,6 +14,7 @@
 mod operator;
 mod options;
 mod ordered;
+mod replaced;
 mod settings;
 mod slow;
 mod soak;
--- a/decision/consensus/src/node/leader.rs
+++ b/decision/consensus/src/node/leader.rs
@@ -52,7 +52,7 @@
         let others = self.log.config().others(&self.hard.identity);
         let peers = others
             .into_iter()
-            .map(|who| (who.name.clone(), Progress::new(who, next)))
+            .map(|who| (who.name.clone(), Progress::new(who, next, now)))
             .collect();
         self.role = Role::Leader(Box::new(Leadership {
             elected: now,
--- a/decision/consensus/src/node/membership.rs
+++ b/decision/consensus/src/node/membership.rs
@@ -75,13 +75,14 @@
         let index = self.append_entry(Payload::Config(config));
         let others = self.log.config().others(&self.hard.identity);
         let next = self.log.last().index.next();
+        let now = self.at.now;
         if let Role::Leader(state) = &mut self.role {
             state.peers.retain(|_, p| others.contains(&p.identity));
             for who in others {
                 state
                     .peers
                     .entry(who.name.clone())
-                    .or_insert_with(|| Progress::new(who, next));
+                    .or_insert_with(|| Progress::new(who, next, now));
             }
         }
         index
--- a/decision/consensus/src/node/report.rs
+++ b/decision/consensus/src/node/report.rs
@@ -58,6 +58,7 @@
                 reachable: p
                     .acked
                     .is_some_and(|at| now < at + self.options.election_timeout),
+                silent_for: p.silent_for(now),
                 disk_replaced: p.disk_replaced,
             })
             .collect()
--- a/decision/consensus/src/progress.rs
+++ b/decision/consensus/src/progress.rs
@@ -1,6 +1,7 @@
 //! Replication progress of a peer, as tracked by the leader.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use pimentotide_model::Time;
 
@@ -41,6 +42,8 @@
     pub(crate) next: Index,
     /// Replication mode.
     pub(crate) flow: Flow,
+    /// Time from which this leader sends to it.
+    pub(crate) added: Time,
     /// Send time of the newest answered message.
     pub(crate) acked: Option<Time>,
     /// Whether it refused a message because its disk was replaced.
@@ -49,9 +52,10 @@
 
 impl Progress {
     /// Starts to probe the peer from `next` on, as if it had all earlier entries.
-    pub(crate) fn new(identity: Identity, next: Index) -> Self {
+    pub(crate) fn new(identity: Identity, next: Index, now: Time) -> Self {
         Self {
             identity,
+            added: now,
             matched: Index(0),
             next,
             flow: Flow::Probe { sent: None },
@@ -66,6 +70,11 @@
         self.disk_replaced = false;
     }
 
+    /// Returns the time since the newest answered message was sent, or since the peer was added.
+    pub(crate) fn silent_for(&self, now: Time) -> Duration {
+        now.since(self.acked.unwrap_or(self.added))
+    }
+
     /// Records that the logs match up to `matched`.
     pub(crate) fn record_match(&mut self, matched: Index) {
         self.matched = self.matched.max(matched);
--- a/decision/consensus/src/status.rs
+++ b/decision/consensus/src/status.rs
@@ -1,5 +1,7 @@
 //! Status of a node.
 
+use std::time::Duration;
+
 use derive_more::Display;
 use pimentotide_model::{InstanceName, Term};
 use serde::{Deserialize, Serialize};
@@ -42,6 +44,9 @@
     /// Whether it answered within the minimum election timeout.
     #[serde(rename = "heard")]
     pub reachable: bool,
+    /// Time since it was sent the newest message that it answered, or since this leader added it.
+    #[serde(default)]
+    pub silent_for: Duration,
     /// Whether it refused a message because its disk was replaced.
     #[serde(rename = "lost")]
     pub disk_replaced: bool,
--- a/decision/fleet/src/members.rs
+++ b/decision/fleet/src/members.rs
@@ -5,6 +5,11 @@
 //! again: its identity is removed before the replica joins as a learner. An
 //! unreachable voter is removed only while enough voters remain, because it
 //! rejoins by itself once it is reachable.
+//!
+//! An unreachable voter still counts for the quorum. Where the reachable voters exceed the
+//! quorum by less than the losses that the log has to bear, as after the removal of an
+//! instance whose replacement is a voter already, it is removed sooner: otherwise the next
+//! lost disk would leave the log without a quorum for good.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,8 +22,31 @@
 pub struct RepairOptions {
     /// Time without contact after which a member may be removed.
     pub max_silence: Duration,
-    /// Number of voters down to which no voter is removed.
-    pub min_voters: usize,
+    /// Time without contact after which a voter may be removed if the log cannot bear `max_losses`
+    /// more.
+    pub degraded_silence: Duration,
+    /// Number of voters whose loss at once the log has to bear.
+    pub max_losses: usize,
+}
+
+impl RepairOptions {
+    /// Returns the number of voters down to which no voter is removed.
+    fn min_voters(&self) -> usize {
+        2 * self.max_losses + 1
+    }
+
+    /// Returns the time without contact after which one of these voters may be removed.
+    fn voter_silence(&self, voters: &[&MemberView]) -> Duration {
+        let quorum = voters.len() / 2 + 1;
+        let reachable = voters
+            .iter()
+            .filter(|v| v.silent_for < self.degraded_silence);
+        if reachable.count() < quorum + self.max_losses {
+            self.degraded_silence
+        } else {
+            self.max_silence
+        }
+    }
 }
 
 /// Leader's view of one member.
@@ -56,15 +84,17 @@
             Some(_) => None,
         };
     }
-    let is_silent = |m: &&MemberView| m.silent_for >= options.max_silence;
-    if let Some(learner) = members.iter().filter(|m| !m.voter).find(is_silent) {
+    let mut learners = members.iter().filter(|m| !m.voter);
+    if let Some(learner) = learners.find(|m| m.silent_for >= options.max_silence) {
         return Some(Repair::Remove(learner.name.clone()));
     }
-    let voters = members.iter().filter(|m| m.voter);
-    if voters.clone().count() <= options.min_voters {
+    let voters: Vec<&MemberView> = members.iter().filter(|m| m.voter).collect();
+    if voters.len() <= options.min_voters() {
         return None;
     }
-    let longest = voters.filter(is_silent).max_by_key(|m| m.silent_for)?;
+    let max_silence = options.voter_silence(&voters);
+    let silent = voters.iter().filter(|v| v.silent_for >= max_silence);
+    let longest = silent.max_by_key(|v| v.silent_for)?;
     Some(Repair::Remove(longest.name.clone()))
 }
 
--- a/decision/fleet/tests/it/members.rs
+++ b/decision/fleet/tests/it/members.rs
@@ -8,7 +8,8 @@
 
 const OPTIONS: RepairOptions = RepairOptions {
     max_silence: Duration::from_secs(6),
-    min_voters: 3,
+    degraded_silence: Duration::from_secs(1),
+    max_losses: 1,
 };
 
 fn member(name: &str, disk: u128, silent: u64) -> MemberView {
@@ -44,10 +45,69 @@
         repair(&four, None, &OPTIONS),
         Some(Repair::Remove("c".into()))
     );
-    four[2].silent_for = Duration::from_secs(3);
+    four[2].silent_for = OPTIONS.degraded_silence - Duration::from_millis(1);
     assert_eq!(repair(&four, None, &OPTIONS), None);
 }
 
+/// Guards against a log that loses its quorum for good when a disk is lost soon after the removal of
+/// an instance whose replacement is a voter already.
+#[test]
+fn replaced_voter_is_removed_before_the_next_loss() {
+    let mut four = [
+        member("a", 1, 0),
+        member("b", 2, 0),
+        member("c", 3, 0),
+        member("d", 4, 0),
+    ];
+    four[2].silent_for = OPTIONS.degraded_silence;
+    assert_eq!(
+        repair(&four, None, &OPTIONS),
+        Some(Repair::Remove("c".into()))
+    );
+    // The one that has been silent for longest comes first.
+    four[3].silent_for = OPTIONS.max_silence;
+    assert_eq!(
+        repair(&four, None, &OPTIONS),
+        Some(Repair::Remove("d".into()))
+    );
+}
+
+/// Guards against the removal of voters that are silent for a moment while the log bears their loss.
+#[test]
+fn voter_stays_for_longer_while_the_log_bears_another_loss() {
+    let mut five = ["a", "b", "c", "d", "e"].map(|name| member(name, 1, 0));
+    five[4].silent_for = OPTIONS.max_silence - Duration::from_millis(1);
+    assert_eq!(repair(&five, None, &OPTIONS), None);
+    five[4].silent_for = OPTIONS.max_silence;
+    assert_eq!(
+        repair(&five, None, &OPTIONS),
+        Some(Repair::Remove("e".into()))
+    );
+    // Two silent voters leave a bare quorum of three.
+    five[4].silent_for = OPTIONS.degraded_silence;
+    five[3].silent_for = OPTIONS.degraded_silence * 2;
+    assert_eq!(
+        repair(&five, None, &OPTIONS),
+        Some(Repair::Remove("d".into()))
+    );
+}
+
+/// Guards against a larger log that bears fewer losses than it has to while a voter is silent.
+#[test]
+fn silent_voter_of_six_is_removed_early_if_two_losses_are_to_be_borne() {
+    let options = RepairOptions {
+        max_losses: 2,
+        ..OPTIONS
+    };
+    let mut six = ["a", "b", "c", "d", "e", "f"].map(|name| member(name, 1, 0));
+    six[5].silent_for = options.degraded_silence;
+    assert_eq!(
+        repair(&six, None, &options),
+        Some(Repair::Remove("f".into()))
+    );
+    assert_eq!(repair(&six[1..], None, &options), None);
+}
+
 #[test]
 fn longest_unreachable_voter_is_removed_first() {
     let five = [
