Control: an old order for a zone or an upstream is not applied after a newer one

Cause: a replica that wakes up reads an order from its socket and gives it to the log as a new one. An order for a zone and the withdrawal of an upstream have nothing that tells an old one from a new one.

Evidence: the order lines of the case show open_zone at the woken replica 1.5 s after the newer close_zone, with a wait of 2 ms; the replica kept its term and was not the leader.

Change: such an order carries what the receiving replica knew of its subject (index of the last order for the zone, start of the upstream), and the log rejects it if that has changed. The condition follows the command, where replicas of the version before ignore it.

--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -6,9 +6,10 @@
 use std::time::{Duration, Instant};
 
 use pimentotide_fleet::{
-    Announcement, Command, CrashReport, Declaration, Declared, FleetState, LimitReport, LimitView,
-    Record, Reply, SuspectView, UpstreamDelta, UpstreamHistory,
+    Announcement, Command, Condition, CrashReport, Declaration, Declared, FleetState, LimitReport,
+    LimitView, Record, Reply, SuspectView, UpstreamDelta, UpstreamHistory,
 };
+use pimentotide_instance::Pauses;
 use pimentotide_instance::replica::ReplicaHandle;
 use pimentotide_model::{ErrorKind, Failure, Time, UpstreamName, ZoneName};
 use pimentotide_observe::Metrics;
@@ -40,6 +41,7 @@
     replica: ReplicaHandle<FleetState>,
     roster: Roster,
     metrics: Metrics,
+    pauses: Pauses,
     /// Receipt time of each record, and when this replica first saw it.
     first_seen: Arc<Mutex<BTreeMap<UpstreamName, (Time, Instant)>>>,
     /// Expert capacity of the latest configuration read.
@@ -63,11 +65,13 @@
         replica: ReplicaHandle<FleetState>,
         roster: Roster,
         metrics: Metrics,
+        pauses: Pauses,
     ) -> Self {
         Self {
             replica,
             roster,
             metrics,
+            pauses,
             first_seen: Arc::default(),
             capacity: Arc::default(),
             documents: Arc::default(),
@@ -81,10 +85,35 @@
 
     /// Replicates a command and logs the outcome.
     pub(super) async fn replicate(&self, command: &Command) -> Result<Reply, Failure> {
+        self.propose(command, command.encode()).await
+    }
+
+    /// Replicates an order that has no version of its own, and logs the outcome.
+    ///
+    /// The condition has to be from before the call, so that a pause in between cannot renew it.
+    ///
+    /// # Errors
+    ///
+    /// Fails without replicating it if the order may have waited here during a pause.
+    async fn replicate_if(
+        &self,
+        command: &Command,
+        condition: Condition,
+    ) -> Result<Reply, Failure> {
+        if self.pauses.is_recent() {
+            let (order, subject) = describe(command);
+            log::warn!("{order} {subject} refused: it may have arrived before a pause");
+            self.metrics
+                .count("control.orders", ("outcome", "paused"), 1);
+            let detail = "this replica was paused; the order may be old";
+            return Err(Failure::new(ErrorKind::NotCurrent, detail));
+        }
+        self.propose(command, command.encode_if(condition)).await
+    }
+
+    async fn propose(&self, command: &Command, encoded: Vec<u8>) -> Result<Reply, Failure> {
         let start = Instant::now();
-        let result = self
-            .replica
-            .propose_with_leader(command.encode(), LEADER_TIMEOUT);
+        let result = self.replica.propose_with_leader(encoded, LEADER_TIMEOUT);
         let result = result.await;
         let result = result.map(|(_, reply)| Reply::decode(&reply));
         let reply = match &result {
@@ -268,6 +297,15 @@
         Ok(silent.collect())
     }
 
+    /// Returns the start of a recorded upstream, ms since the Unix epoch.
+    async fn recorded_start(&self, upstream: UpstreamName) -> Result<Option<u64>, Failure> {
+        let queried = self.replica.query(move |s, _| {
+            let record = s.upstreams().get(&upstream);
+            record.map(|r| r.announcement.born)
+        });
+        queried.await
+    }
+
     fn needs_refresh(&self, record: &Record) -> bool {
         let mut first_seen = self
             .first_seen
@@ -372,7 +410,11 @@
     }
 
     async fn set_zone(&self, zone: ZoneName, serving: bool) -> Result<Reply, Failure> {
-        self.replicate(&Command::Zone { zone, serving }).await
+        let queried = zone.clone();
+        let last_order = self.replica.query(move |s, _| s.zone_order(&queried));
+        let condition = Condition::ZoneAsOf(last_order.await?);
+        self.replicate_if(&Command::Zone { zone, serving }, condition)
+            .await
     }
 
     async fn announce(&self, announcement: Announcement) -> Result<(), Failure> {
@@ -404,7 +446,17 @@
     }
 
     async fn withdraw(&self, upstream: UpstreamName) -> Result<(), Failure> {
-        self.replicate(&Command::Withdraw(upstream))
+        let mut born = self.recorded_start(upstream.clone()).await?;
+        if born.is_none() {
+            self.replica.read_index().await?;
+            born = self.recorded_start(upstream.clone()).await?;
+        }
+        let Some(born) = born else {
+            return Ok(());
+        };
+        let condition = Condition::StartedAt(born);
+        // An upstream that has started again has superseded the start that withdraws.
+        self.replicate_if(&Command::Withdraw(upstream), condition)
             .await
             .map(|_| ())
     }
--- a/app/src/fleet/control/mod.rs
+++ b/app/src/fleet/control/mod.rs
@@ -15,7 +15,7 @@
 use actix_rt::task::JoinHandle;
 use pimentotide_fleet::FleetState;
 use pimentotide_instance::replica::{Replica, ReplicaHandle, ReplicaOptions, module};
-use pimentotide_instance::{PeerServer, Token};
+use pimentotide_instance::{Pauses, PeerServer, Token};
 use pimentotide_model::InstanceName;
 use pimentotide_platform::{ControlServer, DirectoryServer};
 
@@ -67,8 +67,13 @@
         let options = replica_options(settings, token.clone())?;
         let replica = Replica::spawn(options, FleetState::default()).await?;
         let roster = Roster::open();
-        let service =
-            ControlService::new(replica.clone(), roster.clone(), scraped.metrics().clone());
+        let (pauses, observation) = Pauses::spawn();
+        let service = ControlService::new(
+            replica.clone(),
+            roster.clone(),
+            scraped.metrics().clone(),
+            pauses,
+        );
         let members = membership::Members::new(
             replica.clone(),
             settings,
@@ -86,6 +91,7 @@
         .await?;
         let receiver = roster.clone();
         let tasks = vec![
+            observation,
             actix_rt::spawn(datagram::listen(
                 settings.beacons_at(settings.ip),
                 move |beacon| {
--- a/app/tests/it/fleet.rs
+++ b/app/tests/it/fleet.rs
@@ -26,7 +26,7 @@
 
 /// Starts a stand-in upstream that answers each connection by its path; returns its address and the
 /// recorded requests.
-async fn spawn_upstream(name: &str) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+pub(crate) async fn spawn_upstream(name: &str) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let requests: Arc<Mutex<Vec<String>>> = Arc::default();
--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -20,3 +20,4 @@
 mod soak;
 mod stalled;
 mod suspended;
+mod zones;
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 mod balancer;
 mod budget;
 mod change;
+mod condition;
 mod declaration;
 mod delta;
 mod entries;
@@ -46,6 +47,7 @@
 };
 pub use budget::{BudgetOptions, RetryBudget};
 pub use change::{UpstreamChange, UpstreamEvent};
+pub use condition::Condition;
 pub use declaration::{
     ColdLimit, Declaration, Engine, Fault, Limits, Route, RouteKind, Service, Workspace,
 };
--- a/decision/fleet/src/state.rs
+++ b/decision/fleet/src/state.rs
@@ -14,6 +14,7 @@
 use pimentotide_outcome::Crash;
 use serde::{Deserialize, Serialize};
 
+use crate::condition::Condition;
 use crate::limit::{LimitReport, LimitView};
 use crate::prompts::Prompt;
 use crate::suspects::{SuspectView, Suspects};
@@ -140,6 +141,9 @@
     /// The command cannot be decoded.
     #[display("malformed")]
     Malformed,
+    /// A newer order for the same subject has been applied.
+    #[display("superseded by a newer order")]
+    Superseded,
 }
 
 impl Reply {
@@ -154,6 +158,11 @@
     pub fn encode(&self) -> Vec<u8> {
         postcard::to_stdvec(self).unwrap_or(EMPTY_ENCODING)
     }
+
+    /// Encodes the command with a condition under which it applies.
+    pub fn encode_if(&self, condition: Condition) -> Vec<u8> {
+        postcard::to_stdvec(&(self, condition)).unwrap_or(EMPTY_ENCODING)
+    }
 }
 
 /// State shared by all processes of the fleet.
@@ -176,6 +185,11 @@
     /// Follows the suspects in a snapshot, which may end before it.
     #[serde(skip)]
     limits: LimitView,
+    /// Log index of the last order for each zone.
+    ///
+    /// Follows the limits in a snapshot, which may end before it.
+    #[serde(skip)]
+    zone_orders: BTreeMap<ZoneName, u64>,
 }
 
 impl FleetState {
@@ -189,6 +203,11 @@
         &self.closed
     }
 
+    /// Log index of the last order that closed or opened a zone, also without effect; 0 without one.
+    pub fn zone_order(&self, zone: &ZoneName) -> u64 {
+        self.zone_orders.get(zone).copied().unwrap_or(0)
+    }
+
     /// Announced upstreams by name.
     pub fn upstreams(&self) -> &BTreeMap<UpstreamName, Record> {
         &self.upstreams
@@ -246,6 +265,23 @@
         })
     }
 
+    fn execute(&mut self, index: u64, command: Command) -> Reply {
+        match command {
+            Command::Declare { version, document } => self.declare(index, version, document),
+            Command::Zone { zone, serving } => self.set_zone(index, zone, serving),
+            Command::Announce(announcement) => self.announce(index, announcement),
+            Command::Withdraw(upstream) => self.remove(index, &upstream),
+            Command::Expire {
+                upstream,
+                received_at,
+            } => self.expire(index, &upstream, received_at),
+            Command::Entries(entries) => self.record_entries(entries),
+            Command::Crash { crash, prompts } => self.record_crash(index, crash, prompts),
+            Command::Clear(contents) => self.clear(index, &contents),
+            Command::Limits(reports) => self.record_limits(index, reports),
+        }
+    }
+
     fn declare(&mut self, index: u64, version: u64, document: Arc<[u8]>) -> Reply {
         match &self.declared {
             Some(old) if version < old.version => Reply::NotNewer,
@@ -262,7 +298,22 @@
         }
     }
 
+    /// Whether a command comes too late by its condition; one that would change nothing does not.
+    fn is_superseded(&self, command: &Command, condition: Condition) -> bool {
+        match (command, condition) {
+            (Command::Zone { zone, serving }, Condition::ZoneAsOf(index)) => {
+                self.closed.contains(zone) == *serving && self.zone_order(zone) > index
+            }
+            (Command::Withdraw(upstream), Condition::StartedAt(born)) => {
+                let record = self.upstreams.get(upstream);
+                record.is_some_and(|r| r.announcement.born != born)
+            }
+            _ => false,
+        }
+    }
+
     fn set_zone(&mut self, index: u64, zone: ZoneName, serving: bool) -> Reply {
+        self.zone_orders.insert(zone.clone(), index);
         let changed = if serving {
             self.closed.remove(&zone)
         } else {
@@ -394,19 +445,15 @@
     fn apply(&mut self, index: Index, time: Time, command: &[u8]) -> Vec<u8> {
         self.now = time;
         self.suspects.expire(index.0, time);
-        let reply = match postcard::from_bytes(command) {
-            Ok(Command::Declare { version, document }) => self.declare(index.0, version, document),
-            Ok(Command::Zone { zone, serving }) => self.set_zone(index.0, zone, serving),
-            Ok(Command::Announce(announcement)) => self.announce(index.0, announcement),
-            Ok(Command::Withdraw(upstream)) => self.remove(index.0, &upstream),
-            Ok(Command::Expire {
-                upstream,
-                received_at,
-            }) => self.expire(index.0, &upstream, received_at),
-            Ok(Command::Entries(entries)) => self.record_entries(entries),
-            Ok(Command::Crash { crash, prompts }) => self.record_crash(index.0, crash, prompts),
-            Ok(Command::Clear(contents)) => self.clear(index.0, &contents),
-            Ok(Command::Limits(reports)) => self.record_limits(index.0, reports),
+        let reply = match postcard::take_from_bytes::<Command>(command) {
+            Ok((command, rest)) => {
+                let condition = Condition::decode(rest);
+                if condition.is_some_and(|c| self.is_superseded(&command, c)) {
+                    Reply::Superseded
+                } else {
+                    self.execute(index.0, command)
+                }
+            }
             Err(_) => Reply::Malformed,
         };
         postcard::to_stdvec(&reply).unwrap_or(EMPTY_ENCODING)
@@ -414,7 +461,8 @@
 
     fn snapshot(&self) -> Vec<u8> {
         // Serialising plain maps into memory does not fail.
-        postcard::to_stdvec(&(self, &self.suspects, &self.limits)).unwrap_or_default()
+        let parts = (self, &self.suspects, &self.limits, &self.zone_orders);
+        postcard::to_stdvec(&parts).unwrap_or_default()
     }
 
     fn restore(&mut self, state: &[u8]) -> Result<(), RestoreError> {
@@ -428,8 +476,13 @@
         }
         let (suspects, rest) = postcard::take_from_bytes(rest).map_err(failed)?;
         self.suspects = suspects;
+        if rest.is_empty() {
+            return Ok(());
+        }
+        let (limits, rest) = postcard::take_from_bytes(rest).map_err(failed)?;
+        self.limits = limits;
         if !rest.is_empty() {
-            self.limits = postcard::from_bytes(rest).map_err(failed)?;
+            self.zone_orders = postcard::from_bytes(rest).map_err(failed)?;
         }
         Ok(())
     }
--- a/decision/fleet/tests/it/state.rs
+++ b/decision/fleet/tests/it/state.rs
@@ -4,7 +4,7 @@
 
 use insta::assert_snapshot;
 use pimentotide_consensus::{Index, Machine};
-use pimentotide_fleet::{Announcement, Command, FleetState, Reply, Stage};
+use pimentotide_fleet::{Announcement, Command, Condition, FleetState, Reply, Stage};
 use pimentotide_model::Time;
 use proptest::prelude::*;
 
@@ -35,8 +35,17 @@
     }
 
     pub(crate) fn apply_at(&mut self, command: &Command, time: Time) -> Reply {
+        self.apply_encoded(&command.encode(), time)
+    }
+
+    fn apply_if(&mut self, command: &Command, condition: Condition) -> Reply {
+        let time = Time::ZERO + Duration::from_millis(self.index + 1);
+        self.apply_encoded(&command.encode_if(condition), time)
+    }
+
+    fn apply_encoded(&mut self, command: &[u8], time: Time) -> Reply {
         self.index += 1;
-        Reply::decode(&self.state.apply(Index(self.index), time, &command.encode()))
+        Reply::decode(&self.state.apply(Index(self.index), time, command))
     }
 }
 
@@ -88,6 +97,79 @@
     assert!(log.state.closed().is_empty());
 }
 
+fn zone(serving: bool) -> Command {
+    Command::Zone {
+        zone: "a".into(),
+        serving,
+    }
+}
+
+/// Guards against a withdrawal of an evacuation that a replica held back, and that opens the zone after
+/// it has been evacuated again.
+#[test]
+fn order_for_a_zone_is_superseded_by_a_newer_one() {
+    let mut log = Log::default();
+    let first = Condition::ZoneAsOf(log.state.zone_order(&"a".into()));
+    assert_eq!(log.apply_if(&zone(false), first), Reply::Done);
+    let held = Condition::ZoneAsOf(log.state.zone_order(&"a".into()));
+    // Sent again elsewhere, and once more: the order is acknowledged each time.
+    assert_eq!(log.apply_if(&zone(true), held), Reply::Done);
+    assert_eq!(log.apply_if(&zone(true), held), Reply::NotNewer);
+    let open = Condition::ZoneAsOf(log.state.zone_order(&"a".into()));
+    assert_eq!(log.apply_if(&zone(false), open), Reply::Done);
+    assert_eq!(log.apply_if(&zone(true), held), Reply::Superseded);
+    assert!(log.state.closed().contains("a"));
+    assert_eq!(log.apply_if(&zone(false), first), Reply::NotNewer);
+    // Another zone has its own orders.
+    let other = Command::Zone {
+        zone: "b".into(),
+        serving: false,
+    };
+    assert_eq!(log.apply_if(&other, Condition::ZoneAsOf(0)), Reply::Done);
+}
+
+/// Guards against a withdrawal that was never acknowledged and overtakes an evacuation that changed
+/// nothing, since the zone was still closed.
+#[test]
+fn order_without_effect_supersedes_older_ones() {
+    let mut log = Log::default();
+    log.apply(&zone(false));
+    let held = Condition::ZoneAsOf(log.state.zone_order(&"a".into()));
+    assert_eq!(log.apply_if(&zone(false), held), Reply::NotNewer);
+    assert_eq!(log.apply_if(&zone(true), held), Reply::Superseded);
+}
+
+/// Guards against the withdrawal of an upstream's earlier start, which would bar the present one.
+#[test]
+fn withdrawal_of_an_earlier_start_is_superseded() {
+    let mut log = Log::default();
+    log.apply(&Command::Announce(announcement("u1", 80, 5, 7)));
+    log.apply(&Command::Announce(announcement("u1", 80, 6, 1)));
+    let withdraw = Command::Withdraw("u1".into());
+    let replies = [5, 6, 6].map(|born| log.apply_if(&withdraw, Condition::StartedAt(born)));
+    assert_eq!(replies, [Reply::Superseded, Reply::Done, Reply::NotNewer]);
+}
+
+/// Guards against replicas of different versions that read the log differently while one after the
+/// other is replaced.
+#[test]
+fn commands_and_snapshots_of_other_versions_are_read() {
+    let command = zone(false).encode_if(Condition::ZoneAsOf(7));
+    let (read, _) = postcard::take_from_bytes::<Command>(&command).unwrap();
+    assert_eq!(read, zone(false));
+
+    let mut log = Log::default();
+    log.apply(&zone(false));
+    let snapshot = log.state.snapshot();
+    let mut restored = FleetState::default();
+    restored.restore(&snapshot).unwrap();
+    assert_eq!(restored, log.state);
+    // One zone, its name of one byte and its index of one byte follow the parts of earlier versions.
+    restored.restore(&snapshot[..snapshot.len() - 4]).unwrap();
+    assert!(restored.closed().contains("a"));
+    assert_eq!(restored.zone_order(&"a".into()), 0);
+}
+
 #[test]
 fn stale_announcement_is_ignored() {
     let mut log = Log::default();
--- a/peers/instance/src/lib.rs
+++ b/peers/instance/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod client;
 mod clock;
+mod pause;
 mod rpc;
 mod server;
 mod submit;
@@ -21,6 +22,7 @@
 
 pub use client::{PeerClient, PeerTimeouts};
 pub use clock::{BootInstant, Clock};
+pub use pause::Pauses;
 pub use rpc::{failure_of, rpc_error};
 pub use server::PeerServer;
 pub use submit::{Submit, Submitter, submit_module};
