Entry: events before a fault of a stream reach the caller

Cause: the cursor of a stream moved to each event of one read, and at a gap or an overlong event dropped those that it had collected. The stream was resumed after a piece that the caller never got.

Evidence: "event 8 follows event 6" beside a caller that has 1 to 5, and Last-Event-Id 6 in the second send.

Change: the events before a fault are returned, and the fault ends the part of the upstream at the next step. Blocks without a field of an event are faults as well, and an event without an identifier among events that have one waits for the next identifier: both reached the caller as wrong bytes.

error_of_the_next_upstream_is_no_part_of_a_stream passed before as well: an error that the next upstream answers with does not get into a stream that has begun, and the stream does not end as whole.

--- a/app/src/fleet/entry/streaming.rs
+++ b/app/src/fleet/entry/streaming.rs
@@ -38,6 +38,8 @@
     source: Option<Source>,
     /// Events not yet forwarded.
     pending: Bytes,
+    /// Whether the stream has ended, and only its last events were left to forward.
+    ended: bool,
 }
 
 /// Response stream of one upstream.
@@ -72,6 +74,7 @@
         cursor: StreamCursor::new(last),
         source: None,
         pending: Bytes::new(),
+        ended: false,
     };
     loop {
         let (ended, upstream) = match run.attempt.send(None).await {
@@ -233,8 +236,15 @@
     /// The wait starts again only with an event that is new, since a stalled upstream may go on to
     /// send single bytes or comments.
     async fn next(&mut self) -> Next {
+        if self.ended {
+            return Next::End;
+        }
         let mut waiting_since = Instant::now();
         loop {
+            if let Some(fault) = self.cursor.fault() {
+                log::warn!("request {}: {fault}", self.attempt.call.id);
+                return self.end(Outcome::Failed, Ended::Broken);
+            }
             let Some(source) = &mut self.source else {
                 return Next::Ended(Ended::Broken);
             };
@@ -264,16 +274,17 @@
                         if self.cursor.progress() > progress {
                             waiting_since = Instant::now();
                         }
+                        if self.cursor.is_holding() {
+                            source.last_event = Some(Instant::now());
+                        }
                     }
                     Ok(events) => {
                         source.last_event = Some(Instant::now());
                         self.attempt.record_events(self.cursor.forwarded() - before);
                         return Next::Events(events);
                     }
-                    Err(e) => {
-                        log::warn!("request {}: {e}", self.attempt.call.id);
-                        return self.end(Outcome::Failed, Ended::Broken);
-                    }
+                    // The next round ends the source.
+                    Err(_) => {}
                 },
                 Ok(Some(Err(e))) => {
                     let outcome = log_body_error(&self.attempt.call.id, e);
@@ -285,7 +296,14 @@
                 Ok(None) if source.unframed && !self.is_complete().await => {
                     return self.end(Outcome::Failed, Ended::Broken);
                 }
-                Ok(None) => return Next::End,
+                Ok(None) => {
+                    let events = self.cursor.finish();
+                    if events.is_empty() {
+                        return Next::End;
+                    }
+                    self.ended = true;
+                    return Next::Events(events);
+                }
                 Err(_) => return self.end(Outcome::Failed, Ended::Silent),
             }
         }
--- a/app/tests/it/fleet.rs
+++ b/app/tests/it/fleet.rs
@@ -45,12 +45,16 @@
             let rest = request.to_ascii_lowercase().contains("last-event-id: 1");
             let answer = if request.starts_with("POST /a/") {
                 fixture("answer.http", &[("name", &name)])
+            } else if rest && request.starts_with("POST /s/failed") {
+                fixture("failed.http", &[])
             } else if rest {
                 fixture("events_rest.http", &[])
             } else if request.starts_with("POST /s/unframed/whole") {
                 fixture("events_unframed.http", &[]) + SECOND_EVENT
             } else if request.starts_with("POST /s/unframed/cut") {
                 fixture("events_unframed.http", &[]) + &SECOND_EVENT[..10]
+            } else if request.starts_with("POST /s/spoilt") {
+                fixture("events_spoilt.http", &[])
             } else {
                 fixture("events_cut.http", &[])
             };
@@ -116,10 +120,9 @@
     assert_snapshot!([declared, served, unknown, resolved, closed].join("\n---\n"));
 }
 
-#[tokio::test]
-async fn interrupted_stream_resumes_at_another_upstream() {
-    const NETWORK: u8 = 2;
-    let deployment = Deployment::start(NETWORK, 1);
+/// Starts a deployment with one entry and two upstreams that have both received a request.
+async fn start_with_two_upstreams(network: u8) -> Deployment {
+    let deployment = Deployment::start(network, 1);
     let control = deployment.control(1);
     let entry = deployment.entry(0);
     wait_for_answer(
@@ -137,7 +140,14 @@
     while asked_first.lock().unwrap().is_empty() || asked_second.lock().unwrap().is_empty() {
         wait_for_answer(entry, &call, "HTTP/1.1 200").await;
     }
-    let stream = send_request(entry, &fixture("stream.http", &[]))
+    deployment
+}
+
+#[tokio::test]
+async fn interrupted_stream_resumes_at_another_upstream() {
+    const NETWORK: u8 = 2;
+    let deployment = start_with_two_upstreams(NETWORK).await;
+    let stream = send_request(deployment.entry(0), &fixture("stream.http", &[]))
         .await
         .unwrap();
     let log = deployment.entry_log(0);
@@ -146,6 +156,35 @@
     assert!(deployment.folder.path().exists());
 }
 
+/// Guards against a stream that ends as complete without a piece that came in one read with the wrong
+/// bytes after it.
+#[tokio::test]
+async fn piece_before_wrong_bytes_reaches_the_caller() {
+    const NETWORK: u8 = 29;
+    let deployment = start_with_two_upstreams(NETWORK).await;
+    let request = fixture("stream.http", &[]).replace("/s/2f", "/s/spoilt");
+    let stream = send_request(deployment.entry(0), &request).await.unwrap();
+    let ids: Vec<&str> = stream.lines().filter(|l| l.starts_with("id: ")).collect();
+    assert_eq!(ids, ["id: 1", "id: 2", "id: 3"], "{stream}");
+    assert!(!stream.contains('#'), "{stream}");
+    assert!(stream.contains("data: end"), "{stream}");
+}
+
+/// Guards against an error of the next upstream in the middle of a stream, and against the end of a
+/// whole stream after it.
+#[tokio::test]
+async fn error_of_the_next_upstream_is_no_part_of_a_stream() {
+    const NETWORK: u8 = 30;
+    let deployment = start_with_two_upstreams(NETWORK).await;
+    let request = fixture("stream.http", &[]).replace("/s/2f", "/s/failed");
+    let stream = send_request(deployment.entry(0), &request).await.unwrap();
+    assert!(stream.contains("data: one"), "{stream}");
+    assert!(!stream.contains("memory"), "{stream}");
+    assert_eq!(stream.matches("HTTP/1.1").count(), 1, "{stream}");
+    // The last chunk of a whole answer is missing.
+    assert!(!stream.trim_end().ends_with("\n0"), "{stream}");
+}
+
 /// Guards against running a request again because its stream ends with its connection, and against
 /// passing on such a stream as complete although it ended inside an event.
 #[tokio::test]
--- a/peers/upstream/src/sse.rs
+++ b/peers/upstream/src/sse.rs
@@ -9,6 +9,9 @@
 /// Maximum size of an event.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Names of the fields of an event.
+const FIELDS: [&[u8]; 4] = [b"data", b"id", b"event", b"retry"];
+
 /// Raw bytes of one event, including the terminating blank line.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event(pub Bytes);
@@ -21,10 +24,27 @@
 
     /// Returns the trimmed value of the first `data:` line, if any.
     pub fn data(&self) -> Option<&str> {
+        self.value("data:")
+    }
+
+    /// Returns the number in the first `id:` line, if any.
+    pub fn id(&self) -> Option<u64> {
+        self.value("id:")?.parse().ok()
+    }
+
+    /// Returns whether a line begins with the name of a field of an event.
+    pub fn has_field(&self) -> bool {
+        self.0.split(|byte| *byte == b'\n').any(|line| {
+            let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+            FIELDS.contains(&name.trim_ascii_end())
+        })
+    }
+
+    fn value(&self, field: &str) -> Option<&str> {
         let text = std::str::from_utf8(&self.0).ok()?;
-        text.lines()
-            .find_map(|line| line.strip_prefix("data:"))
-            .map(str::trim)
+        let mut lines = text.lines();
+        let value = lines.find_map(|line| line.strip_prefix(field))?;
+        Some(value.trim())
     }
 }
 
--- a/peers/upstream/tests/it/events.rs
+++ b/peers/upstream/tests/it/events.rs
@@ -1,6 +1,8 @@
 //! Splitting of server-sent events from chunks of any size.
 
-use pimentotide_upstream::{Event, EventError, EventSplitter, MAX_EVENT_BYTES, StreamCursor};
+use pimentotide_upstream::{
+    CursorError, Event, EventError, EventSplitter, MAX_EVENT_BYTES, StreamCursor,
+};
 use proptest::prelude::*;
 
 fn split(bytes: &[u8], size: usize) -> Result<Vec<Event>, EventError> {
@@ -96,3 +98,66 @@
     assert_eq!(progress, [1, 2, 2, 2, 3, 3]);
     assert_eq!(cursor.forwarded(), 1);
 }
+
+/// Guards against a piece that is lost because it came in one read with the wrong bytes after it: the
+/// stream was resumed after a piece that the caller never got.
+#[test]
+fn events_before_a_fault_are_forwarded() {
+    let sound = "id: 1\ndata: a\n\n";
+    let faults = [
+        ("id: 4\ndata: d\n\n", CursorError::Gap { last: 1, found: 4 }),
+        ("########\n\nid: 3\n\n", CursorError::Malformed),
+        (
+            "data: ########\n\nid: 3\ndata: c\n\n",
+            CursorError::Gap { last: 1, found: 3 },
+        ),
+    ];
+    for (wrong, fault) in faults {
+        let mut cursor = StreamCursor::new(None);
+        let events = cursor.push(format!("{sound}{wrong}").as_bytes());
+        assert_eq!(events, Ok(sound.into()));
+        assert_eq!((cursor.last(), cursor.forwarded()), (Some(1), 1));
+        assert_eq!(cursor.fault(), Some(fault));
+        assert_eq!(cursor.push(b"id: 2\n\n"), Err(fault));
+        cursor.discard_partial();
+        assert_eq!(cursor.push(b"id: 2\n\n"), Ok("id: 2\n\n".into()));
+        assert_eq!(cursor.fault(), None);
+    }
+}
+
+/// Guards against the loss of the events before one that is too long.
+#[test]
+fn events_before_an_overlong_one_are_forwarded() {
+    let sound = "id: 1\ndata: a\n\n";
+    let overlong = "x".repeat(MAX_EVENT_BYTES + 1);
+    let mut cursor = StreamCursor::new(None);
+    let events = cursor.push(format!("{sound}{overlong}").as_bytes());
+    assert_eq!(events, Ok(sound.into()));
+    assert_eq!(cursor.last(), Some(1));
+    let too_long = CursorError::Event(EventError::TooLong);
+    assert_eq!(cursor.fault(), Some(too_long));
+}
+
+/// Guards against wrong bytes that reach the caller in place of an event, and against the loss of
+/// events that have no identifier.
+#[test]
+fn event_without_an_identifier_waits_for_the_next_one() {
+    let mut cursor = StreamCursor::new(None);
+    let mut push = |bytes: &'static str| cursor.push(bytes.as_bytes()).unwrap();
+    assert_eq!(
+        push("event: start\ndata: 0\n\n"),
+        "event: start\ndata: 0\n\n"
+    );
+    assert_eq!(push("id: 1\n\n"), "id: 1\n\n");
+    assert_eq!(push("data: x\n\n"), "");
+    assert_eq!(push("id: 2\n\n"), "data: x\n\nid: 2\n\n");
+    assert_eq!(push("data: [DONE]\n\n"), "");
+    assert!(cursor.is_holding() && !cursor.is_partial());
+    assert_eq!(cursor.forwarded(), 4);
+    assert_eq!(cursor.finish(), "data: [DONE]\n\n");
+    assert_eq!(cursor.forwarded(), 5);
+    // An upstream that breaks off there sends it again.
+    cursor.push(b"data: x\n\n").unwrap();
+    cursor.discard_partial();
+    assert_eq!(cursor.finish(), "");
+}
