Control: an upstream that expired may announce itself again

Callers would see: all upstreams of all services refused for good after control had no leader for 20 s or more, as the review suspected by the code for one upstream that is cut off.

Cause: a replica that becomes the leader measures silence from when it first saw a record, and nobody records announcements without a leader. Expired upstreams were barred like those that have withdrawn, until they start again.

Change: silence counts from the time since which the leader has led, without a pause, and an expiry bars nothing. A late announcement of a crashed upstream is removed again after 20 s, and one at a reused address is still older than its owner.

--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -83,6 +83,11 @@
         &self.replica
     }
 
+    /// Whether this process was paused within the last seconds.
+    pub(super) fn was_paused(&self) -> bool {
+        self.pauses.is_recent()
+    }
+
     /// Replicates a command and logs the outcome.
     pub(super) async fn replicate(&self, command: &Command) -> Result<Reply, Failure> {
         self.propose(command, command.encode()).await
--- a/app/src/fleet/control/upkeep.rs
+++ b/app/src/fleet/control/upkeep.rs
@@ -1,6 +1,6 @@
 //! Periodic tasks of the leader: removal of silent upstreams and the recorded number of entries.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use pimentotide_fleet::{Command, EntryRecord};
 use pimentotide_instance::Clock;
@@ -15,11 +15,19 @@
 const UPSTREAM_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Removes silent upstreams while this replica leads, until the task is aborted.
+///
+/// Without a leader, and while this replica is paused, no announcement is recorded. So silence counts
+/// from the time since which this replica has led.
 pub(super) async fn expire_upstreams(service: ControlService) {
     let leader = service.replica().leader();
+    let mut led_since = None;
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL).await;
-        if !leader.borrow().here {
+        if !leader.borrow().here || service.was_paused() {
+            led_since = None;
+            continue;
+        }
+        if led_since.get_or_insert_with(Instant::now).elapsed() < UPSTREAM_TIMEOUT {
             continue;
         }
         let silent = match service.silent_upstreams(UPSTREAM_TIMEOUT).await {
--- a/decision/fleet/src/state.rs
+++ b/decision/fleet/src/state.rs
@@ -407,17 +407,27 @@
 
     fn expire(&mut self, index: u64, upstream: &UpstreamName, received_at: Time) -> Reply {
         match self.upstreams.get(upstream) {
-            Some(record) if record.received_at == received_at => self.remove(index, upstream),
+            Some(record) if record.received_at == received_at => {
+                self.take_record(index, upstream);
+                Reply::Done
+            }
             _ => Reply::NotNewer,
         }
     }
 
+    /// Removes a record; the same start of the upstream may announce itself again.
+    fn take_record(&mut self, index: u64, upstream: &UpstreamName) -> Option<Record> {
+        let record = self.upstreams.remove(upstream)?;
+        self.revision = index;
+        self.limits.remove(index, upstream);
+        Some(record)
+    }
+
+    /// Removes the record of an upstream that has stopped or lost its address.
     fn remove(&mut self, index: u64, upstream: &UpstreamName) -> Reply {
-        let Some(record) = self.upstreams.remove(upstream) else {
+        let Some(record) = self.take_record(index, upstream) else {
             return Reply::NotNewer;
         };
-        self.revision = index;
-        self.limits.remove(index, upstream);
         self.departed
             .insert(upstream.clone(), (record.announcement.born, index));
         if self.departed.len() > MAX_DEPARTED {
--- a/decision/fleet/tests/it/state.rs
+++ b/decision/fleet/tests/it/state.rs
@@ -311,3 +311,23 @@
         }
     }
 }
+
+/// Guards against an upstream that is barred until it starts again, although it was only cut off, or
+/// control had no leader for longer than the silence that is allowed.
+#[test]
+fn expired_upstream_may_announce_itself_again() {
+    let mut log = Log::default();
+    let time = Time::ZERO + Duration::from_secs(1);
+    log.apply_at(&Command::Announce(announcement("u1", 80, 5, 1)), time);
+    let expire = Command::Expire {
+        upstream: "u1".into(),
+        received_at: time,
+    };
+    assert_eq!(log.apply(&expire), Reply::Done);
+    let again = announcement("u1", 80, 5, 2);
+    assert!(!log.state.is_stale(&again));
+    assert_eq!(log.apply(&Command::Announce(again)), Reply::Done);
+    // A start that has withdrawn stays withdrawn.
+    log.apply(&Command::Withdraw("u1".into()));
+    assert!(log.state.is_stale(&announcement("u1", 80, 5, 3)));
+}
