Control: odd entries among the announcements push out no sound upstream

Reported by another operator and the review: one odd entry of another writer (deeply nested, a number too large, a port out of range), and an entry with an unknown service and a later start.

No process ended and none stopped following the list. But a start far in the future under the name of a sound upstream, and an unknown service under its name or address, were recorded and barred the sound one; a time of 1e300 ms in a configuration made the handler panic.

Change: an announcement that starts more than an hour ahead, or takes over an upstream of another service for one that is not configured, is refused with 400.

Tests: odd::odd_announcements_and_configurations_are_refused failed before at the start in the future (200) and passes; announce::odd_announcements_are_rejected and upstream::late_copy_of_a_refusal_reaches_no_other_request passed before as well: deep nesting ends nothing, and a refusal that an upstream writes once more reaches no other request, since each has its own connection.

--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use pimentotide_fleet::{
     Announcement, Command, Condition, CrashReport, Declaration, Declared, FleetState, LimitReport,
@@ -32,6 +32,8 @@
 const LEADER_TIMEOUT: Duration = Duration::from_millis(700);
 /// Minimum time between two reads of the expert capacity; large configurations take long to parse.
 const CAPACITY_INTERVAL: Duration = Duration::from_secs(2);
+/// Most by which the clock of an upstream may be ahead; an hour covers clocks that jump.
+const MAX_CLOCK_SKEW: Duration = Duration::from_hours(1);
 /// Time after which an unchanged announcement is written to the log again.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -302,6 +304,39 @@
         Ok(silent.collect())
     }
 
+    /// Checks that an announcement may take the name and the address that it states.
+    ///
+    /// # Errors
+    ///
+    /// Fails if its start is in the future, so that none of the upstream itself would ever be newer, or if
+    /// it takes over an upstream of another service and its own service is not configured.
+    async fn check_origin(&self, announcement: &Announcement) -> Result<(), Failure> {
+        let invalid = |detail: String| Failure::new(ErrorKind::InvalidRequest, detail);
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let latest = now.unwrap_or_default() + MAX_CLOCK_SKEW;
+        if u128::from(announcement.born) > latest.as_millis() {
+            let detail = format!("{} starts in the future", announcement.upstream);
+            return Err(invalid(detail));
+        }
+        let queried = announcement.clone();
+        let document = self.replica.query(move |s, _| {
+            let declared = s.declared().filter(|_| s.takes_over(&queried));
+            declared.map(|d| d.document.clone())
+        });
+        let Some(document) = document.await? else {
+            return Ok(());
+        };
+        let declaration = read_configuration(&document)
+            .map_err(|e| Failure::new(ErrorKind::Internal, e.to_string()))?;
+        if declaration.services.contains_key(&announcement.service) {
+            return Ok(());
+        }
+        let (name, service) = (&announcement.upstream, &announcement.service);
+        Err(invalid(format!(
+            "{name} names an unknown service: {service}"
+        )))
+    }
+
     /// Returns the start of a recorded upstream, ms since the Unix epoch.
     async fn recorded_start(&self, upstream: UpstreamName) -> Result<Option<u64>, Failure> {
         let queried = self.replica.query(move |s, _| {
@@ -423,6 +458,7 @@
     }
 
     async fn announce(&self, announcement: Announcement) -> Result<(), Failure> {
+        self.check_origin(&announcement).await?;
         let queried = announcement.clone();
         let recorded = self
             .replica
--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -11,6 +11,7 @@
 mod lines;
 mod local;
 mod lost;
+mod odd;
 mod operator;
 mod options;
 mod ordered;
--- a/decision/fleet/src/state.rs
+++ b/decision/fleet/src/state.rs
@@ -256,6 +256,16 @@
                 .is_some_and(|r| r.announcement.born > announcement.born)
     }
 
+    /// Whether an announcement would take a name or an address from an upstream of another service.
+    pub fn takes_over(&self, announcement: &Announcement) -> bool {
+        let same_name = self.upstreams.get(&announcement.upstream);
+        let mut taken = same_name
+            .into_iter()
+            .chain(self.address_owner(announcement));
+        !self.is_stale(announcement)
+            && taken.any(|r| r.announcement.service != announcement.service)
+    }
+
     /// Returns another upstream that was announced at the same address.
     fn address_owner(&self, announcement: &Announcement) -> Option<&Record> {
         let mut records = self.upstreams.values();
