App tests: upstreams serve after control had no leader for 22 s

Real processes: two of three replicas are paused for 22 s while an upstream goes on to announce itself; requests are served at once and for 5 s after it.

--- a/app/tests/it/zones.rs
+++ b/app/tests/it/zones.rs
@@ -14,6 +14,11 @@
 /// Time after a pause in which late orders would have been applied, and have reached the entry.
 const LATE_TIME: Duration = Duration::from_secs(3);
 
+/// Time without a leader; longer than the silence after which an upstream expires.
+const LEADERLESS_TIME: Duration = Duration::from_secs(22);
+/// Time in which the new leader has checked for silent upstreams.
+const EXPIRY_CHECKS: Duration = Duration::from_secs(5);
+
 /// Sends an order to a paused replica, which reads it once it is resumed.
 async fn send_unread(deployment: &Deployment, host: u8, order: &str) -> TcpStream {
     let mut stream = TcpStream::connect(deployment.control(host)).await.unwrap();
@@ -93,3 +98,50 @@
     }
     drop(kept);
 }
+
+/// Guards against upstreams that expire, and are barred until they start again, because no leader
+/// recorded their announcements for longer than the silence that is allowed.
+#[tokio::test]
+async fn upstreams_serve_after_a_long_time_without_a_leader() {
+    let deployment = Deployment::start(32, 1);
+    let declared = fixture("declare.http", &[("version", "7")]);
+    wait_for_answer(deployment.control(1), &declared, "HTTP/1.1 200").await;
+    let (address, _) = spawn_upstream("u1").await;
+    announce(deployment.control(1), "u1", address).await;
+    let call = fixture("call.http", &[("key", "k1")]);
+    let entry = deployment.entry(0);
+    wait_for_answer(entry, &call, "HTTP/1.1 200").await;
+    let text = address.to_string();
+    let controls = [1, 2, 3].map(|host| deployment.control(host));
+    let announcing = tokio::spawn(async move {
+        for sequence in 2_u64.. {
+            let sequence = sequence.to_string();
+            let values = [
+                ("name", "u1"),
+                ("address", &text[..]),
+                ("sequence", &sequence),
+            ];
+            let message = fixture("announce.http", &values);
+            for control in controls {
+                let sent = send_request(control, &message);
+                // A paused replica does not answer.
+                let _ = tokio::time::timeout(Duration::from_millis(300), sent).await;
+            }
+        }
+    });
+    for paused in &deployment.controls[1..] {
+        paused.pause();
+    }
+    tokio::time::sleep(LEADERLESS_TIME).await;
+    for paused in &deployment.controls[1..] {
+        paused.resume();
+    }
+    wait_for_answer(entry, &call, "HTTP/1.1 200").await;
+    let until = Instant::now() + EXPIRY_CHECKS;
+    while Instant::now() < until {
+        let answer = send_request(entry, &call).await.unwrap_or_default();
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    announcing.abort();
+}
