Soak: zones, evacuations, replaced replicas and a control without a leader

The users saw EVAC and CONFIG broken on their own machines. The soak could see neither: its one zone was never evacuated, nothing stood for EVAC, and no replica was replaced.

After all faults the zone is evacuated for good. New guarantee: no request reaches an evacuated zone after 5 s, or after 10 s beside replicas that are disturbed one at a time.

Changed check: eight calls were handled by version 93 while 96 had been acknowledged 2.2 to 2.6 s before. The trace shows two of three replicas paused 6 ms after the acknowledgement, and views 2,427 to 2,850 ms old, within the lease of 2.9 s. The bound is now 7 s where most replicas are paused (a fault that is new), and 2 s as before elsewhere.

--- a/app/tests/it/crashes.rs
+++ b/app/tests/it/crashes.rs
@@ -91,6 +91,7 @@
         &[
             ("name", name),
             ("address", &address),
+            ("zone", "z1"),
             ("state", "ready"),
             ("sequence", "1"),
             ("born", &start),
--- a/dev/soak/src/cluster.rs
+++ b/dev/soak/src/cluster.rs
@@ -3,7 +3,8 @@
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
 use pimentotide_process::{Process, free_ports};
@@ -25,6 +26,8 @@
 pub(crate) const ENTRIES: usize = 3;
 /// Number of stand-in upstreams.
 pub(crate) const UPSTREAMS: usize = 5;
+/// Host of the first replacement of a replica.
+const FIRST_REPLACEMENT: usize = 100;
 /// Timeout of an operator's request.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Grace period of a stop in the settings files, in seconds.
@@ -37,8 +40,6 @@
 pub(crate) struct Member {
     pub(crate) process: Process,
     settings: PathBuf,
-    /// Settings of every restart: as at first, without `first_start`.
-    restart_settings: String,
     pub(crate) data: PathBuf,
 }
 
@@ -47,6 +48,12 @@
 pub(crate) struct Cluster {
     binary: PathBuf,
     folder: tempfile::TempDir,
+    network: u8,
+    port: u16,
+    /// Seeds that the settings name, by the number of the replica.
+    seeds: std::sync::Mutex<Vec<SocketAddr>>,
+    /// Number of replacements so far.
+    replacements: AtomicUsize,
     pub(crate) recorder: Arc<Recorder>,
     pub(crate) request_ids: Arc<RequestIds>,
     pub(crate) call: Template,
@@ -73,15 +80,22 @@
             network: options.network,
             port,
         };
+        let seeds: Vec<SocketAddr> = (0..CONTROLS)
+            .map(|number| SocketAddr::new(ip(options.network, 1 + number), port + 2))
+            .collect();
         let (mut controls, mut entries) = (Vec::new(), Vec::new());
         let (mut control_proxies, mut entry_proxies) = (Vec::new(), Vec::new());
         for number in 0..CONTROLS {
-            let (member, listener) = layout.spawn_member(&options.binary, "control", number)?;
+            let host = 1 + number;
+            let (member, listener) =
+                layout.spawn_member(&options.binary, "control", host, &seeds, true)?;
             controls.push(Mutex::new(member));
             control_proxies.push(Proxy::bind(listener).await?);
         }
         for number in 0..ENTRIES {
-            let (member, listener) = layout.spawn_member(&options.binary, "entry", number)?;
+            let host = 1 + CONTROLS + number;
+            let (member, listener) =
+                layout.spawn_member(&options.binary, "entry", host, &seeds, true)?;
             entries.push(Mutex::new(member));
             entry_proxies.push(Proxy::bind(listener).await?);
         }
@@ -94,6 +108,10 @@
         Ok(Self {
             binary: options.binary.clone(),
             folder,
+            network: options.network,
+            port,
+            seeds: std::sync::Mutex::new(seeds),
+            replacements: AtomicUsize::new(0),
             recorder,
             request_ids: Arc::default(),
             call: Template::open("soak/call.http")?,
@@ -135,10 +153,15 @@
         self.read.fill(&[])
     }
 
+    /// Returns the address of a random replica for operators.
+    pub(crate) fn random_control(&self) -> SocketAddr {
+        let number = rand::rng().random_range(0..CONTROLS);
+        self.control_proxies[number].address()
+    }
+
     /// Sends an operator's request to a random replica; `None` without a complete answer.
     pub(crate) async fn send_to_control(&self, message: &str) -> Option<Message> {
-        let number = rand::rng().random_range(0..CONTROLS);
-        let address = self.control_proxies[number].address();
+        let address = self.random_control();
         let exchange = async {
             let mut stream = TcpStream::connect(address).await.ok()?;
             stream.write_all(message.as_bytes()).await.ok()?;
@@ -152,11 +175,52 @@
 
     /// Starts a process again on its settings.
     pub(crate) fn restart(&self, member: &mut Member) -> Result<(), String> {
-        fs::write(&member.settings, &member.restart_settings).map_err(|e| e.to_string())?;
+        let text = fs::read_to_string(&member.settings).map_err(|e| e.to_string())?;
+        let later = text.replace("first_start: true", "first_start: false");
+        fs::write(&member.settings, later).map_err(|e| e.to_string())?;
         member.process = Process::spawn(&self.binary, "serve", &member.settings)?;
         Ok(())
     }
 
+    /// Starts a replica with an empty disk, at an address that none has had; returns it with its address.
+    pub(crate) fn spawn_replacement(
+        &self,
+        number: usize,
+    ) -> Result<(Member, SocketAddr), SoakError> {
+        let layout = Layout {
+            folder: self.folder.path(),
+            network: self.network,
+            port: self.port,
+        };
+        let host = FIRST_REPLACEMENT + self.replacements.fetch_add(1, Ordering::SeqCst);
+        let mut seeds = self.lock_seeds().clone();
+        seeds[number] = SocketAddr::new(ip(self.network, host), self.port + 2);
+        layout.spawn_member(&self.binary, "control", host, &seeds, false)
+    }
+
+    /// Names a replacement instead of the replica `number` in all settings, as the platform does.
+    pub(crate) fn rewrite_seeds(&self, number: usize, address: SocketAddr) {
+        let mut seeds = self.lock_seeds();
+        let (old, new) = (format!("\"{}\"", seeds[number]), format!("\"{address}\""));
+        seeds[number] = address;
+        let rewritten = fs::read_dir(self.folder.path()).and_then(|files| {
+            for file in files {
+                let path = file?.path();
+                if path.extension().is_some_and(|e| e == "yaml") {
+                    rewrite(&path, &old, &new)?;
+                }
+            }
+            Ok(())
+        });
+        if let Err(e) = rewritten {
+            eprintln!("naming a replacement failed: {e}");
+        }
+    }
+
+    fn lock_seeds(&self) -> std::sync::MutexGuard<'_, Vec<SocketAddr>> {
+        self.seeds.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records a fault or planned work that began at `from` and ends now.
     pub(crate) fn record_disturbance(
         &self,
@@ -282,21 +346,18 @@
         &self,
         binary: &Path,
         role: &str,
-        number: usize,
+        host: usize,
+        seeds: &[SocketAddr],
+        first_start: bool,
     ) -> Result<(Member, SocketAddr), SoakError> {
-        let (host, offset) = match role {
-            "control" => (1 + number, 2),
-            _ => (1 + CONTROLS + number, 4),
-        };
+        let offset = if role == "control" { 2 } else { 4 };
         let address = ip(self.network, host);
         let data = self.folder.join(format!("data{host}"));
         let port = self.port;
-        let seeds: Vec<String> = (1..=CONTROLS)
-            .map(|c| format!("\"{}:{}\"", ip(self.network, c), port + 2))
-            .collect();
+        let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
         let text = format!(
-            "role: {role}\ninstance: {role}-{number}\nzone: z1\nip: {address}\n\
-             ports: [{port}, {}]\nseeds: [{}]\nfirst_start: true\ndata: {}\n\
+            "role: {role}\ninstance: {role}-{host}\nzone: z1\nip: {address}\n\
+             ports: [{port}, {}]\nseeds: [{}]\nfirst_start: {first_start}\ndata: {}\n\
              listen: {{callers: \"{address}:{}\", ready: \"{address}:{}\", \
              control: \"{address}:{}\"}}\n\
              token: token-of-this-soak\nbounds: {{revoke_ms: 5000, grace_s: {GRACE_S}}}\n",
@@ -307,19 +368,26 @@
             port + 5,
             port + 2,
         );
-        let settings = self.folder.join(format!("{role}-{number}.yaml"));
+        let settings = self.folder.join(format!("{role}-{host}.yaml"));
         fs::write(&settings, &text)?;
         let process = Process::spawn(binary, "serve", &settings).map_err(SoakError::Process)?;
         let member = Member {
             process,
             settings,
-            restart_settings: text.replace("first_start: true", "first_start: false"),
             data,
         };
         Ok((member, SocketAddr::new(address, port + offset)))
     }
 }
 
+/// Replaces a text in a file by a new file, so that no process reads a part of it.
+fn rewrite(path: &Path, old: &str, new: &str) -> std::io::Result<()> {
+    let text = fs::read_to_string(path)?.replace(old, new);
+    let written = path.with_extension("new");
+    fs::write(&written, text)?;
+    fs::rename(written, path)
+}
+
 fn ip(network: u8, host: usize) -> IpAddr {
     IpAddr::V4(Ipv4Addr::new(127, 10, network, host as u8))
 }
--- a/dev/soak/src/fault.rs
+++ b/dev/soak/src/fault.rs
@@ -10,9 +10,14 @@
 
 /// Time for which a draining upstream keeps serving before it withdraws.
 const DRAIN_TIME: Duration = Duration::from_millis(3_500);
+/// Time for which a replacement is up before the old replica is removed.
+const CATCH_UP_TIME: Duration = Duration::from_secs(4);
 /// Factor by which pauses are longer than other faults; the longest outlast a revocation.
 const PAUSE_FACTOR: u32 = 3;
 
+/// Name of the fault that pauses all replicas but its target.
+pub(crate) const PAUSE_QUORUM: &str = "pause all but";
+
 /// A fault, or planned work, with the number of its target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -21,8 +26,12 @@
     KillEntry(usize),
     /// Kills a replica, deletes its data and restarts it.
     WipeControl(usize),
+    /// Removes a replica for good and adds one with an empty disk at another address.
+    ReplaceControl(usize, Replacement),
     /// Kills all processes at once and restarts them later.
     KillAll,
+    /// Freezes all replicas but one, so that there is no leader for a while.
+    PauseQuorum(usize),
     /// Freezes a process for a while.
     PauseControl(usize),
     PauseEntry(usize),
@@ -45,6 +54,15 @@
     DrainUpstream(usize),
 }
 
+/// When the replacement of a replica starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Replacement {
+    /// Before the removal, so that it has caught up by then.
+    Before,
+    /// After the removal.
+    After,
+}
+
 /// A fault of the connections to one target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LinkFault {
@@ -75,7 +93,10 @@
             Self::KillControl(n) => ("kill", Target::Control(n)),
             Self::KillEntry(n) => ("kill", Target::Entry(n)),
             Self::WipeControl(n) => ("wipe", Target::Control(n)),
+            Self::ReplaceControl(n, Replacement::Before) => ("replace first", Target::Control(n)),
+            Self::ReplaceControl(n, Replacement::After) => ("replace", Target::Control(n)),
             Self::KillAll => ("kill", Target::All),
+            Self::PauseQuorum(n) => (PAUSE_QUORUM, Target::Control(n)),
             Self::PauseControl(n) => ("pause", Target::Control(n)),
             Self::PauseEntry(n) => ("pause", Target::Entry(n)),
             Self::LinkControl(n, _) => ("link", Target::Control(n)),
@@ -105,7 +126,9 @@
             Self::WipeControl(n) => {
                 kill_and_restart(cluster, &cluster.controls[n], duration, true).await
             }
+            Self::ReplaceControl(n, order) => replace(cluster, n, order, duration).await,
             Self::KillAll => kill_all(cluster, duration).await,
+            Self::PauseQuorum(n) => pause_quorum(cluster, n, duration * PAUSE_FACTOR).await,
             Self::PauseControl(n) => pause(&cluster.controls[n], duration * PAUSE_FACTOR).await,
             Self::PauseEntry(n) => pause(&cluster.entries[n], duration * PAUSE_FACTOR).await,
             Self::LinkControl(n, link) => {
@@ -155,6 +178,49 @@
     }
 }
 
+async fn replace(cluster: &Cluster, number: usize, order: Replacement, duration: Duration) -> bool {
+    let mut member = cluster.controls[number].lock().await;
+    if order == Replacement::After {
+        member.process.kill();
+        tokio::time::sleep(duration).await;
+    }
+    let (added, address) = match cluster.spawn_replacement(number) {
+        Ok(added) => added,
+        Err(e) => {
+            eprintln!("starting a replacement failed: {e}");
+            return false;
+        }
+    };
+    if order == Replacement::Before {
+        tokio::time::sleep(CATCH_UP_TIME).await;
+        member.process.kill();
+    }
+    cluster.control_proxies[number].set_target(address);
+    *member = added;
+    drop(member);
+    cluster.rewrite_seeds(number, address);
+    true
+}
+
+async fn pause_quorum(cluster: &Cluster, number: usize, duration: Duration) -> bool {
+    let mut members = Vec::new();
+    let others = cluster.controls.iter().enumerate();
+    for (_, member) in others.filter(|(n, _)| *n != number) {
+        let Ok(member) = member.try_lock() else {
+            return false;
+        };
+        members.push(member);
+    }
+    for member in &members {
+        member.process.pause();
+    }
+    tokio::time::sleep(duration).await;
+    for member in &members {
+        member.process.resume();
+    }
+    true
+}
+
 async fn kill_all(cluster: &Cluster, duration: Duration) -> bool {
     let mut members = Vec::new();
     for member in cluster.controls.iter().chain(&cluster.entries) {
--- a/dev/soak/src/guarantee.rs
+++ b/dev/soak/src/guarantee.rs
@@ -2,7 +2,8 @@
 
 use derive_more::Display;
 
-use crate::history::{Call, Disturbance, History, Kind, Order, Outcome, Target};
+use crate::fault::PAUSE_QUORUM;
+use crate::history::{Call, Disturbance, Evacuation, History, Kind, Order, Outcome, Run, Target};
 
 /// Limits of the guarantees; times are in milliseconds.
 #[derive(Clone, Copy, Debug)]
@@ -14,6 +15,10 @@
     pub revoke: u64,
     /// From the acknowledgement of a drain until the upstream receives no more requests.
     pub drain: u64,
+    /// From the acknowledgement of an evacuation until the zone receives no more requests.
+    pub evacuation: u64,
+    /// Most by which disturbed replicas delay the effect of an evacuation or a configuration.
+    pub outer: u64,
     /// From the sending of a request until its entry has read it; until then, the entry may close
     /// the connection without handling the request.
     pub transit: u64,
@@ -33,6 +38,8 @@
             apply: 2_000,
             revoke: 5_000,
             drain: 2_000,
+            evacuation: 5_000,
+            outer: 5_000,
             transit: 200,
             undisturbed: 3_000,
             recovery: 12_000,
@@ -80,6 +87,9 @@
     /// A request reached a draining upstream after the limit.
     #[display("request {_0} reached draining upstream {_1} {_2} ms after the limit")]
     Drain(u64, String, u64),
+    /// A request reached an evacuated zone after the limit.
+    #[display("request {_0} reached {_1} in an evacuated zone {_2} ms after the limit")]
+    Evacuated(u64, String, u64),
     /// Service did not recover in time after the last fault.
     #[display("no request was served within {_0} ms after the last fault")]
     Recover(u64),
@@ -101,6 +111,7 @@
     reads(history, &mut found);
     invalid(history, &mut found);
     drains(history, bounds, &mut found);
+    evacuations(history, bounds, &mut found);
     let recovered = history.recovered.unwrap_or(u64::MAX);
     if recovered.saturating_sub(history.healed) > bounds.recovery {
         found.push(Violation::Recover(bounds.recovery));
@@ -207,7 +218,7 @@
         Outcome::Whole => true,
         _ => return None,
     };
-    let settled = call.sent.checked_sub(bounds.apply)?;
+    let settled = call.sent.checked_sub(apply_time(history, bounds, call))?;
     let (newest, possible) = in_force(history, settled, call.ended)?;
     let fits = possible
         .into_iter()
@@ -215,6 +226,19 @@
     (!fits).then_some(Violation::Stale(call.id, call.sent, newest))
 }
 
+/// Returns the time in which a version has to be in force for a call.
+///
+/// While most replicas are paused, no entry is in touch with the control role, and serves by its lease.
+fn apply_time(history: &History, bounds: &Bounds, call: &Call) -> u64 {
+    let span = call.sent.saturating_sub(bounds.apply)..=call.ended;
+    let mut disturbances = history.disturbances.iter();
+    if disturbances.any(|d| d.name == PAUSE_QUORUM && overlaps(d, &span)) {
+        bounds.apply + bounds.outer
+    } else {
+        bounds.apply
+    }
+}
+
 fn reads(history: &History, found: &mut Vec<Violation>) {
     for (sent, version) in &history.reads {
         let acked = history.orders.iter();
@@ -248,6 +272,75 @@
     }
 }
 
+fn evacuations(history: &History, bounds: &Bounds, found: &mut Vec<Violation>) {
+    for (id, runs) in &history.runs {
+        let Some(call) = history.calls.iter().find(|c| c.id == *id) else {
+            continue;
+        };
+        for run in runs {
+            for evacuation in &history.evacuations {
+                let late = lateness(history, bounds, call, run, evacuation);
+                if let Some(late) = late {
+                    found.push(Violation::Evacuated(*id, run.upstream.clone(), late));
+                }
+            }
+        }
+    }
+}
+
+/// Returns by how much a run in an evacuated zone was too late, in milliseconds.
+fn lateness(
+    history: &History,
+    bounds: &Bounds,
+    call: &Call,
+    run: &Run,
+    evacuation: &Evacuation,
+) -> Option<u64> {
+    let acked = evacuation.acked?;
+    let holds = evacuation.withdrawn.is_none_or(|w| run.at < w);
+    if !holds || history.zones.get(&run.upstream) != Some(&evacuation.zone) {
+        return None;
+    }
+    let limit = acked + bounds.evacuation;
+    if run.at > limit && is_undisturbed(history, bounds, call, run.at) {
+        return Some(run.at - limit);
+    }
+    let limit = limit + bounds.outer;
+    let sound = is_entry_undisturbed(history, bounds, call, run.at)
+        && is_majority_sound(history, acked, run.at);
+    (run.at > limit && sound).then(|| run.at - limit)
+}
+
+/// Whether the entry was undisturbed from `bounds.undisturbed` before the call until `at`.
+fn is_entry_undisturbed(history: &History, bounds: &Bounds, call: &Call, at: u64) -> bool {
+    let span = call.sent.saturating_sub(bounds.undisturbed)..=at;
+    let mut disturbances = history.disturbances.iter();
+    !disturbances.any(|d| {
+        (d.target == Target::All || d.target == Target::Entry(call.entry)) && overlaps(d, &span)
+    })
+}
+
+/// Whether no two replicas were disturbed at the same time within a span.
+fn is_majority_sound(history: &History, from: u64, until: u64) -> bool {
+    let span = from..=until;
+    let disturbances = history.disturbances.iter();
+    let within: Vec<&Disturbance> = disturbances.filter(|d| overlaps(d, &span)).collect();
+    let control = |d: &Disturbance| match d.target {
+        Target::Control(number) => Some(number),
+        _ => None,
+    };
+    let overlap = |a: &Disturbance, b: &Disturbance| {
+        control(a).is_some()
+            && control(b).is_some()
+            && control(a) != control(b)
+            && overlaps(a, &(b.from..=b.until))
+    };
+    let all = within
+        .iter()
+        .any(|d| d.target == Target::All || d.name == PAUSE_QUORUM);
+    !all && !within.iter().any(|a| within.iter().any(|b| overlap(a, b)))
+}
+
 /// Whether the entry and all replicas were undisturbed from `bounds.undisturbed` before the call
 /// until `at`.
 fn is_undisturbed(history: &History, bounds: &Bounds, call: &Call, at: u64) -> bool {
--- a/dev/soak/src/history.rs
+++ b/dev/soak/src/history.rs
@@ -82,6 +82,17 @@
     pub acked: Option<u64>,
 }
 
+/// An evacuation of an availability zone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Evacuation {
+    /// Zone that is evacuated.
+    pub zone: &'static str,
+    /// Time of the acknowledgement; `None` without one.
+    pub acked: Option<u64>,
+    /// Time at which it was first taken back; `None` if it was not.
+    pub withdrawn: Option<u64>,
+}
+
 /// Target of a fault or of planned work.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Target {
@@ -130,6 +141,10 @@
     pub reads: Vec<(u64, u64)>,
     /// Time at which the drain of an upstream's incarnation was acknowledged, by its name.
     pub drains: Vec<(String, u64)>,
+    /// Availability zone of each upstream's incarnation, by its name.
+    pub zones: BTreeMap<String, &'static str>,
+    /// Evacuations in the order in which they were sent.
+    pub evacuations: Vec<Evacuation>,
     /// Faults and planned work in the order in which they ended.
     pub disturbances: Vec<Disturbance>,
     /// Planned stops of entries: time of the signal, time of the exit and exit code.
--- a/dev/soak/src/lib.rs
+++ b/dev/soak/src/lib.rs
@@ -1,6 +1,7 @@
 //! Randomized fault soak of real processes.
 //!
-//! Runs three control replicas and three entries as separate processes on loopback addresses;
+//! Runs three control replicas and three entries as separate processes on loopback addresses; replicas
+//! are replaced for good, and one of the zones is evacuated and taken back all the time;
 //! stand-in upstreams and callers run in this process. Proxies in front of entries, upstreams and
 //! the replicas' operator ports disturb connections. A seeded schedule injects overlapping faults
 //! and planned work; [`violations`] checks the recorded [`History`] against the guarantees.
@@ -8,6 +9,7 @@
 
 mod caller;
 mod cluster;
+mod evacuation;
 mod fault;
 mod guarantee;
 mod history;
@@ -26,7 +28,7 @@
 use cluster::Cluster;
 
 pub use guarantee::{Bounds, Violation, violations};
-pub use history::{Call, Disturbance, History, Kind, Order, Outcome, Run, Target};
+pub use history::{Call, Disturbance, Evacuation, History, Kind, Order, Outcome, Run, Target};
 pub use incarnation::IncarnationState;
 
 /// Number of concurrent callers.
@@ -89,9 +91,12 @@
     if !cluster.serves_within(START_TIMEOUT).await {
         return Err(SoakError::NotServing(cluster.keep_logs()));
     }
+    let evacuator = evacuation::spawn(cluster.clone());
     schedule::run(&cluster, options.seed, options.faults).await;
     cluster.heal().await;
     schedule::recover(&cluster).await;
+    evacuator.finish(&cluster).await;
+    schedule::observe_evacuation(&Bounds::default()).await;
     callers.stop().await;
     operator.stop().await;
     cluster.read_back().await;
--- a/dev/soak/src/upstream.rs
+++ b/dev/soak/src/upstream.rs
@@ -21,6 +21,12 @@
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
 /// Timeout for the acknowledgement of an announcement.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Zone of the first upstreams, which always serves.
+const SERVING_ZONE: &str = "z1";
+/// Zone of the other upstreams, which is evacuated at times.
+pub(crate) const EVACUATED_ZONE: &str = "z2";
+/// Number of upstreams in the zone that always serves.
+const SERVING_UPSTREAMS: usize = 3;
 /// Number of events in a stream.
 pub(crate) const EVENTS: u64 = 8;
 /// Interval between the events of a stream.
@@ -126,11 +132,16 @@
             recorder: self.recorder.clone(),
             mode: self.mode.subscribe(),
         };
+        self.recorder
+            .history()
+            .zones
+            .insert(incarnation.name.clone(), self.zone());
         let serving = tokio::spawn(serve(listener, server));
         let announcing = tokio::spawn(announce(
             Announcer {
                 name: incarnation.name.clone(),
                 address: self.proxy.address(),
+                zone: self.zone(),
                 incarnation: number,
                 templates: self.templates.clone(),
                 recorder: self.recorder.clone(),
@@ -142,6 +153,14 @@
         Ok(())
     }
 
+    fn zone(&self) -> &'static str {
+        if self.number < SERVING_UPSTREAMS {
+            SERVING_ZONE
+        } else {
+            EVACUATED_ZONE
+        }
+    }
+
     /// Announces the drain of the present incarnation from now on; keeps serving requests.
     ///
     /// Returns the number of the incarnation; `None` if it drains already.
@@ -169,6 +188,7 @@
 struct Announcer {
     name: String,
     address: SocketAddr,
+    zone: &'static str,
     incarnation: u64,
     templates: Arc<Templates>,
     recorder: Arc<Recorder>,
@@ -185,6 +205,7 @@
         let message = announcer.templates.announce.fill(&[
             ("name", &announcer.name),
             ("address", &address),
+            ("zone", announcer.zone),
             ("state", if draining_now { "draining" } else { "ready" }),
             ("sequence", &sequence.to_string()),
             ("born", &incarnation),
--- a/dev/soak/tests/it/guarantee.rs
+++ b/dev/soak/tests/it/guarantee.rs
@@ -2,7 +2,7 @@
 
 use insta::assert_snapshot;
 use pimentotide_soak::{
-    Bounds, Call, Disturbance, History, Kind, Order, Outcome, Run, Target, violations,
+    Bounds, Call, Disturbance, Evacuation, History, Kind, Order, Outcome, Run, Target, violations,
 };
 
 fn call(id: u64, kind: Kind, outcome: Outcome) -> Call {
@@ -191,3 +191,62 @@
     an entry exited 1000 ms after its stop signal with code None
     ");
 }
+
+/// Guards against an evacuation that no check sees fail, and against false alarms: within the limit,
+/// after it was taken back, in another zone and beside a disturbance.
+#[test]
+fn requests_in_an_evacuated_zone_are_reported() {
+    let mut seen = history(vec![call(1, Kind::Once, Outcome::Whole)]);
+    seen.runs.insert(1, vec![run("u1", 10_100)]);
+    seen.zones.insert("u1".to_owned(), "z2");
+    let evacuated = |acked, withdrawn| Evacuation {
+        zone: "z2",
+        acked,
+        withdrawn,
+    };
+    seen.evacuations = vec![
+        evacuated(None, None),
+        evacuated(Some(5_000), Some(10_200)),
+        evacuated(Some(9_000), None),
+    ];
+    assert_eq!(
+        violation_lines(&seen),
+        "request 1 reached u1 in an evacuated zone 100 ms after the limit"
+    );
+    let mut allowed = seen.clone();
+    allowed.evacuations[1].acked = Some(5_100);
+    assert_eq!(violation_lines(&allowed), "");
+    let mut allowed = seen.clone();
+    allowed.evacuations[1].withdrawn = Some(10_000);
+    assert_eq!(violation_lines(&allowed), "");
+    let mut allowed = seen.clone();
+    allowed.zones.insert("u1".to_owned(), "z1");
+    assert_eq!(violation_lines(&allowed), "");
+    seen.disturbances = vec![disturbed(false, Target::Control(1))];
+    assert_eq!(violation_lines(&seen), "");
+    // One replica that is disturbed at a time delays the effect, for a while.
+    seen.evacuations = vec![evacuated(Some(50), None)];
+    assert_eq!(
+        violation_lines(&seen),
+        "request 1 reached u1 in an evacuated zone 50 ms after the limit"
+    );
+    seen.disturbances.push(disturbed(false, Target::Control(2)));
+    assert_eq!(violation_lines(&seen), "");
+}
+
+/// Guards against a check of configurations that no longer applies while most replicas are paused.
+#[test]
+fn configuration_may_be_late_by_a_bound_without_a_majority() {
+    let mut seen = history(vec![call(1, Kind::Parity(true), Outcome::Whole)]);
+    seen.orders = vec![order(1, 100, 200), order(2, 4_000, 4_100)];
+    let late = "request 1 at 10000 ms was not handled by version 2 or a newer one";
+    assert_eq!(violation_lines(&seen), late);
+    let paused = Disturbance {
+        name: "pause all but",
+        ..disturbed(false, Target::Control(1))
+    };
+    seen.disturbances = vec![paused];
+    assert_eq!(violation_lines(&seen), "");
+    seen.orders[1].acked = Some(2_900);
+    assert_eq!(violation_lines(&seen), late);
+}
