Control: a replica without its log joins through one that does not lead

Cause: a replica that has lost its disk knows the seeds alone, and those that do not lead refused its request to join. It used to learn of the leader from the messages to its old identity; since a silent voter is removed earlier, the leader no longer sends any. The same was possible before for a replica that is down for more than 6 s.

Evidence: member_changed removes 10.1.0.50 at 3.59 s, 0.6 s after it has started with an empty disk; no line adds it again.

Change: a replica that does not lead forwards the request to the leader, by one hop.

Test: replaced::replica_without_its_disk_joins_through_one_that_does_not_lead.

--- a/app/src/fleet/control/membership.rs
+++ b/app/src/fleet/control/membership.rs
@@ -80,13 +80,16 @@
 
     /// Adds the requesting replica to the log.
     ///
+    /// A replica that is not the leader forwards the request, by at most one hop: a replica that has lost
+    /// its disk may know no other than some that do not lead.
+    ///
     /// # Errors
     ///
-    /// Fails if this replica is not the leader or the change is not committed.
+    /// Fails if there is no leader or the change is not committed.
     pub(super) async fn admit(&self, joining: JoinRequest) -> Result<(), Failure> {
         let status = self.replica.status().await?;
         if status.log.role != RoleKind::Leader {
-            return Err(Failure::new(ErrorKind::NotLeader, "ask the leader"));
+            return self.forward_join(&status, joining).await;
         }
         let requester = Some((&joining.name, joining.disk));
         match repair(&member_views(&status), requester, &self.repairs) {
@@ -104,6 +107,24 @@
         Ok(())
     }
 
+    async fn forward_join(
+        &self,
+        status: &ReplicaStatus,
+        joining: JoinRequest,
+    ) -> Result<(), Failure> {
+        let leader = status.log.leader.as_ref();
+        let leader = leader.and_then(|l| status.log.config.member(&l.name));
+        let Some(leader) = leader.filter(|_| !joining.forwarded) else {
+            return Err(Failure::new(ErrorKind::NotLeader, "ask the leader"));
+        };
+        let forwarded = JoinRequest {
+            forwarded: true,
+            ..joining
+        };
+        let client = PeerClient::with_timeouts(leader.address, self.token.clone(), TIMEOUTS);
+        client.call(JOIN, [&forwarded]).await
+    }
+
     async fn check(&self, others: &[SocketAddr]) -> Result<(), Failure> {
         let status = self.replica.status().await?;
         self.report_role(&status);
@@ -132,6 +153,7 @@
             name: me.name.clone(),
             address: self.own_address,
             disk: me.disk,
+            forwarded: false,
         };
         self.request_join(&candidates, &joining).await;
         Ok(())
--- a/app/src/fleet/rpc.rs
+++ b/app/src/fleet/rpc.rs
@@ -139,6 +139,9 @@
     pub(super) address: SocketAddr,
     /// Identity of its disk.
     pub(super) disk: DiskId,
+    /// Whether another replica has passed the request on to the leader.
+    #[serde(default)]
+    pub(super) forwarded: bool,
 }
 
 /// Processes that are alive by their beacons, and the expert capacity of ranks.
--- a/app/tests/it/deployment.rs
+++ b/app/tests/it/deployment.rs
@@ -142,6 +142,15 @@
         self.controls[number] = self.spawn_later(&path);
     }
 
+    /// Names this replica alone as a seed in the settings of a control replica.
+    pub(crate) fn set_seed(&self, host: u8, seed: u8) {
+        let path = self.folder.path().join(format!("control{host}.yaml"));
+        let text = fs::read_to_string(&path).unwrap();
+        let line = text.lines().find(|l| l.starts_with("seeds: ")).unwrap();
+        let seeds = format!("seeds: [\"{}\"]", self.control(seed));
+        fs::write(&path, text.replace(line, &seeds)).unwrap();
+    }
+
     /// Starts a process that is not part of the first start of the deployment.
     fn spawn_later(&self, path: &Path) -> Process {
         let text = fs::read_to_string(path).unwrap();
--- a/app/tests/it/replaced.rs
+++ b/app/tests/it/replaced.rs
@@ -48,3 +48,31 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
 }
+
+/// Guards against a replica that has lost its disk, was removed meanwhile, and never joins again because
+/// it knows only replicas that do not lead.
+#[tokio::test]
+async fn replica_without_its_disk_joins_through_one_that_does_not_lead() {
+    let mut deployment = Deployment::start(33, 1);
+    wait_for_answer(deployment.control(1), &declare("7"), "HTTP/1.1 200").await;
+    deployment.add_control(REPLACEMENT);
+    deployment
+        .wait_for_control_log(REPLACEMENT, "\"role\":\"follower\"")
+        .await;
+    let leads = |host: &u8| {
+        let log = deployment.control_log(*host);
+        log.contains("\"role\":\"leader\"")
+    };
+    let leader = (1..=3).find(leads).unwrap();
+    let followers: Vec<u8> = (1..=3).filter(|host| *host != leader).collect();
+    let (wiped, seed) = (followers[0], followers[1]);
+    deployment.controls[usize::from(wiped) - 1].kill();
+    deployment
+        .wait_for_control_log(leader, "it has been silent")
+        .await;
+    deployment.set_seed(wiped, seed);
+    deployment.wipe_control(wiped);
+    deployment
+        .wait_for_control_log(wiped, "admitted this replica")
+        .await;
+}
