App tests: a disk is lost right after a replaced replica ended

Four tests with real processes reproduce the incident: after a replica was replaced and ended, the disk of another one is lost within half a second, with and without the other processes killed at that moment.

--- a/app/tests/it/deployment.rs
+++ b/app/tests/it/deployment.rs
@@ -121,7 +121,8 @@
 
     /// Kills a control replica and starts it again with its data.
     pub(crate) fn restart_control(&mut self, host: u8) {
-        let control = &mut self.controls[usize::from(host - CONTROLS[0])];
+        let number = self.control_number(host);
+        let control = &mut self.controls[number];
         control.kill();
         let path = self.folder.path().join(format!("control{host}.yaml"));
         *control = Process::spawn(Path::new(BINARY), "serve", &path).unwrap();
@@ -135,13 +136,19 @@
 
     /// Kills a control replica and starts it again with an empty disk.
     pub(crate) fn wipe_control(&mut self, host: u8) {
-        let number = usize::from(host - CONTROLS[0]);
+        let number = self.control_number(host);
         self.controls[number].kill();
         fs::remove_dir_all(self.folder.path().join(format!("data{host}"))).unwrap();
         let path = self.folder.path().join(format!("control{host}.yaml"));
         self.controls[number] = self.spawn_later(&path);
     }
 
+    /// Returns the position of a control replica in `controls`; one that was added later is the last.
+    pub(crate) fn control_number(&self, host: u8) -> usize {
+        let first = CONTROLS.iter().position(|c| *c == host);
+        first.unwrap_or(self.controls.len() - 1)
+    }
+
     /// Names this replica alone as a seed in the settings of a control replica.
     pub(crate) fn set_seed(&self, host: u8, seed: u8) {
         let path = self.folder.path().join(format!("control{host}.yaml"));
--- a/app/tests/it/replaced.rs
+++ b/app/tests/it/replaced.rs
@@ -49,6 +49,110 @@
     }
 }
 
+/// Time after which an instance that replaces another one has caught up, by the platform's pages.
+const CATCH_UP_TIME: Duration = Duration::from_secs(4);
+/// Time until a replica that lost its disk is back.
+const DOWN_TIME: Duration = Duration::from_secs(1);
+/// Time after which the configuration is served again; the platform's `recoveryS`.
+const RECOVERY_TIME: Duration = Duration::from_secs(12);
+
+/// Replica that loses its disk.
+#[derive(Clone, Copy)]
+enum Victim {
+    Leader,
+    Follower,
+    Replacement,
+}
+
+/// Replaces a replica, ends the old one by SIGKILL and loses a disk `delay` after that.
+///
+/// All other processes are killed at the same moment if `all` is set. The acknowledged configuration has
+/// to be read back.
+async fn lose_disk_after_replacement(network: u8, delay: Duration, victim: Victim, all: bool) {
+    let mut deployment = Deployment::start(network, 1);
+    wait_for_answer(deployment.control(1), &declare("7"), "HTTP/1.1 200").await;
+    deployment.add_control(REPLACEMENT);
+    tokio::time::sleep(CATCH_UP_TIME).await;
+    deployment
+        .wait_for_control_log(REPLACEMENT, "\"role\":\"follower\"")
+        .await;
+    let leads = |host: &u8| {
+        let log = deployment.control_log(*host);
+        let last = log.lines().rfind(|l| l.contains("\"role_changed\""));
+        last.is_some_and(|l| l.contains("\"role\":\"leader\""))
+    };
+    let leader = (1..=3).find(leads).unwrap();
+    let others: Vec<u8> = (1..=3).filter(|host| *host != leader).collect();
+    let (ended, kept) = (others[0], others[1]);
+    let lost = match victim {
+        Victim::Leader => leader,
+        Victim::Follower => kept,
+        Victim::Replacement => REPLACEMENT,
+    };
+    let ended_number = deployment.control_number(ended);
+    deployment.controls[ended_number].kill();
+    wait_for_answer(deployment.control(leader), &declare("8"), "HTTP/1.1 200").await;
+    tokio::time::sleep(delay).await;
+    let lost_number = deployment.control_number(lost);
+    deployment.controls[lost_number].kill();
+    let others: Vec<u8> = [leader, kept, REPLACEMENT].into();
+    let others: Vec<u8> = others.into_iter().filter(|host| *host != lost).collect();
+    if all {
+        for host in &others {
+            let number = deployment.control_number(*host);
+            deployment.controls[number].kill();
+        }
+    }
+    tokio::time::sleep(DOWN_TIME).await;
+    if all {
+        for host in &others {
+            deployment.restart_control(*host);
+        }
+    }
+    deployment.wipe_control(lost);
+
+    let read = fixture("read.http", &[]);
+    let limit = tokio::time::Instant::now() + RECOVERY_TIME;
+    loop {
+        let answer = send_request(deployment.control(others[0]), &read).await;
+        let answer = answer.unwrap_or_default();
+        if answer.starts_with("HTTP/1.1 200") {
+            assert!(answer.contains("\"version\":8"), "{answer}");
+            break;
+        }
+        assert!(tokio::time::Instant::now() < limit, "{answer}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    wait_for_answer(deployment.control(lost), &declare("9"), "HTTP/1.1 200").await;
+}
+
+/// Guards against control without a leader for good: a replica was replaced, and before the old one was
+/// removed from the members, the disk of another one was lost.
+#[tokio::test]
+async fn disk_is_lost_right_after_the_replaced_replica_ended() {
+    let delay = Duration::from_millis(100);
+    lose_disk_after_replacement(150, delay, Victim::Follower, false).await;
+}
+
+/// Guards against the same if the leader loses its disk.
+#[tokio::test]
+async fn disk_of_the_leader_is_lost_after_the_replaced_replica_ended() {
+    let delay = Duration::from_millis(500);
+    lose_disk_after_replacement(151, delay, Victim::Leader, false).await;
+}
+
+/// Guards against the same if all other processes are killed at the moment of the loss.
+#[tokio::test]
+async fn disk_is_lost_and_all_others_are_killed_after_the_replaced_replica_ended() {
+    lose_disk_after_replacement(152, Duration::ZERO, Victim::Follower, true).await;
+}
+
+/// Guards against the same if the replacement itself loses its disk.
+#[tokio::test]
+async fn disk_of_the_replacement_is_lost_after_the_replaced_replica_ended() {
+    lose_disk_after_replacement(153, Duration::ZERO, Victim::Replacement, true).await;
+}
+
 /// Guards against a replica that has lost its disk, was removed meanwhile, and never joins again because
 /// it knows only replicas that do not lead.
 #[tokio::test]
