Consensus: half of the voters is a quorum where a voter of the other half has lost its disk

What callers saw: no configuration comes and all requests are refused with not_current, for good, after a replica was replaced and the disk of another one was lost within about a second of the old one's end.

Cause: three voters and a replacement are four, whose majority is three. The old one is gone, the lost disk never votes again, and the change of members that would repair the log needs the majority that is missing. Earlier removal of the silent voter only shortens the time in which this can happen.

Change: an instance that answers a message to its former identity proves that this identity never acts again. Half of an even number of voters is a quorum if a voter of the other half was proved lost before the term began. Half intersects each majority, and two disjoint halves can't both have been proved. Since half of one membership need not intersect a majority of the next one, a change of voters needs quorums of both memberships until it is known to be committed; a second no-op in a term records that in the log, so that it is known after a loss of power as well.

--- a/decision/consensus/src/config.rs
+++ b/decision/consensus/src/config.rs
@@ -67,6 +67,14 @@
         self.voters.iter().chain(self.learners.iter())
     }
 
+    /// Iterates over the identities of the voters.
+    pub(crate) fn voter_ids(&self) -> impl Iterator<Item = Identity> {
+        self.voters.iter().map(|(name, m)| Identity {
+            name: name.clone(),
+            disk: m.disk,
+        })
+    }
+
     /// Returns the identities of all members except `me`, compared by name.
     pub fn others(&self, me: &Identity) -> Vec<Identity> {
         self.members()
--- a/decision/consensus/src/log.rs
+++ b/decision/consensus/src/log.rs
@@ -4,7 +4,7 @@
 
 use pimentotide_model::{Term, Time};
 
-use crate::{Config, Entry, Index, LogId, Payload, SnapshotMeta};
+use crate::{Config, Entry, Identity, Index, LogId, Payload, SnapshotMeta};
 
 /// Log entries in memory with the memberships that they set.
 #[derive(Clone, Debug)]
@@ -59,6 +59,41 @@
         self.configs[self.configs.len() - 1].0
     }
 
+    /// Index of the latest change of voters and the membership before it; `None` if the log holds none.
+    pub(crate) fn last_voter_change(&self) -> Option<(Index, &Config)> {
+        let latest = &self.config().voters;
+        let at = self
+            .configs
+            .iter()
+            .rposition(|(_, c)| c.voters != *latest)?;
+        let (_, previous) = &self.configs[at];
+        let (changed, _) = self.configs[at + 1];
+        // The first membership of a log has no predecessor.
+        (!previous.voters.is_empty()).then_some((changed, previous))
+    }
+
+    /// Returns whether a later entry shows that the change of members at `index` was committed.
+    ///
+    /// A leader changes the members again only after that, and appends a no-op other than the first
+    /// entry of its term.
+    pub(crate) fn marks_committed(&self, index: Index) -> bool {
+        let marks = |e: &Entry| match e.payload {
+            Payload::Config(_) => true,
+            Payload::Noop => self.term_at(e.id.index.prev()) == Some(e.id.term),
+            Payload::Command(_) => false,
+        };
+        self.entries
+            .iter()
+            .rev()
+            .take_while(|e| e.id.index > index)
+            .any(marks)
+    }
+
+    /// Returns whether `who` is a voter of a membership that the log holds.
+    pub(crate) fn names_voter(&self, who: &Identity) -> bool {
+        self.configs.iter().any(|(_, c)| c.is_voter(who))
+    }
+
     /// Membership as of `index`, which must not lie before the base.
     pub(crate) fn config_at(&self, index: Index) -> &Config {
         let at = self.configs.partition_point(|(i, _)| *i <= index);
--- a/decision/consensus/src/node/election.rs
+++ b/decision/consensus/src/node/election.rs
@@ -50,6 +50,7 @@
         self.hard.vote = Some(self.hard.identity.clone());
         self.save_hard();
         self.role = Role::Candidate {
+            lost: self.lost.clone(),
             granted: BTreeSet::new(),
             // This node's vote does not count before it is synced.
             ticket: self.ticket(Durability::Hard),
@@ -69,7 +70,9 @@
 
     pub(super) fn count_own_vote(&mut self) {
         let me = self.hard.identity.clone();
-        if let Role::Candidate { granted, ticket } = &mut self.role
+        if let Role::Candidate {
+            granted, ticket, ..
+        } = &mut self.role
             && *ticket <= self.synced
         {
             granted.insert(me);
@@ -125,7 +128,7 @@
         };
         let voters = self.other_voters();
         let mut others = voters.iter();
-        if self.is_majority(granted) && !self.is_unled() {
+        if self.is_quorum(granted, &self.lost) && !self.is_unled() {
             self.campaign(ElectionReason::Timeout);
         } else if others.all(|v| granted.contains(v) || unled.contains(v)) {
             self.campaign(ElectionReason::Restart);
@@ -177,10 +180,10 @@
     }
 
     fn count_votes(&mut self) {
-        let Role::Candidate { granted, .. } = &self.role else {
+        let Role::Candidate { granted, lost, .. } = &self.role else {
             return;
         };
-        if self.is_majority(&granted.clone()) {
+        if self.is_quorum(granted, lost) {
             self.become_leader();
         }
     }
@@ -224,11 +227,6 @@
         !self.led && !matches!(self.role, Role::Leader(_)) && self.supports_leader()
     }
 
-    pub(super) fn is_majority(&self, votes: &BTreeSet<Identity>) -> bool {
-        let config = self.log.config();
-        votes.iter().filter(|v| config.is_voter(v)).count() >= config.quorum()
-    }
-
     fn other_voters(&self) -> Vec<Identity> {
         let config = self.log.config();
         let mut others = config.others(&self.hard.identity);
--- a/decision/consensus/src/node/leader.rs
+++ b/decision/consensus/src/node/leader.rs
@@ -5,6 +5,7 @@
 
 use pimentotide_model::{InstanceName, Time};
 
+use super::quorum::Losses;
 use super::{Node, Role};
 use crate::progress::Progress;
 use crate::{Action, Entry, Identity, Index, LogId, Payload, ProposalId, Reject};
@@ -26,6 +27,8 @@
     pub(super) next_heartbeat: Time,
     /// Leadership transfer in progress.
     pub(super) transfer: Option<Transfer>,
+    /// Voters that were proved lost before the election.
+    pub(super) lost: Losses,
 }
 
 /// A read that waits for a lease or for a newer quorum acknowledgement.
@@ -49,11 +52,12 @@
     pub(super) fn become_leader(&mut self) {
         let now = self.at.now;
         let next = self.log.last().index.next();
-        let others = self.log.config().others(&self.hard.identity);
-        let peers = others
+        let peers = self.receivers();
+        let peers = peers
             .into_iter()
             .map(|who| (who.name.clone(), Progress::new(who, next, now)))
             .collect();
+        let lost = self.losses().clone();
         self.role = Role::Leader(Box::new(Leadership {
             elected: now,
             min_time: self.log.last_time().max(self.at.wall),
@@ -62,6 +66,7 @@
             reads: Vec::new(),
             next_heartbeat: now,
             transfer: None,
+            lost,
         }));
         self.leader = Some(self.hard.identity.clone());
         self.incoming = None;
@@ -157,18 +162,13 @@
         let Role::Leader(state) = &self.role else {
             return;
         };
-        let config = self.log.config();
-        let mut matched = Vec::with_capacity(config.voters.len());
-        for (name, member) in &config.voters {
-            if *name == self.hard.identity.name {
-                matched.push(self.durable);
-            } else if let Some(peer) = state.peers.get(name) {
-                let same_disk = peer.identity.disk == member.disk;
-                matched.push(if same_disk { peer.matched } else { Index(0) });
-            }
-        }
-        matched.sort_unstable_by(|a, b| b.cmp(a));
-        let Some(index) = matched.get(config.quorum() - 1).copied() else {
+        let me = &self.hard.identity;
+        let matched = |who: &Identity| match state.peers.get(&who.name) {
+            _ if who.name == me.name => self.durable,
+            Some(peer) if peer.identity == *who => peer.matched,
+            Some(_) | None => Index(0),
+        };
+        let Some(index) = self.quorum_value(&state.lost, matched) else {
             return;
         };
         if self.log.term_at(index) != Some(self.hard.term) {
@@ -180,6 +180,9 @@
 
     fn after_commit(&mut self) {
         let committed = self.log.config_index() <= self.commit;
+        if committed {
+            self.update_peers();
+        }
         let removed = !self.log.config().is_voter(&self.hard.identity);
         if committed && removed {
             // The others receive the commit index before the removed leader stops sending.
@@ -190,6 +193,7 @@
         }
         self.serve_reads();
         self.promote();
+        self.mark_committed();
     }
 
     /// Returns whether an entry of the current term is committed.
--- a/decision/consensus/src/node/lease.rs
+++ b/decision/consensus/src/node/lease.rs
@@ -14,19 +14,15 @@
         let Role::Leader(state) = &self.role else {
             return None;
         };
-        let config = self.log.config();
-        let mut acked = Vec::with_capacity(config.voters.len());
-        for (name, member) in &config.voters {
-            if *name == self.hard.identity.name {
-                acked.push(Some(now));
-            } else {
-                let peer = state.peers.get(name);
-                let current = peer.filter(|p| p.identity.disk == member.disk);
-                acked.push(current.and_then(|p| p.acked).or(missing));
+        let me = &self.hard.identity;
+        let acked = |who: &Identity| {
+            if who.name == me.name {
+                return Some(now);
             }
-        }
-        acked.sort_unstable_by(|a, b| b.cmp(a));
-        acked.get(config.quorum() - 1).copied().flatten()
+            let peer = state.peers.get(&who.name).filter(|p| p.identity == *who);
+            peer.and_then(|p| p.acked).or(missing)
+        };
+        self.quorum_value(&state.lost, acked).flatten()
     }
 
     /// Time of the last contact with a quorum; the election counts as contact.
--- a/decision/consensus/src/node/membership.rs
+++ b/decision/consensus/src/node/membership.rs
@@ -73,19 +73,39 @@
     /// Appends a new membership, which takes effect at once, and updates the peers.
     fn append_config(&mut self, config: Config) -> Index {
         let index = self.append_entry(Payload::Config(config));
-        let others = self.log.config().others(&self.hard.identity);
+        self.update_peers();
+        index
+    }
+
+    /// Tracks the members of the log and, until a change of voters is committed, the voters before it.
+    pub(super) fn update_peers(&mut self) {
+        let receivers = self.receivers();
         let next = self.log.last().index.next();
         let now = self.at.now;
         if let Role::Leader(state) = &mut self.role {
-            state.peers.retain(|_, p| others.contains(&p.identity));
-            for who in others {
+            state.peers.retain(|_, p| receivers.contains(&p.identity));
+            for who in receivers {
                 state
                     .peers
                     .entry(who.name.clone())
                     .or_insert_with(|| Progress::new(who, next, now));
             }
         }
-        index
+    }
+
+    /// Returns the replicas to which a leader sends the log.
+    pub(super) fn receivers(&self) -> Vec<Identity> {
+        let me = &self.hard.identity;
+        let mut receivers = self.log.config().others(me);
+        if let Some(previous) = self.uncommitted_predecessor() {
+            let removed = |who: &Identity| self.log.config().member(&who.name).is_none();
+            receivers.extend(
+                previous
+                    .voter_ids()
+                    .filter(|v| v.name != me.name && removed(v)),
+            );
+        }
+        receivers
     }
 
     /// Promotes a learner that has caught up to voter.
--- a/decision/consensus/src/node/mod.rs
+++ b/decision/consensus/src/node/mod.rs
@@ -9,6 +9,7 @@
 mod leader;
 mod lease;
 mod membership;
+mod quorum;
 mod replication;
 mod report;
 
@@ -25,6 +26,7 @@
     Moment, Options, Payload, ProposalId, Recovered, Reject, Snapshot, Ticket, Write,
 };
 use leader::Leadership;
+use quorum::Losses;
 
 /// Pre-votes in one election timeout after a start without contact to a leader; each can be the first
 /// one at which all other voters are up.
@@ -42,6 +44,8 @@
     Candidate {
         granted: BTreeSet<Identity>,
         ticket: Ticket,
+        /// Voters that were proved lost before the election.
+        lost: Losses,
     },
     Leader(Box<Leadership>),
     Failed,
@@ -87,6 +91,8 @@
     durable: Index,
     /// Log writes that are not synced yet, with their last index.
     unsynced: VecDeque<(Ticket, Index)>,
+    /// Voters whose disks are proved lost.
+    lost: Losses,
     /// Snapshot that is being received.
     incoming: Option<IncomingSnapshot>,
     actions: Vec<Action>,
@@ -151,6 +157,7 @@
             log_ticket: Ticket(0),
             synced: Ticket(0),
             unsynced: VecDeque::new(),
+            lost: Losses::new(),
             incoming: None,
             actions: Vec::new(),
             snapshot,
@@ -234,7 +241,9 @@
             return;
         }
         if let Message::Refused { intended } = body {
-            self.on_refused(&intended);
+            if from.name == intended.name && from.disk != intended.disk {
+                self.on_refused(&intended);
+            }
             return;
         }
         if !self.accepts_cluster(cluster, &body) {
--- a/decision/consensus/src/node/replication.rs
+++ b/decision/consensus/src/node/replication.rs
@@ -186,6 +186,7 @@
     }
 
     pub(super) fn on_refused(&mut self, intended: &Identity) {
+        self.record_loss(intended);
         if let Some(peer) = self.peer(intended) {
             peer.disk_replaced = true;
             peer.probe(peer.matched.next());
