Consensus: every order of a replacement and the losses beside it

A replaced voter that ended still counts until it is removed. The tests had no search over the orders of such faults.

The search runs hosts in virtual time with constant delays and the real `repair`, and forks at each fault: an addition, an end, as many lost disks as the log bears, and one more fault, in every order within the stated losses.

--- a/decision/consensus/tests/it/main.rs
+++ b/decision/consensus/tests/it/main.rs
@@ -1,7 +1,9 @@
 //! Integration tests of the replicated log.
 
 mod chaos;
+mod cluster;
 mod explore;
+mod replacement;
 mod restart;
 mod rules;
 mod scenario;
--- /dev/null
+++ b/decision/consensus/tests/it/replacement.rs
@@ -0,0 +1,146 @@
+//! Replacement of replicas beside every fault within the stated losses.
+
+use std::sync::LazyLock;
+
+use crate::cluster::{Case, Findings, Step, Target, replay, search};
+
+/// Times in milliseconds after the start of a host: before it asks to join, while it is promoted, and as
+/// a voter.
+const STAGES: [u64; 3] = [50, 506, 1_000];
+
+/// Faults whose orders are searched, and times in milliseconds between them.
+#[derive(Clone, Copy)]
+struct Plan {
+    /// Number of losses that the log bears, and of disks that are lost.
+    loss: usize,
+    /// Whether the other hosts also lose power with a disk.
+    power: bool,
+    /// A fault beside the addition, the end and the losses.
+    other: Option<Step>,
+    /// Hosts that may end.
+    old: &'static [Target],
+    /// Times from an addition to an end, which from 4 s on is no loss.
+    ages: &'static [u64],
+    /// Times from an end to the loss of a disk.
+    spacings: &'static [u64],
+}
+
+const THREE: Plan = Plan {
+    loss: 1,
+    power: false,
+    other: None,
+    old: &[Target::Leader, Target::Other(0), Target::Other(1)],
+    ages: &[100, 3_000, 4_000],
+    spacings: &[0, 10, 100, 500, 1_000, 3_000],
+};
+
+const FIVE: Plan = Plan {
+    loss: 2,
+    // The others do not differ.
+    old: &[Target::Leader, Target::Other(0)],
+    ages: &[4_000],
+    spacings: &[0, 500],
+    ..THREE
+};
+
+fn has(steps: &Case, wanted: fn(&Step) -> bool) -> bool {
+    steps.iter().any(|(_, s)| wanted(s))
+}
+
+fn is_end(step: &Step) -> bool {
+    matches!(step, Step::End(_))
+}
+
+fn is_loss(step: &Step) -> bool {
+    matches!(step, Step::LoseDisk(_) | Step::LoseDiskAndPower(_))
+}
+
+/// Runs every order of an addition, an end, as many lost disks as the log bears, and the other fault.
+fn orders(plan: &Plan) -> Findings {
+    search(plan.loss, &|steps| {
+        let mut next = Vec::new();
+        let mut choose = |waits: &[u64], step: Step| next.extend(waits.iter().map(|w| (*w, step)));
+        let last = steps.last().map(|(_, s)| *s);
+        let added = last == Some(Step::Add);
+        let ended = has(steps, is_end);
+        if !has(steps, |s| *s == Step::Add) {
+            choose(&[100], Step::Add);
+        }
+        if !ended {
+            for target in plan.old {
+                choose(if added { plan.ages } else { &[100] }, Step::End(*target));
+            }
+        }
+        if steps.iter().filter(|(_, s)| is_loss(s)).count() < plan.loss {
+            let follows_end = ended && last.is_some_and(|s| is_end(&s) || Some(s) == plan.other);
+            let waits = match last {
+                Some(Step::Add) => &STAGES,
+                _ if follows_end => plan.spacings,
+                _ => &[100],
+            };
+            for target in plan.old.iter().chain(&[Target::Newest]) {
+                choose(waits, Step::LoseDisk(*target));
+                if plan.power {
+                    choose(waits, Step::LoseDiskAndPower(*target));
+                }
+            }
+        }
+        if let Some(other) = plan.other
+            && !steps.iter().any(|(_, s)| *s == other)
+        {
+            choose(if added { &STAGES } else { &[50] }, other);
+        }
+        next
+    })
+}
+
+macro_rules! orders {
+    ($($name:ident: $plan:expr;)*) => {$(
+        mod $name {
+            use super::*;
+
+            static FINDINGS: LazyLock<Findings> = LazyLock::new(|| orders(&$plan));
+
+            /// Guards against two leaders in a term and the loss of what was acknowledged.
+            #[test]
+            fn keeps_what_was_acknowledged() {
+                assert!(FINDINGS.unsafe_cases.is_empty(), "{}", *FINDINGS);
+            }
+
+            /// Guards against a log without a leader for good.
+            #[test]
+            fn leads_again() {
+                assert!(FINDINGS.stuck_cases.is_empty(), "{}", *FINDINGS);
+            }
+        }
+    )*};
+}
+
+orders! {
+    three_voters: Plan { power: true, ..THREE };
+    three_voters_and_loss_of_power: Plan { other: Some(Step::LosePower), ..THREE };
+    three_voters_and_transfer: Plan { other: Some(Step::Transfer), ..THREE };
+    three_voters_and_frozen_leader: Plan { other: Some(Step::FreezeLeader), ..THREE };
+    three_voters_and_restarted_leader: Plan { other: Some(Step::RestartLeader), ..THREE };
+    three_voters_and_snapshot: Plan { other: Some(Step::Compact), ..THREE };
+    five_voters: Plan { ages: &[100, 4_000], spacings: THREE.spacings, ..FIVE };
+    five_voters_with_power: Plan { power: true, ..FIVE };
+    five_voters_and_loss_of_power: Plan { other: Some(Step::LosePower), ..FIVE };
+    five_voters_and_transfer: Plan { other: Some(Step::Transfer), ..FIVE };
+    five_voters_and_frozen_leader: Plan { other: Some(Step::FreezeLeader), ..FIVE };
+    five_voters_and_restarted_leader: Plan { other: Some(Step::RestartLeader), ..FIVE };
+    five_voters_and_snapshot: Plan { other: Some(Step::Compact), ..FIVE };
+}
+
+/// Guards against the incident: two of four voters are left, and none leads.
+#[test]
+fn disk_is_lost_before_a_replaced_voter_is_removed() {
+    let case = [
+        (0, Step::Add),
+        (6_000, Step::End(Target::Other(0))),
+        (200, Step::LoseDisk(Target::Other(0))),
+    ];
+    let findings = replay(1, &case);
+    assert_eq!(findings.cases, 1);
+    assert!(findings.stuck_cases.is_empty(), "{findings}");
+}
--- a/decision/consensus/tests/it/sim/mod.rs
+++ b/decision/consensus/tests/it/sim/mod.rs
@@ -6,7 +6,7 @@
 mod chaos;
 mod check;
 mod host;
-mod machine;
+pub(crate) mod machine;
 mod network;
 mod operator;
 
