--- a/app/src/fleet/control/membership.rs
+++ b/app/src/fleet/control/membership.rs
@@ -40,8 +40,15 @@
     idle: Duration::from_millis(1_500),
 };
 
-/// Role, term and leader of a replica.
-type RoleState = (RoleKind, u64, Option<String>);
+/// Role of a replica, and what it knows of the log's leader and voters.
+#[derive(PartialEq, Eq)]
+struct RoleState {
+    role: RoleKind,
+    term: u64,
+    leader: Option<String>,
+    voters: Vec<String>,
+    lost: Vec<String>,
+}
 
 /// Membership of the log as one replica observes and changes it.
 #[derive(Clone)]
@@ -163,7 +170,15 @@
     fn report_role(&self, status: &ReplicaStatus) {
         let log = &status.log;
         let leader = log.leader.as_ref().map(|l| l.name.to_string());
-        let now = Some((log.role, log.term.0, leader.clone()));
+        let voters: Vec<String> = log.config.voters.keys().map(ToString::to_string).collect();
+        let lost: Vec<String> = log.lost.iter().map(|l| l.name.to_string()).collect();
+        let now = Some(RoleState {
+            role: log.role,
+            term: log.term.0,
+            leader: leader.clone(),
+            voters: voters.clone(),
+            lost: lost.clone(),
+        });
         let mut logged = self
             .logged_role
             .lock()
@@ -175,6 +190,8 @@
                 term: log.term.0,
                 leader,
                 commit: log.commit.0,
+                voters,
+                lost,
             });
         }
         let gauges = [
--- a/app/src/lines/process.rs
+++ b/app/src/lines/process.rs
@@ -178,6 +178,10 @@
     pub leader: Option<String>,
     /// Commit index.
     pub commit: u64,
+    /// Voters by its own log.
+    pub voters: Vec<String>,
+    /// Voters whose disks are proved lost.
+    pub lost: Vec<String>,
 }
 
 /// The leader adds or removes a member of the replicated log.
--- a/decision/consensus/src/node/quorum.rs
+++ b/decision/consensus/src/node/quorum.rs
@@ -98,7 +98,7 @@
     );
     let present = config.voter_ids().filter(|v| !is_lost(v));
     let present: Vec<T> = present.map(|v| value(&v)).collect();
-    if count % 2 == 0 && present.len() < count {
+    if count.is_multiple_of(2) && present.len() < count {
         majority.max(nth(present, count / 2))
     } else {
         majority
--- a/decision/consensus/src/node/report.rs
+++ b/decision/consensus/src/node/report.rs
@@ -26,10 +26,17 @@
                 .map_or(Index(0), |s| s.meta.last.index),
             config: self.log.config().clone(),
             config_committed: self.log.config_index() <= self.commit,
+            lost: self.lost_voters(),
             peers: self.peer_status(at.now),
         }
     }
 
+    fn lost_voters(&self) -> Vec<Identity> {
+        let config = self.log.config();
+        let lost = self.lost.iter().filter(|who| config.is_voter(who));
+        lost.cloned().collect()
+    }
+
     fn role_kind(&self) -> RoleKind {
         let me = &self.hard.identity;
         let config = self.log.config();
--- a/decision/consensus/src/status.rs
+++ b/decision/consensus/src/status.rs
@@ -80,6 +80,9 @@
     /// Whether the latest membership is committed.
     #[serde(rename = "settled")]
     pub config_committed: bool,
+    /// Voters whose disks are proved lost.
+    #[serde(default)]
+    pub lost: Vec<Identity>,
     /// Progress of the other members; empty unless it is the leader.
     pub peers: Vec<PeerStatus>,
 }
