Consensus: losses of disks in the midst of elections, on a disturbed network

Three tests with fixed seeds: random sequences within the stated losses on a network that loses, doubles and delays up to 3 s (safety alone), the same on an ordinary network (a leader comes back), and disks lost beyond the stated losses while candidates split a term or a membership is not committed, with old messages of lost disks on their way (safety alone). An entry may be missed only after fewer copies of it were left than half of an even number of voters.

The losses that count have their own module: a spare whose disk is lost, or that ends, is no successor meanwhile.

--- a/decision/consensus/tests/it/cluster/check.rs
+++ b/decision/consensus/tests/it/cluster/check.rs
@@ -1,8 +1,8 @@
 //! Safety rules, checked after every step.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use pimentotide_consensus::{Entry, Envelope, Identity, Index, Message, Write};
+use pimentotide_consensus::{Config, Entry, Envelope, Identity, Index, Message, Write};
 use pimentotide_model::{Term, Time};
 
 use super::host::{Host, Process};
@@ -11,12 +11,15 @@
 #[derive(Clone, Default)]
 pub(crate) struct Checker {
     leaders: BTreeMap<Term, Identity>,
+    candidates: BTreeSet<(Term, Identity)>,
     votes: BTreeMap<(Term, Identity), Identity>,
     /// Every written entry, with the term of its predecessor.
     written: BTreeMap<(Index, Term), (Term, Entry)>,
     pub(crate) committed: BTreeMap<Index, Committed>,
     /// The first rule that was broken.
     pub(crate) violation: Option<String>,
+    /// Whether a leader lacks an entry that was lost with too many disks.
+    pub(crate) is_void: bool,
 }
 
 #[derive(Clone)]
@@ -25,6 +28,8 @@
     /// Lowest term in which a replica is known to have applied it.
     term: Term,
     digest: u64,
+    /// Whether more disks that held it were lost than the log has to bear.
+    forfeited: bool,
 }
 
 impl Checker {
@@ -60,15 +65,40 @@
             let detail = format!("{first} and {me} lead in term {term}");
             self.violated("election safety", &detail);
         }
-        let newest = self.committed.iter().rev().find(|(_, c)| c.term < term);
-        let Some((index, committed)) = newest else {
-            return;
-        };
-        let held = node.term_at(*index);
-        let compacted = held.is_none() && *index <= node.commit();
-        if held != Some(committed.entry.id.term) && !compacted {
-            let detail = format!("{me} leads term {term} without {}", committed.entry.id);
-            self.violated("leader completeness", &detail);
+        for (index, committed) in self.committed.iter().rev() {
+            let held = node.term_at(*index);
+            let compacted = held.is_none() && *index <= node.commit();
+            if committed.term >= term {
+                continue;
+            }
+            if held == Some(committed.entry.id.term) || compacted {
+                return;
+            }
+            if !committed.forfeited {
+                let detail = format!("{me} leads term {term} without {}", committed.entry.id);
+                return self.violated("leader completeness", &detail);
+            }
+            self.is_void = true;
+        }
+    }
+
+    /// Excuses the loss of entries of which fewer copies are left than half of an even number of voters,
+    /// which a quorum of the other half may miss. One copy is enough where every quorum is a majority.
+    pub(crate) fn forfeit(&mut self, hosts: &[Host]) {
+        let nodes = hosts.iter().filter_map(|h| h.process.as_ref());
+        let mut configs: Vec<_> = nodes.map(|p| p.node.config().clone()).collect();
+        configs.retain(|c| c.voters.len() % 2 == 0);
+        for committed in self.committed.values_mut().rev() {
+            let id = committed.entry.id;
+            let holders: Vec<_> = hosts.iter().filter(|h| !h.gone && h.holds(id)).collect();
+            let is_short = |c: &Config| {
+                let copies = holders.iter().filter(|h| c.is_voter(h.identity()));
+                copies.count() < c.voters.len() / 2
+            };
+            if !configs.iter().any(is_short) {
+                return;
+            }
+            committed.forfeited = true;
         }
     }
 
@@ -94,6 +124,13 @@
 
     /// One vote a term, also across restarts.
     pub(crate) fn sent(&mut self, envelope: &Envelope) {
+        if matches!(
+            envelope.body,
+            Message::Vote { .. } | Message::RestartVote { .. }
+        ) {
+            let candidate = (envelope.term, envelope.from.clone());
+            self.candidates.insert(candidate);
+        }
         if envelope.body != (Message::VoteReply { granted: true }) {
             return;
         }
@@ -105,6 +142,13 @@
         }
     }
 
+    /// Whether two replicas request votes in the newest term, which none leads.
+    pub(crate) fn has_rivals(&self) -> bool {
+        let mut newest = self.candidates.iter().rev().map(|(term, _)| term);
+        let (first, second) = (newest.next(), newest.next());
+        first.is_some_and(|t| second == Some(t) && !self.leaders.contains_key(t))
+    }
+
     /// All replicas apply the same entries.
     pub(crate) fn applied(&mut self, entry: &Entry, term: Term, digest: u64) {
         let index = entry.id.index;
@@ -112,6 +156,7 @@
             entry: entry.clone(),
             term,
             digest,
+            forfeited: false,
         });
         known.term = known.term.min(term);
         if known.entry != *entry || known.digest != digest {
--- a/decision/consensus/tests/it/cluster/host.rs
+++ b/decision/consensus/tests/it/cluster/host.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use pimentotide_consensus::{
-    Action, DiskId, Envelope, HardState, Identity, Index, Moment, Node, Options, ProposalId,
+    Action, DiskId, Envelope, HardState, Identity, Index, LogId, Moment, Node, Options, ProposalId,
     Recovered, Ticket, Write,
 };
 use pimentotide_model::{InstanceName, Term, Time};
@@ -94,6 +94,19 @@
         &self.stored.hard.identity
     }
 
+    pub(crate) fn queue(&mut self, write: Write) {
+        if let Some(process) = &mut self.process {
+            process.writes.push(write);
+        }
+    }
+
+    /// Returns whether the synced log has this entry, or a snapshot that covers it.
+    pub(crate) fn holds(&self, id: LogId) -> bool {
+        let snapshot = self.stored.snapshot.as_ref();
+        snapshot.is_some_and(|s| s.meta.last.index >= id.index)
+            || self.stored.entries.iter().any(|e| e.id == id)
+    }
+
     /// Returns the running process, if it is this one.
     pub(crate) fn running(&mut self, run: u64) -> Option<&mut Process> {
         self.process.as_mut().filter(|p| p.run == run)
--- a/decision/consensus/tests/it/cluster/mod.rs
+++ b/decision/consensus/tests/it/cluster/mod.rs
@@ -5,29 +5,30 @@
 
 mod check;
 mod host;
+mod losses;
 mod members;
+mod noise;
 mod search;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use pimentotide_consensus::{
-    Action, ClusterId, Config, Entry, Envelope, Event, Index, Machine, Member, Moment, Node,
-    Options, Payload, ProposalId,
+    Action, ClusterId, Config, Entry, Envelope, Event, Identity, Index, Machine, Member, Moment,
+    Node, Options, Payload, ProposalId, RoleKind,
 };
 use pimentotide_model::Time;
 
 pub(crate) use check::Checker;
 use host::{Host, empty_disk};
-pub(crate) use search::{Case, Findings, Step, Target, replay, search};
+pub(crate) use noise::Disorder;
+pub(crate) use search::{Case, Findings, Step, Target, replay, search, wander};
 
 const DELAY: Duration = Duration::from_millis(1);
 const SYNC: Duration = Duration::from_millis(2);
 const TICK: Duration = Duration::from_millis(20);
 /// Time after which a process that ended is back.
 const RESTART: Duration = Duration::from_millis(300);
-/// Time after which a host that has lost its disk is back.
-pub(crate) const DISK_RESTART: Duration = Duration::from_secs(1);
 
 #[derive(Clone)]
 enum Item {
@@ -45,11 +46,14 @@
     pub(crate) hosts: Vec<Host>,
     pub(crate) check: Checker,
     pub(crate) acknowledged: BTreeSet<ProposalId>,
+    /// Number of messages that arrived after their sender had lost its disk.
+    pub(crate) late: u64,
     /// Time at which the last host is back.
     pub(crate) back_at: Time,
     /// Number of lost voters that the log has to bear.
     loss: usize,
     options: Options,
+    noise: Option<noise::Noise>,
     queue: BTreeMap<(Time, u64), Item>,
     sequence: u64,
     proposals: u64,
@@ -64,6 +68,7 @@
             hosts: Vec::new(),
             check: Checker::default(),
             acknowledged: BTreeSet::new(),
+            late: 0,
             back_at: Time::ZERO,
             loss,
             options: Options {
@@ -71,6 +76,7 @@
                 retained_entries: 1,
                 ..Options::default()
             },
+            noise: None,
             queue: BTreeMap::new(),
             sequence: 0,
             proposals: 0,
@@ -116,11 +122,12 @@
         self.hosts[host].gone = true;
     }
 
-    pub(crate) fn lose_disk(&mut self, host: usize) {
+    /// Ends a process; the host is back after `span` with an empty disk.
+    pub(crate) fn lose_disk(&mut self, host: usize, span: Duration) {
         self.hosts[host].process = None;
         self.hosts[host].frozen_until = Time::ZERO;
         self.replace_disk(host);
-        self.restart_after(host, DISK_RESTART);
+        self.restart_after(host, span);
     }
 
     /// Ends the processes of all hosts; unsynced writes are lost.
@@ -201,6 +208,12 @@
         live.all(|h| h.process.as_ref().map(|p| p.applied) == newest)
     }
 
+    /// Whether a leader waits for the commit of a membership.
+    pub(crate) fn has_open_change(&self) -> bool {
+        let mut statuses = (0..self.hosts.len()).filter_map(|n| self.status(n));
+        statuses.any(|s| s.role == RoleKind::Leader && !s.config_committed)
+    }
+
     pub(crate) fn node(&self, host: usize) -> Option<&Node> {
         self.hosts[host].process.as_ref().map(|p| &p.node)
     }
@@ -209,6 +222,12 @@
         self.hosts[host].frozen_until > self.time
     }
 
+    /// Whether an identity was that of a disk that is lost.
+    fn is_former(&self, who: &Identity) -> bool {
+        let mut hosts = self.hosts.iter();
+        hosts.any(|h| h.name == who.name && h.identity() != who)
+    }
+
     fn is_reachable(&self, from: usize, to: usize) -> bool {
         from != to && !self.is_frozen(to)
     }
@@ -263,7 +282,12 @@
             return;
         }
         match item {
-            Item::Deliver(envelope) => self.deliver_event(host, Event::Receive(*envelope)),
+            Item::Deliver(envelope) => {
+                self.late += u64::from(
+                    envelope.to == *self.hosts[host].identity() && self.is_former(&envelope.from),
+                );
+                self.deliver_event(host, Event::Receive(*envelope));
+            }
             Item::Start(host) => self.start(host),
             Item::Tick(host, run) => {
                 if self.hosts[host].running(run).is_some() {
@@ -296,7 +320,7 @@
             return;
         }
         let run = self.hosts[host].runs + 1;
-        let seed = host as u64 * 1_000 + run;
+        let seed = self.node_seed(host, run);
         let actions = self.hosts[host].start(self.options, seed, self.time);
         self.perform(host, actions);
         self.schedule(TICK, Item::Tick(host, run));
@@ -324,7 +348,8 @@
             match action {
                 Action::Write(write) => {
                     self.check.written(process, &write);
-                    process.writes.push(write);
+                    self.note_write(&write);
+                    self.hosts[host].queue(write);
                     self.start_sync(host);
                 }
                 Action::Send { after, envelope } if after <= process.synced => {
@@ -374,12 +399,13 @@
         if process.syncing == 0 && !process.writes.is_empty() {
             process.syncing = process.writes.len();
             let run = process.run;
-            self.schedule(SYNC, Item::Sync(host, run));
+            let time = self.sync_time();
+            self.schedule(time, Item::Sync(host, run));
         }
     }
 
     fn transmit(&mut self, envelope: Envelope) {
         self.check.sent(&envelope);
-        self.schedule(DELAY, Item::Deliver(Box::new(envelope)));
+        self.send(envelope);
     }
 }
--- a/decision/consensus/tests/it/cluster/search.rs
+++ b/decision/consensus/tests/it/cluster/search.rs
@@ -1,21 +1,23 @@
 //! Sequences of faults within the stated losses.
 
 use std::fmt;
+use std::ops::Range;
 use std::time::Duration;
 
-use pimentotide_model::Time;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
-use super::{Cluster, DISK_RESTART};
+use super::losses::Losses;
+use super::{Cluster, Disorder};
 
-/// Time for which a successor has to be up until the host that it replaces does not count, and a
-/// host until its lost disk does not.
-const CATCH_UP: Duration = Duration::from_secs(4);
 /// Time within which a leader commits again after the last host is back.
 const RECOVERY: Duration = Duration::from_secs(12);
 /// Time within which exactly the hosts that are left vote.
 const REPAIR: Duration = Duration::from_secs(20);
 /// Longer than an election; shorter than the silence after which a voter is removed.
 const FREEZE: Duration = Duration::from_millis(900);
+/// Time after which a host that has lost its disk is back.
+const DISK_RESTART: Duration = Duration::from_secs(1);
 const COMMIT_LIMIT: Duration = Duration::from_millis(50);
 
 /// Host at which a fault strikes, by its role at that time.
@@ -52,14 +54,8 @@
 #[derive(Clone)]
 struct Run {
     cluster: Cluster,
-    loss: usize,
+    losses: Losses,
     newest: Option<usize>,
-    /// Starts of the hosts that replace none yet.
-    successors: Vec<Time>,
-    /// Number of hosts that have ended without a successor.
-    unreplaced: usize,
-    /// Times until which a loss counts.
-    counted: Vec<Time>,
     steps: Vec<(u64, Step)>,
 }
 
@@ -112,15 +108,35 @@
     search(loss, &next)
 }
 
+/// Runs random sequences within the losses, on a network and disks that are disturbed until their end.
+pub(crate) fn wander(loss: usize, seeds: Range<u64>, disorder: Disorder) -> Findings {
+    let mut findings = Findings::default();
+    let start = Run::new(loss);
+    for seed in seeds {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut run = start.clone();
+        run.cluster.disturb(seed, disorder);
+        for _ in 0..rng.random_range(3..10) {
+            let (wait, step) = run.random_step(&mut rng);
+            if !run.perform(wait, step) {
+                run.steps.pop();
+            }
+        }
+        while run.losses.lacks_successor() {
+            run.perform(100, Step::Add);
+        }
+        run.cluster.calm();
+        run.conclude(&format!("seed {seed}: "), &mut findings);
+    }
+    findings
+}
+
 impl Run {
     fn new(loss: usize) -> Self {
         Self {
             cluster: Cluster::with_loss(loss),
-            loss,
+            losses: Losses::new(loss),
             newest: None,
-            successors: Vec::new(),
-            unreplaced: 0,
-            counted: Vec::new(),
             steps: Vec::new(),
         }
     }
@@ -128,14 +144,7 @@
     fn explore(self, choices: Choices<'_>, findings: &mut Findings) {
         let next = choices(&self.steps);
         if next.is_empty() {
-            findings.cases += 1;
-            let steps = self.steps.clone();
-            let (violation, result) = self.finish();
-            if let Some(rule) = violation {
-                findings.unsafe_cases.push((steps, rule));
-            } else if let Err(reason) = result {
-                findings.stuck_cases.push((steps, reason));
-            }
+            self.conclude("", findings);
             return;
         }
         for (wait, step) in next {
@@ -154,14 +163,20 @@
         let wait = Duration::from_millis(wait);
         let at = self.cluster.time + wait;
         let counts = match step {
-            Step::End(_) => self.successors.first().is_none_or(|s| at < *s + CATCH_UP),
+            Step::End(target) => self.losses.end_counts(self.host(target), at),
             Step::LoseDisk(_) | Step::LoseDiskAndPower(_) => true,
             _ => false,
         };
-        if counts && !self.wait_for_losses() {
+        let now = self.cluster.time;
+        let free_at = if counts {
+            self.losses.free_at(now)
+        } else {
+            Some(now)
+        };
+        let Some(free_at) = free_at else {
             return false;
-        }
-        self.cluster.run(wait);
+        };
+        self.cluster.run(free_at.since(now) + wait);
         if !self.strikes_with_the_last(wait) {
             // What is acknowledged right before a fault must outlast it.
             self.cluster.commit(COMMIT_LIMIT);
@@ -177,48 +192,30 @@
         wait.is_zero() && matches!(before, Step::LoseDisk(_))
     }
 
-    /// Runs until one more loss may strike; returns false if none may before a host is added.
-    fn wait_for_losses(&mut self) -> bool {
-        if self.unreplaced >= self.loss {
-            return false;
-        }
-        let free = self.loss - self.unreplaced;
-        self.counted.retain(|t| *t > self.cluster.time);
-        self.counted.sort_unstable();
-        if self.counted.len() >= free {
-            let next = self.counted[self.counted.len() - free];
-            self.cluster.run(next.since(self.cluster.time));
-        }
-        true
-    }
-
     /// Performs the step; returns `None` if no host plays the role.
     fn strike(&mut self, step: Step) -> Option<()> {
         let cluster = &mut self.cluster;
         let now = cluster.time;
         match step {
             Step::Add => {
-                self.newest = Some(cluster.add());
-                if self.unreplaced > 0 {
-                    self.unreplaced -= 1;
-                    self.counted.push(now + CATCH_UP);
-                } else {
-                    self.successors.push(now);
-                }
+                let host = cluster.add();
+                self.newest = Some(host);
+                self.losses.add(host, now);
             }
             Step::End(target) => {
                 let host = self.host(target)?;
-                self.cluster.end(host);
-                if self.successors.is_empty() {
-                    self.unreplaced += 1;
-                } else {
-                    self.counted.push(self.successors.remove(0) + CATCH_UP);
+                // The role may have passed to another host.
+                let free = self.losses.free_at(now) == Some(now);
+                if !free && self.losses.end_counts(Some(host), now) {
+                    return None;
                 }
+                self.cluster.end(host);
+                self.losses.end(host, now);
             }
             Step::LoseDisk(target) | Step::LoseDiskAndPower(target) => {
                 let host = self.host(target)?;
-                self.cluster.lose_disk(host);
-                self.counted.push(now + DISK_RESTART + CATCH_UP);
+                self.cluster.lose_disk(host, DISK_RESTART);
+                self.losses.lose_disk(host, now, now + DISK_RESTART);
                 if matches!(step, Step::LoseDiskAndPower(_)) {
                     self.cluster.lose_power();
                 }
@@ -254,10 +251,39 @@
         }
     }
 
-    /// Returns the first safety rule that was broken, and whether the cluster recovered.
-    fn finish(mut self) -> (Option<String>, Result<(), String>) {
+    fn random_step(&self, rng: &mut ChaCha8Rng) -> (u64, Step) {
+        let max_wait = [20, 500, 5_000][rng.random_range(0..3)];
+        let wait = rng.random_range(0..max_wait);
+        let target = match rng.random_range(0..5) {
+            0 | 1 => Target::Leader,
+            2 => Target::Newest,
+            other => Target::Other(other - 3),
+        };
+        let step = match rng.random_range(0..12) {
+            // Two replacements at once have tests of their own.
+            0..3 if !self.losses.has_spare() => Step::Add,
+            0..5 => Step::End(target),
+            5 | 6 => Step::LoseDisk(target),
+            7 => Step::LoseDiskAndPower(target),
+            8 => Step::LosePower,
+            9 => Step::Freeze(target),
+            10 => Step::Transfer,
+            _ => Step::Compact,
+        };
+        (wait, step)
+    }
+
+    /// Lets the cluster recover, and records what rule was broken.
+    fn conclude(mut self, prefix: &str, findings: &mut Findings) {
+        findings.cases += 1;
         let result = self.recover();
-        (self.cluster.check.violation.take(), result)
+        if let Some(rule) = self.cluster.check.violation.take() {
+            let finding = (self.steps, format!("{prefix}{rule}"));
+            findings.unsafe_cases.push(finding);
+        } else if let Err(reason) = result {
+            let finding = (self.steps, format!("{prefix}{reason}"));
+            findings.stuck_cases.push(finding);
+        }
     }
 
     fn recover(&mut self) -> Result<(), String> {
--- a/decision/consensus/tests/it/main.rs
+++ b/decision/consensus/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod chaos;
 mod cluster;
+mod disorder;
 mod explore;
 mod replacement;
 mod restart;
--- a/decision/consensus/tests/it/replacement.rs
+++ b/decision/consensus/tests/it/replacement.rs
@@ -4,10 +4,6 @@
 
 use crate::cluster::{Case, Findings, Step, Target, replay, search};
 
-/// Times in milliseconds after the start of a host: before it asks to join, while it is promoted, and as
-/// a voter.
-const STAGES: [u64; 3] = [50, 506, 1_000];
-
 /// Faults whose orders are searched, and times in milliseconds between them.
 #[derive(Clone, Copy)]
 struct Plan {
@@ -19,9 +15,12 @@
     other: Option<Step>,
     /// Hosts that may end.
     old: &'static [Target],
+    /// Times from an addition to other faults: before the host asks to join, while it is promoted, as a
+    /// voter, and from when on the end of another is no loss.
+    stages: &'static [u64],
     /// Times from an addition to an end, which from 4 s on is no loss.
     ages: &'static [u64],
-    /// Times from an end to the loss of a disk.
+    /// Times between an end and the loss of a disk.
     spacings: &'static [u64],
     /// Times from one lost disk to the next.
     between: &'static [u64],
@@ -32,6 +31,7 @@
     power: false,
     other: None,
     old: &[Target::Leader, Target::Other(0), Target::Other(1)],
+    stages: &[50, 506, 1_000, 4_000],
     ages: &[100, 3_000, 4_000],
     spacings: &[0, 10, 100, 500, 1_000, 3_000],
     between: &[],
@@ -41,6 +41,7 @@
     loss: 2,
     // The others do not differ.
     old: &[Target::Leader, Target::Other(0)],
+    stages: &[506, 4_000],
     ages: &[4_000],
     spacings: &[0, 500],
     between: &[0],
@@ -71,14 +72,19 @@
             choose(&[100], Step::Add);
         }
         if !ended {
+            let waits = match last {
+                Some(Step::Add) => plan.ages,
+                Some(step) if is_loss(&step) => plan.spacings,
+                _ => &[100],
+            };
             for target in plan.old {
-                choose(if added { plan.ages } else { &[100] }, Step::End(*target));
+                choose(waits, Step::End(*target));
             }
         }
         if steps.iter().filter(|(_, s)| is_loss(s)).count() < plan.loss {
             let follows_end = ended && last.is_some_and(|s| is_end(&s) || Some(s) == plan.other);
             let waits = match last {
-                Some(Step::Add) => &STAGES,
+                Some(Step::Add) => plan.stages,
                 Some(step) if is_loss(&step) => plan.between,
                 _ if follows_end => plan.spacings,
                 _ => &[100],
@@ -93,7 +99,7 @@
         if let Some(other) = plan.other
             && !steps.iter().any(|(_, s)| *s == other)
         {
-            choose(if added { &STAGES } else { &[50] }, other);
+            choose(if added { plan.stages } else { &[50] }, other);
         }
         next
     })
@@ -128,7 +134,7 @@
     three_voters_and_frozen_leader: Plan { other: Some(Step::Freeze(Target::Leader)), ..THREE };
     three_voters_and_restarted_leader: Plan { other: Some(Step::Restart(Target::Leader)), ..THREE };
     three_voters_and_snapshot: Plan { other: Some(Step::Compact), ..THREE };
-    five_voters: Plan { ages: &[100, 4_000], spacings: THREE.spacings, between: &[0, 100], ..FIVE };
+    five_voters: Plan { ages: &[100, 4_000], spacings: &[0, 100, 1_000], between: &[0, 100], ..FIVE };
     five_voters_with_power: Plan { power: true, ..FIVE };
     five_voters_and_loss_of_power: Plan { other: Some(Step::LosePower), ..FIVE };
     five_voters_and_transfer: Plan { other: Some(Step::Transfer), ..FIVE };
