Consensus: split votes beside two lost disks, and a second end before a removal

`second_voter_ends_before_a_replaced_one_is_removed`: one voter with a successor ends (no loss), then one without (one loss).

--- a/decision/consensus/tests/it/cluster/mod.rs
+++ b/decision/consensus/tests/it/cluster/mod.rs
@@ -54,6 +54,8 @@
     loss: usize,
     options: Options,
     noise: Option<noise::Noise>,
+    /// Directed links, by the hosts' numbers, on which messages take longer.
+    pub(crate) slow: BTreeSet<(usize, usize)>,
     queue: BTreeMap<(Time, u64), Item>,
     sequence: u64,
     proposals: u64,
@@ -77,6 +79,7 @@
                 ..Options::default()
             },
             noise: None,
+            slow: BTreeSet::new(),
             queue: BTreeMap::new(),
             sequence: 0,
             proposals: 0,
@@ -222,6 +225,11 @@
         self.hosts[host].frozen_until > self.time
     }
 
+    pub(crate) fn number(&self, who: &Identity) -> usize {
+        let mut hosts = self.hosts.iter();
+        hosts.position(|h| h.name == who.name).unwrap()
+    }
+
     /// Whether an identity was that of a disk that is lost.
     fn is_former(&self, who: &Identity) -> bool {
         let mut hosts = self.hosts.iter();
@@ -267,10 +275,7 @@
         };
         self.time = self.time.max(time);
         let host = match &item {
-            Item::Deliver(envelope) => {
-                let named = |h: &Host| h.name == envelope.to.name;
-                self.hosts.iter().position(named).unwrap()
-            }
+            Item::Deliver(envelope) => self.number(&envelope.to),
             Item::Start(host)
             | Item::Tick(host, _)
             | Item::Sync(host, _)
--- a/decision/consensus/tests/it/cluster/noise.rs
+++ b/decision/consensus/tests/it/cluster/noise.rs
@@ -8,6 +8,9 @@
 
 use super::{Cluster, DELAY, Item, SYNC};
 
+/// Time of a message on a slow link; longer than a vote and the return of a host without its disk.
+const SLOW_DELAY: Duration = Duration::from_millis(30);
+
 /// Extent of the disorder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Disorder {
@@ -41,7 +44,10 @@
 
     pub(super) fn send(&mut self, envelope: Envelope) {
         let Some(noise) = &mut self.noise else {
-            self.schedule(DELAY, Item::Deliver(Box::new(envelope)));
+            let link = (self.number(&envelope.from), self.number(&envelope.to));
+            let is_slow = self.slow.contains(&link);
+            let delay = if is_slow { SLOW_DELAY } else { DELAY };
+            self.schedule(delay, Item::Deliver(Box::new(envelope)));
             return;
         };
         noise.stirred |= matches!(
--- a/decision/consensus/tests/it/main.rs
+++ b/decision/consensus/tests/it/main.rs
@@ -9,4 +9,5 @@
 mod rules;
 mod scenario;
 mod sim;
+mod split_vote;
 mod trio;
--- a/decision/consensus/tests/it/replacement.rs
+++ b/decision/consensus/tests/it/replacement.rs
@@ -205,6 +205,24 @@
     assert!(findings.is_sound(), "{findings}");
 }
 
+/// Guards against the end of a voter without a successor, which is a loss, before one with a successor,
+/// which is none, is removed: two of four voters are left, and the others cannot tell that they ended.
+#[test]
+fn second_voter_ends_before_a_replaced_one_is_removed() {
+    let ends = [Target::Leader, Target::Other(0)].map(Step::End);
+    let add = vec![(100, Step::Add)];
+    let layers = [
+        add.clone(),
+        each(&[4_000], &ends),
+        each(THREE.spacings, &ends),
+        add,
+    ];
+    let findings = search(1, &|steps| {
+        layers.get(steps.len()).cloned().unwrap_or_default()
+    });
+    assert!(findings.is_sound(), "{findings}");
+}
+
 /// Guards against the loss of a disk that leaves two of five voters.
 #[test]
 fn disk_is_lost_before_two_replaced_voters_are_removed() {
