--- a/decision/consensus/tests/it/cluster/mod.rs
+++ b/decision/consensus/tests/it/cluster/mod.rs
@@ -22,7 +22,7 @@
 pub(crate) use check::Checker;
 use host::{Host, empty_disk};
 pub(crate) use noise::Disorder;
-pub(crate) use search::{Case, Findings, Step, Target, replay, search, wander};
+pub(crate) use search::{Case, DISK_RESTART, Findings, Step, Target, replay, search, wander};
 
 const DELAY: Duration = Duration::from_millis(1);
 const SYNC: Duration = Duration::from_millis(2);
--- a/decision/consensus/tests/it/cluster/search.rs
+++ b/decision/consensus/tests/it/cluster/search.rs
@@ -17,7 +17,7 @@
 /// Longer than an election; shorter than the silence after which a voter is removed.
 const FREEZE: Duration = Duration::from_millis(900);
 /// Time after which a host that has lost its disk is back.
-const DISK_RESTART: Duration = Duration::from_secs(1);
+pub(crate) const DISK_RESTART: Duration = Duration::from_secs(1);
 const COMMIT_LIMIT: Duration = Duration::from_millis(50);
 
 /// Host at which a fault strikes, by its role at that time.
@@ -276,7 +276,7 @@
     /// Lets the cluster recover, and records what rule was broken.
     fn conclude(mut self, prefix: &str, findings: &mut Findings) {
         findings.cases += 1;
-        let result = self.recover();
+        let result = self.cluster.recover();
         if let Some(rule) = self.cluster.check.violation.take() {
             let finding = (self.steps, format!("{prefix}{rule}"));
             findings.unsafe_cases.push(finding);
@@ -285,20 +285,22 @@
             findings.stuck_cases.push(finding);
         }
     }
+}
 
-    fn recover(&mut self) -> Result<(), String> {
-        let cluster = &mut self.cluster;
-        let back_at = cluster.back_at.max(cluster.time);
-        while !cluster.commit(Duration::from_millis(500)) {
-            if cluster.time >= back_at + RECOVERY {
+impl Cluster {
+    /// Runs until a leader commits and exactly the hosts that are left vote; fails if it takes too long.
+    pub(crate) fn recover(&mut self) -> Result<(), String> {
+        let back_at = self.back_at.max(self.time);
+        while !self.commit(Duration::from_millis(500)) {
+            if self.time >= back_at + RECOVERY {
                 return Err("no leader commits".to_owned());
             }
         }
-        while !(cluster.is_repaired() && cluster.agrees()) {
-            if cluster.time >= back_at + REPAIR {
+        while !(self.is_repaired() && self.agrees()) {
+            if self.time >= back_at + REPAIR {
                 return Err("not all hosts vote alone".to_owned());
             }
-            cluster.run(Duration::from_millis(100));
+            self.run(Duration::from_millis(100));
         }
         Ok(())
     }
