Storage: what is recovered is synced before it counts

Seen: a replica whose disk was full, and that took part again once it had room, could lose its vote and entries that it had acknowledged with the next loss of power; a log could count as damaged for good after a loss of power during the first write that followed.

Cause: a write that fails between its append and its sync, or between the rename of the state file and the sync of the folder, leaves data that is read back but not durable. Storage::open took it for synced: the node answered with it (matched index, vote), and the next record stated it as synced, so that a tear before that record looked like damage. The same after a kill between write and sync.

Fix: open syncs the newest segment and the folder before it returns what it has read.

The fake disk can now be filled and freed again without a loss of power, stays full over a restart, and takes a part of the first append that does not fit.

--- a/support/storage/src/fake.rs
+++ b/support/storage/src/fake.rs
@@ -39,6 +39,10 @@
     /// Injected fault and the number of operations before it occurs.
     countdown: Option<(u64, Fault)>,
     state: State,
+    /// Whether every writing operation is refused, also after a restart.
+    full: bool,
+    /// Whether a write has been stored in part since the disk was filled.
+    partial: bool,
     operations: u64,
 }
 
@@ -75,6 +79,8 @@
                 changes: Vec::new(),
                 countdown: None,
                 state: State::Working,
+                full: false,
+                partial: false,
                 operations: 0,
             })),
         }
@@ -90,11 +96,34 @@
         self.lock().countdown = None;
     }
 
+    /// Fills the disk, so that it refuses every writing operation until it is freed again.
+    ///
+    /// The content stays as the process sees it.
+    pub fn fill(&self) {
+        self.lock().full = true;
+    }
+
+    /// Frees a disk that was filled by [`FakeDisk::fill`] or [`Fault::Fill`].
+    pub fn free(&self) {
+        let mut content = self.lock();
+        content.full = false;
+        content.partial = false;
+        if content.state == State::Full {
+            content.state = State::Working;
+        }
+    }
+
     /// Returns the number of writing operations so far.
     pub fn operations(&self) -> u64 {
         self.lock().operations
     }
 
+    /// Returns whether the disk is full.
+    pub fn is_full(&self) -> bool {
+        let content = self.lock();
+        content.full || content.state == State::Full
+    }
+
     /// Returns whether an injected crash has occurred.
     pub fn is_crashed(&self) -> bool {
         self.lock().state == State::Crashed
@@ -114,6 +143,7 @@
         content.changes.clear();
         content.countdown = None;
         content.state = State::Working;
+        content.full = false;
     }
 
     /// Corrupts the byte at offset `at` of a file.
@@ -140,8 +170,10 @@
     fn count(&mut self) -> io::Result<bool> {
         self.operations += 1;
         match self.state {
-            State::Working => {}
-            State::Full => return Err(io::Error::from(io::ErrorKind::StorageFull)),
+            State::Working if !self.full => {}
+            State::Working | State::Full => {
+                return Err(io::Error::from(io::ErrorKind::StorageFull));
+            }
             State::Crashed | State::Failed => return Err(io::Error::other("the disk has failed")),
         }
         match &mut self.countdown {
@@ -281,14 +313,19 @@
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
         let mut content = self.lock();
-        let crashes = content.count()?;
-        let kept = if crashes {
-            content.rng.random_range(0..=bytes.len())
-        } else {
-            bytes.len()
+        let counted = content.count();
+        let stored = match &counted {
+            Ok(false) => bytes.len(),
+            // The first write that does not fit is stored in part.
+            Err(e) if e.kind() == io::ErrorKind::StorageFull && !content.partial => {
+                content.partial = true;
+                content.rng.random_range(0..=bytes.len())
+            }
+            Ok(true) => content.rng.random_range(0..=bytes.len()),
+            Err(_) => 0,
         };
-        content.file(name)?.data.extend_from_slice(&bytes[..kept]);
-        if crashes { Err(crash_error()) } else { Ok(()) }
+        content.file(name)?.data.extend_from_slice(&bytes[..stored]);
+        if counted? { Err(crash_error()) } else { Ok(()) }
     }
 
     fn truncate(&mut self, name: &str, size: u64) -> io::Result<()> {
--- a/support/storage/src/storage.rs
+++ b/support/storage/src/storage.rs
@@ -94,6 +94,7 @@
             poisoned: false,
         };
         let (entries, truncated_bytes) = storage.recover(&names, snapshot.as_ref())?;
+        storage.sync_recovered()?;
         Ok(Opened {
             storage,
             recovered: Recovered {
@@ -309,6 +310,18 @@
         Ok((entries, removed))
     }
 
+    /// Syncs what was recovered: a process that ended, or a disk that failed, before a sync leaves
+    /// records and names that are read back but do not survive a loss of power.
+    fn sync_recovered(&mut self) -> Result<(), StorageError> {
+        if let Some(segment) = self.segments.back() {
+            let name = segment::name(segment.number);
+            self.disk
+                .sync(&name)
+                .map_err(|e| StorageError::io(&format!("cannot sync {name}"), &e))?;
+        }
+        self.sync_folder()
+    }
+
     /// Removes the bytes after the complete records of the newest segment.
     fn truncate_tail(
         &mut self,
--- a/support/storage/tests/it/main.rs
+++ b/support/storage/tests/it/main.rs
@@ -3,4 +3,5 @@
 mod crash;
 mod damage;
 mod folder;
+mod full;
 mod script;
