Log: a learner that no leader contacts any more asks to join again

Seen: in the simulation, a learner that was removed while it was silent (cut off, frozen, or its disk hung over a change of leader) for longer than 6 s stayed outside for good, with all processes running; the log then bore one loss less.

Cause: the leader that removes a member sends it nothing more, not even the removal. A voter notices at its election deadline. A learner has none, so it went on to name that leader and itself a member, and the check of the membership asks to join only without a leader or a membership.

Fix: past its election deadline, which each contact with a leader resets, a member without a vote names no leader.

The simulation now has disks that are full, hang or are slow for a while, replicas that open their disk again without a restart and that look after the membership themselves (removal of silent members, requests to join), as the control role does.

--- a/decision/consensus/src/node/election.rs
+++ b/decision/consensus/src/node/election.rs
@@ -18,6 +18,10 @@
     pub(super) fn tick_election(&mut self) {
         let me = self.hard.identity.clone();
         if !self.log.config().is_voter(&me) {
+            // A leader that has removed this replica no longer contacts it.
+            if self.at.now >= self.election_deadline {
+                self.leader = None;
+            }
             return;
         }
         let alone = self.log.config().voters.len() == 1;
--- a/decision/consensus/tests/it/main.rs
+++ b/decision/consensus/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod disorder;
 mod explore;
+mod full;
 mod open_change;
 mod replacement;
 mod restart;
--- a/decision/consensus/tests/it/sim/host.rs
+++ b/decision/consensus/tests/it/sim/host.rs
@@ -13,6 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::disk::Trouble;
 use super::machine::Recorder;
 
 /// Maximum rate error of a clock, as a fraction.
@@ -29,6 +30,10 @@
     pub(crate) ticking: bool,
     /// End of the current pause.
     pub(crate) paused_until: Time,
+    /// Trouble of a disk that hangs or is slow.
+    pub(crate) trouble: Option<Trouble>,
+    /// Time of the next write of a slow disk.
+    pub(crate) next_write: Time,
     /// Commit index of the running process at the last check.
     pub(crate) commit: Index,
     /// Last term in which a process of this host was found to lead.
@@ -79,6 +84,8 @@
             process: None,
             ticking: false,
             paused_until: Time::ZERO,
+            trouble: None,
+            next_write: Time::ZERO,
             commit: Index(0),
             led_term: None,
             start: Time::ZERO,
--- a/decision/consensus/tests/it/sim/mod.rs
+++ b/decision/consensus/tests/it/sim/mod.rs
@@ -5,10 +5,12 @@
 
 mod chaos;
 mod check;
+mod disk;
 mod host;
 pub(crate) mod machine;
 mod network;
 mod operator;
+mod repair;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -24,8 +26,10 @@
 
 pub(crate) use chaos::Faults;
 pub(crate) use check::Checker;
+pub(crate) use disk::Trouble;
 use host::{Host, Process};
 use network::Network;
+pub(crate) use repair::MAX_SILENCE;
 
 /// Interval between ticks of a replica.
 const TICK: Duration = Duration::from_millis(10);
@@ -38,6 +42,7 @@
     Deliver(Box<Envelope>),
     Tick(usize),
     Disk(usize),
+    Reopen(usize),
     Start(usize),
     Client,
     Operate,
@@ -84,6 +89,8 @@
     command: u64,
     /// Whether the operator wants each host as a member.
     wanted: Vec<bool>,
+    /// Whether the replicas look after the membership themselves.
+    repairs: bool,
 }
 
 impl World {
@@ -101,6 +108,7 @@
             sequence: 0,
             command: 0,
             wanted: (0..hosts).map(|n| n < members).collect(),
+            repairs: false,
             rng,
         };
         world.bootstrap();
@@ -282,8 +290,10 @@
                 }
             }
             Item::Disk(host) => self.perform_writes(host),
+            Item::Reopen(host) => self.reopen(host),
             Item::Start(host) => self.start(host),
             Item::Client => self.run_client(),
+            Item::Operate if self.repairs => self.run_repair(),
             Item::Operate => self.run_operator(),
             Item::Chaos => self.inject_fault(),
         }
@@ -344,7 +354,7 @@
 
     /// Performs some pending writes as one group and reports the sync.
     fn perform_writes(&mut self, host: usize) {
-        if self.defer_if_paused(host, &Item::Disk(host)) {
+        if self.defer_if_paused(host, &Item::Disk(host)) || self.defer_writes(host) {
             return;
         }
         let Some(process) = &mut self.hosts[host].process else {
