Replica: a writer of a failed disk ends, and its folder opens again

Seen: after a write that took longer than the stall limit, opening the folder again failed until the process was restarted, also once the write had ended; on file systems that grant a lock twice the folder was opened beside a writer that still had writes queued.

Cause: the actor marked the disk as failed but kept the queue of its writer open. The thread finished the slow write and waited for more, holding the folder and its lock.

Fix: a failure closes the queue, so that the thread ends after the queued writes, and the folder is opened only once the thread has ended. Late reports of it no longer count, and messages held back for the old writes are dropped.

--- a/peers/instance/src/replica/actor.rs
+++ b/peers/instance/src/replica/actor.rs
@@ -149,6 +149,7 @@
         self.node = node;
         self.writer = writer;
         self.synced = Ticket(0);
+        self.unsent.clear();
         self.bootstrap = None;
         self.disk = DiskHealth::Good;
         log::info!("the disk of {} works again", self.options.name);
@@ -395,6 +396,7 @@
         );
         self.disk = DiskHealth::Failed(detail.to_owned());
         self.unsent.clear();
+        self.writer.close();
         self.step(Event::DiskFailed);
         for pending in std::mem::take(&mut self.pending).into_values() {
             let failure = Failure::new(ErrorKind::DiskFailed, detail);
--- a/peers/instance/src/replica/handle.rs
+++ b/peers/instance/src/replica/handle.rs
@@ -17,8 +17,8 @@
 use super::founding;
 use super::link::TIMEOUTS;
 use super::message::{
-    Applied, ChangeMembers, Delivery, GetStatus, Halt, Introduction, Propose, Query, Read, Refusal,
-    Reopen, Synced, TransferLeadership, WriteFailed,
+    Applied, ChangeMembers, Delivery, GetStatus, GetWriterEnd, Halt, Introduction, Propose, Query,
+    Read, Refusal, Reopen, Synced, TransferLeadership, WriteFailed,
 };
 use super::options::ReplicaOptions;
 use super::rpc;
@@ -239,6 +239,12 @@
     ///
     /// Fails if the folder cannot be opened, also while a write that hangs still uses it.
     pub async fn reopen(&self) -> Result<(), Failure> {
+        let (reply, ended) = oneshot::channel();
+        self.replica.do_send(GetWriterEnd { reply });
+        // The lock of the folder is not enough: some file systems grant it twice.
+        if !ended.await.map_err(|_| stopped())? {
+            return Err(Failure::new(ErrorKind::DiskFailed, "a write still hangs"));
+        }
         let (folder, name) = (self.options.folder.clone(), self.options.name.clone());
         let opened = tokio::task::spawn_blocking(move || open(&folder, &name))
             .await
--- a/peers/instance/src/replica/handlers.rs
+++ b/peers/instance/src/replica/handlers.rs
@@ -7,8 +7,8 @@
 use super::actor::{PendingReply, Replica};
 use super::handle::report_to;
 use super::message::{
-    Bootstrap, ChangeMembers, Delivery, GetStatus, Halt, Propose, Query, Read, Refusal, Reopen,
-    Synced, TransferLeadership, WriteFailed,
+    Bootstrap, ChangeMembers, Delivery, GetStatus, GetWriterEnd, Halt, Propose, Query, Read,
+    Refusal, Reopen, Synced, TransferLeadership, WriteFailed,
 };
 use super::writer::Writer;
 
@@ -39,6 +39,9 @@
         }
     }
     Synced, |replica, Synced(ticket), _| {
+        if replica.has_failed() {
+            return;
+        }
         replica.writer.synced(ticket);
         if let Some(write) = replica.bootstrap.take() {
             replica.start_bootstrapped(write);
@@ -57,6 +60,10 @@
     WriteFailed, |replica, WriteFailed(detail), _| {
         replica.fail(&detail);
     }
+    GetWriterEnd, |replica, request, _| {
+        // The requester may have dropped its receiver.
+        let _ = request.reply.send(replica.writer.has_ended());
+    }
     Reopen, |replica, request, ctx| {
         let result = if replica.has_failed() {
             Writer::spawn(request.storage, report_to(ctx.address()))
@@ -101,12 +108,12 @@
         replica.step(Event::Transfer);
     }
     Halt, |replica, request, ctx| {
-        let thread = replica.writer.close();
+        replica.writer.close();
         for pending in std::mem::take(&mut replica.pending).into_values() {
             let failure = Failure::new(ErrorKind::Stopping, "the replica stops");
             pending.reply.refuse(Refusal::from(failure.with_ran(Ran::Unknown)));
         }
-        if thread.is_some_and(|t| t.join().is_err()) {
+        if replica.writer.join().is_err() {
             log::error!("the writer thread of {} panicked", replica.options.name);
         }
         // The requester may have dropped its receiver.
--- a/peers/instance/src/replica/message.rs
+++ b/peers/instance/src/replica/message.rs
@@ -75,6 +75,13 @@
     pub(super) reply: oneshot::Sender<ReplicaStatus>,
 }
 
+/// Requests whether the writer has ended, so that the folder may be opened again.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(super) struct GetWriterEnd {
+    pub(super) reply: oneshot::Sender<bool>,
+}
+
 /// Identity of a replica and the log that it belongs to.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Introduction {
--- a/peers/instance/src/replica/writer.rs
+++ b/peers/instance/src/replica/writer.rs
@@ -60,10 +60,20 @@
             .is_some_and(|(_, since)| since.elapsed() > limit)
     }
 
-    /// Closes the queue; the thread ends after the queued writes. Returns it for joining.
-    pub(super) fn close(&mut self) -> Option<JoinHandle<()>> {
+    /// Closes the queue; the thread ends after the queued writes.
+    pub(super) fn close(&mut self) {
         self.queue = None;
-        self.thread.take()
+    }
+
+    /// Whether the thread has ended, so that nothing writes to the folder any more.
+    pub(super) fn has_ended(&self) -> bool {
+        self.thread.as_ref().is_none_or(JoinHandle::is_finished)
+    }
+
+    /// Closes the queue and waits for the end of the thread.
+    pub(super) fn join(&mut self) -> thread::Result<()> {
+        self.close();
+        self.thread.take().map_or(Ok(()), JoinHandle::join)
     }
 }
 
--- a/peers/instance/tests/it/replica.rs
+++ b/peers/instance/tests/it/replica.rs
@@ -69,11 +69,15 @@
     }
 
     async fn start(&self, number: usize) -> Running {
+        self.start_with_stall(number, DISK_LIMIT).await
+    }
+
+    async fn start_with_stall(&self, number: usize, stall: Duration) -> Running {
         let (name, address) = self.founders[number].clone();
         let token = Token::open("secret-of-the-test").unwrap();
         let mut options = ReplicaOptions::new(name, address, self.folder(number), token.clone())
             .with_founders(self.founders.clone());
-        options.stall = DISK_LIMIT;
+        options.stall = stall;
         options.request_timeout = DISK_LIMIT;
         options.compact_after = 20;
         options.log.retained_entries = 5;
@@ -283,3 +287,26 @@
         replica.stop().await;
     }
 }
+
+/// Guards against a replica that stays out until its process restarts after its disk was slower than the
+/// limit, because the idle writer still holds the folder.
+#[actix_rt::test]
+async fn replica_opens_its_folder_again_after_a_write_that_took_too_long() {
+    let deployment = Deployment::new(1);
+    let first = deployment.start(0).await;
+    propose(&first, "first").await;
+    first.stop().await;
+    let replica = deployment.start_with_stall(0, Duration::ZERO).await;
+    until("a stall", async || {
+        // Fails until there is a leader, and once the disk counts as failed.
+        let _ = replica.handle.propose(b"second".to_vec()).await;
+        let status = replica.handle.status().await.unwrap();
+        matches!(status.disk, DiskHealth::Failed(_))
+    })
+    .await;
+    until("the end of the writer", async || {
+        replica.handle.reopen().await.is_ok()
+    })
+    .await;
+    replica.stop().await;
+}
