Replica: a founder whose disk failed bootstraps once it has room

Seen: if the disk of the first founder refused the first write of a new log, no log came into being until that process was restarted, and none at all if the disk had taken the name of the log and refused its first entry.

Cause: the attempt to bootstrap ran once, at the start of the actor, and only without the name of a log.

Fix: an attempt follows each reopening as well, and what counts is that the replica holds no entry. Only the first founder bootstraps, and not while any other founder belongs to a log, so an empty founder with the name of a log is one whose own first write was cut short. A second request is ignored while the first write is under way.

--- a/peers/instance/src/replica/actor.rs
+++ b/peers/instance/src/replica/actor.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix::{Actor, AsyncContext, Context};
+use actix::{Actor, Addr, AsyncContext, Context};
 use pimentotide_consensus::{
     Action, Applier, Envelope, Event, Identity, Index, Machine, Node, Outcome, ProposalId,
     Recovered, Reject, Ticket, Write,
@@ -430,6 +430,19 @@
         self.step(Event::Tick);
     }
 
+    /// Whether this replica has no log yet.
+    pub(super) fn is_empty(&self) -> bool {
+        self.node.last().index == Index(0)
+    }
+
+    /// Bootstraps a new log in the background if this replica is a founder without one.
+    pub(super) fn found(&self, replica: Addr<Self>) {
+        if self.is_empty() && !self.options.founders.is_empty() {
+            let me = self.node.hard().identity.clone();
+            actix_rt::spawn(founding::bootstrap(self.options.clone(), me, replica));
+        }
+    }
+
     /// Starts from the bootstrap write once it is synced.
     pub(super) fn start_bootstrapped(&mut self, write: Write) {
         let Some(hard) = write.hard else {
@@ -466,9 +479,6 @@
         let interval =
             MIN_TICK_INTERVAL.max(self.options.log.heartbeat_interval / TICKS_PER_HEARTBEAT);
         ctx.run_interval(interval, |replica, _| replica.tick());
-        let me = self.node.hard().identity.clone();
-        if self.node.hard().cluster.is_none() && !self.options.founders.is_empty() {
-            actix_rt::spawn(founding::bootstrap(self.options.clone(), me, ctx.address()));
-        }
+        self.found(ctx.address());
     }
 }
--- a/peers/instance/src/replica/handlers.rs
+++ b/peers/instance/src/replica/handlers.rs
@@ -1,7 +1,7 @@
 //! Messages that the actor of a replica handles.
 
 use actix::{ActorContext, AsyncContext, Context, Handler};
-use pimentotide_consensus::{ClusterId, Event, Machine, Node, Recovered};
+use pimentotide_consensus::{ClusterId, Event, HardState, Machine, Node, Recovered};
 use pimentotide_model::{ErrorKind, Failure, Ran};
 
 use super::actor::{PendingReply, Replica};
@@ -72,6 +72,9 @@
         } else {
             Ok(())
         };
+        if result.is_ok() {
+            replica.found(ctx.address());
+        }
         // The requester may have dropped its receiver.
         let _ = request.reply.send(result);
     }
@@ -93,8 +96,16 @@
         let _ = request.reply.send(replica.status());
     }
     Bootstrap, |replica, request, _| {
+        // A reopened replica asks anew while an earlier attempt may still be under way.
+        if replica.bootstrap.is_some() || !replica.is_empty() || replica.has_failed() {
+            return;
+        }
         let empty = Recovered {
-            hard: replica.node.hard().clone(),
+            // An earlier attempt may have stored the name of a log without its first entry.
+            hard: HardState {
+                cluster: None,
+                ..replica.node.hard().clone()
+            },
             snapshot: None,
             entries: Vec::new(),
         };
--- a/peers/instance/tests/it/replica.rs
+++ b/peers/instance/tests/it/replica.rs
@@ -310,3 +310,32 @@
     .await;
     replica.stop().await;
 }
+
+/// Guards against a deployment that never gets a log because the disk of its first founder was full
+/// while it stored the first entry.
+#[actix_rt::test]
+async fn founder_bootstraps_once_its_disk_accepts_writes() {
+    for refused in ["state.tmp", "log-0000000000000001"] {
+        let deployment = Deployment::new(2);
+        let first = deployment.start(0).await;
+        // A folder in the place of a file makes its creation fail.
+        let obstacle = deployment.folder(0).join(refused);
+        std::fs::create_dir(&obstacle).unwrap();
+        let second = deployment.start(1).await;
+        until("the failure", async || {
+            let status = first.handle.status().await.unwrap();
+            matches!(status.disk, DiskHealth::Failed(_))
+        })
+        .await;
+        std::fs::remove_dir(&obstacle).unwrap();
+        until("the end of the writer", async || {
+            first.handle.reopen().await.is_ok()
+        })
+        .await;
+        until("the bootstrap", async || second.voters().await == 2).await;
+        let (_, answer) = propose(&second, "first").await;
+        assert_eq!(answer, b"1");
+        first.stop().await;
+        second.stop().await;
+    }
+}
