Consensus: simulate lost disks while all other replicas lose power

Cause: a loss of power takes what was not synced, which real processes do not lose when they are killed. No test lost disks at the same moment.

Three replicas lose one disk, five lose two.

--- a/decision/consensus/tests/it/main.rs
+++ b/decision/consensus/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod full;
 mod open_change;
 mod replacement;
+mod power;
 mod restart;
 mod rules;
 mod scenario;
--- a/decision/consensus/tests/it/sim/mod.rs
+++ b/decision/consensus/tests/it/sim/mod.rs
@@ -229,6 +229,18 @@
         self.schedule(Duration::from_millis(50), Item::Start(host));
     }
 
+    /// Ends all processes at once and restarts them; the disks of `lost` are empty then, the others have
+    /// lost what was not synced.
+    pub(crate) fn lose_power(&mut self, lost: &[usize]) {
+        for host in 0..self.hosts.len() {
+            self.kill(host);
+        }
+        for host in lost {
+            self.hosts[*host].disk.wipe();
+            self.counts.disk_losses += 1;
+        }
+    }
+
     /// Injects a fault into a later operation of a host's disk.
     pub(crate) fn arm(&mut self, host: usize, after: u64, fault: pimentotide_storage::fake::Fault) {
         self.hosts[host].disk.arm(after, fault);
