Soak: replaced replicas and lost disks at any spacing

It did not notice either when the configuration could not be read at the end.

Change: losses of disks are a series of their own beside the other faults. Before a loss, all replicas have been up for catchUpS (4 s); mostly some are replaced for good, by SIGKILL or SIGTERM, and 0 to 4 s later disks are lost, at times while all other processes are killed. From that moment on, other faults may strike any replica. The last loss comes while a zone is evacuated, half of the time right after an acknowledgement. New guarantees: control has a leader within recoveryS after its last replica is back, and the final configuration can be read. The fixtures of the guarantee tests have a read after their faults; their assertions are as they were.

--- a/app/tests/it/soak.rs
+++ b/app/tests/it/soak.rs
@@ -1,4 +1,4 @@
-//! Short soak test of real processes with a fixed seed.
+//! Short soak tests of real processes with fixed seeds.
 
 use std::path::PathBuf;
 use std::time::Duration;
@@ -7,11 +7,21 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn short_soak_violates_no_guarantee() {
+    assert_no_violation(7, 1, 200).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn short_soak_of_five_replicas_violates_no_guarantee() {
+    assert_no_violation(8, 2, 201).await;
+}
+
+async fn assert_no_violation(seed: u64, loss: usize, network: u8) {
     let options = SoakOptions {
         binary: PathBuf::from(env!("CARGO_BIN_EXE_pimentotide")),
-        seed: 7,
+        seed,
         faults: Duration::from_secs(6),
-        network: 200,
+        loss,
+        network,
     };
     let report = run(&options).await.expect("the deployment serves");
     assert!(
--- a/dev/soak/src/cluster.rs
+++ b/dev/soak/src/cluster.rs
@@ -11,7 +11,7 @@
 use rand::RngExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, RwLock};
 
 use crate::caller::{Caller, RequestIds};
 use crate::history::{Disturbance, History, Recorder, Target};
@@ -20,8 +20,8 @@
 use crate::{SoakError, SoakOptions, operator};
 use pimentotide_wire::{Message, Template, read_message};
 
-/// Number of control replicas.
-pub(crate) const CONTROLS: usize = 3;
+/// Number of replicas that the settings name.
+const SEEDS: usize = 3;
 /// Number of entries.
 pub(crate) const ENTRIES: usize = 3;
 /// Number of stand-in upstreams.
@@ -52,8 +52,11 @@
     port: u16,
     /// Seeds that the settings name, by the number of the replica.
     seeds: std::sync::Mutex<Vec<SocketAddr>>,
+    terms: Terms,
     /// Number of replacements so far.
     replacements: AtomicUsize,
+    /// Shared by faults of replicas; exclusive while the loss of a disk needs all others sound.
+    pub(crate) soundness: RwLock<()>,
     pub(crate) recorder: Arc<Recorder>,
     pub(crate) request_ids: Arc<RequestIds>,
     pub(crate) call: Template,
@@ -70,7 +73,12 @@
     /// Starts all processes and upstreams.
     pub(crate) async fn spawn(options: &SoakOptions) -> Result<Self, SoakError> {
         let folder = tempfile::tempdir()?;
-        let hosts: Vec<IpAddr> = (1..=CONTROLS + ENTRIES)
+        let terms = Terms {
+            loss: options.loss,
+            grace_s: GRACE_S,
+        };
+        let replicas = 2 * terms.loss + 1;
+        let hosts: Vec<IpAddr> = (1..=replicas + ENTRIES)
             .map(|host| ip(options.network, host))
             .collect();
         let port = free_ports(&hosts);
@@ -79,13 +87,14 @@
             folder: folder.path(),
             network: options.network,
             port,
+            terms,
         };
-        let seeds: Vec<SocketAddr> = (0..CONTROLS)
+        let seeds: Vec<SocketAddr> = (0..replicas)
             .map(|number| SocketAddr::new(ip(options.network, 1 + number), port + 2))
             .collect();
         let (mut controls, mut entries) = (Vec::new(), Vec::new());
         let (mut control_proxies, mut entry_proxies) = (Vec::new(), Vec::new());
-        for number in 0..CONTROLS {
+        for number in 0..replicas {
             let host = 1 + number;
             let (member, listener) =
                 layout.spawn_member(&options.binary, "control", host, &seeds, true)?;
@@ -93,7 +102,7 @@
             control_proxies.push(Proxy::bind(listener).await?);
         }
         for number in 0..ENTRIES {
-            let host = 1 + CONTROLS + number;
+            let host = 1 + replicas + number;
             let (member, listener) =
                 layout.spawn_member(&options.binary, "entry", host, &seeds, true)?;
             entries.push(Mutex::new(member));
@@ -111,6 +120,8 @@
             network: options.network,
             port,
             seeds: std::sync::Mutex::new(seeds),
+            terms,
+            soundness: RwLock::default(),
             replacements: AtomicUsize::new(0),
             recorder,
             request_ids: Arc::default(),
@@ -155,7 +166,7 @@
 
     /// Returns the address of a random replica for operators.
     pub(crate) fn random_control(&self) -> SocketAddr {
-        let number = rand::rng().random_range(0..CONTROLS);
+        let number = rand::rng().random_range(0..self.controls.len());
         self.control_proxies[number].address()
     }
 
@@ -191,6 +202,7 @@
             folder: self.folder.path(),
             network: self.network,
             port: self.port,
+            terms: self.terms,
         };
         let host = FIRST_REPLACEMENT + self.replacements.fetch_add(1, Ordering::SeqCst);
         let mut seeds = self.lock_seeds().clone();
@@ -270,9 +282,12 @@
     /// Reads the final configuration, with retries until a replica returns it.
     pub(crate) async fn read_back(&self) {
         let end = Instant::now() + STOP_TIMEOUT;
-        while Instant::now() < end && !operator::read(self).await {
+        let mut read = false;
+        while Instant::now() < end && !read {
+            read = operator::read(self).await;
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
+        self.recorder.history().unread = !read;
     }
 
     /// Stops the entries gracefully, records their exits and kills the replicas.
@@ -293,7 +308,7 @@
         let start = Instant::now();
         let mut overdue = false;
         while start.elapsed() < STOP_TIMEOUT && !entry.process.has_exited() {
-            if !overdue && start.elapsed() > Duration::from_secs(GRACE_S) {
+            if !overdue && start.elapsed() > Duration::from_secs(self.terms.grace_s) {
                 overdue = true;
                 self.record_overdue(entry, signalled);
             }
@@ -333,11 +348,21 @@
     }
 }
 
+/// Terms of the deployment in the settings files.
+#[derive(Clone, Copy, Debug)]
+struct Terms {
+    /// Number of disks that may be lost at once.
+    loss: usize,
+    /// Grace period of a stop, in seconds.
+    grace_s: u64,
+}
+
 /// Addresses and files of the processes.
 struct Layout<'a> {
     folder: &'a Path,
     network: u8,
     port: u16,
+    terms: Terms,
 }
 
 impl Layout<'_> {
@@ -354,19 +379,22 @@
         let address = ip(self.network, host);
         let data = self.folder.join(format!("data{host}"));
         let port = self.port;
-        let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
+        let seeds = seeds.iter().take(SEEDS);
+        let seeds: Vec<String> = seeds.map(|s| format!("\"{s}\"")).collect();
         let text = format!(
             "role: {role}\ninstance: {role}-{host}\nzone: z1\nip: {address}\n\
              ports: [{port}, {}]\nseeds: [{}]\nfirst_start: {first_start}\ndata: {}\n\
              listen: {{callers: \"{address}:{}\", ready: \"{address}:{}\", \
              control: \"{address}:{}\"}}\n\
-             token: token-of-this-soak\nbounds: {{revoke_ms: 5000, grace_s: {GRACE_S}}}\n",
+             token: token-of-this-soak\nloss: {}\nbounds: {{revoke_ms: 5000, grace_s: {}}}\n",
             port + 1,
             seeds.join(", "),
             data.display(),
             port + 4,
             port + 5,
             port + 2,
+            self.terms.loss,
+            self.terms.grace_s,
         );
         let settings = self.folder.join(format!("{role}-{host}.yaml"));
         fs::write(&settings, &text)?;
--- a/dev/soak/src/evacuation.rs
+++ b/dev/soak/src/evacuation.rs
@@ -67,6 +67,11 @@
     Evacuator { stop, task }
 }
 
+/// Evacuates the zone again, as after an acknowledgement that was lost.
+pub(crate) async fn repeat(cluster: &Cluster) {
+    evacuate(cluster, LAST_TIMEOUT).await;
+}
+
 async fn pause(millis: std::ops::Range<u64>) {
     tokio::time::sleep(Duration::from_millis(rand::random_range(millis))).await;
 }
--- a/dev/soak/src/fault.rs
+++ b/dev/soak/src/fault.rs
@@ -1,8 +1,9 @@
 //! Faults and planned work: injects one, waits and ends it.
 
-use std::fs;
 use std::time::Duration;
 
+use tokio::sync::Mutex;
+
 use crate::cluster::{Cluster, Member};
 use crate::history::Target;
 use crate::proxy::Forwarding;
@@ -10,24 +11,21 @@
 
 /// Time for which a draining upstream keeps serving before it withdraws.
 const DRAIN_TIME: Duration = Duration::from_millis(3_500);
-/// Time for which a replacement is up before the old replica is removed.
-const CATCH_UP_TIME: Duration = Duration::from_secs(4);
 /// Factor by which pauses are longer than other faults; the longest outlast a revocation.
 const PAUSE_FACTOR: u32 = 3;
 
 /// Name of the fault that pauses all replicas but its target.
 pub(crate) const PAUSE_QUORUM: &str = "pause all but";
 
+/// Name of the faults of connections; those to replicas are the operators' only.
+pub(crate) const LINK: &str = "link";
+
 /// A fault, or planned work, with the number of its target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
     /// Kills a process and restarts it later.
     KillControl(usize),
     KillEntry(usize),
-    /// Kills a replica, deletes its data and restarts it.
-    WipeControl(usize),
-    /// Removes a replica for good and adds one with an empty disk at another address.
-    ReplaceControl(usize, Replacement),
     /// Kills all processes at once and restarts them later.
     KillAll,
     /// Freezes all replicas but one, so that there is no leader for a while.
@@ -54,15 +52,6 @@
     DrainUpstream(usize),
 }
 
-/// When the replacement of a replica starts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Replacement {
-    /// Before the removal, so that it has caught up by then.
-    Before,
-    /// After the removal.
-    After,
-}
-
 /// A fault of the connections to one target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LinkFault {
@@ -88,20 +77,25 @@
         )
     }
 
+    /// Whether replicas are down or frozen meanwhile.
+    fn takes_replicas(self) -> bool {
+        matches!(
+            self,
+            Self::KillControl(_) | Self::KillAll | Self::PauseQuorum(_) | Self::PauseControl(_)
+        )
+    }
+
     fn name_and_target(self) -> (&'static str, Target) {
         match self {
             Self::KillControl(n) => ("kill", Target::Control(n)),
             Self::KillEntry(n) => ("kill", Target::Entry(n)),
-            Self::WipeControl(n) => ("wipe", Target::Control(n)),
-            Self::ReplaceControl(n, Replacement::Before) => ("replace first", Target::Control(n)),
-            Self::ReplaceControl(n, Replacement::After) => ("replace", Target::Control(n)),
             Self::KillAll => ("kill", Target::All),
             Self::PauseQuorum(n) => (PAUSE_QUORUM, Target::Control(n)),
             Self::PauseControl(n) => ("pause", Target::Control(n)),
             Self::PauseEntry(n) => ("pause", Target::Entry(n)),
-            Self::LinkControl(n, _) => ("link", Target::Control(n)),
-            Self::LinkEntry(n, _) => ("link", Target::Entry(n)),
-            Self::LinkUpstream(n, _) => ("link", Target::Upstream(n)),
+            Self::LinkControl(n, _) => (LINK, Target::Control(n)),
+            Self::LinkEntry(n, _) => (LINK, Target::Entry(n)),
+            Self::LinkUpstream(n, _) => (LINK, Target::Upstream(n)),
             Self::HangUpstream(n) => ("hang", Target::Upstream(n)),
             Self::OverloadUpstream(n) => ("full", Target::Upstream(n)),
             Self::TruncateUpstream(n) => ("cut", Target::Upstream(n)),
@@ -113,20 +107,18 @@
         }
     }
 
-    /// Injects the fault and ends it after `duration`; skips a process that is disturbed already.
+    /// Injects the fault and ends it after `duration`; skips a process that is disturbed already, and
+    /// replicas that the loss of a disk needs.
     pub(crate) async fn inject(self, cluster: &Cluster, duration: Duration) {
+        let permit = cluster.soundness.try_read();
+        if self.takes_replicas() && permit.is_err() {
+            return;
+        }
+        let _permit = permit.ok().filter(|_| self.takes_replicas());
         let from = cluster.recorder.now();
         let injected = match self {
-            Self::KillControl(n) => {
-                kill_and_restart(cluster, &cluster.controls[n], duration, false).await
-            }
-            Self::KillEntry(n) => {
-                kill_and_restart(cluster, &cluster.entries[n], duration, false).await
-            }
-            Self::WipeControl(n) => {
-                kill_and_restart(cluster, &cluster.controls[n], duration, true).await
-            }
-            Self::ReplaceControl(n, order) => replace(cluster, n, order, duration).await,
+            Self::KillControl(n) => kill(cluster, &cluster.controls[n], duration).await,
+            Self::KillEntry(n) => kill(cluster, &cluster.entries[n], duration).await,
             Self::KillAll => kill_all(cluster, duration).await,
             Self::PauseQuorum(n) => pause_quorum(cluster, n, duration * PAUSE_FACTOR).await,
             Self::PauseControl(n) => pause(&cluster.controls[n], duration * PAUSE_FACTOR).await,
@@ -154,54 +146,23 @@
     }
 }
 
-async fn kill_and_restart(
-    cluster: &Cluster,
-    member: &tokio::sync::Mutex<Member>,
-    duration: Duration,
-    wipe: bool,
-) -> bool {
+async fn kill(cluster: &Cluster, member: &Mutex<Member>, duration: Duration) -> bool {
     let Ok(mut member) = member.try_lock() else {
         return false;
     };
     member.process.kill();
-    if wipe && let Err(e) = fs::remove_dir_all(&member.data) {
-        eprintln!("{}: {e}", member.data.display());
-    }
     tokio::time::sleep(duration).await;
     start(cluster, &mut member);
     true
 }
 
-fn start(cluster: &Cluster, member: &mut Member) {
+/// Starts a process again.
+pub(crate) fn start(cluster: &Cluster, member: &mut Member) {
     if let Err(e) = cluster.restart(member) {
         eprintln!("starting a process failed: {e}");
     }
 }
 
-async fn replace(cluster: &Cluster, number: usize, order: Replacement, duration: Duration) -> bool {
-    let mut member = cluster.controls[number].lock().await;
-    if order == Replacement::After {
-        member.process.kill();
-        tokio::time::sleep(duration).await;
-    }
-    let (added, address) = match cluster.spawn_replacement(number) {
-        Ok(added) => added,
-        Err(e) => {
-            eprintln!("starting a replacement failed: {e}");
-            return false;
-        }
-    };
-    if order == Replacement::Before {
-        tokio::time::sleep(CATCH_UP_TIME).await;
-        member.process.kill();
-    }
-    cluster.control_proxies[number].set_target(address);
-    *member = added;
-    drop(member);
-    cluster.rewrite_seeds(number, address);
-    true
-}
-
 async fn pause_quorum(cluster: &Cluster, number: usize, duration: Duration) -> bool {
     let mut members = Vec::new();
     let others = cluster.controls.iter().enumerate();
@@ -236,7 +197,7 @@
     true
 }
 
-async fn pause(member: &tokio::sync::Mutex<Member>, duration: Duration) -> bool {
+async fn pause(member: &Mutex<Member>, duration: Duration) -> bool {
     let Ok(member) = member.try_lock() else {
         return false;
     };
@@ -288,7 +249,7 @@
     true
 }
 
-fn reload(member: &tokio::sync::Mutex<Member>) -> bool {
+fn reload(member: &Mutex<Member>) -> bool {
     let Ok(member) = member.try_lock() else {
         return false;
     };
--- a/dev/soak/src/guarantee.rs
+++ b/dev/soak/src/guarantee.rs
@@ -2,7 +2,7 @@
 
 use derive_more::Display;
 
-use crate::fault::PAUSE_QUORUM;
+use crate::fault::{LINK, PAUSE_QUORUM};
 use crate::history::{Call, Disturbance, Evacuation, History, Kind, Order, Outcome, Run, Target};
 
 /// Limits of the guarantees; times are in milliseconds.
@@ -24,7 +24,7 @@
     pub transit: u64,
     /// Time for which a process must have been undisturbed for its guarantees to hold.
     pub undisturbed: u64,
-    /// From the end of all faults until requests are served again.
+    /// From the end of all faults until requests are served again, and until control has a leader.
     pub recovery: u64,
     /// From the signal to stop until a process has exited.
     pub grace: u64,
@@ -93,6 +93,12 @@
     /// Service did not recover in time after the last fault.
     #[display("no request was served within {_0} ms after the last fault")]
     Recover(u64),
+    /// Control had no leader in time after its last replica was back.
+    #[display("no leader within {_0} ms after the replicas were back at {_1} ms")]
+    Leaderless(u64, u64),
+    /// The configuration could not be read at the end.
+    #[display("the final configuration could not be read")]
+    Unread,
     /// A planned stop exceeded its grace period or returned an exit code other than 0.
     #[display("an entry exited {_0} ms after its stop signal with code {_1:?}")]
     Stop(u64, Option<i32>),
@@ -116,6 +122,10 @@
     if recovered.saturating_sub(history.healed) > bounds.recovery {
         found.push(Violation::Recover(bounds.recovery));
     }
+    leaders(history, bounds, &mut found);
+    if history.unread {
+        found.push(Violation::Unread);
+    }
     for (signalled, ended, code) in &history.stops {
         let took = ended - signalled;
         if took > bounds.grace || *code != Some(0) {
@@ -250,6 +260,35 @@
     }
 }
 
+/// Finds times with no disturbed replica, longer than `bounds.recovery`, in which no leader acknowledged
+/// a version or a read at first; the last of them has no end.
+fn leaders(history: &History, bounds: &Bounds, found: &mut Vec<Violation>) {
+    let disturbs = |d: &&Disturbance| {
+        let replicas = matches!(d.target, Target::Control(_) | Target::All);
+        replicas && !d.planned && d.name != LINK
+    };
+    let disturbances = history.disturbances.iter().filter(disturbs);
+    let mut disturbances: Vec<(u64, u64)> = disturbances.map(|d| (d.from, d.until)).collect();
+    disturbances.sort_unstable();
+    let mut back = None;
+    for (from, until) in disturbances.into_iter().chain([(u64::MAX, u64::MAX)]) {
+        if let Some(back) = back
+            && from > back + bounds.recovery
+            && !is_led(history, back..=back + bounds.recovery)
+        {
+            found.push(Violation::Leaderless(bounds.recovery, back));
+        }
+        back = back.max(Some(until));
+    }
+}
+
+/// Whether a leader acknowledged a version or a read within a span.
+fn is_led(history: &History, span: std::ops::RangeInclusive<u64>) -> bool {
+    let acks = history.orders.iter().filter_map(|o| o.acked);
+    let reads = history.reads.iter().map(|(sent, _)| *sent);
+    acks.chain(reads).any(|at| span.contains(&at))
+}
+
 fn drains(history: &History, bounds: &Bounds, found: &mut Vec<Violation>) {
     for (id, runs) in &history.runs {
         let Some(call) = history.calls.iter().find(|c| c.id == *id) else {
--- a/dev/soak/src/history.rs
+++ b/dev/soak/src/history.rs
@@ -149,6 +149,8 @@
     pub disturbances: Vec<Disturbance>,
     /// Planned stops of entries: time of the signal, time of the exit and exit code.
     pub stops: Vec<(u64, u64, Option<i32>)>,
+    /// Whether the final configuration could not be read.
+    pub unread: bool,
     /// Time at which all faults had ended.
     pub healed: u64,
     /// Time of the first request served after that; `None` if none was.
--- a/dev/soak/src/lib.rs
+++ b/dev/soak/src/lib.rs
@@ -1,14 +1,15 @@
 //! Randomized fault soak of real processes.
 //!
-//! Runs three control replicas and three entries as separate processes on loopback addresses; replicas
-//! are replaced for good, and one of the zones is evacuated and taken back all the time;
-//! stand-in upstreams and callers run in this process. Proxies in front of entries, upstreams and
+//! Runs control replicas and three entries as separate processes on loopback addresses; replicas
+//! are replaced for good and lose their disks, and one of the zones is evacuated and taken back all the
+//! time; stand-in upstreams and callers run in this process. Proxies in front of entries, upstreams and
 //! the replicas' operator ports disturb connections. A seeded schedule injects overlapping faults
 //! and planned work; [`violations`] checks the recorded [`History`] against the guarantees.
 //! The schedule is deterministic for a seed; the timing of processes is not.
 
 mod caller;
 mod cluster;
+mod disks;
 mod evacuation;
 mod fault;
 mod guarantee;
@@ -24,6 +25,8 @@
 use std::time::Duration;
 
 use derive_more::{Display, From};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 use cluster::Cluster;
 
@@ -45,6 +48,8 @@
     pub seed: u64,
     /// Time for which faults are injected.
     pub faults: Duration,
+    /// Number of disks that may be lost at once; twice as many replicas and one more run.
+    pub loss: usize,
     /// Third octet of the loopback addresses; concurrent soaks need different ones.
     pub network: u8,
 }
@@ -85,6 +90,7 @@
 ///
 /// Fails if the deployment cannot be started or does not begin to serve in time.
 pub async fn run(options: &SoakOptions) -> Result<Report, SoakError> {
+    let bounds = Bounds::default();
     let cluster = Arc::new(Cluster::spawn(options).await?);
     let operator = operator::spawn(cluster.clone());
     let callers = caller::spawn_all(&cluster, CALLERS, options.seed);
@@ -92,16 +98,20 @@
         return Err(SoakError::NotServing(cluster.keep_logs()));
     }
     let evacuator = evacuation::spawn(cluster.clone());
-    schedule::run(&cluster, options.seed, options.faults).await;
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+    schedule::run(&cluster, &mut rng, options.faults).await;
+    evacuator.finish(&cluster).await;
+    disks::final_loss(&cluster, &mut rng).await;
     cluster.heal().await;
     schedule::recover(&cluster).await;
-    evacuator.finish(&cluster).await;
-    schedule::observe_evacuation(&Bounds::default()).await;
+    schedule::observe_evacuation(&bounds).await;
+    evacuation::repeat(&cluster).await;
+    schedule::observe_evacuation(&bounds).await;
     callers.stop().await;
     operator.stop().await;
     cluster.read_back().await;
     let history = cluster.stop().await;
-    let violations = violations(&history, &Bounds::default());
+    let violations = violations(&history, &bounds);
     let logs = (!violations.is_empty()).then(|| cluster.keep_logs());
     Ok(Report {
         outcomes: history.outcomes(),
--- a/dev/soak/src/main.rs
+++ b/dev/soak/src/main.rs
@@ -17,6 +17,7 @@
       --seed N       First seed [random]
       --seeds N      Number of consecutive seeds [1]
       --seconds N    Seconds of fault injection per seed [14]
+      --loss N       Disks that may be lost at once, of 2 N + 1 [1, 2 for each fifth seed]
       --network N    Third octet of the loopback addresses [1]
       --binary PATH  Binary under test [pimentotide beside this program]
   -h, --help         Show this help
@@ -27,9 +28,13 @@
 struct Arguments {
     first: u64,
     count: u64,
+    loss: Option<usize>,
     options: SoakOptions,
 }
 
+/// One in so many seeds runs a deployment that bears the loss of two disks.
+const LARGE_INTERVAL: u64 = 5;
+
 fn main() -> ExitCode {
     let arguments = match parse(Parser::from_env()) {
         Ok(Some(arguments)) => arguments,
@@ -53,6 +58,7 @@
     for seed in arguments.first..arguments.first.saturating_add(arguments.count) {
         let options = SoakOptions {
             seed,
+            loss: arguments.loss.unwrap_or_else(|| default_loss(seed)),
             ..arguments.options.clone()
         };
         match runtime.block_on(run(&options)) {
@@ -76,10 +82,12 @@
     let mut arguments = Arguments {
         first: rand::random_range(0..u64::from(u32::MAX)),
         count: 1,
+        loss: None,
         options: SoakOptions {
             binary: executable.map_or_else(PathBuf::new, |p| p.with_file_name("pimentotide")),
             seed: 0,
             faults: Duration::from_secs(14),
+            loss: 1,
             network: 1,
         },
     };
@@ -91,6 +99,7 @@
             Arg::Long("seconds") => {
                 arguments.options.faults = Duration::from_secs(parser.value()?.parse()?);
             }
+            Arg::Long("loss") => arguments.loss = Some(parser.value()?.parse()?),
             Arg::Long("network") => arguments.options.network = parser.value()?.parse()?,
             Arg::Long("binary") => arguments.options.binary = parser.value()?.into(),
             other => return Err(other.unexpected()),
@@ -99,6 +108,14 @@
     Ok(Some(arguments))
 }
 
+fn default_loss(seed: u64) -> usize {
+    if seed.is_multiple_of(LARGE_INTERVAL) {
+        2
+    } else {
+        1
+    }
+}
+
 fn print(seed: u64, report: &Report) {
     let outcomes: Vec<String> = report
         .outcomes
--- a/dev/soak/src/schedule.rs
+++ b/dev/soak/src/schedule.rs
@@ -8,9 +8,11 @@
 use tokio::task::JoinSet;
 
 use crate::caller::Caller;
-use crate::cluster::{CONTROLS, Cluster, ENTRIES, UPSTREAMS};
-use crate::fault::{Fault, LinkFault, Replacement};
+use crate::cluster::{Cluster, ENTRIES, UPSTREAMS};
+use crate::disks;
+use crate::fault::{Fault, LinkFault};
 use crate::guarantee::Bounds;
+use crate::operator;
 
 /// Interval between the starts of two faults, in milliseconds; shorter than many faults, so that
 /// they overlap.
@@ -32,20 +34,18 @@
 const LOAD_AFTER_RECOVERY: Duration = Duration::from_secs(1);
 /// Time for which the load continues after the last evacuation has to have its effect.
 const LOAD_AFTER_EVACUATION: Duration = Duration::from_millis(1_500);
-/// Time after the loss of a disk, or the replacement of a replica, before the next fault.
-///
-/// A lost instance counts for 4 s after it is back, and the replicas are stable 3 s after that.
-const DISK_SETTLE_TIME: Duration = Duration::from_secs(7);
-/// Time after the removal of a replica whose replacement is up before the next fault.
-const REPLACED_SETTLE_TIME: Duration = Duration::from_secs(3);
-
-/// Injects planned work, then faults, for `time` in total; returns when all have ended.
-pub(crate) async fn run(cluster: &Arc<Cluster>, seed: u64, time: Duration) {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+/// Injects planned work, then faults and losses of disks, for `time` in total; returns when all have ended.
+pub(crate) async fn run(cluster: &Arc<Cluster>, rng: &mut ChaCha8Rng, time: Duration) {
     let planned = time.mul_f64(PLANNED_RATIO);
-    run_for(cluster, &mut rng, planned, draw_planned).await;
+    let replicas = cluster.controls.len();
+    run_for(cluster, rng, planned, |rng| draw_planned(rng, replicas)).await;
     tokio::time::sleep(QUIET_PERIOD).await;
-    run_for(cluster, &mut rng, time - planned, draw).await;
+    let left = time.saturating_sub(planned);
+    let mut disks = ChaCha8Rng::from_rng(rng);
+    tokio::join!(
+        run_for(cluster, rng, left, |rng| draw(rng, replicas)),
+        disks::run_for(cluster, &mut disks, left),
+    );
 }
 
 async fn run_for<D>(cluster: &Arc<Cluster>, rng: &mut ChaCha8Rng, time: Duration, draw: D)
@@ -60,65 +60,53 @@
         let calm = rng.random_bool(CALM_RATIO);
         let millis = if calm { CALM_MS } else { FAULT_INTERVAL_MS };
         let interval = Duration::from_millis(rng.random_range(millis)).min(left);
-        if let Some(settle) = settle_time(fault) {
-            // Three replicas bear the loss of one disk while the other two are healthy.
-            while active.join_next().await.is_some() {}
-            tokio::time::sleep(settle).await;
-            fault.inject(cluster, duration).await;
-            tokio::time::sleep(settle).await;
-        } else {
-            let cluster = cluster.clone();
-            active.spawn(async move { fault.inject(&cluster, duration).await });
-        }
+        let cluster = cluster.clone();
+        active.spawn(async move { fault.inject(&cluster, duration).await });
         tokio::time::sleep(interval).await;
         left -= interval;
     }
     while active.join_next().await.is_some() {}
 }
 
-/// Returns the time before and after a fault that takes a disk; `None` for other faults.
-fn settle_time(fault: Fault) -> Option<Duration> {
-    match fault {
-        Fault::WipeControl(_) | Fault::ReplaceControl(_, Replacement::After) => {
-            Some(DISK_SETTLE_TIME)
-        }
-        Fault::ReplaceControl(_, Replacement::Before) => Some(REPLACED_SETTLE_TIME),
-        _ => None,
-    }
-}
-
 /// Continues until the last evacuation has had its effect for a while.
 pub(crate) async fn observe_evacuation(bounds: &Bounds) {
     let effect = Duration::from_millis(bounds.evacuation.max(bounds.undisturbed));
     tokio::time::sleep(effect + LOAD_AFTER_EVACUATION).await;
 }
 
-/// Waits until a request is served again, then lets the load continue for a while.
+/// Waits until a request is served and the configuration is read again, then lets the load continue for
+/// a while.
 pub(crate) async fn recover(cluster: &Cluster) {
     let mut caller = Caller::new(cluster, u64::MAX);
     let served = async {
         while !caller.call().await {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-    };
-    if tokio::time::timeout(RECOVERY_TIMEOUT, served).await.is_ok() {
         let now = cluster.recorder.now();
         cluster.recorder.history().recovered = Some(now);
-    }
+    };
+    let read = async {
+        while !operator::read(cluster).await {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let recovered = async { tokio::join!(served, read) };
+    // Without recovery in time, the history shows what is missing.
+    let _ = tokio::time::timeout(RECOVERY_TIMEOUT, recovered).await;
     tokio::time::sleep(LOAD_AFTER_RECOVERY).await;
 }
 
-fn draw_planned(rng: &mut ChaCha8Rng) -> Fault {
+fn draw_planned(rng: &mut ChaCha8Rng, replicas: usize) -> Fault {
     match rng.random_range(0..6) {
         0..2 => Fault::StopEntry(rng.random_range(0..ENTRIES)),
-        2 => Fault::ReloadControl(rng.random_range(0..CONTROLS)),
+        2 => Fault::ReloadControl(rng.random_range(0..replicas)),
         3 => Fault::ReloadEntry(rng.random_range(0..ENTRIES)),
         _ => Fault::DrainUpstream(rng.random_range(0..UPSTREAMS)),
     }
 }
 
-fn draw(rng: &mut ChaCha8Rng) -> Fault {
-    let control = rng.random_range(0..CONTROLS);
+fn draw(rng: &mut ChaCha8Rng, replicas: usize) -> Fault {
+    let control = rng.random_range(0..replicas);
     let entry = rng.random_range(0..ENTRIES);
     let upstream = rng.random_range(0..UPSTREAMS);
     let links = [
@@ -128,27 +116,20 @@
         LinkFault::Reset,
     ];
     let link = links[rng.random_range(0..links.len())];
-    let order = if rng.random_bool(0.5) {
-        Replacement::Before
-    } else {
-        Replacement::After
-    };
-    match rng.random_range(0..27) {
+    match rng.random_range(0..25) {
         0..2 => Fault::KillControl(control),
         2..4 => Fault::KillEntry(entry),
-        4 => Fault::WipeControl(control),
-        5 => Fault::KillAll,
-        6..8 => Fault::PauseControl(control),
-        8..10 => Fault::PauseEntry(entry),
-        10..12 => Fault::LinkControl(control, link),
-        12..14 => Fault::LinkEntry(entry, link),
-        14..16 => Fault::LinkUpstream(upstream, link),
-        16 => Fault::HangUpstream(upstream),
-        17 => Fault::OverloadUpstream(upstream),
-        18..20 => Fault::TruncateUpstream(upstream),
-        20..22 => Fault::CrashUpstream(upstream),
-        22 => Fault::ReplaceControl(control, order),
-        23 => Fault::PauseQuorum(control),
-        _ => draw_planned(rng),
+        4 => Fault::KillAll,
+        5..7 => Fault::PauseControl(control),
+        7..9 => Fault::PauseEntry(entry),
+        9..11 => Fault::LinkControl(control, link),
+        11..13 => Fault::LinkEntry(entry, link),
+        13..15 => Fault::LinkUpstream(upstream, link),
+        15 => Fault::HangUpstream(upstream),
+        16 => Fault::OverloadUpstream(upstream),
+        17..19 => Fault::TruncateUpstream(upstream),
+        19..21 => Fault::CrashUpstream(upstream),
+        21 => Fault::PauseQuorum(control),
+        _ => draw_planned(rng, replicas),
     }
 }
--- a/dev/soak/tests/it/guarantee.rs
+++ b/dev/soak/tests/it/guarantee.rs
@@ -45,6 +45,7 @@
 fn history(calls: Vec<Call>) -> History {
     History {
         calls,
+        reads: vec![(11_200, 100)],
         healed: 11_000,
         recovered: Some(11_500),
         ..History::default()
@@ -250,3 +251,48 @@
     seen.orders[1].acked = Some(2_900);
     assert_eq!(violation_lines(&seen), late);
 }
+
+#[test]
+fn control_without_a_leader_in_time_is_a_violation() {
+    let mut history = history(Vec::new());
+    history.disturbances = vec![
+        disturbed(false, Target::Control(1)),
+        Disturbance {
+            from: 30_000,
+            until: 31_000,
+            ..disturbed(false, Target::All)
+        },
+    ];
+    history.reads = vec![(20_900, 1), (42_900, 1)];
+    assert_eq!(violation_lines(&history), "");
+    history.reads = vec![(22_000, 1), (44_000, 1)];
+    assert_snapshot!(violation_lines(&history), @r"
+    no leader within 12000 ms after the replicas were back at 9000 ms
+    no leader within 12000 ms after the replicas were back at 31000 ms
+    ");
+    history.orders = vec![order(1, 500, 20_000), order(2, 500, 40_000)];
+    history.reads.clear();
+    assert_eq!(violation_lines(&history), "");
+}
+
+#[test]
+fn leader_is_not_due_while_replicas_are_disturbed_again() {
+    let mut history = history(Vec::new());
+    let again = Disturbance {
+        from: 20_000,
+        until: 26_000,
+        ..disturbed(false, Target::Control(0))
+    };
+    history.disturbances = vec![disturbed(false, Target::Control(1)), again];
+    history.reads = vec![(37_000, 1)];
+    assert_eq!(violation_lines(&history), "");
+    history.reads.clear();
+    assert_snapshot!(violation_lines(&history), @"no leader within 12000 ms after the replicas were back at 26000 ms");
+}
+
+#[test]
+fn final_configuration_that_cannot_be_read_is_a_violation() {
+    let mut history = history(Vec::new());
+    history.unread = true;
+    assert_snapshot!(violation_lines(&history), @"the final configuration could not be read");
+}
