--- a/decision/consensus/tests/it/full.rs
+++ b/decision/consensus/tests/it/full.rs
@@ -7,7 +7,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::sim::{Counts, Faults, MAX_SILENCE, Trouble, World};
+use crate::sim::disk::Trouble;
+use crate::sim::repair::MAX_SILENCE;
+use crate::sim::{Counts, Faults, World};
 
 /// Time within which a change has to be acknowledged.
 const ACK_BOUND: Duration = Duration::from_secs(4);
@@ -38,7 +40,7 @@
     world.run(quiet);
     match (beside, world.leader()) {
         (Beside::Transfers, Some(leader)) => world.deliver_event(leader, Event::Transfer),
-        (Beside::Restarts, _) => world.lose_power(host),
+        (Beside::Restarts, _) => world.kill(host),
         _ => {}
     }
     world.run(span - quiet);
--- a/decision/consensus/tests/it/sim/disk.rs
+++ b/decision/consensus/tests/it/sim/disk.rs
@@ -42,11 +42,6 @@
         self.hosts[host].trouble = None;
     }
 
-    /// Kills the process of a host, which loses its unsynced data.
-    pub(crate) fn lose_power(&mut self, host: usize) {
-        self.kill(host);
-    }
-
     /// Reschedules the writes of a hung or slow disk; returns whether they have to wait.
     pub(super) fn defer_writes(&mut self, host: usize) -> bool {
         let second = Duration::from_secs(1);
--- a/decision/consensus/tests/it/sim/mod.rs
+++ b/decision/consensus/tests/it/sim/mod.rs
@@ -5,12 +5,12 @@
 
 mod chaos;
 mod check;
-mod disk;
+pub(crate) mod disk;
 mod host;
 pub(crate) mod machine;
 mod network;
 mod operator;
-mod repair;
+pub(crate) mod repair;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -26,10 +26,8 @@
 
 pub(crate) use chaos::Faults;
 pub(crate) use check::Checker;
-pub(crate) use disk::Trouble;
 use host::{Host, Process};
 use network::Network;
-pub(crate) use repair::MAX_SILENCE;
 
 /// Interval between ticks of a replica.
 const TICK: Duration = Duration::from_millis(10);
@@ -356,7 +354,7 @@
     }
 
     /// Kills the process of a host and schedules a restart; the disk keeps synced data.
-    fn kill(&mut self, host: usize) {
+    pub(crate) fn kill(&mut self, host: usize) {
         self.hosts[host].process = None;
         self.hosts[host].disk.restart();
         self.counts.crashes += 1;
