Consensus: random replacements apart from random ends that are a loss

Both are within the stated losses; the first is what a refusal of a lost disk can repair, the second isn't, as a host that has ended answers nothing.

--- a/decision/consensus/tests/it/cluster/search.rs
+++ b/decision/consensus/tests/it/cluster/search.rs
@@ -55,6 +55,8 @@
 struct Run {
     cluster: Cluster,
     losses: Losses,
+    /// Whether hosts end only where that is no loss.
+    ends_replaced: bool,
     newest: Option<usize>,
     steps: Vec<(u64, Step)>,
 }
@@ -109,9 +111,17 @@
 }
 
 /// Runs random sequences within the losses, on a network and disks that are disturbed until their end.
-pub(crate) fn wander(loss: usize, seeds: Range<u64>, disorder: Disorder) -> Findings {
+///
+/// With `ends_replaced`, a host ends only where that is no loss; otherwise also as one of the losses.
+pub(crate) fn wander(
+    loss: usize,
+    seeds: Range<u64>,
+    disorder: Disorder,
+    ends_replaced: bool,
+) -> Findings {
     let mut findings = Findings::default();
-    let start = Run::new(loss);
+    let mut start = Run::new(loss);
+    start.ends_replaced = ends_replaced;
     for seed in seeds {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut run = start.clone();
@@ -136,6 +146,7 @@
         Self {
             cluster: Cluster::with_loss(loss),
             losses: Losses::new(loss),
+            ends_replaced: false,
             newest: None,
             steps: Vec::new(),
         }
@@ -205,7 +216,7 @@
             Step::End(target) => {
                 let host = self.host(target)?;
                 // The role may have passed to another host.
-                let free = self.losses.free_at(now) == Some(now);
+                let free = self.losses.free_at(now) == Some(now) && !self.ends_replaced;
                 if !free && self.losses.end_counts(Some(host), now) {
                     return None;
                 }
--- a/decision/consensus/tests/it/disorder.rs
+++ b/decision/consensus/tests/it/disorder.rs
@@ -16,18 +16,27 @@
 #[test]
 fn losses_that_the_log_bears_are_safe() {
     for (loss, seeds) in [(1, 0..400), (2, 1_000..1_200)] {
-        let findings = wander(loss, seeds, Disorder::Severe);
+        let findings = wander(loss, seeds, Disorder::Severe, false);
         assert!(findings.unsafe_cases.is_empty(), "{findings}");
     }
 }
 
-/// Guards against a log without a leader for good.
-#[test]
-fn losses_that_the_log_bears_leave_a_leader() {
-    for (loss, seeds) in [(1, 0..600), (2, 1_000..1_300)] {
-        let findings = wander(loss, seeds, Disorder::Mild);
-        assert!(findings.is_sound(), "{findings}");
-    }
+macro_rules! leave_a_leader {
+    ($($name:ident($loss:expr, $seeds:expr, $ends_replaced:expr);)*) => {$(
+        /// Guards against a log without a leader for good.
+        #[test]
+        fn $name() {
+            let findings = wander($loss, $seeds, Disorder::Mild, $ends_replaced);
+            assert!(findings.is_sound(), "{findings}");
+        }
+    )*};
+}
+
+leave_a_leader! {
+    three_voters_lose_disks_and_are_replaced(1, 0..800, true);
+    five_voters_lose_disks_and_are_replaced(2, 1_000..1_400, true);
+    three_voters_lose_disks_and_members(1, 0..800, false);
+    five_voters_lose_disks_and_members(2, 1_000..1_400, false);
 }
 
 /// Number of moments at which the faults are worst.
