Control: a replica that lags checks an announcement of an unknown origin against the current state

Cause: the check reads the replica's own state, which lags by up to a heartbeat, so that the sound upstream was not there yet. Change: an announcement whose name, service and address are not recorded here is checked once all that was committed before is applied. It waits for a leader as long as the recording does.

Test: odd::replica_that_lags_refuses_an_announcement_that_takes_an_address pauses the replica meanwhile.

--- a/app/src/fleet/control/desk.rs
+++ b/app/src/fleet/control/desk.rs
@@ -458,6 +458,13 @@
     }
 
     async fn announce(&self, announcement: Announcement) -> Result<(), Failure> {
+        let queried = announcement.clone();
+        let is_known = self.replica.query(move |s, _| s.is_known(&queried));
+        if !is_known.await? {
+            // A replica that lags does not see by whom the name or the address is taken.
+            let current = self.replica.read_index_with_leader(LEADER_TIMEOUT);
+            current.await?;
+        }
         self.check_origin(&announcement).await?;
         let queried = announcement.clone();
         let recorded = self
--- a/app/tests/it/deployment.rs
+++ b/app/tests/it/deployment.rs
@@ -175,6 +175,23 @@
         }
     }
 
+    /// Waits until all first control replicas are voters.
+    pub(crate) async fn wait_for_voters(&self) {
+        for host in CONTROLS {
+            let limit = Instant::now() + WAIT_TIMEOUT;
+            let votes = |line: &str| ["follower", "leader"].iter().any(|r| line.contains(r));
+            loop {
+                let log = self.control_log(host);
+                let mut roles = log.lines().filter(|l| l.contains("\"role_changed\""));
+                if roles.any(|l| l.split("\"role\":").nth(1).is_some_and(votes)) {
+                    break;
+                }
+                assert!(Instant::now() < limit, "replica {host} does not vote");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
     /// Returns the log of a control replica.
     pub(crate) fn control_log(&self, host: u8) -> String {
         let name = format!("control{host}.log");
--- a/app/tests/it/odd.rs
+++ b/app/tests/it/odd.rs
@@ -52,3 +52,34 @@
     let read = send_request(deployment.control(1), &fixture("read.http", &[])).await;
     assert!(read.unwrap_or_default().contains("\"version\":7"));
 }
+
+/// Guards against an odd announcement that is recorded because the replica that it is sent to has not applied the
+/// announcement of the sound upstream yet.
+#[tokio::test]
+async fn replica_that_lags_refuses_an_announcement_that_takes_an_address() {
+    let deployment = Deployment::start(154, 1);
+    let declared = fixture("declare.http", &[("version", "7")]);
+    wait_for_answer(deployment.control(1), &declared, "HTTP/1.1 200").await;
+    deployment.wait_for_voters().await;
+    // One of the three is the leader.
+    for paused in 1..=3_u8 {
+        let other = deployment.control(paused % 3 + 1);
+        let (address, _) = spawn_upstream("u1").await;
+        let process = &deployment.controls[usize::from(paused) - 1];
+        process.pause();
+        announce(other, &format!("u{paused}"), address).await;
+        let text = address.to_string();
+        let values = [("name", "u9"), ("address", &text[..]), ("sequence", "9")];
+        let odd = fixture("announce.http", &values);
+        let odd = edit_body(&odd, "\"born\":1", "\"born\":2");
+        let odd = edit_body(&odd, "\"s1\"", "\"unknown\"");
+        let sent = send_request(deployment.control(paused), &odd);
+        let resumed = async {
+            tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+            process.resume();
+        };
+        let (answer, ()) = tokio::join!(sent, resumed);
+        let answer = answer.unwrap_or_default();
+        assert!(!answer.starts_with("HTTP/1.1 200"), "{paused}: {answer}");
+    }
+}
--- a/decision/fleet/src/state.rs
+++ b/decision/fleet/src/state.rs
@@ -256,6 +256,15 @@
                 .is_some_and(|r| r.announcement.born > announcement.born)
     }
 
+    /// Whether the upstream is recorded with the service and the address that an announcement states.
+    pub fn is_known(&self, announcement: &Announcement) -> bool {
+        let record = self.upstreams.get(&announcement.upstream);
+        record.is_some_and(|r| {
+            (&r.announcement.service, r.announcement.address)
+                == (&announcement.service, announcement.address)
+        })
+    }
+
     /// Whether an announcement would take a name or an address from an upstream of another service.
     pub fn takes_over(&self, announcement: &Announcement) -> bool {
         let same_name = self.upstreams.get(&announcement.upstream);
--- a/peers/instance/src/replica/handle.rs
+++ b/peers/instance/src/replica/handle.rs
@@ -303,20 +303,40 @@
         command: Vec<u8>,
         limit: Duration,
     ) -> Result<(Index, Vec<u8>), Failure> {
-        let mut leader = self.leader.clone();
         match self.propose(command.clone()).await {
             Err(failure) if failure.kind == ErrorKind::NotLeader => {
-                let elected = leader.wait_for(|view| view.leader.is_some());
-                match tokio::time::timeout(limit, elected).await {
-                    Ok(Ok(_)) => {}
-                    Ok(Err(_)) | Err(_) => return Err(failure),
-                }
+                self.wait_for_leader(limit, failure).await?;
             }
             result => return result,
         }
         self.propose(command).await
     }
 
+    /// Waits like [`read_index`](Self::read_index), after up to `limit` for a leader.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`read_index`](Self::read_index), with `not_leader` if no leader is elected in time.
+    pub async fn read_index_with_leader(&self, limit: Duration) -> Result<Index, Failure> {
+        match self.read_index().await {
+            Err(failure) if failure.kind == ErrorKind::NotLeader => {
+                self.wait_for_leader(limit, failure).await?;
+            }
+            result => return result,
+        }
+        self.read_index().await
+    }
+
+    /// Waits up to `limit` for a leader; fails with `failure` if none is elected in time.
+    async fn wait_for_leader(&self, limit: Duration, failure: Failure) -> Result<(), Failure> {
+        let mut leader = self.leader.clone();
+        let elected = leader.wait_for(|view| view.leader.is_some());
+        match tokio::time::timeout(limit, elected).await {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(failure),
+        }
+    }
+
     /// Subscribes to the leader as seen by this replica.
     pub fn leader(&self) -> watch::Receiver<LeaderView> {
         self.leader.clone()
