Upstream: an answer coded as `identity` is not taken for empty; heads that end early

Callers saw: nothing so far; other operators report a 200 with an empty or short body, framed as whole, after an upstream had stopped within the head of its answer and closed.

Cut heads: cannot happen here. The transport hands no byte of a head to the client before the head is complete, and the close before that is an error.

Beside it one case was found: `Transfer-Encoding: identity` without a length came out as a complete and empty 200. Cause: the transport took any transfer coding for a framing, while the client ignores this one and then assumes no body. Now such a head counts as one without a length; both clients then report the answer as broken, since they see a coding and an early end. `answer_with_unreadable_framing_is_reported_as_broken` and `answer_with_an_obsolete_coding_is_reported_as_broken` failed before with Ok and no bytes.

--- a/peers/upstream/src/transport.rs
+++ b/peers/upstream/src/transport.rs
@@ -108,13 +108,16 @@
 
 /// Returns whether only the close of the connection delimits the body after `head`.
 ///
-/// The client treats such a body as empty under HTTP/1.1.
+/// The client treats such a body as empty under HTTP/1.1, also after the obsolete coding `identity`.
 fn is_unframed(head: &[u8]) -> bool {
     let text = String::from_utf8_lossy(head).to_ascii_lowercase();
     let status = text.split(' ').nth(1).unwrap_or_default();
     let bodiless = status.starts_with('1') || status == "204" || status == "304";
-    let framed =
-        |line: &str| line.starts_with("content-length:") || line.starts_with("transfer-encoding:");
+    let framed = |line: &str| match line.split_once(':') {
+        Some(("content-length", _)) => true,
+        Some(("transfer-encoding", coding)) => coding.trim() != "identity",
+        _ => false,
+    };
     head.starts_with(HTTP_1_1) && !bodiless && !text.lines().any(framed)
 }
 
--- a/peers/upstream/tests/it/main.rs
+++ b/peers/upstream/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of the upstream protocol.
 
 mod broken;
+mod cut;
 mod events;
 mod late;
