Entry: an answer without a length is whole only if its upstream still answers

Streams without a length could end as complete before their last event in the same way.

Cause: the kernel closes the connections of a killed process as after a whole answer. Whole answers were passed on without a question. Streams asked whether the port accepts a connection, which is no proof: it may still accept some between the close of the answer's connection and that of the listening socket.

Change: after the close of an answer without a length the entry sends its upstream a health check, which names the upstream. Any answer but that of another upstream shows that the process outlived the close; a refused, reset or closed connection, or silence until the deadline (of a stream: for as long as ends any stream), does not. The answer then counts as broken off, which is sent again where it may run twice, and is 502 or a broken stream otherwise.

Cost: a connection and a health check for each answer without a length, its time before the end of the answer, and none for others. A sound upstream that ends right after such an answer counts as crashed.

Tests changed: the stand-in of `fleet` answers health checks, as upstreams do; what the tests assert is as before.

--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -5,14 +5,15 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use pimentotide_fleet::{
     Choice, Ended, Next, Outcome, Policy, RequestDigests, RouteKind, Step, Ticket, is_sound_run,
     next_step,
 };
 use pimentotide_model::{Failure, ServiceName, Time, UpstreamName, WorkspaceName};
-use pimentotide_platform::{Answer, AnswerError, Call, SendOptions, UpstreamClient};
+use pimentotide_platform::{Answer, AnswerError, Body, Call, SendOptions, UpstreamClient};
 
-use super::crashes::{Interruption, check_crash, refuses_connections};
+use super::crashes::{Interruption, check_crash};
 use super::ordered::Order;
 use super::state::{EntryState, OpenRequest};
 use crate::lines::{Interrupted, Placed};
@@ -37,6 +38,8 @@
     /// Version of the configuration that routed the request.
     pub(super) version: u64,
     pub(super) service: ServiceName,
+    /// Path of the service's health check.
+    pub(super) health: Arc<str>,
     pub(super) workspace: Option<WorkspaceName>,
     /// Time without an event after which its caller leaves; `None` if it waits until its deadline.
     pub(super) abandon_after: Option<Duration>,
@@ -378,12 +381,28 @@
         send.is_some_and(|s| is_sound_run(s.events))
     }
 
-    /// Whether the upstream of the latest send has crashed.
-    pub(super) async fn has_upstream_crashed(&self) -> bool {
-        match &self.last_send {
-            Some(send) => refuses_connections(send.address).await,
-            None => false,
+    /// Reads the rest of an answer of the latest send.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body cannot be read, or if it has no length and its upstream does not run any
+    /// more: the kernel closes the connections of a crashed process as it does after a whole answer.
+    pub(super) async fn read_body(&self, body: Body, unframed: bool) -> Result<Bytes, AnswerError> {
+        let bytes = body.read_all().await?;
+        if unframed && !self.is_upstream_running().await {
+            return Err(AnswerError::Broken);
         }
+        Ok(bytes)
+    }
+
+    /// Whether the upstream of the latest send still runs.
+    pub(super) async fn is_upstream_running(&self) -> bool {
+        let Some(send) = &self.last_send else {
+            return false;
+        };
+        let client = CLIENT.with(UpstreamClient::clone);
+        let name = &send.ticket.upstream;
+        client.is_running(send.address, name, &self.health).await
     }
 
     /// Checks whether the upstream of the latest send, which broke off, has crashed, and reports it.
--- a/app/src/fleet/entry/crashes.rs
+++ b/app/src/fleet/entry/crashes.rs
@@ -114,7 +114,7 @@
 }
 
 /// Whether an instance answers but no process listens at `address`.
-pub(super) async fn refuses_connections(address: SocketAddr) -> bool {
+async fn refuses_connections(address: SocketAddr) -> bool {
     let connecting = TcpStream::connect(address);
     match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
         Ok(Err(e)) => e.kind() == io::ErrorKind::ConnectionRefused,
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -81,6 +81,8 @@
             crashing: false,
         };
         let kind = found.route.kind;
+        let declared = table.service(&service);
+        let health = declared.map_or_else(|| "/".into(), |s| s.health.clone());
         let order = Order::of(&table, &found, &service, &call);
         let attempt = Attempt {
             abandon_after: found.route.abandon_after,
@@ -92,6 +94,7 @@
             state: self.state.clone(),
             _open: self.state.track_request(),
             service,
+            health,
             policy,
             tried: Vec::new(),
             sends: 0,
@@ -249,7 +252,7 @@
     let Running { answer, ticket } = running;
     let (status, headers, unframed) = (answer.status, answer.headers, answer.unframed);
     let limit = tokio::time::Instant::from_std(attempt.answer_deadline());
-    match tokio::time::timeout_at(limit, answer.body.read_all()).await {
+    match tokio::time::timeout_at(limit, attempt.read_body(answer.body, unframed)).await {
         Ok(Ok(body)) => {
             ticket.end(Outcome::Good);
             attempt.state.record_sound_run(&attempt.digests);
--- a/app/src/fleet/entry/streaming.rs
+++ b/app/src/fleet/entry/streaming.rs
@@ -6,7 +6,7 @@
 //! upstream becomes slow, if everything that this needs is at hand.
 //!
 //! A stream that is delimited by the close of its connection is complete if it ends between two
-//! events, soon after the last one, and its upstream has not crashed.
+//! events, soon after the last one, and its upstream still answers.
 
 use std::time::Duration;
 
@@ -146,7 +146,8 @@
     let (status, headers) = (answer.status, answer.headers);
     let upstream = ticket.upstream.clone();
     let limit = Instant::from_std(attempt.answer_deadline());
-    match tokio::time::timeout_at(limit, answer.body.read_all()).await {
+    let reading = attempt.read_body(answer.body, answer.unframed);
+    match tokio::time::timeout_at(limit, reading).await {
         Ok(Ok(body)) => {
             ticket.end(Outcome::Failed);
             Relayed::Whole {
@@ -312,8 +313,14 @@
     /// Whether a stream without a length, which has ended between two events, is complete.
     async fn is_complete(&self) -> bool {
         let last_event = self.source.as_ref().and_then(|s| s.last_event);
-        last_event.is_some_and(|at| at.elapsed() <= MAX_END_DELAY)
-            && !self.attempt.has_upstream_crashed().await
+        if last_event.is_none_or(|at| at.elapsed() > MAX_END_DELAY) {
+            return false;
+        }
+        let limit = Instant::from_std(self.attempt.answer_deadline());
+        let silence = Instant::now() + self.attempt.state.silence();
+        let running = self.attempt.is_upstream_running();
+        let running = tokio::time::timeout_at(limit.min(silence), running).await;
+        running.unwrap_or(false)
     }
 
     fn end(&mut self, outcome: Outcome, ended: Ended) -> Next {
--- a/app/tests/it/fleet.rs
+++ b/app/tests/it/fleet.rs
@@ -35,7 +35,7 @@
         while let Ok((mut stream, _)) = listener.accept().await {
             let mut bytes = vec![0; 4_096];
             let mut length = 0;
-            while !bytes[..length].ends_with(b"hello") {
+            while !bytes[..length].ends_with(b"hello") && !bytes.starts_with(b"GET ") {
                 match stream.read(&mut bytes[length..]).await {
                     Ok(0) | Err(_) => break,
                     Ok(n) => length += n,
@@ -43,7 +43,9 @@
             }
             let request = String::from_utf8_lossy(&bytes[..length]).into_owned();
             let rest = request.to_ascii_lowercase().contains("last-event-id: 1");
-            let answer = if request.starts_with("POST /a/") {
+            let answer = if request.starts_with("GET ") {
+                fixture("health.http", &[("name", &name)])
+            } else if request.starts_with("POST /a/") {
                 fixture("answer.http", &[("name", &name)])
             } else if rest && request.starts_with("POST /s/failed") {
                 fixture("failed.http", &[])
--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod crashes;
+mod cut;
 mod deployment;
 mod endless;
 mod explain;
