Entry: a stop refuses by the clock, and for one check before it ends

Callers saw requests of late in a planned stop passed on and then cut without an answer, among them requests that may run only once. The end of the time for new requests was a flag, set by a task that looks each 50 ms and may run late, so that requests read meanwhile were passed on. And a stop that found no open request at the first check after that time ended without setting the flag at all: what was passed on between this check and the close of the connections had 250 ms to end.

Each request is now refused by the clock from the end of that time on, and a stop ends only at a check after the first one that refuses, by when every request that was accepted counts as open.

--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -18,10 +18,10 @@
 
 use std::path::Path;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
-use pimentotide_fleet::{StopPhase, stop_phase};
+use pimentotide_fleet::StopPhase;
 use pimentotide_platform::{DirectoryServer, FrontendOptions, FrontendServer};
 
 use super::directory::open_directory;
@@ -51,7 +51,6 @@
     server: FrontendServer,
     directory: Option<DirectoryServer>,
     tasks: Vec<JoinHandle<()>>,
-    grace: Duration,
 }
 
 impl EntryRole {
@@ -117,22 +116,21 @@
             server,
             directory,
             tasks,
-            grace: Duration::from_secs_f64(settings.bounds.grace_s),
         })
     }
 
     /// Drains the entry: directs callers to other entries, then refuses new requests,
     /// waits for open ones and closes all connections.
     pub(super) async fn stop(self) {
-        let start = Instant::now();
         self.state.stop();
+        let mut refuses = false;
         loop {
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-            let open = usize::from(self.state.has_requests());
-            match stop_phase(start.elapsed(), open, self.grace) {
+            match self.state.continue_stop() {
                 StopPhase::Accepting => {}
-                StopPhase::Refusing => self.state.refuse_new(),
-                StopPhase::Ended => break,
+                // A request that was accepted before the first check that refuses is open by now.
+                StopPhase::Ended if refuses => break,
+                StopPhase::Refusing | StopPhase::Ended => refuses = true,
             }
         }
         if let Some(directory) = self.directory {
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -4,11 +4,12 @@
 //! last confirmed the configuration.
 
 mod measure;
+mod stop;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use pimentotide_fleet::{
@@ -57,10 +58,9 @@
     open: AtomicUsize,
     /// Shared by the guards of requests that are being received or wait for the head of an answer.
     received: Arc<()>,
-    /// Whether the entry drains; new requests are still served until `refusing`.
-    stopping: AtomicBool,
-    /// Whether new requests are refused.
-    refusing: AtomicBool,
+    grace: Duration,
+    /// Time of the signal to stop.
+    stopped_at: OnceLock<Time>,
     stopped: Notify,
     started: Notify,
     /// Signals events that may let a waiting request be admitted.
@@ -146,8 +146,8 @@
             slow_changes: watch::Sender::default(),
             open: AtomicUsize::new(0),
             received: Arc::default(),
-            stopping: AtomicBool::new(false),
-            refusing: AtomicBool::new(false),
+            grace: Duration::from_secs_f64(bounds.grace_s),
+            stopped_at: OnceLock::new(),
             stopped: Notify::new(),
             started: Notify::new(),
             admission: Notify::new(),
@@ -373,43 +373,9 @@
         OpenRequest(self.clone())
     }
 
-    /// Tracks a request from its head on, while the guard exists.
-    pub(super) fn track_received(&self) -> Arc<()> {
-        self.received.clone()
-    }
-
-    /// Whether any request is being received, runs or is being answered.
-    pub(super) fn has_requests(&self) -> bool {
-        Arc::strong_count(&self.received) > 1 || self.open_requests() > 0
-    }
-
     pub(super) fn open_requests(&self) -> usize {
         self.open.load(Ordering::Relaxed)
     }
-
-    pub(super) fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
-        self.stopped.notify_waiters();
-    }
-
-    /// Waits for the signal to stop, up to `limit`.
-    pub(super) async fn wait_for_stop(&self, limit: Duration) {
-        // The caller continues after the signal and after the timeout alike.
-        let _ = tokio::time::timeout(limit, self.stopped.notified()).await;
-    }
-
-    pub(super) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
-    }
-
-    pub(super) fn refuse_new(&self) {
-        self.refusing.store(true, Ordering::Relaxed);
-        self.notify_waiting();
-    }
-
-    pub(super) fn is_refusing(&self) -> bool {
-        self.refusing.load(Ordering::Relaxed)
-    }
 }
 
 impl Inner {
--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -21,5 +21,6 @@
 mod slow;
 mod soak;
 mod stalled;
+mod stop;
 mod suspended;
 mod zones;
--- a/decision/fleet/src/lib.rs
+++ b/decision/fleet/src/lib.rs
@@ -69,7 +69,7 @@
 pub use route::{Match, Mismatch, RouteTable};
 pub use slow::{MIN_SLOW_PERCENT, SlowEngine, SlowList, SlowReporter};
 pub use state::{Announcement, Command, Declared, FleetState, Record, Reply, Stage};
-pub use stop::{StopPhase, stop_phase};
+pub use stop::{StopPhase, accepts_requests, stop_phase};
 pub use suspects::{PROBATION, SuspectView};
 pub use upstream::{Load, Outcome, Signals};
 pub use view::{UpstreamDelta, UpstreamHistory};
--- a/decision/fleet/src/stop.rs
+++ b/decision/fleet/src/stop.rs
@@ -23,18 +23,27 @@
     Accepting,
     /// New requests are refused; those in flight continue.
     Refusing,
-    /// The process may exit.
+    /// The process may exit; new requests are still refused.
     Ended,
 }
 
+/// Returns whether a request is accepted at `elapsed` after the signal.
+pub fn accepts_requests(elapsed: Duration, grace: Duration) -> bool {
+    elapsed < accept_period(grace)
+}
+
 /// Returns the phase at `elapsed` after the signal, with `open` requests in flight.
 pub fn stop_phase(elapsed: Duration, open: usize, grace: Duration) -> StopPhase {
     if elapsed >= grace.mul_f64(EXIT_RATIO) {
         return StopPhase::Ended;
     }
-    match (elapsed < ACCEPT_PERIOD.min(grace / 2), open) {
+    match (accepts_requests(elapsed, grace), open) {
         (true, _) => StopPhase::Accepting,
         (false, 0) => StopPhase::Ended,
         (false, _) => StopPhase::Refusing,
     }
 }
+
+fn accept_period(grace: Duration) -> Duration {
+    ACCEPT_PERIOD.min(grace / 2)
+}
--- a/decision/fleet/tests/it/stop.rs
+++ b/decision/fleet/tests/it/stop.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use pimentotide_fleet::{StopPhase, stop_phase};
+use pimentotide_fleet::{StopPhase, accepts_requests, stop_phase};
 
 const GRACE: Duration = Duration::from_secs(8);
 
@@ -54,3 +54,21 @@
         StopPhase::Ended
     );
 }
+
+/// Guards against requests that are accepted by the clock while the process already refuses or exits.
+#[test]
+fn requests_are_accepted_only_in_the_accepting_phase() {
+    for grace in [1, 2, 4, 8, 30].map(Duration::from_secs) {
+        for at in (0..30_000).map(Duration::from_millis) {
+            for open in [0, 1] {
+                let accepting = stop_phase(at, open, grace) == StopPhase::Accepting;
+                assert_eq!(
+                    accepts_requests(at, grace),
+                    accepting,
+                    "{at:?} of {grace:?}"
+                );
+            }
+            assert!(!accepts_requests(at, grace) || at < Duration::from_secs(3));
+        }
+    }
+}
