Entry: a stopping entry without a configuration refuses at once

Callers of an entry that was stopped shortly after its start saw requests end without an answer: a request waits up to 1.2 s for the first configuration, also after the time for new requests, and those of the last 1.2 s were cut when the process ended.

Such a request no longer waits once it would be refused anyway, and those that wait are woken by the stop.

--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -286,10 +286,10 @@
         Ok(())
     }
 
-    /// Waits for the first configuration, up to `limit`.
+    /// Waits for the first configuration, up to `limit`, or until new requests are refused.
     pub(super) async fn wait_for_start(&self, limit: Duration) {
         let started = self.started.notified();
-        if self.lock().table.is_some() {
+        if self.lock().table.is_some() || self.is_refusing() {
             return;
         }
         // The caller continues after the signal and after the timeout alike.
--- a/app/src/fleet/entry/state/stop.rs
+++ b/app/src/fleet/entry/state/stop.rs
@@ -28,6 +28,7 @@
         let open = usize::from(self.has_requests());
         let phase = stop_phase(self.stopped_for().unwrap_or_default(), open, self.grace);
         if phase != StopPhase::Accepting {
+            self.started.notify_waiters();
             self.notify_waiting();
         }
         phase
--- a/app/tests/it/stop.rs
+++ b/app/tests/it/stop.rs
@@ -273,3 +273,33 @@
     }
     wait_for_exit(&mut deployment).await;
 }
+
+/// Guards against a stop that holds requests without a configuration, and cuts off the last of them.
+#[tokio::test]
+async fn stop_shortly_after_the_start_refuses_waiting_requests() {
+    let mut deployment = Deployment::reserve(163);
+    deployment.start_entry();
+    let entry = deployment.entry(0);
+    let mut open = Vec::new();
+    let limit = Instant::now() + WAIT_TIMEOUT;
+    while open.len() < moments().count() {
+        match TcpStream::connect(entry).await {
+            Ok(stream) => open.push(stream),
+            Err(e) => assert!(Instant::now() < limit, "{e}"),
+        }
+    }
+    let signalled = Instant::now();
+    deployment.entries[0].terminate();
+    let calls: Vec<JoinHandle<Sent>> = moments()
+        .zip(open)
+        .map(|(at, stream)| send_at(stream, signalled, at, "/once/0"))
+        .collect();
+    for call in calls {
+        let sent = call.await.unwrap();
+        match &sent.answer {
+            Some(answer) => assert_eq!((answer.status(), answer.complete), (503, true), "{sent:?}"),
+            None => assert!(sent.took < LOSS_MARGIN, "it is cut off: {sent:?}"),
+        }
+    }
+    wait_for_exit(&mut deployment).await;
+}
