--- a/app/tests/it/stop.rs
+++ b/app/tests/it/stop.rs
@@ -9,7 +9,7 @@
 
 use pimentotide_wire::{Message, Template, read_message};
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 
 use crate::deployment::{Deployment, WAIT_TIMEOUT, edit_body, fixture, wait_for_answer};
@@ -24,10 +24,12 @@
 const SEND_INTERVAL: Duration = Duration::from_millis(40);
 /// Paths of requests that take longer than the grace period.
 const OUTLASTING: [&str; 3] = ["/plain/6000", "/once/6000", "/events/6000"];
+/// Size of a whole answer that its caller takes in many reads; more than the kernel buffers.
+const LARGE_BYTES: usize = 1 << 19;
 
 /// Stand-in upstream that records the attempts that it runs.
 ///
-/// The path of a request ends with the time that it takes, ms.
+/// The path of a request ends with the time that it takes, ms, or with `large`.
 #[derive(Clone, Default)]
 struct Upstream(Arc<Mutex<BTreeSet<String>>>);
 
@@ -45,8 +47,13 @@
         self.0.lock().unwrap().insert(attempt.clone());
         let path = request.first_line().split(' ').nth(1).unwrap();
         let time = path.rsplit('/').next().unwrap();
+        let body = if time == "large" {
+            "x".repeat(LARGE_BYTES)
+        } else {
+            "done".to_owned()
+        };
         let time = Duration::from_millis(time.parse().unwrap_or(0));
-        let values = [("attempt", &attempt[..]), ("name", "u1"), ("body", "done")];
+        let values = [("attempt", &attempt[..]), ("name", "u1"), ("body", &body)];
         // The entry may have closed the connection.
         if path.starts_with("/events/") {
             let first = events.fill(&values[..2]) + &chunk("id: 1\ndata: one\n\n");
@@ -303,3 +310,24 @@
     }
     wait_for_exit(&mut deployment).await;
 }
+
+/// Guards against cutting off a whole answer that its caller still reads.
+#[tokio::test]
+async fn stop_waits_for_the_caller_of_a_large_answer() {
+    let (mut deployment, upstream) = start(164).await;
+    let entry = deployment.entry(0);
+    drop(open_connections(entry, 1).await);
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4 << 10).unwrap();
+    let mut stream = socket.connect(entry).await.unwrap();
+    let values = [("path", "/once/large"), ("attempt", "l"), ("body", "x")];
+    let request = fixture("stop/call.http", &values);
+    stream.write_all(request.as_bytes()).await.unwrap();
+    deployment.wait_for_log(0, "\"answered\"").await;
+    assert!(upstream.has_run("l"));
+    deployment.entries[0].terminate();
+    tokio::time::sleep(GRACE * 2 / 3).await;
+    let answer = read_message(&mut stream).await.unwrap();
+    assert!(answer.complete, "{} bytes", answer.body.len());
+    wait_for_exit(&mut deployment).await;
+}
