Entry: requests that outlast the grace period are answered 502

Callers of whole answers that were still due at the end of a planned stop saw their connection close without an answer, as after a crash.

The stop now ends these requests before it closes the connections: they are answered 502 with the kind `outcome_unknown`, which promises neither that they have run nor that they have not. A stream that has begun is still cut off in the middle of its framing, so that it does not look complete.

--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -133,13 +133,14 @@
                 StopPhase::Refusing | StopPhase::Ended => refuses = true,
             }
         }
+        self.state.end_requests();
         if let Some(directory) = self.directory {
             directory.stop().await;
         }
         for task in self.tasks {
             task.abort();
         }
-        // Connections still open end with the process.
+        // Streams still open end with the process.
         let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.server.stop()).await;
     }
 }
--- a/app/src/fleet/entry/relay.rs
+++ b/app/src/fleet/entry/relay.rs
@@ -1,7 +1,7 @@
 //! Relays one request: matches its route, forwards it and returns the response.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_web::http::StatusCode;
 use actix_web::http::header::{HeaderName, HeaderValue};
@@ -15,7 +15,7 @@
 use super::placing::max_absent_wait;
 use super::state::EntryState;
 use super::streaming;
-use crate::lines::{Answered, Refused};
+use crate::lines::{Answered, BrokenOff, Refused};
 
 /// Timeout of a request whose caller sends none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -42,6 +42,19 @@
         Self { state }
     }
 
+    async fn answer(&self, call: Call) -> Relayed {
+        let timeout = call.timeout.unwrap_or(DEFAULT_TIMEOUT);
+        self.state.wait_for_start(max_absent_wait(timeout)).await;
+        match self.prepare(call) {
+            Ok((attempt, RouteKind::Streaming)) => streaming::run(attempt).await,
+            Ok((attempt, _)) => run_whole(attempt).await,
+            Err(refused) => {
+                let (call, failure) = *refused;
+                refuse(&self.state, &call, failure)
+            }
+        }
+    }
+
     fn prepare(&self, call: Call) -> Result<(Attempt, RouteKind), Box<(Call, Failure)>> {
         if self.state.is_refusing() {
             let failure = Failure::new(ErrorKind::Stopping, "this entry stops");
@@ -139,15 +152,11 @@
 
 impl Relay for EntryRelay {
     async fn relay(&self, call: Call) -> Relayed {
-        let timeout = call.timeout.unwrap_or(DEFAULT_TIMEOUT);
-        self.state.wait_for_start(max_absent_wait(timeout)).await;
-        match self.prepare(call) {
-            Ok((attempt, RouteKind::Streaming)) => streaming::run(attempt).await,
-            Ok((attempt, _)) => run_whole(attempt).await,
-            Err(refused) => {
-                let (call, failure) = *refused;
-                refuse(&self.state, &call, failure)
-            }
+        let ended = self.state.until_ended();
+        let (request, received) = (call.id.clone(), call.received);
+        tokio::select! {
+            relayed = self.answer(call) => relayed,
+            () = ended => break_off(&request, received),
         }
     }
 
@@ -190,6 +199,22 @@
     Relayed::Refused(failure)
 }
 
+/// Logs a request that outlasts the grace period, and returns its answer; it may have run.
+fn break_off(request: &str, received: Instant) -> Relayed {
+    let failure = Failure::new(
+        ErrorKind::OutcomeUnknown,
+        "this entry stops before the request has ended",
+    );
+    pimentotide_observe::event(&BrokenOff {
+        request,
+        events: 0,
+        kind: failure.kind.to_string(),
+        detail: &failure.detail,
+        after_ms: received.elapsed().as_millis(),
+    });
+    Relayed::Refused(failure)
+}
+
 /// Complete response of an upstream.
 struct WholeAnswer {
     status: StatusCode,
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -63,6 +63,8 @@
     stopped_at: OnceLock<Time>,
     stopped: Notify,
     started: Notify,
+    /// Signals the end of the grace period to requests that are still open.
+    ended: Notify,
     /// Signals events that may let a waiting request be admitted.
     pub(super) admission: Notify,
 }
@@ -150,6 +152,7 @@
             stopped_at: OnceLock::new(),
             stopped: Notify::new(),
             started: Notify::new(),
+            ended: Notify::new(),
             admission: Notify::new(),
         }
     }
--- a/app/src/fleet/entry/state/stop.rs
+++ b/app/src/fleet/entry/state/stop.rs
@@ -34,6 +34,16 @@
         phase
     }
 
+    /// Ends all requests that are still open.
+    pub(in super::super) fn end_requests(&self) {
+        self.ended.notify_waiters();
+    }
+
+    /// Waits until requests are ended; counts from the call, not from the first poll.
+    pub(in super::super) fn until_ended(&self) -> impl Future<Output = ()> {
+        self.ended.notified()
+    }
+
     /// Waits for the signal to stop, up to `limit`.
     pub(in super::super) async fn wait_for_stop(&self, limit: Duration) {
         // The caller continues after the signal and after the timeout alike.
--- a/app/tests/it/stop.rs
+++ b/app/tests/it/stop.rs
@@ -223,7 +223,7 @@
 }
 
 /// Guards against requests that a stopping entry passes on or holds until the end of its grace period,
-/// and against cutting off those that outlast it as if they were complete.
+/// and against cutting off those that outlast it without an answer, or as if they were complete.
 #[tokio::test]
 async fn requests_until_the_end_of_the_grace_period_are_run_in_full_or_refused() {
     let (mut deployment, upstream) = start(161).await;
@@ -246,7 +246,11 @@
     for call in outlasting {
         let (path, answer) = call.await.unwrap();
         let answer = answer.unwrap_or_default();
-        assert!(!answer.complete, "{path}: {answer:?}");
+        if path.starts_with("/events/") {
+            assert!(!answer.complete, "{path}: {answer:?}");
+        } else {
+            assert_eq!((answer.status(), answer.complete), (502, true), "{path}");
+        }
     }
     wait_for_exit(&mut deployment).await;
 }
