Entry: streams that cannot go on elsewhere outlast a silence of their upstream

Callers of streams on routes that are not resumable saw them cut after 1.7 s without an event (`stall_ms` and 200 ms), also during a planned stop, although their upstream was sound. The time was meant for moving the stream to another upstream, but it was ended before it was known whether it may be moved.

A silence now ends the send only if attempts, time and the retry budget allow another one; else the stream stays until its deadline, or until its caller leaves. The silence still counts as a failure of the upstream, so that new requests avoid it.

Evidence: 12 streams with a silence of 2.1 s, sent from 0.7 s before SIGTERM to 0.6 s after it.

--- a/app/src/fleet/entry/attempt.rs
+++ b/app/src/fleet/entry/attempt.rs
@@ -125,6 +125,13 @@
         }
     }
 
+    /// Records that the upstream is silent, although the request stays there.
+    pub(super) fn record_silence(&self) {
+        if let Some(ticket) = &self.ticket {
+            self.state.record_silence(ticket);
+        }
+    }
+
     /// Leaves the ticket to another guard.
     pub(super) fn release(mut self) {
         self.ticket = None;
--- a/app/src/fleet/entry/slow.rs
+++ b/app/src/fleet/entry/slow.rs
@@ -1,4 +1,4 @@
-//! Moves streams away from slow upstreams.
+//! Moves streams away from slow upstreams, and tells which streams may be moved.
 //!
 //! Everything that a move needs is taken under one lock, before the stream is abandoned at the
 //! slow upstream: a retry from the budget and a place at another upstream. Without them the stream
@@ -97,6 +97,15 @@
         choice.ok().map(|choice| self.destination(choice))
     }
 
+    /// Whether the stream may go on at another upstream.
+    pub(super) fn may_move(&self) -> bool {
+        let mut policy = self.policy;
+        policy.crashing = self.state.is_refused(&self.digests);
+        let now = self.state.now();
+        let mut state = self.state.lock();
+        may_relieve(&policy, now, || state.budget.allows(&self.service, now)).is_ok()
+    }
+
     /// Records once for each send that a stream stays at a slow upstream.
     fn record_kept(&self, reason: &str) {
         let Some(upstream) = self.first_kept() else {
--- a/app/src/fleet/entry/state.rs
+++ b/app/src/fleet/entry/state.rs
@@ -41,7 +41,7 @@
 pub(super) struct EntryState {
     clock: Clock,
     metrics: Metrics,
-    /// Silence of a stream after which it resumes at another upstream.
+    /// Silence of a stream after which it resumes at another upstream, if it may.
     silence: Duration,
     /// Address of this entry for callers.
     callers: SocketAddr,
@@ -161,7 +161,7 @@
         self.clock.now()
     }
 
-    /// Returns the silence of a stream after which it resumes at another upstream.
+    /// Returns the silence of a stream after which it resumes at another upstream, if it may.
     pub(super) fn silence(&self) -> Duration {
         self.silence
     }
@@ -361,14 +361,27 @@
             self.admission.notify_one();
         }
         if ejected {
-            self.metrics
-                .count("entry.ejections", ("scope", "upstream"), 1);
-            pimentotide_observe::event(&Ejected {
-                upstream: ticket.upstream.to_string(),
-            });
+            self.report_ejected(ticket);
+        }
+    }
+
+    /// Records that a request gets nothing from its upstream, where it goes on to wait.
+    pub(super) fn record_silence(&self, ticket: &Ticket) {
+        let now = self.now();
+        let ejected = self.lock().balancer.record_failure(ticket, now);
+        if ejected {
+            self.report_ejected(ticket);
         }
     }
 
+    fn report_ejected(&self, ticket: &Ticket) {
+        self.metrics
+            .count("entry.ejections", ("scope", "upstream"), 1);
+        pimentotide_observe::event(&Ejected {
+            upstream: ticket.upstream.to_string(),
+        });
+    }
+
     pub(super) fn track_request(self: &Arc<Self>) -> OpenRequest {
         let open = self.open.fetch_add(1, Ordering::Relaxed) + 1;
         self.metrics
--- a/app/src/fleet/entry/streaming.rs
+++ b/app/src/fleet/entry/streaming.rs
@@ -235,12 +235,14 @@
     /// Waits for complete events of the current source.
     ///
     /// The wait starts again only with an event that is new, since a stalled upstream may go on to
-    /// send single bytes or comments.
+    /// send single bytes or comments. A stream that cannot go on elsewhere stays at a silent upstream
+    /// until its deadline, unless its caller leaves.
     async fn next(&mut self) -> Next {
         if self.ended {
             return Next::End;
         }
         let mut waiting_since = Instant::now();
+        let mut stays = false;
         loop {
             if let Some(fault) = self.cursor.fault() {
                 log::warn!("request {}: {fault}", self.attempt.call.id);
@@ -251,7 +253,8 @@
             };
             let limit = Instant::from_std(self.attempt.answer_deadline());
             let silence = waiting_since + self.attempt.state.silence();
-            let reading = tokio::time::timeout_at(limit.min(silence), source.body.next());
+            let end = if stays { limit } else { limit.min(silence) };
+            let reading = tokio::time::timeout_at(end, source.body.next());
             let withdrawn = self.attempt.state.until_refused(&self.attempt.digests);
             let relieved = self.attempt.until_relieved();
             let resumable = self.cursor.forwarded() == 0 || self.cursor.last().is_some();
@@ -263,6 +266,7 @@
                 next = relieved, if resumable => match self.move_to(next).await {
                     Ok(()) => {
                         waiting_since = Instant::now();
+                        stays = false;
                         continue;
                     }
                     Err(ended) => return Next::Ended(ended),
@@ -274,6 +278,7 @@
                     Ok(events) if events.is_empty() => {
                         if self.cursor.progress() > progress {
                             waiting_since = Instant::now();
+                            stays = false;
                         }
                         if self.cursor.is_holding() {
                             source.last_event = Some(Instant::now());
@@ -305,6 +310,10 @@
                     self.ended = true;
                     return Next::Events(events);
                 }
+                Err(_) if Instant::now() < limit && !self.attempt.may_move() => {
+                    self.record_silence();
+                    stays = true;
+                }
                 Err(_) => return self.end(Outcome::Failed, Ended::Silent),
             }
         }
@@ -323,6 +332,13 @@
         running.unwrap_or(false)
     }
 
+    /// Records that the upstream is silent, although the stream stays there.
+    fn record_silence(&self) {
+        if let Some(source) = &self.source {
+            source.ticket.record_silence();
+        }
+    }
+
     fn end(&mut self, outcome: Outcome, ended: Ended) -> Next {
         if let Some(source) = self.source.take() {
             source.ticket.end(outcome);
--- a/app/tests/it/stop.rs
+++ b/app/tests/it/stop.rs
@@ -335,3 +335,30 @@
     assert!(answer.complete, "{} bytes", answer.body.len());
     wait_for_exit(&mut deployment).await;
 }
+
+/// Guards against cutting off streams of a silent upstream that cannot go on at another one, during a
+/// stop and before it.
+#[tokio::test]
+async fn stream_that_cannot_resume_outlasts_a_silence() {
+    let (mut deployment, _upstream) = start(165).await;
+    let entry = deployment.entry(0);
+    let open = open_connections(entry, 12).await;
+    let signalled = Instant::now() + Duration::from_millis(1_000);
+    let calls: Vec<JoinHandle<Sent>> = (0..)
+        .zip(open)
+        .map(|(number, stream)| {
+            // The first half ends during the stop, the other half is sent during it.
+            let at = Duration::from_millis(number * 120);
+            let sent = signalled - Duration::from_millis(700);
+            send_at(stream, sent, at, "/events/2100")
+        })
+        .collect();
+    tokio::time::sleep_until(signalled.into()).await;
+    deployment.entries[0].terminate();
+    for call in calls {
+        let sent = call.await.unwrap();
+        let answer = sent.answer.as_ref();
+        assert!(answer.is_some_and(|a| a.complete), "{sent:?}");
+    }
+    wait_for_exit(&mut deployment).await;
+}
--- a/decision/fleet/src/balancer.rs
+++ b/decision/fleet/src/balancer.rs
@@ -503,6 +503,18 @@
         }
         eject
     }
+
+    /// Records that an upstream fails a request that still runs there; returns whether this ejects it.
+    pub fn record_failure(&mut self, ticket: &Ticket, now: Time) -> bool {
+        let Some(upstream) = self.ticket_upstream(ticket) else {
+            return false;
+        };
+        let eject = upstream.record_failure(now);
+        if eject {
+            upstream.health.eject(now);
+        }
+        eject
+    }
 }
 
 /// Returns the burst and the requests per second that one of `entries` entries may send to a
--- a/decision/fleet/src/budget.rs
+++ b/decision/fleet/src/budget.rs
@@ -69,6 +69,11 @@
             .map(move |(name, bucket)| (name, bucket.clone().available(now).max(0.0) as u64))
     }
 
+    /// Whether a retry is left.
+    pub fn allows(&mut self, service: &ServiceName, now: Time) -> bool {
+        self.bucket(service, now).available(now) >= 1.0
+    }
+
     /// Spends one retry; false if none is left.
     pub fn spend(&mut self, service: &ServiceName, now: Time) -> bool {
         self.bucket(service, now).take(now)
--- a/decision/fleet/src/retry.rs
+++ b/decision/fleet/src/retry.rs
@@ -138,18 +138,18 @@
     Next { step, limit }
 }
 
-/// Decides whether a running or waiting stream may be moved away from a slow upstream.
+/// Decides whether a running or waiting stream may be moved away from a slow or silent upstream.
 ///
-/// `policy` does not count the send yet. `spend` takes one retry from the retry budget and returns
-/// false if none is left; it is called only if no other limit applies, and before the send is
+/// `policy` does not count the send yet. `has_budget` tells whether a retry is left and may take it
+/// from the retry budget; it is called only if no other limit applies, and before the send is
 /// abandoned, so that a stream that cannot be moved stays where it is.
 ///
 /// # Errors
 ///
 /// Fails with the limit that prevents the move.
-pub fn may_relieve<S>(policy: &Policy, now: Time, spend: S) -> Result<(), Limit>
+pub fn may_relieve<B>(policy: &Policy, now: Time, has_budget: B) -> Result<(), Limit>
 where
-    S: FnOnce() -> bool,
+    B: FnOnce() -> bool,
 {
     let moved = Policy {
         ran: policy.ran + 1,
@@ -157,7 +157,7 @@
     };
     match retry_limit(Ended::Relieved, &moved, now) {
         Some(limit) => Err(limit),
-        None if spend() => Ok(()),
+        None if has_budget() => Ok(()),
         None => Err(Limit::Budget),
     }
 }
--- a/decision/fleet/src/upstream.rs
+++ b/decision/fleet/src/upstream.rs
@@ -213,12 +213,7 @@
                 self.health.record_success(now);
                 false
             }
-            Outcome::Failed => {
-                self.bad += 1.0;
-                let streak = self.health.record_failure();
-                let ratio = self.bad / (self.good + self.bad);
-                streak || (self.bad >= MIN_FAILURES && ratio >= EJECT_RATIO)
-            }
+            Outcome::Failed => self.record_failure(now),
             Outcome::Gone => {
                 self.gone = true;
                 self.health.record_neutral();
@@ -231,6 +226,15 @@
         }
     }
 
+    /// Records a failure; true if the upstream is to be ejected.
+    pub(crate) fn record_failure(&mut self, now: Time) -> bool {
+        self.decay_outcomes(now);
+        self.bad += 1.0;
+        let streak = self.health.record_failure();
+        let ratio = self.bad / (self.good + self.bad);
+        streak || (self.bad >= MIN_FAILURES && ratio >= EJECT_RATIO)
+    }
+
     /// Whether the upstream is ejected after failures.
     pub(crate) fn is_ejected(&self, now: Time) -> bool {
         !self.health.admits(now)
--- a/decision/fleet/tests/it/balancer.rs
+++ b/decision/fleet/tests/it/balancer.rs
@@ -133,6 +133,24 @@
     assert!(fixture.spread(30, 10_000).contains_key("u0"));
 }
 
+/// Guards against a silent upstream that gets more streams because those that cannot leave it still
+/// run there.
+#[test]
+fn upstream_that_fails_running_requests_is_ejected() {
+    let mut fixture = Fixture::new();
+    let running = fixture.choose(&[], 0).unwrap().ticket;
+    let silences = 0..20;
+    let ejected = silences
+        .map(|_| fixture.balancer.record_failure(&running, at(0)))
+        .any(|ejected| ejected);
+    assert!(ejected);
+    let spread = fixture.spread(30, 1);
+    assert!(
+        !spread.contains_key(running.upstream.as_str()),
+        "{spread:?}"
+    );
+}
+
 #[test]
 fn failures_of_most_upstreams_eject_none() {
     let mut fixture = Fixture::new();
--- a/decision/fleet/tests/it/budget.rs
+++ b/decision/fleet/tests/it/budget.rs
@@ -70,6 +70,8 @@
 fn one_of_many_entries_may_still_retry() {
     let service: ServiceName = "advice".into();
     let mut budget = RetryBudget::new(OPTIONS, 90);
+    assert!(budget.allows(&service, Time::ZERO));
     assert!(budget.spend(&service, Time::ZERO));
+    assert!(!budget.allows(&service, Time::ZERO));
     assert!(!budget.spend(&service, Time::ZERO));
 }
