Control: a folder that does not open at once is tried again, off the serving thread

Seen: a control process ended with exit code 5 as soon as its disk took the probe of 64 KiB and opening the folder then failed, as with a disk that fills up again or a write that is still under way; with a disk that stayed so it ended again at each check. The probe was written on the thread that serves operators, entries and agents, which waited with it when the disk hung.

Cause: the first failure to reopen was taken for a write that never ends.

Fix: the probe runs on the blocking pool, and the process exits only if the folder has failed to open for 10 s though the probe was written each time. Until then it goes on serving what needs no log, and tries again at each check.

Test: disk::replica_whose_folder_does_not_open_at_once_takes_part_later, with real processes, failed before (the replica exited). That the thread no longer waits for a hung probe is not tested: no disk that hangs is at hand for real processes.

--- a/app/src/fleet/control/membership.rs
+++ b/app/src/fleet/control/membership.rs
@@ -4,9 +4,9 @@
 //! removes members that lost their disk or stay silent.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use pimentotide_consensus::{Member, RoleKind};
 use pimentotide_fleet::{FleetState, MemberView, Repair, RepairOptions, repair};
@@ -30,6 +30,9 @@
 const PROBE_FILE: &str = "probe";
 /// Size of the probe file; more than one record of the log.
 const PROBE_BYTES: usize = 64 << 10;
+/// Time for which the folder may fail to open though the disk accepts writes; it may be full again, or the
+/// last write may still hang.
+const REOPEN_TIMEOUT: Duration = Duration::from_secs(10);
 /// Exit code after a disk failure, for a restart.
 const EXIT_DISK_FAILURE: i32 = 5;
 /// Timeouts of calls of a joining replica.
@@ -61,6 +64,8 @@
     metrics: Metrics,
     /// Last logged role, term and leader.
     logged_role: Arc<Mutex<Option<RoleState>>>,
+    /// Time since which the folder cannot be opened though the disk accepts writes.
+    reopen_since: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Members {
@@ -82,6 +87,7 @@
             },
             metrics,
             logged_role: Arc::default(),
+            reopen_since: Arc::default(),
         }
     }
 
@@ -214,18 +220,38 @@
 
     /// Takes part in the log again once the disk accepts writes.
     ///
-    /// Exits the process for a restart if the folder cannot be opened again, as after a
-    /// write that never ended.
+    /// Exits the process for a restart if the folder cannot be opened for longer than
+    /// [`REOPEN_TIMEOUT`] though the disk accepts writes, as after a write that never ends.
     async fn recover_disk(&self, detail: &str) -> Result<(), Failure> {
-        let probe = self.data.join(PROBE_FILE);
-        let written =
-            std::fs::write(&probe, [0; PROBE_BYTES]).and_then(|()| std::fs::remove_file(&probe));
-        written.map_err(|e| Failure::new(ErrorKind::DiskFailed, e.to_string()))?;
-        if let Err(failure) = self.replica.reopen().await {
+        let path = self.data.join(PROBE_FILE);
+        // The disk may hang, and the thread of this task serves requests.
+        let probed = tokio::task::spawn_blocking(move || probe(&path)).await;
+        let writable = probed
+            .map_err(|e| Failure::new(ErrorKind::Internal, e.to_string()))
+            .and_then(|r| r.map_err(|e| Failure::new(ErrorKind::DiskFailed, e.to_string())));
+        let reopened = match writable {
+            Ok(()) => self.replica.reopen().await,
+            Err(failure) => {
+                self.reopen_since().take();
+                return Err(failure);
+            }
+        };
+        let Err(failure) = reopened else {
+            self.reopen_since().take();
+            return Ok(());
+        };
+        let since = *self.reopen_since().get_or_insert_with(Instant::now);
+        if since.elapsed() >= REOPEN_TIMEOUT {
             log::error!("exiting for a restart after a disk failure: {detail}; {failure}");
             std::process::exit(EXIT_DISK_FAILURE);
         }
-        Ok(())
+        Err(failure)
+    }
+
+    fn reopen_since(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.reopen_since
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Requests membership from each replica in turn until the leader grants it.
@@ -243,6 +269,12 @@
     }
 }
 
+/// Writes and removes the probe file.
+fn probe(path: &Path) -> std::io::Result<()> {
+    std::fs::write(path, [0; PROBE_BYTES])?;
+    std::fs::remove_file(path)
+}
+
 /// Returns the leader's view of all members; its own silence is zero.
 fn member_views(status: &ReplicaStatus) -> Vec<MemberView> {
     let config = &status.log.config;
--- a/app/tests/it/deployment.rs
+++ b/app/tests/it/deployment.rs
@@ -138,7 +138,7 @@
     pub(crate) fn wipe_control(&mut self, host: u8) {
         let number = self.control_number(host);
         self.controls[number].kill();
-        fs::remove_dir_all(self.folder.path().join(format!("data{host}"))).unwrap();
+        fs::remove_dir_all(self.data(host)).unwrap();
         let path = self.folder.path().join(format!("control{host}.yaml"));
         self.controls[number] = self.spawn_later(&path);
     }
@@ -149,6 +149,11 @@
         first.unwrap_or(self.controls.len() - 1)
     }
 
+    /// Returns the data folder of a control replica.
+    pub(crate) fn data(&self, host: u8) -> PathBuf {
+        self.folder.path().join(format!("data{host}"))
+    }
+
     /// Names this replica alone as a seed in the settings of a control replica.
     pub(crate) fn set_seed(&self, host: u8, seed: u8) {
         let path = self.folder.path().join(format!("control{host}.yaml"));
--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod cut;
 mod deployment;
+mod disk;
 mod endless;
 mod explain;
 mod fleet;
