--- a/decision/consensus/tests/it/full.rs
+++ b/decision/consensus/tests/it/full.rs
@@ -23,13 +23,17 @@
 enum Beside {
     Nothing,
     Transfers,
+    /// Of the instance itself.
     Restarts,
+    /// Of another instance.
+    OtherRestarts,
 }
 
 /// Disturbs the disk of one host for a while.
 fn disturb_for_a_while(
     world: &mut World,
     host: usize,
+    hosts: usize,
     trouble: Trouble,
     beside: Beside,
     rng: &mut ChaCha8Rng,
@@ -41,6 +45,7 @@
     match (beside, world.leader()) {
         (Beside::Transfers, Some(leader)) => world.deliver_event(leader, Event::Transfer),
         (Beside::Restarts, _) => world.kill(host),
+        (Beside::OtherRestarts, _) => world.kill((host + 1) % hosts),
         _ => {}
     }
     world.run(span - quiet);
@@ -56,7 +61,7 @@
     let mut order: Vec<usize> = (0..hosts).collect();
     order.shuffle(&mut rng);
     for host in order {
-        disturb_for_a_while(&mut world, host, trouble, beside, &mut rng);
+        disturb_for_a_while(&mut world, host, hosts, trouble, beside, &mut rng);
         if rng.random_bool(0.6) {
             world.run(rng.random_range(Duration::ZERO..MAX_GAP));
         }
@@ -84,7 +89,12 @@
 fn changes_are_acknowledged_after_all_disks_were_in_trouble_in_turn() {
     let mut total = Counts::default();
     for trouble in [Trouble::Full, Trouble::Hung, Trouble::Slow] {
-        for beside in [Beside::Nothing, Beside::Transfers, Beside::Restarts] {
+        for beside in [
+            Beside::Nothing,
+            Beside::Transfers,
+            Beside::Restarts,
+            Beside::OtherRestarts,
+        ] {
             total.add(&run(1, 3, trouble, beside));
             total.add(&run(2, 5, trouble, beside));
         }
