Consensus: the voters of both memberships are asked while a change is not known to be committed

While the removal of a voter was open, quorums of the membership before it were needed, but the removed voter was asked neither for its vote nor for the proof that its disk is lost, and a replica that had restarted had no address for it.

Change: pre-votes and vote requests go to the voters of both memberships; the address of a replica is that of the latest membership in the log that has this identity. A refusal counts at once, so that one of two voters can lead as well.

The simulated replicas now reach only those whose address they know, as the real ones do.

--- a/decision/consensus/src/log.rs
+++ b/decision/consensus/src/log.rs
@@ -4,7 +4,7 @@
 
 use pimentotide_model::{Term, Time};
 
-use crate::{Config, Entry, Identity, Index, LogId, Payload, SnapshotMeta};
+use crate::{Config, Entry, Identity, Index, LogId, Member, Payload, SnapshotMeta};
 
 /// Log entries in memory with the memberships that they set.
 #[derive(Clone, Debug)]
@@ -89,6 +89,16 @@
             .any(marks)
     }
 
+    /// Returns `who` as a member of the latest membership in which it is one.
+    pub(crate) fn member(&self, who: &Identity) -> Option<&Member> {
+        let mut members = self
+            .configs
+            .iter()
+            .rev()
+            .filter_map(|(_, c)| c.member(&who.name));
+        members.find(|m| m.disk == who.disk)
+    }
+
     /// Returns whether `who` is a voter of a membership that the log holds.
     pub(crate) fn names_voter(&self, who: &Identity) -> bool {
         self.configs.iter().any(|(_, c)| c.is_voter(who))
--- a/decision/consensus/src/node/election.rs
+++ b/decision/consensus/src/node/election.rs
@@ -126,7 +126,7 @@
         }
     }
 
-    fn count_pre_votes(&mut self) {
+    pub(super) fn count_pre_votes(&mut self) {
         let Role::PreCandidate { granted, unled } = &self.role else {
             return;
         };
@@ -231,10 +231,13 @@
         !self.led && !matches!(self.role, Role::Leader(_)) && self.supports_leader()
     }
 
-    fn other_voters(&self) -> Vec<Identity> {
-        let config = self.log.config();
-        let mut others = config.others(&self.hard.identity);
-        others.retain(|o| config.is_voter(o));
-        others
+    /// Returns the voters whose answers count, except this node.
+    fn other_voters(&self) -> BTreeSet<Identity> {
+        let mut voters: BTreeSet<Identity> = self.log.config().voter_ids().collect();
+        if let Some(previous) = self.uncommitted_predecessor() {
+            voters.extend(previous.voter_ids());
+        }
+        voters.remove(&self.hard.identity);
+        voters
     }
 }
--- a/decision/consensus/src/node/quorum.rs
+++ b/decision/consensus/src/node/quorum.rs
@@ -12,8 +12,7 @@
 //!   committed, because half of one membership need not intersect a majority of the next one.
 //!
 //! A commit index is not stored, so a replica that restarts has to see in its log that a change of voters
-//! was committed: a leader appends a second no-op in its term after it, and changes the members again only
-//! after it.
+//! was committed: a leader appends a second no-op in its term then, or the next change of members.
 
 use std::collections::BTreeSet;
 
@@ -39,6 +38,7 @@
         match self.uncommitted_predecessor() {
             None => highest(config, Some(lost), &value),
             Some(previous) => {
+                // Half does not intersect each majority of a membership that differs.
                 let latest = highest(config, None, &value)?;
                 Some(latest.min(highest(previous, Some(lost), &value)?))
             }
--- a/decision/consensus/src/node/replication.rs
+++ b/decision/consensus/src/node/replication.rs
@@ -191,5 +191,6 @@
             peer.disk_replaced = true;
             peer.probe(peer.matched.next());
         }
+        self.count_pre_votes();
     }
 }
--- a/decision/consensus/src/node/report.rs
+++ b/decision/consensus/src/node/report.rs
@@ -1,5 +1,7 @@
 //! Status and read access to the state of a node.
 
+use std::net::SocketAddr;
+
 use pimentotide_model::{Term, Time};
 
 use super::{Node, Role};
@@ -122,6 +124,11 @@
         self.log.config()
     }
 
+    /// Returns the address of a replica that is a member, or was before a change that the log still holds.
+    pub fn address_of(&self, who: &Identity) -> Option<SocketAddr> {
+        self.log.member(who).map(|m| m.address)
+    }
+
     /// Returns the ticket of the last synced write.
     pub fn synced(&self) -> Ticket {
         self.synced
--- a/decision/consensus/src/types.rs
+++ b/decision/consensus/src/types.rs
@@ -110,7 +110,7 @@
 /// Payload of a log entry.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Payload {
-    /// First entry of a term.
+    /// First entry of a term; a later one of the term records that the changes of members before it are committed.
     Noop,
     /// Command for the state machine.
     Command(Arc<[u8]>),
--- a/decision/consensus/tests/it/cluster/host.rs
+++ b/decision/consensus/tests/it/cluster/host.rs
@@ -1,6 +1,6 @@
 //! Host with its synced disk and its process.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use pimentotide_consensus::{
@@ -35,6 +35,8 @@
     pub(crate) writes: Vec<Write>,
     /// Number of writes in the running sync.
     pub(crate) syncing: usize,
+    /// Hosts whose addresses it has from their messages.
+    pub(crate) senders: BTreeSet<InstanceName>,
     /// Messages that wait for a sync.
     pub(crate) held: Vec<(Ticket, Envelope)>,
     pub(crate) synced: Ticket,
@@ -81,6 +83,7 @@
             applied: Index(0),
             writes: Vec::new(),
             syncing: 0,
+            senders: BTreeSet::new(),
             held: Vec::new(),
             synced: Ticket(0),
             proposals: BTreeMap::new(),
--- a/decision/consensus/tests/it/cluster/mod.rs
+++ b/decision/consensus/tests/it/cluster/mod.rs
@@ -291,6 +291,9 @@
                 self.late += u64::from(
                     envelope.to == *self.hosts[host].identity() && self.is_former(&envelope.from),
                 );
+                if let Some(process) = &mut self.hosts[host].process {
+                    process.senders.insert(envelope.from.name.clone());
+                }
                 self.deliver_event(host, Event::Receive(*envelope));
             }
             Item::Start(host) => self.start(host),
@@ -411,6 +414,13 @@
 
     fn transmit(&mut self, envelope: Envelope) {
         self.check.sent(&envelope);
-        self.send(envelope);
+        let mut hosts = self.hosts.iter();
+        let sender = hosts.find(|h| h.name == envelope.from.name);
+        let reaches = |p: &host::Process| {
+            p.node.address_of(&envelope.to).is_some() || p.senders.contains(&envelope.to.name)
+        };
+        if sender.and_then(|h| h.process.as_ref()).is_some_and(reaches) {
+            self.send(envelope);
+        }
     }
 }
--- a/decision/consensus/tests/it/main.rs
+++ b/decision/consensus/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod explore;
 mod full;
 mod open_change;
+mod open_removal;
 mod power;
 mod replacement;
 mod restart;
--- a/decision/consensus/tests/it/open_change.rs
+++ b/decision/consensus/tests/it/open_change.rs
@@ -22,7 +22,7 @@
 }
 
 /// Runs until a leader has appended a membership of `voters`, which is not committed.
-fn run_until_open(cluster: &mut Cluster, voters: usize) {
+pub(crate) fn run_until_open(cluster: &mut Cluster, voters: usize) {
     let end = cluster.time + LIMIT;
     let is_open = |c: &Cluster| {
         let mut leaders = (0..c.hosts.len()).filter_map(|n| c.node(n).filter(|n| n.is_leader()));
--- a/peers/instance/src/replica/actor.rs
+++ b/peers/instance/src/replica/actor.rs
@@ -206,7 +206,7 @@
 
     pub(super) fn send(&mut self, envelope: Envelope) {
         let name = &envelope.to.name;
-        let member = self.node.config().member(name).map(|m| m.address);
+        let member = self.node.address_of(&envelope.to);
         let reported = || self.addresses.get(name).copied();
         let founder = || self.options.founders.get(name).copied();
         if let Some(address) = member.or_else(reported).or_else(founder) {
