review: two replaced core machines leave the log without a leader for good

The listed case of the log, shown with the programs themselves: a replaced voter ends, and another one is gone for good 0.5 s later.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/stage review/stage/main.rs
+rustc --edition 2024 -O -o target/review-2/stage review/stage/platform/main.rs
--- a/review/stage/deploy.rs
+++ b/review/stage/platform/deploy.rs
@@ -114,7 +114,10 @@
                 "  callers: \"{ip}:{CALLERS}\"\n  ready: \"{ip}:{READY}\"\n  directory: \"{ip}:{DIRECTORY}\"\n"
             ),
         };
-        let seeds: Vec<String> = self.controls().iter().take(3).map(|s| format!("\"{s}\"")).collect();
+        let controls = self.of("control").into_iter();
+        // Later files name machines that run.
+        let named = controls.filter(|m| first || self.machines[*m].child.lock().unwrap().is_some());
+        let seeds: Vec<String> = named.take(3).map(|m| format!("\"{}\"", self.at(m, CONTROL))).collect();
         let data = match machine.role {
             "control" => format!("data: \"{}/data-{}\"\n", self.folder.display(), machine.name),
             _ => String::new(),
@@ -131,6 +134,31 @@
         )
     }
 
+    /// Adds a core machine with an empty disk to the running deployment.
+    pub fn join_core(&mut self) -> io::Result<usize> {
+        let n = self.of("control").len();
+        self.add("control", n, 1 + n as u8);
+        let index = self.machines.len() - 1;
+        self.spawn(index, false)?;
+        Ok(index)
+    }
+
+    /// Sends SIGTERM to the process of a machine.
+    pub fn stop(&self, machine: usize) {
+        if let Some(child) = self.machines[machine].child.lock().unwrap().as_ref() {
+            net::terminate(child.id());
+        }
+    }
+
+    /// Whether the process of a machine has ended.
+    pub fn has_ended(&self, machine: usize) -> bool {
+        let mut child = self.machines[machine].child.lock().unwrap();
+        if child.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(Some(_)))) {
+            *child = None;
+        }
+        child.is_none()
+    }
+
     /// Kills the process of a machine with SIGKILL.
     pub fn kill(&self, machine: usize) {
         if let Some(mut child) = self.machines[machine].child.lock().unwrap().take() {
--- a/review/stage/main.rs
+++ b/review/stage/platform/main.rs
@@ -8,7 +8,7 @@
 mod worker;
 
 mod case_cut;
-mod case_poison;
+mod case_replace;
 
 use std::fs::File;
 use std::io::Write;
@@ -59,7 +59,7 @@
     let record = Record { file: Arc::new(Mutex::new(file)), start: Instant::now() };
     let run = match case.as_str() {
         "cut" => case_cut::run,
-        "poison" => case_poison::run,
+        "replace" => case_replace::run,
         _ => return ExitCode::from(2),
     };
     let verdict = run(trouble, &record).unwrap_or_else(|e| {
--- a/review/stage/net.rs
+++ b/review/stage/platform/net.rs
@@ -155,6 +155,7 @@
 unsafe extern "C" {
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn kill(pid: i32, signal: i32) -> i32;
     #[link_name = "connect"]
     fn connect_raw(fd: i32, address: *const u8, length: u32) -> i32;
 }
@@ -190,6 +191,15 @@
     unsafe { connect_raw(fd, raw.as_ptr(), 16) }
 }
 
+/// Sends SIGTERM to a process that this program started.
+pub fn terminate(pid: u32) {
+    const SIGTERM: i32 = 15;
+    // SAFETY: a plain system call.
+    unsafe {
+        kill(pid as i32, SIGTERM);
+    }
+}
+
 /// Sends a request and reads the whole answer.
 pub fn call(
     address: SocketAddr,
--- a/review/stage/worker.rs
+++ b/review/stage/platform/worker.rs
@@ -1,4 +1,4 @@
-//! Stand-in workers: they announce themselves, run requests, and can crash.
+//! Stand-in workers: they announce themselves and run requests.
 
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
@@ -91,25 +91,6 @@
         let worker = self.clone();
         thread::spawn(move || announce(worker, incarnation));
     }
-
-    /// Ends like a process that crashes: the listener closes, then every connection; `back_after` later it
-    /// starts again under a new id.
-    pub fn crash(self: &Arc<Self>, back_after: Duration) {
-        let Some(incarnation) = self.running.lock().unwrap().take() else {
-            return;
-        };
-        incarnation.ended.store(true, Ordering::SeqCst);
-        // The accepting thread drops the listener first.
-        thread::sleep(Duration::from_millis(5));
-        for (_, stream) in std::mem::take(&mut *incarnation.connections.lock().unwrap()) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-        let worker = self.clone();
-        thread::spawn(move || {
-            thread::sleep(back_after);
-            worker.start();
-        });
-    }
 }
 
 fn accept(worker: Arc<Worker>, incarnation: Incarnation, listener: TcpListener) {
