--- a/review/third/fleet.rs
+++ b/review/third/fleet.rs
@@ -10,6 +10,14 @@
 
 use crate::http;
 
+/// Signals on Linux, on x86-64 and arm64 alike.
+const SIGSTOP: i32 = 19;
+const SIGCONT: i32 = 18;
+
+unsafe extern "C" {
+    fn kill(id: i32, signal: i32) -> i32;
+}
+
 /// Program of all roles in `deploy/system.toml`.
 const PROGRAM: &str = "target/release/pimentotide";
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
@@ -75,6 +83,24 @@
         }
     }
 
+    /// Freezes the process.
+    pub fn freeze(&self) {
+        self.signal(SIGSTOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn wake(&self) {
+        self.signal(SIGCONT);
+    }
+
+    fn signal(&self, signal: i32) {
+        let id = self.child.as_ref().and_then(|c| i32::try_from(c.id()).ok());
+        if let Some(id) = id {
+            // SAFETY: takes two numbers; the process is a child that has not been waited for.
+            unsafe { kill(id, signal) };
+        }
+    }
+
     /// Resident memory of the process.
     pub fn memory_kb(&self) -> Option<u64> {
         let id = self.child.as_ref()?.id();
--- a/review/third/main.rs
+++ b/review/third/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod http;
 mod record;
+mod restart;
 mod server;
 mod unframed;
 
@@ -46,6 +47,7 @@
     let verdict = match case.as_str() {
         "unframed" => unframed::run(&run),
         "bodies" => bodies::run(&run),
+        "restart" => restart::run(&run),
         "born" => born::run(&run),
         _ => Err(format!("no case {case}")),
     };
--- a/review/third/server.rs
+++ b/review/third/server.rs
@@ -18,7 +18,6 @@
 pub struct Arrival {
     pub id: String,
     pub server: String,
-    pub path: String,
     pub at_ms: u64,
     /// Whether the server began to work on it.
     pub ran: bool,
@@ -233,7 +232,6 @@
             .unwrap_or_default()
             .to_owned(),
         server: spec.id.clone(),
-        path: head.path().to_owned(),
         at_ms: spec.record.now_ms(),
         ran: own,
     };
