--- a/review/third/platform/born.rs
+++ b/review/third/platform/born.rs
@@ -24,7 +24,7 @@
 /// Time after which it is up for the last time: the clock is right again.
 const LAST_START: Duration = Duration::from_millis(7_300);
 /// `drainMs` of the deployment.
-const DRAIN_MS: u64 = 2_000;
+const DRAIN_MS: u64 = 2_500;
 /// Time for which the server goes on beyond that.
 const STAY: Duration = Duration::from_secs(6);
 /// Pause between two requests of one caller.
--- a/review/third/platform/server.rs
+++ b/review/third/platform/server.rs
@@ -49,6 +49,7 @@
     pub born: u64,
     alive: Arc<AtomicBool>,
     beats: Arc<AtomicBool>,
+    draining: Arc<AtomicBool>,
     sequence: Arc<AtomicU64>,
     open: Arc<Mutex<BTreeMap<u64, TcpStream>>>,
     threads: Vec<std::thread::JoinHandle<()>>,
@@ -64,6 +65,7 @@
             born,
             alive: Arc::new(AtomicBool::new(true)),
             beats: Arc::new(AtomicBool::new(true)),
+            draining: Arc::default(),
             sequence: Arc::default(),
             open: Arc::default(),
             threads: Vec::new(),
@@ -87,12 +89,17 @@
             server.beats.clone(),
             server.sequence.clone(),
         );
+        let draining = server.draining.clone();
         let spec = server.spec.clone();
         server.threads.push(std::thread::spawn(move || {
             let mut next = 0;
             while alive.load(Ordering::SeqCst) {
                 if beats.load(Ordering::SeqCst) {
-                    beat(&spec, born, &sequence, "ready", &mut next);
+                    let state = match draining.load(Ordering::SeqCst) {
+                        true => "draining",
+                        false => "ready",
+                    };
+                    beat(&spec, born, &sequence, state, &mut next);
                 }
                 let mut slept = Duration::ZERO;
                 while slept < BEAT && alive.load(Ordering::SeqCst) {
@@ -104,9 +111,11 @@
         Ok(server)
     }
 
-    /// Announces that the server drains; returns who acknowledged it, and when.
+    /// Announces that the server drains, as all later announcements do; returns who acknowledged it,
+    /// and when.
     pub fn drain(&self) -> Option<(SocketAddr, u64)> {
-        self.beats.store(false, Ordering::SeqCst);
+        self.draining.store(true, Ordering::SeqCst);
+        // An announcement that is on its way still says that it is ready.
         std::thread::sleep(Duration::from_millis(50));
         let mut next = 0;
         let acknowledged = beat(&self.spec, self.born, &self.sequence, "draining", &mut next)?;
