--- a/review/third/platform/fleet.rs
+++ b/review/third/platform/fleet.rs
@@ -4,6 +4,7 @@
 use std::fs::File;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -13,9 +14,13 @@
 /// Signals on Linux, on x86-64 and arm64 alike.
 const SIGSTOP: i32 = 19;
 const SIGCONT: i32 = 18;
+const SIGKILL: usize = 9;
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
 
 unsafe extern "C" {
     fn kill(id: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: usize) -> i32;
 }
 
 /// Program of all roles in `deploy/system.toml`.
@@ -62,15 +67,23 @@
 impl Node {
     pub fn start(&mut self) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
-        let child = Command::new(PROGRAM)
+        let mut command = Command::new(PROGRAM);
+        command
             .args(["serve", &self.settings.to_string_lossy()])
             .env_clear()
             .env("PATH", std::env::var_os("PATH").unwrap_or_default())
             .env("LANG", "C.UTF-8")
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+            .stderr(log);
+        // SAFETY: one system call on numbers, which is allowed between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command.spawn()?;
         self.child = Some(child);
         Ok(())
     }
--- a/review/third/platform/restart.rs
+++ b/review/third/platform/restart.rs
@@ -3,28 +3,35 @@
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::AtomicI64;
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::fleet::{Fleet, ZONES};
 use crate::http;
-use crate::server::{Handler, Server, Spec, stamp};
+use crate::server::{Handler, Server, Spec, answer, stamp};
 use crate::{Run, Verdict};
 
 const BODY_BYTES: usize = 800;
-const CALLERS: usize = 24;
+const CALLERS: usize = 8;
+/// Pause of a caller after each answer.
+const PAUSE: Duration = Duration::from_millis(60);
 /// Entries and servers, so that one of them is no larger share than the pages name.
 const ENTRIES: usize = 9;
 const SERVERS: usize = 6;
-/// Time in which a server writes each half of its answer.
+/// Server that gives one answer in so many without a length (`garble`, x = 0.02), and crashes at one.
+const CUT: &str = "i-desk-0";
+const UNFRAMED_IN: u64 = 50;
+/// Time of an answer, and of each half of one without a length; the sheet has 60 ms and at most 450.
+const WORK_TIME: Duration = Duration::from_millis(60);
 const HALF_TIME: Duration = Duration::from_millis(400);
-/// Time from the requests to the freeze of the entry, and from there to the crash.
-const FREEZE_AFTER: Duration = Duration::from_millis(150);
+/// Time from the freeze of the entry to the crash.
 const CRASH_AFTER: Duration = Duration::from_millis(100);
 /// Time for which the server is down (`srv_crash`), and the entry frozen (`node_freeze`).
 const DOWN: Duration = Duration::from_millis(1_000);
 const FROZEN: Duration = Duration::from_millis(2_500);
+/// Time for the answer without a length to begin.
+const BEGIN_TIME: Duration = Duration::from_secs(40);
 
 /// Answer as a caller sees it.
 struct Received {
@@ -53,9 +60,17 @@
     if put.is_none_or(|(_, status)| status != 200) {
         return Err("no acknowledgement of the configuration".into());
     }
-    let handler: Handler = Arc::new(|head, _, stream| {
+    let (runs, begun) = (AtomicU64::new(0), Arc::new(AtomicBool::new(false)));
+    let (signal, record) = (begun.clone(), run.record.clone());
+    let handler: Handler = Arc::new(move |head, _, stream| {
         let id = head.get("pimentotide-attempt-id").unwrap_or_default();
         let body = body_of(id);
+        let here = head.get("pimentotide-expect-instance") == Some(CUT);
+        if !here || (runs.fetch_add(1, Ordering::SeqCst) + 1) % UNFRAMED_IN != 0 {
+            std::thread::sleep(WORK_TIME);
+            return answer(head, stream, &body);
+        }
+        record.line(&format!("{CUT} answers {id} without a length"));
         let (first, second) = body.split_at(BODY_BYTES / 2);
         let head = format!(
             "HTTP/1.1 200 OK\r\nPimentotide-Attempt-Id: {id}\r\nPimentotide-Server-Stamp: {}\r\n\
@@ -64,6 +79,7 @@
         );
         stream.write_all(head.as_bytes())?;
         stream.write_all(first)?;
+        signal.store(true, Ordering::SeqCst);
         std::thread::sleep(HALF_TIME);
         stream.write_all(second)
     });
@@ -91,23 +107,35 @@
     }
     std::thread::sleep(Duration::from_secs(4));
     let address = fleet.entries[0].address(fleet.ports.callers());
+    let stop = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..CALLERS)
         .map(|n| {
-            let (id, record) = (format!("r{n:02}"), run.record.clone());
+            let (stop, record) = (stop.clone(), run.record.clone());
             std::thread::spawn(move || {
-                record.line(&format!("caller {id} sends to {address}"));
-                let received = call(address, &id);
-                if let Err(e) = &received {
-                    record.line(&format!("caller {id}: {e}"));
+                let mut received = Vec::new();
+                while !stop.load(Ordering::SeqCst) {
+                    let id = format!("r{n}-{}", received.len() + 1);
+                    record.line(&format!("caller {id} sends to {address}"));
+                    match call(address, &id) {
+                        Ok(answer) => received.push(answer),
+                        Err(e) => record.line(&format!("caller {id}: {e}")),
+                    }
+                    std::thread::sleep(PAUSE);
                 }
-                received.ok()
+                received
             })
         })
         .collect();
+    let until = Instant::now() + BEGIN_TIME;
+    while !begun.load(Ordering::SeqCst) {
+        if Instant::now() > until {
+            return Err("no answer without a length began".into());
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
     if run.trouble {
         // Either disruption can be left out, to tell the two apart.
         let takes_place = |name| std::env::var(name).map_or(true, |v| v != "0");
-        std::thread::sleep(FREEZE_AFTER);
         let name = &fleet.entries[0].name;
         if takes_place("FREEZE") {
             run.record.line(&format!("{name} is frozen"));
@@ -125,10 +153,10 @@
         run.record.line(&format!("{name} runs"));
         fleet.entries[0].wake();
     }
-    let received: Vec<Received> = callers
-        .into_iter()
-        .filter_map(|c| c.join().ok().flatten())
-        .collect();
+    std::thread::sleep(Duration::from_secs(2));
+    stop.store(true, Ordering::SeqCst);
+    let received = callers.into_iter().filter_map(|c| c.join().ok());
+    let received: Vec<Received> = received.flatten().collect();
     drop(server);
     for arrival in arrivals.lock().expect("not poisoned").iter() {
         let line = format!(
@@ -155,7 +183,7 @@
     run.record.line(&format!(
         "{whole} whole answers, {broken} successes with a body that is not whole"
     ));
-    if received.len() < CALLERS / 2 {
+    if whole < CALLERS {
         return Err("too few answers arrived".into());
     }
     Ok(if broken > 0 {
