Log: voters without a majority act by a grant of arbiters

Cause: two of four voters are left. Neither the pair nor its complement may act on its own, since no voter can tell an end from a cut.

Change: a membership with surplus voters names arbiters in the log, by the identities of their starts. A part of the voters is a quorum if a majority of them granted it; arbiters grant only parts that intersect. A granted part acts once the others have been silent for a time, and the proof of a lost disk counts beside arbiters only if the disk was lost sooner than that after the last entry of the candidate, so that the two never both act. Five voters need four for a commit. A leader that acts so removes unreachable surplus voters in one change, and promotes a learner only if it reaches a quorum with it. Memberships keep their format on disk and between replicas.

--- a/decision/consensus/src/config.rs
+++ b/decision/consensus/src/config.rs
@@ -4,28 +4,95 @@
 use std::net::SocketAddr;
 
 use derive_more::Display;
-use pimentotide_model::InstanceName;
+use pimentotide_model::{InstanceName, Term};
 use serde::{Deserialize, Serialize};
 
-use crate::{DiskId, Identity};
+use crate::{DiskId, Identity, Index, LogId};
 
-/// A member of the replicated log, identified by its disk.
+/// Start of the stored names of arbiters.
+const ARBITER_PREFIX: &str = "arbiter/";
+
+/// A member of the replicated log, identified by its disk, or an arbiter, identified by its start.
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[display("{disk} at {address}")]
 pub struct Member {
-    /// Identity of its disk.
+    /// Identity of its disk, or of the start of an arbiter.
     pub disk: DiskId,
-    /// Address at which the other replicas reach it.
+    /// Address at which the replicas reach it.
     pub address: SocketAddr,
 }
 
+/// Processes without a log that decide which voters may act where no majority is left.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Arbiters {
+    /// Id of the entry that named them.
+    pub ballot: LogId,
+    /// Address and identity of the start of each.
+    pub members: BTreeMap<InstanceName, Member>,
+}
+
 /// Membership from one log entry on.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(from = "StoredConfig", into = "StoredConfig")]
 pub struct Config {
     /// Members that vote.
     pub voters: BTreeMap<InstanceName, Member>,
     /// Members that receive the log but do not vote yet.
     pub learners: BTreeMap<InstanceName, Member>,
+    /// Arbiters of this membership; `None` unless it has surplus voters.
+    pub arbiters: Option<Arbiters>,
+}
+
+/// [`Config`] as it is stored and sent, in the format of versions without arbiters.
+#[derive(Serialize, Deserialize)]
+struct StoredConfig {
+    voters: BTreeMap<InstanceName, Member>,
+    /// Learners, and arbiters under names that hold the ballot.
+    learners: BTreeMap<InstanceName, Member>,
+}
+
+impl From<Config> for StoredConfig {
+    fn from(config: Config) -> Self {
+        let mut learners = config.learners;
+        if let Some(Arbiters { ballot, members }) = config.arbiters {
+            let LogId { term, index } = ballot;
+            learners.extend(members.into_iter().map(|(name, member)| {
+                let stored = format!("{ARBITER_PREFIX}{term}/{index}/{name}");
+                (InstanceName::from(stored), member)
+            }));
+        }
+        Self {
+            voters: config.voters,
+            learners,
+        }
+    }
+}
+
+impl From<StoredConfig> for Config {
+    fn from(stored: StoredConfig) -> Self {
+        let mut config = Self {
+            voters: stored.voters,
+            ..Self::default()
+        };
+        for (name, member) in stored.learners {
+            let Some((ballot, arbiter)) = parse_arbiter(&name) else {
+                config.learners.insert(name, member);
+                continue;
+            };
+            let members = BTreeMap::new();
+            let arbiters = config.arbiters.get_or_insert(Arbiters { ballot, members });
+            arbiters.members.insert(arbiter, member);
+        }
+        config
+    }
+}
+
+/// Returns the ballot and the name that the stored name of an arbiter holds.
+fn parse_arbiter(stored: &InstanceName) -> Option<(LogId, InstanceName)> {
+    let mut parts = stored.as_str().strip_prefix(ARBITER_PREFIX)?.splitn(3, '/');
+    let term = Term(parts.next()?.parse().ok()?);
+    let index = Index(parts.next()?.parse().ok()?);
+    Some((LogId { term, index }, InstanceName::from(parts.next()?)))
 }
 
 /// A change to the members.
@@ -46,9 +113,25 @@
 }
 
 impl Config {
-    /// Returns the number of voters that form a majority.
+    /// Returns the number of voters that are a quorum without a grant.
+    ///
+    /// A majority. With arbiters, each such quorum also intersects each part that may get a grant.
     pub fn quorum(&self) -> usize {
-        self.voters.len() / 2 + 1
+        let count = self.voters.len();
+        match self.arbiters {
+            None => count / 2 + 1,
+            Some(_) => count - self.min_grant() + 1,
+        }
+    }
+
+    /// Returns the number of voters to which arbiters may grant that they act.
+    pub fn min_grant(&self) -> usize {
+        self.voters.len() / 2
+    }
+
+    /// Returns whether the voters and the arbiters are those of `other`.
+    pub(crate) fn has_quorums_of(&self, other: &Self) -> bool {
+        self.voters == other.voters && self.arbiters == other.arbiters
     }
 
     /// Returns whether `who` is a voter with this disk identity.
@@ -92,20 +175,23 @@
             .collect()
     }
 
-    /// Returns the membership with the learner `name` promoted to voter.
+    /// Returns the membership with the learner `name` promoted to voter, and no arbiters.
     pub fn promoted(&self, name: &InstanceName) -> Self {
         let mut next = self.clone();
         if let Some(member) = next.learners.remove(name) {
             next.voters.insert(name.clone(), member);
+            next.arbiters = None;
         }
         next
     }
 
-    /// Returns the membership without `name`.
+    /// Returns the membership without `name`, and no arbiters if it was a voter.
     pub fn without(&self, name: &InstanceName) -> Self {
         let mut next = self.clone();
-        next.voters.remove(name);
         next.learners.remove(name);
+        if next.voters.remove(name).is_some() {
+            next.arbiters = None;
+        }
         next
     }
 
--- a/decision/consensus/src/event.rs
+++ b/decision/consensus/src/event.rs
@@ -1,12 +1,16 @@
 //! Input events of a node and the actions it returns.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use derive_more::Display;
 use pimentotide_model::{InstanceName, Term, Time};
 use serde::{Deserialize, Serialize};
 
-use crate::{Change, Entry, Envelope, HardState, Identity, Index, ProposalId, Snapshot, Ticket};
+use crate::{
+    Change, Entry, Envelope, GrantRequest, HardState, Identity, Index, LogId, Member, ProposalId,
+    Snapshot, Ticket,
+};
 
 /// Clock readings at which an event is handled.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -38,6 +42,17 @@
     Compact(Index, Arc<[u8]>),
     /// Starts a leadership transfer, as this replica is about to stop.
     Transfer,
+    /// Processes that a leader names as arbiters, with the identities of their starts.
+    Arbiters(BTreeMap<InstanceName, Member>),
+    /// An arbiter granted that these voters act.
+    Granted {
+        /// Ballot of the arbiters.
+        ballot: LogId,
+        /// Arbiter, with the identity of its start.
+        arbiter: Identity,
+        /// Voters that may act together.
+        part: BTreeSet<Identity>,
+    },
 }
 
 /// An action for the caller to perform, in the order returned.
@@ -62,6 +77,13 @@
     Rejected(ProposalId, Reject),
     /// The read may be answered once this index is applied.
     ReadReady(ProposalId, Index),
+    /// Ask each arbiter, and report what it grants with [`Event::Granted`].
+    Ask {
+        /// Arbiters, with the identities of their starts.
+        arbiters: BTreeMap<InstanceName, Member>,
+        /// Request to each of them.
+        request: GrantRequest,
+    },
     /// A message addressed to another disk was refused.
     Refused {
         /// Sender.
--- a/decision/consensus/src/log.rs
+++ b/decision/consensus/src/log.rs
@@ -59,13 +59,14 @@
         self.configs[self.configs.len() - 1].0
     }
 
-    /// Index of the latest change of voters and the membership before it; `None` if the log holds none.
-    pub(crate) fn last_voter_change(&self) -> Option<(Index, &Config)> {
-        let latest = &self.config().voters;
+    /// Index of the latest change of voters or arbiters and the membership before it; `None` if the log
+    /// holds none.
+    pub(crate) fn last_quorum_change(&self) -> Option<(Index, &Config)> {
+        let latest = self.config();
         let at = self
             .configs
             .iter()
-            .rposition(|(_, c)| c.voters != *latest)?;
+            .rposition(|(_, c)| !c.has_quorums_of(latest))?;
         let (_, previous) = &self.configs[at];
         let (changed, _) = self.configs[at + 1];
         // The first membership of a log has no predecessor.
--- a/decision/consensus/src/message.rs
+++ b/decision/consensus/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between replicas.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use pimentotide_model::{Term, Time};
 use serde::{Deserialize, Serialize};
@@ -125,6 +126,19 @@
         /// Last entry of the candidate.
         last: LogId,
     },
+    /// Follows [`Refused`](Self::Refused): for how long the receiver has run with the disk that it has now.
+    Replaced {
+        /// Identity to which the message was addressed.
+        intended: Identity,
+        /// Time since the start of the process.
+        up: Duration,
+    },
+    /// Requests a vote by a grant of the arbiters, for which the voter must have had no contact with a leader
+    /// for [`Options::grant_silence`](crate::Options).
+    GrantVote {
+        /// Last entry of the candidate.
+        last: LogId,
+    },
 }
 
 /// Metadata of a snapshot.
--- a/decision/consensus/src/node/election.rs
+++ b/decision/consensus/src/node/election.rs
@@ -11,6 +11,7 @@
 
 use pimentotide_model::Term;
 
+use super::quorum::UsableGrants;
 use super::{Durability, ElectionReason, Node, Role};
 use crate::{Identity, LogId, Message, Reject};
 
@@ -54,7 +55,8 @@
         self.hard.vote = Some(self.hard.identity.clone());
         self.save_hard();
         self.role = Role::Candidate {
-            lost: self.lost.clone(),
+            lost: self.counted_losses(),
+            by_grant: reason == ElectionReason::Grant,
             granted: BTreeSet::new(),
             // This node's vote does not count before it is synced.
             ticket: self.ticket(Durability::Hard),
@@ -63,6 +65,7 @@
         for peer in self.other_voters() {
             let request = match reason {
                 ElectionReason::Restart => Message::RestartVote { last },
+                ElectionReason::Grant => Message::GrantVote { last },
                 ElectionReason::Timeout | ElectionReason::Transfer => Message::Vote {
                     last,
                     transfer: reason == ElectionReason::Transfer,
@@ -132,8 +135,11 @@
         };
         let voters = self.other_voters();
         let mut others = voters.iter();
-        if self.is_quorum(granted, &self.lost) && !self.is_unled() {
+        let lost = self.counted_losses();
+        if self.is_quorum(granted, &lost, UsableGrants::None) && !self.is_unled() {
             self.campaign(ElectionReason::Timeout);
+        } else if self.permits_grants() && self.is_quorum(granted, &lost, UsableGrants::All) {
+            self.campaign(ElectionReason::Grant);
         } else if others.all(|v| granted.contains(v) || unled.contains(v)) {
             self.campaign(ElectionReason::Restart);
         }
@@ -150,6 +156,7 @@
             ElectionReason::Timeout => self.supports_leader(),
             ElectionReason::Transfer => false,
             ElectionReason::Restart => self.supports_leader() && !self.is_unled(),
+            ElectionReason::Grant => !self.permits_grants(),
         };
         if blocked || term < self.hard.term {
             self.send(
@@ -170,6 +177,10 @@
         }
         if granted {
             self.reset_election_deadline();
+            if reason != ElectionReason::Grant {
+                // The candidate may lead by now, with an entry that others have.
+                self.silent_since = self.at.now;
+            }
         }
         self.send(from, Message::VoteReply { granted }, Durability::Hard);
     }
@@ -183,11 +194,22 @@
         }
     }
 
-    fn count_votes(&mut self) {
-        let Role::Candidate { granted, lost, .. } = &self.role else {
+    pub(super) fn count_votes(&mut self) {
+        let Role::Candidate {
+            granted,
+            lost,
+            by_grant,
+            ..
+        } = &self.role
+        else {
             return;
         };
-        if self.is_quorum(granted, lost) {
+        let usable = if *by_grant {
+            UsableGrants::All
+        } else {
+            UsableGrants::None
+        };
+        if self.is_quorum(granted, lost, usable) {
             self.become_leader();
         }
     }
--- a/decision/consensus/src/node/follower.rs
+++ b/decision/consensus/src/node/follower.rs
@@ -3,9 +3,29 @@
 use pimentotide_model::Time;
 
 use super::{Durability, Node};
-use crate::{Entry, Identity, Index, LogId, Message};
+use crate::{ClusterId, Entry, Identity, Index, LogId, Message};
 
 impl Node {
+    /// Returns whether the message belongs to this node's log.
+    ///
+    /// A new replica joins the log of the first leader that contacts it.
+    pub(super) fn accepts_cluster(&mut self, cluster: ClusterId, body: &Message) -> bool {
+        match self.hard.cluster {
+            Some(mine) => mine == cluster,
+            None => {
+                let from_leader = matches!(
+                    body,
+                    Message::Heartbeat { .. } | Message::Append { .. } | Message::Chunk { .. }
+                );
+                if from_leader {
+                    self.hard.cluster = Some(cluster);
+                    self.save_hard();
+                }
+                from_leader
+            }
+        }
+    }
+
     /// Answers a message from a leader of an old term; other old messages are ignored.
     pub(super) fn answer_stale(&mut self, from: &Identity, body: &Message) {
         let from_leader = matches!(
@@ -21,6 +41,7 @@
     pub(super) fn on_leader_contact(&mut self, leader: &Identity) {
         self.become_follower(self.hard.term, Some(leader.clone()));
         self.leader_contact = self.at.now;
+        self.silent_since = self.at.now;
         self.led = true;
         self.reset_election_deadline();
     }
--- a/decision/consensus/src/node/leader.rs
+++ b/decision/consensus/src/node/leader.rs
@@ -5,7 +5,8 @@
 
 use pimentotide_model::{InstanceName, Time};
 
-use super::quorum::Losses;
+use super::loss::Losses;
+use super::quorum::UsableGrants;
 use super::{Node, Role};
 use crate::progress::Progress;
 use crate::{Action, Entry, Identity, Index, LogId, Payload, ProposalId, Reject};
@@ -29,6 +30,8 @@
     pub(super) transfer: Option<Transfer>,
     /// Voters that were proved lost before the election.
     pub(super) lost: Losses,
+    /// Whether it was elected by a grant, after each voter had checked the silence of the others.
+    pub(super) by_grant: bool,
 }
 
 /// A read that waits for a lease or for a newer quorum acknowledgement.
@@ -57,7 +60,8 @@
             .into_iter()
             .map(|who| (who.name.clone(), Progress::new(who, next, now)))
             .collect();
-        let lost = self.losses().clone();
+        let lost = self.losses();
+        let by_grant = matches!(self.role, Role::Candidate { by_grant: true, .. });
         self.role = Role::Leader(Box::new(Leadership {
             elected: now,
             min_time: self.log.last_time().max(self.at.wall),
@@ -67,6 +71,7 @@
             next_heartbeat: now,
             transfer: None,
             lost,
+            by_grant,
         }));
         self.leader = Some(self.hard.identity.clone());
         self.incoming = None;
@@ -79,6 +84,7 @@
         let Role::Leader(state) = std::mem::replace(&mut self.role, Role::Follower) else {
             return;
         };
+        self.silent_since = self.at.now;
         for read in state.reads {
             self.reject(read.id, reason.clone());
         }
@@ -102,6 +108,8 @@
             self.step_down();
             return;
         }
+        self.tick_arbitrated();
+        self.renew_arbiters();
         self.heartbeat_if_due();
         self.resend();
         self.serve_reads();
@@ -168,7 +176,7 @@
             Some(peer) if peer.identity == *who => peer.matched,
             Some(_) | None => Index(0),
         };
-        let Some(index) = self.quorum_value(&state.lost, matched) else {
+        let Some(index) = self.quorum_value(&state.lost, UsableGrants::Acting, matched) else {
             return;
         };
         if self.log.term_at(index) != Some(self.hard.term) {
@@ -192,6 +200,8 @@
             return;
         }
         self.serve_reads();
+        self.remove_absent();
+        self.renew_arbiters();
         self.promote();
         self.mark_committed();
     }
--- a/decision/consensus/src/node/lease.rs
+++ b/decision/consensus/src/node/lease.rs
@@ -3,6 +3,7 @@
 use pimentotide_model::Time;
 
 use super::leader::{PendingRead, Transfer};
+use super::quorum::UsableGrants;
 use super::{Durability, Node, Role};
 use crate::{Action, Identity, Message, ProposalId, Reject};
 
@@ -10,7 +11,7 @@
     /// Latest time such that a quorum answered messages sent then or later.
     ///
     /// Voters without an answer count with `missing`.
-    fn quorum_acked(&self, now: Time, missing: Option<Time>) -> Option<Time> {
+    fn quorum_acked(&self, now: Time, missing: Option<Time>, usable: UsableGrants) -> Option<Time> {
         let Role::Leader(state) = &self.role else {
             return None;
         };
@@ -22,7 +23,7 @@
             let peer = state.peers.get(&who.name).filter(|p| p.identity == *who);
             peer.and_then(|p| p.acked).or(missing)
         };
-        self.quorum_value(&state.lost, acked).flatten()
+        self.quorum_value(&state.lost, usable, acked).flatten()
     }
 
     /// Time of the last contact with a quorum; the election counts as contact.
@@ -30,7 +31,7 @@
         let Role::Leader(state) = &self.role else {
             return Time::ZERO;
         };
-        self.quorum_acked(self.at.now, Some(state.elected))
+        self.quorum_acked(self.at.now, Some(state.elected), UsableGrants::All)
             .unwrap_or(state.elected)
     }
 
@@ -47,7 +48,7 @@
         let transferred = state.transfer.as_ref().is_some_and(|t| t.requested);
         let lease = self.options.lease();
         let valid = self
-            .quorum_acked(now, None)
+            .quorum_acked(now, None, UsableGrants::Acting)
             .is_some_and(|acked| now < acked + lease);
         valid && !transferred
     }
@@ -73,7 +74,7 @@
             return;
         }
         let leased = self.holds_lease();
-        let acked = self.quorum_acked(self.at.now, None);
+        let acked = self.quorum_acked(self.at.now, None, UsableGrants::Acting);
         let commit = self.commit;
         let Role::Leader(state) = &mut self.role else {
             return;
--- a/decision/consensus/src/node/membership.rs
+++ b/decision/consensus/src/node/membership.rs
@@ -60,7 +60,8 @@
 
     /// Returns the membership without `name`, if a quorum of it is reachable.
     fn without(&self, name: &InstanceName) -> Result<Config, Reject> {
-        let next = self.log.config().without(name);
+        let mut next = self.log.config().without(name);
+        self.name_arbiters(&mut next);
         if self.reaches_quorum_of(&next) {
             Ok(next)
         } else {
@@ -74,18 +75,21 @@
     }
 
     /// Returns whether the last change and an entry of this term are committed.
-    fn accepts_changes(&self) -> bool {
+    pub(super) fn accepts_changes(&self) -> bool {
         self.has_committed_in_term() && self.log.config_index() <= self.commit
     }
 
     /// Returns whether a quorum of `config` is reachable.
     fn reaches_quorum_of(&self, config: &Config) -> bool {
-        let reachable = config
-            .voters
-            .keys()
-            .filter(|name| **name == self.hard.identity.name || self.is_reachable(name))
-            .count();
-        !config.voters.is_empty() && reachable >= config.quorum()
+        !config.voters.is_empty() && self.count_reachable(config) >= config.quorum()
+    }
+
+    /// Returns the number of voters of `config` that are reachable, with this replica.
+    pub(super) fn count_reachable(&self, config: &Config) -> usize {
+        let me = &self.hard.identity.name;
+        let mut voters = config.voters.keys().collect::<Vec<_>>();
+        voters.retain(|name| *name == me || self.is_reachable(name));
+        voters.len()
     }
 
     /// Returns whether the peer answered within the minimum election timeout.
@@ -98,13 +102,14 @@
     }
 
     /// Appends a new membership, which takes effect at once, and updates the peers.
-    fn append_config(&mut self, config: Config) -> Index {
+    pub(super) fn append_config(&mut self, mut config: Config) -> Index {
+        self.name_arbiters(&mut config);
         let index = self.append_entry(Payload::Config(config));
         self.update_peers();
         index
     }
 
-    /// Tracks the members of the log and, until a change of voters is committed, the voters before it.
+    /// Tracks the members of the log and, until a change of quorums is committed, the voters before it.
     pub(super) fn update_peers(&mut self) {
         let receivers = self.receivers();
         let next = self.log.last().index.next();
@@ -140,7 +145,12 @@
         let Some(who) = self.ready_learner() else {
             return;
         };
-        let config = self.log.config().promoted(&who.name);
+        let mut config = self.log.config().promoted(&who.name);
+        self.name_arbiters(&mut config);
+        // A leader may act with fewer voters than a majority of the next membership.
+        if !self.reaches_quorum_of(&config) {
+            return;
+        }
         self.append_config(config);
         self.replicate();
     }
--- a/decision/consensus/src/node/mod.rs
+++ b/decision/consensus/src/node/mod.rs
@@ -3,30 +3,34 @@
 //! The write of a step comes before the other actions of that step, and every
 //! message waits for the last write on which it depends.
 
+mod arbitration;
 mod catchup;
 mod election;
 mod follower;
 mod leader;
 mod lease;
+mod loss;
 mod membership;
 mod quorum;
 mod replication;
 mod report;
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
 
-use pimentotide_model::{Term, Time};
+use pimentotide_model::{InstanceName, Term, Time};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::log::Log;
 use crate::message::SnapshotMeta;
 use crate::{
-    Action, ClusterId, Config, Entry, Envelope, Event, HardState, Identity, Index, LogId, Message,
-    Moment, Options, Payload, ProposalId, Recovered, Reject, Snapshot, Ticket, Write,
+    Action, ClusterId, Config, Entry, Envelope, Event, HardState, Identity, Index, LogId, Member,
+    Message, Moment, Options, Payload, ProposalId, Recovered, Reject, Snapshot, Ticket, Write,
 };
+use arbitration::Grants;
 use leader::Leadership;
-use quorum::Losses;
+use loss::Losses;
 
 /// Pre-votes in one election timeout after a start without contact to a leader; each can be the first
 /// one at which all other voters are up.
@@ -46,6 +50,8 @@
         ticket: Ticket,
         /// Voters that were proved lost before the election.
         lost: Losses,
+        /// Whether grants count, since each voter checks the silence of the others.
+        by_grant: bool,
     },
     Leader(Box<Leadership>),
     Failed,
@@ -78,6 +84,8 @@
     leader_contact: Time,
     /// Whether there was contact with a leader since the start.
     led: bool,
+    /// Time of the last contact with a leader, vote for one or end of leadership, or of the start.
+    silent_since: Time,
     /// Time at which an election starts without contact to a leader.
     election_deadline: Time,
     /// Write of the current step.
@@ -93,8 +101,16 @@
     durable: Index,
     /// Log writes that are not synced yet, with their last index.
     unsynced: VecDeque<(Ticket, Index)>,
-    /// Voters whose disks are proved lost.
-    lost: Losses,
+    /// Voters whose disks are proved lost, with the latest time of day at which they were.
+    lost: BTreeMap<Identity, Time>,
+    /// Time of the start.
+    started: Time,
+    /// Processes to name as arbiters.
+    arbiters: BTreeMap<InstanceName, Member>,
+    /// What the arbiters of the latest memberships granted.
+    grants: Grants,
+    /// Time of the next request to the arbiters.
+    next_ask: Time,
     /// Snapshot that is being received.
     incoming: Option<IncomingSnapshot>,
     actions: Vec<Action>,
@@ -109,6 +125,8 @@
     Transfer,
     /// All voters have restarted, or may vote anyway.
     Restart,
+    /// The arbiters granted that the candidate acts with some voters, while the others have been silent.
+    Grant,
 }
 
 /// State that has to be synced before a message is sent.
@@ -153,6 +171,7 @@
             // The replica may have extended a leader's lease just before its restart.
             leader_contact: at.now,
             led: false,
+            silent_since: at.now,
             election_deadline: at.now,
             pending_write: Write::default(),
             last_ticket: Ticket(0),
@@ -160,7 +179,11 @@
             log_ticket: Ticket(0),
             synced: Ticket(0),
             unsynced: VecDeque::new(),
-            lost: Losses::new(),
+            lost: BTreeMap::new(),
+            started: at.now,
+            arbiters: BTreeMap::new(),
+            grants: Grants::new(),
+            next_ask: at.now,
             incoming: None,
             actions: Vec::new(),
             snapshot,
@@ -218,6 +241,12 @@
             Event::Change(id, change) => self.change(id, &change),
             Event::Compact(index, data) => self.compact(index, data),
             Event::Transfer => self.transfer(),
+            Event::Arbiters(members) => self.set_arbiters(members),
+            Event::Granted {
+                ballot,
+                arbiter,
+                part,
+            } => self.on_granted(ballot, &arbiter, part),
         }
         self.flush();
         std::mem::take(&mut self.actions)
@@ -229,6 +258,7 @@
         } else {
             self.tick_election();
         }
+        self.ask_arbiters();
     }
 
     fn receive(&mut self, envelope: Envelope) {
@@ -240,13 +270,10 @@
             body,
         } = envelope;
         if to != self.hard.identity {
-            self.refuse(cluster, from, to);
+            self.refuse(cluster, &from, &to);
             return;
         }
-        if let Message::Refused { intended } = body {
-            if from.name == intended.name && from.disk != intended.disk {
-                self.on_refused(&intended);
-            }
+        if self.receive_refusal(&from, &body) {
             return;
         }
         if !self.accepts_cluster(cluster, &body) {
@@ -267,6 +294,9 @@
             Message::RestartVote { last } => {
                 self.on_vote(&from, term, last, ElectionReason::Restart);
             }
+            Message::GrantVote { last } => {
+                self.on_vote(&from, term, last, ElectionReason::Grant);
+            }
             body => self.receive_in_term(from, term, body),
         }
     }
@@ -311,49 +341,9 @@
             | Message::Unled
             | Message::Vote { .. }
             | Message::RestartVote { .. }
-            | Message::Refused { .. } => {}
-        }
-    }
-
-    /// Refuses a message addressed to another disk of this replica.
-    fn refuse(&mut self, cluster: ClusterId, from: Identity, intended: Identity) {
-        if intended.name != self.hard.identity.name {
-            return;
-        }
-        self.actions.push(Action::Refused {
-            from: from.clone(),
-            intended: intended.clone(),
-        });
-        let envelope = Envelope {
-            cluster,
-            from: self.hard.identity.clone(),
-            to: from,
-            term: self.hard.term,
-            body: Message::Refused { intended },
-        };
-        self.actions.push(Action::Send {
-            after: self.ticket(Durability::Hard),
-            envelope,
-        });
-    }
-
-    /// Returns whether the message belongs to this node's log.
-    ///
-    /// A new replica joins the log of the first leader that contacts it.
-    fn accepts_cluster(&mut self, cluster: ClusterId, body: &Message) -> bool {
-        match self.hard.cluster {
-            Some(mine) => mine == cluster,
-            None => {
-                let from_leader = matches!(
-                    body,
-                    Message::Heartbeat { .. } | Message::Append { .. } | Message::Chunk { .. }
-                );
-                if from_leader {
-                    self.hard.cluster = Some(cluster);
-                    self.save_hard();
-                }
-                from_leader
-            }
+            | Message::GrantVote { .. }
+            | Message::Refused { .. }
+            | Message::Replaced { .. } => {}
         }
     }
 
@@ -497,6 +487,6 @@
         };
         let spread = u64::try_from(min.as_micros()).unwrap_or(u64::MAX);
         let extra = self.rng.random_range(0..=spread);
-        self.election_deadline = self.at.now + min + std::time::Duration::from_micros(extra);
+        self.election_deadline = self.at.now + min + Duration::from_micros(extra);
     }
 }
--- a/decision/consensus/src/node/replication.rs
+++ b/decision/consensus/src/node/replication.rs
@@ -1,5 +1,7 @@
 //! Replication of the log from the leader to the other members.
 
+use std::time::Duration;
+
 use pimentotide_model::Time;
 
 use super::{Durability, Node, Role};
@@ -95,6 +97,9 @@
 
     /// Sends at most one message; returns whether another one may follow.
     fn send_next(&mut self, who: &Identity) -> bool {
+        if self.withholds_entries(who) {
+            return false;
+        }
         let now = self.at.now;
         let window = self.options.max_inflight;
         let last = self.log.last().index;
@@ -202,8 +207,8 @@
         self.send_available(from);
     }
 
-    pub(super) fn on_refused(&mut self, intended: &Identity) {
-        self.record_loss(intended);
+    pub(super) fn on_refused(&mut self, intended: &Identity, up: Duration) {
+        self.record_loss(intended, up);
         if let Some(peer) = self.peer(intended) {
             peer.disk_replaced = true;
             peer.probe(peer.matched.next());
--- a/decision/consensus/src/node/report.rs
+++ b/decision/consensus/src/node/report.rs
@@ -31,13 +31,15 @@
             config: self.log.config().clone(),
             config_committed: self.log.config_index() <= self.commit,
             lost: self.lost_voters(),
+            grants: self.granted_parts(self.log.config()).cloned().collect(),
+            asking: at.now < self.next_ask,
             peers: self.peer_status(at.now),
         }
     }
 
     fn lost_voters(&self) -> Vec<Identity> {
         let config = self.log.config();
-        let lost = self.lost.iter().filter(|who| config.is_voter(who));
+        let lost = self.lost.keys().filter(|who| config.is_voter(who));
         lost.cloned().collect()
     }
 
--- a/decision/consensus/src/options.rs
+++ b/decision/consensus/src/options.rs
@@ -30,6 +30,13 @@
     pub max_learner_lag: u64,
     /// Maximum bytes of entries that a learner may lag behind to be promoted to voter.
     pub max_learner_lag_bytes: u64,
+    /// Voters that bear the stated losses; more than that are being replaced.
+    pub min_voters: usize,
+    /// Silence of the other voters after which some voters act by a grant.
+    ///
+    /// A replica may count a proved loss until that time, less two election timeouts, has passed since its
+    /// last entry.
+    pub grant_silence: Duration,
     /// Maximum entries that are not committed yet; further proposals are rejected.
     pub max_uncommitted: u64,
     /// Maximum entries retained in memory before a snapshot, so that slow replicas need no snapshot.
@@ -52,6 +59,8 @@
             max_chunk_bytes: 256 << 10,
             max_learner_lag: 64,
             max_learner_lag_bytes: 1 << 20,
+            min_voters: 3,
+            grant_silence: Duration::from_secs(3),
             max_uncommitted: 16_384,
             retained_entries: 1_024,
             retained_bytes: 1 << 20,
--- a/decision/consensus/src/status.rs
+++ b/decision/consensus/src/status.rs
@@ -1,5 +1,6 @@
 //! Status of a node.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -111,6 +112,12 @@
     /// Voters whose disks are proved lost.
     #[serde(default)]
     pub lost: Vec<Identity>,
+    /// Parts of the voters to which a majority of the arbiters has granted that they act.
+    #[serde(default)]
+    pub grants: Vec<BTreeSet<Identity>>,
+    /// Whether it has asked the arbiters for a grant a moment ago.
+    #[serde(default)]
+    pub asking: bool,
     /// Progress of the other members; empty unless it is the leader.
     pub peers: Vec<PeerStatus>,
 }
--- a/decision/consensus/src/types.rs
+++ b/decision/consensus/src/types.rs
@@ -138,7 +138,10 @@
             + match &self.payload {
                 Payload::Noop => 0,
                 Payload::Command(bytes) => bytes.len(),
-                Payload::Config(c) => MEMBER_BYTES * (c.voters.len() + c.learners.len()),
+                Payload::Config(c) => {
+                    let arbiters = c.arbiters.as_ref().map_or(0, |a| a.members.len());
+                    MEMBER_BYTES * (c.voters.len() + c.learners.len() + arbiters)
+                }
             }
     }
 }
--- a/decision/consensus/tests/it/cluster/members.rs
+++ b/decision/consensus/tests/it/cluster/members.rs
@@ -55,6 +55,11 @@
             return;
         };
         if status.role == RoleKind::Leader {
+            if !status.config.learners.is_empty() || status.config.voters.len() > 2 * self.loss + 1
+            {
+                let arbiters = self.live_arbiters();
+                self.deliver_event(host, Event::Arbiters(arbiters));
+            }
             if let Some(Repair::Remove(name)) = repair(&views(&status), None, &options(self.loss)) {
                 self.change(host, Change::Remove(name));
             }
--- a/decision/consensus/tests/it/main.rs
+++ b/decision/consensus/tests/it/main.rs
@@ -1,5 +1,7 @@
 //! Integration tests of the replicated log.
 
+mod arbiter;
+mod arbitration;
 mod chaos;
 mod cluster;
 mod disorder;
--- a/decision/consensus/tests/it/sim/host.rs
+++ b/decision/consensus/tests/it/sim/host.rs
@@ -76,6 +76,8 @@
         max_learner_lag_bytes: 600,
         max_inflight_bytes: 700,
         min_rate: 100_000,
+        min_voters: 3,
+        grant_silence: Duration::from_secs(3),
     }
 }
 
--- a/decision/consensus/tests/it/sim/mod.rs
+++ b/decision/consensus/tests/it/sim/mod.rs
@@ -449,6 +449,8 @@
                     self.check.read_ready(id, index);
                 }
                 Action::Refused { .. } => self.counts.refused += 1,
+                // No arbiters are named here.
+                Action::Ask { .. } => {}
             }
         }
     }
--- a/dev/scenario/src/world/replica.rs
+++ b/dev/scenario/src/world/replica.rs
@@ -161,7 +161,8 @@
                     }
                     self.serve_ready(node);
                 }
-                Action::Refused { .. } => {}
+                // The scenarios name no arbiters.
+                Action::Ask { .. } | Action::Refused { .. } => {}
             }
         }
     }
--- a/peers/instance/src/lib.rs
+++ b/peers/instance/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod replica;
 pub mod work;
 
+mod arbiter;
 mod client;
 mod clock;
 mod pause;
@@ -20,6 +21,7 @@
 mod token;
 mod view;
 
+pub use arbiter::{ArbiterClient, ArbiterService, arbiter_module};
 pub use client::{PeerClient, PeerTimeouts};
 pub use clock::{BootInstant, Clock};
 pub use pause::Pauses;
--- a/peers/instance/src/replica/actor.rs
+++ b/peers/instance/src/replica/actor.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix::{Actor, Addr, AsyncContext, Context};
+use actix::{Actor, Addr, AsyncContext, Context, Recipient};
 use pimentotide_consensus::{
     Action, Applier, Envelope, Event, Identity, Index, Machine, Node, Outcome, ProposalId,
     Recovered, Reject, Ticket, Write,
@@ -12,10 +12,11 @@
 use pimentotide_model::{ErrorKind, Failure, InstanceName, Ran, Time};
 use tokio::sync::watch;
 
+use super::ask::ask;
 use super::clock::moment;
 use super::founding;
 use super::link::Links;
-use super::message::{Applied, Refusal, Reply};
+use super::message::{Applied, Granted, Refusal, Reply};
 use super::options::ReplicaOptions;
 use super::status::{DiskHealth, LeaderView, ReplicaStatus};
 use super::writer::Writer;
@@ -31,6 +32,8 @@
 /// Actor of one control replica.
 pub struct Replica<M> {
     pub(super) options: ReplicaOptions,
+    /// Receiver of grants, once this actor has started.
+    grants: Option<Recipient<Granted>>,
     clock: Clock,
     pub(super) node: Node,
     pub(super) applier: Applier<M>,
@@ -102,6 +105,7 @@
         let mut replica = Self {
             links: Links::new(options.address, options.token.clone()),
             options,
+            grants: None,
             clock,
             node,
             initial: parts.machine.snapshot(),
@@ -200,6 +204,11 @@
             }
             Action::Rejected(id, reason) => self.reject(id, &reason),
             Action::ReadReady(id, index) => self.read_ready(id, index),
+            Action::Ask { arbiters, request } => {
+                if let Some(grants) = &self.grants {
+                    ask(arbiters, &request, &self.options.token, grants);
+                }
+            }
             Action::Refused { from, intended } => self.log_refusal(&from, &intended),
         }
     }
@@ -484,6 +493,7 @@
         let interval =
             MIN_TICK_INTERVAL.max(self.options.log.heartbeat_interval / TICKS_PER_HEARTBEAT);
         ctx.run_interval(interval, |replica, _| replica.tick());
+        self.grants = Some(ctx.address().recipient());
         self.found(ctx.address());
     }
 }
--- a/peers/instance/src/replica/founding.rs
+++ b/peers/instance/src/replica/founding.rs
@@ -79,6 +79,12 @@
     Ok(config)
 }
 
+/// Requests the identity of the replica.
+pub(crate) async fn read_identity(client: &PeerClient) -> Result<Identity, Failure> {
+    let peer: Introduction = client.call(INTRODUCE, [0; 0]).await?;
+    Ok(peer.identity)
+}
+
 /// Requests the identity of the peer and checks that its name is `name`.
 pub(super) async fn introduce(
     client: &PeerClient,
--- a/peers/instance/src/replica/handle.rs
+++ b/peers/instance/src/replica/handle.rs
@@ -18,7 +18,7 @@
 use super::link::TIMEOUTS;
 use super::message::{
     Applied, ChangeMembers, Delivery, GetStatus, GetWriterEnd, Halt, Introduction, Propose, Query,
-    Read, Refusal, Reopen, Synced, TransferLeadership, WriteFailed,
+    Read, Refusal, Reopen, SetArbiters, Synced, TransferLeadership, WriteFailed,
 };
 use super::options::ReplicaOptions;
 use super::rpc;
@@ -286,6 +286,12 @@
         self.change(Change::Remove(name)).await
     }
 
+    /// Sets the processes that this replica names as arbiters when it leads, with the identities of their
+    /// starts.
+    pub fn set_arbiters(&self, members: BTreeMap<InstanceName, Member>) {
+        self.replica.do_send(SetArbiters(members));
+    }
+
     /// Subscribes to the position applied to the machine.
     pub fn applied(&self) -> watch::Receiver<Index> {
         self.applied.clone()
--- a/peers/instance/src/replica/handlers.rs
+++ b/peers/instance/src/replica/handlers.rs
@@ -7,8 +7,8 @@
 use super::actor::{PendingReply, Replica};
 use super::handle::report_to;
 use super::message::{
-    Bootstrap, ChangeMembers, Delivery, GetStatus, GetWriterEnd, Halt, Propose, Query, Read,
-    Refusal, Reopen, Synced, TransferLeadership, WriteFailed,
+    Bootstrap, ChangeMembers, Delivery, GetStatus, GetWriterEnd, Granted, Halt, Propose, Query,
+    Read, Refusal, Reopen, SetArbiters, Synced, TransferLeadership, WriteFailed,
 };
 use super::writer::Writer;
 
@@ -115,6 +115,13 @@
             replica.writer.write(write);
         }
     }
+    SetArbiters, |replica, SetArbiters(members), _| {
+        replica.step(Event::Arbiters(members));
+    }
+    Granted, |replica, granted, _| {
+        let Granted { ballot, arbiter, part } = granted;
+        replica.step(Event::Granted { ballot, arbiter, part });
+    }
     TransferLeadership, |replica, _, _| {
         replica.step(Event::Transfer);
     }
--- a/peers/instance/src/replica/message.rs
+++ b/peers/instance/src/replica/message.rs
@@ -1,12 +1,13 @@
 //! Messages to the actor.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use actix::Message;
 use pimentotide_consensus::{
-    Change, ClusterId, Config, Envelope, Identity, Index, Recovered, Ticket,
+    Change, ClusterId, Config, Envelope, Identity, Index, LogId, Member, Recovered, Ticket,
 };
-use pimentotide_model::Failure;
+use pimentotide_model::{Failure, InstanceName};
 use pimentotide_storage::{Folder, Storage};
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
@@ -109,6 +110,20 @@
 #[rtype(result = "()")]
 pub(super) struct TransferLeadership;
 
+/// Sets the processes that a leader names as arbiters.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(super) struct SetArbiters(pub(super) BTreeMap<InstanceName, Member>);
+
+/// Reports that an arbiter granted a request.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(super) struct Granted {
+    pub(super) ballot: LogId,
+    pub(super) arbiter: Identity,
+    pub(super) part: BTreeSet<Identity>,
+}
+
 /// Stops the actor after the queued writes.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
--- a/peers/instance/src/replica/mod.rs
+++ b/peers/instance/src/replica/mod.rs
@@ -7,6 +7,7 @@
 //! machine. The process uses it through [`ReplicaHandle`], others through [`module`].
 
 mod actor;
+mod ask;
 mod clock;
 mod founding;
 mod handle;
@@ -20,6 +21,7 @@
 mod writer;
 
 pub use actor::Replica;
+pub(crate) use founding::read_identity;
 pub use handle::ReplicaHandle;
 pub use options::ReplicaOptions;
 pub use release::Release;
