Control: entries arbitrate while replicas are being replaced

A replica whose successor votes gets SIGKILL, another one is gone for good within the next second, and control has no leader for good.

Change: each entry serves an arbiter at its address for calls. The leader names up to nine entries that it knows by their beacons, spread over the addresses and so over the zones, while there are learners or more than 2 x loss + 1 voters, and others for those that are silent or restarted.

Soak: replicas that are replaced by SIGKILL are now also followed by losses for good, unless the entries are killed with them.

--- a/app/src/fleet/control/membership.rs
+++ b/app/src/fleet/control/membership.rs
@@ -17,6 +17,7 @@
 
 use super::super::FleetSettings;
 use super::super::rpc::{JOIN, JoinRequest};
+use super::arbiters::Arbiters;
 use crate::lines::{LearnerLags, MemberChanged, RoleChanged, VoteReleased};
 
 /// Time between checks.
@@ -54,6 +55,8 @@
     leader: Option<String>,
     voters: Vec<String>,
     lost: Vec<String>,
+    arbiters: Vec<String>,
+    granted: Vec<String>,
 }
 
 /// Membership of the log as one replica observes and changes it.
@@ -66,6 +69,7 @@
     repairs: RepairOptions,
     /// Time for which a replica that stops waits for the release of its vote.
     release_limit: Duration,
+    arbiters: Arbiters,
     metrics: Metrics,
     /// Last logged role, term and leader.
     logged_role: Arc<Mutex<Option<RoleState>>>,
@@ -78,6 +82,7 @@
         replica: ReplicaHandle<FleetState>,
         settings: &FleetSettings,
         token: Token,
+        arbiters: Arbiters,
         metrics: Metrics,
     ) -> Self {
         Self {
@@ -91,6 +96,7 @@
                 max_losses: settings.loss,
             },
             release_limit: settings.grace_time().mul_f64(RELEASE_RATIO),
+            arbiters,
             metrics,
             logged_role: Arc::default(),
             reopen_since: Arc::default(),
@@ -171,6 +177,9 @@
                 log_member_change(&name, "remove", "it has been silent");
                 self.replica.remove(name).await?;
             }
+            self.arbiters
+                .renew(&status, self.repairs.min_voters())
+                .await;
             return Ok(());
         }
         let led = status.log.leader.is_some();
@@ -201,12 +210,18 @@
         let leader = log.leader.as_ref().map(|l| l.name.to_string());
         let voters: Vec<String> = log.config.voters.keys().map(ToString::to_string).collect();
         let lost: Vec<String> = log.lost.iter().map(|l| l.name.to_string()).collect();
+        let arbiters = log.config.arbiters.iter().flat_map(|a| a.members.keys());
+        let arbiters: Vec<String> = arbiters.map(ToString::to_string).collect();
+        let granted = log.grants.iter().flatten();
+        let granted: Vec<String> = granted.map(|v| v.name.to_string()).collect();
         let now = Some(RoleState {
             role: log.role,
             term: log.term.0,
             leader: leader.clone(),
             voters: voters.clone(),
             lost: lost.clone(),
+            arbiters: arbiters.clone(),
+            granted: granted.clone(),
         });
         let mut logged = self
             .logged_role
@@ -221,8 +236,12 @@
                 commit: log.commit.0,
                 voters,
                 lost,
+                arbiters,
+                granted,
             });
         }
+        let arbiters = log.config.arbiters.as_ref();
+        let arbiter_count = arbiters.map_or(0, |a| a.members.len() as u64);
         let gauges = [
             ("leads", u64::from(log.role == RoleKind::Leader)),
             ("led", u64::from(log.leader.is_some())),
@@ -236,6 +255,9 @@
             ),
             ("members", log.config.members().count() as u64),
             ("learners", log.config.learners.len() as u64),
+            ("arbiters", arbiter_count),
+            ("granted", u64::from(!log.grants.is_empty())),
+            ("asking", u64::from(log.asking)),
             ("log_bytes", log.log_bytes),
             ("snapshot_bytes", log.snapshot_bytes),
             ("learner_lag", learner_lag(status, |p| p.lag)),
@@ -297,6 +319,11 @@
     }
 }
 
+/// Returns the number of voters that bear this many losses.
+pub(super) fn min_voters(loss: usize) -> usize {
+    2 * loss + 1
+}
+
 /// Writes and removes the probe file.
 fn probe(path: &Path) -> std::io::Result<()> {
     std::fs::write(path, [0; PROBE_BYTES])?;
--- a/app/src/fleet/control/mod.rs
+++ b/app/src/fleet/control/mod.rs
@@ -1,5 +1,6 @@
 //! Control role: a replica of the shared state and its servers.
 
+mod arbiters;
 mod desk;
 mod documents;
 mod membership;
@@ -22,6 +23,7 @@
 use super::directory::open_directory;
 use super::scrape::Scraped;
 use super::{FleetError, FleetSettings, datagram};
+use arbiters::Arbiters;
 use desk::ControlService;
 use roster::{Roster, RosterDirectory};
 
@@ -40,6 +42,9 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time without a response of the disk after which it counts as failed; disks may hang for seconds and recover.
 const DISK_STALL_TIMEOUT: Duration = Duration::from_secs(20);
+/// Part of the time for which a replica catches up in which other voters are silent before some act by a grant;
+/// the rest is for an election and the removal of those, before the next loss.
+const GRANT_SILENCE_RATIO: f64 = 0.75;
 /// Number of log entries after which the log is compacted.
 const COMPACTION_ENTRIES: u64 = 512;
 
@@ -81,6 +86,7 @@
             replica.clone(),
             settings,
             token.clone(),
+            Arbiters::new(replica.clone(), roster.clone(), token.clone()),
             scraped.metrics().clone(),
         );
         let own = module(replica.clone()).map_err(|e| FleetError::Methods(e.to_string()))?;
@@ -149,6 +155,8 @@
     options.log.election_timeout = ELECTION_TIMEOUT;
     options.log.heartbeat_interval = HEARTBEAT_INTERVAL;
     options.log.resend_timeout = RESEND_TIMEOUT;
+    options.log.grant_silence = settings.catch_up_time().mul_f64(GRANT_SILENCE_RATIO);
+    options.log.min_voters = membership::min_voters(settings.loss);
     options.request_timeout = REQUEST_TIMEOUT;
     options.stall = DISK_STALL_TIMEOUT;
     options.compact_after = COMPACTION_ENTRIES;
--- a/app/src/fleet/control/roster.rs
+++ b/app/src/fleet/control/roster.rs
@@ -1,6 +1,6 @@
 //! Entries and agents known to a replica from their beacons.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -133,6 +133,13 @@
         accepting
     }
 
+    /// Returns the live entries, each with the start by the order of its beacons, ms since the Unix epoch.
+    pub(super) fn entry_starts(&self) -> BTreeSet<(SocketAddr, u64)> {
+        let table = self.lock();
+        let live = live(&table.entries).filter(|b| !b.stopping);
+        live.map(|b| (b.callers, b.order.born)).collect()
+    }
+
     /// Returns the slow engines.
     pub(super) fn slow(&self) -> &SlowEngines {
         &self.slow
--- a/app/src/fleet/entry/mod.rs
+++ b/app/src/fleet/entry/mod.rs
@@ -16,12 +16,14 @@
 mod state;
 mod streaming;
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
 use pimentotide_fleet::StopPhase;
+use pimentotide_instance::{ArbiterService, PeerServer, Token, arbiter_module};
 use pimentotide_platform::{DirectoryServer, FrontendOptions, FrontendServer};
 
 use super::directory::open_directory;
@@ -87,6 +89,7 @@
         let directory = open_directory(settings, CallerDirectory::new(state.clone(), settings))?;
         let replicas = Replicas::new(settings);
         let tasks = vec![
+            actix_rt::spawn(arbitrate(settings.calls(), token.clone())),
             actix_rt::spawn(report::send_reports(
                 state.clone(),
                 replicas.clone(),
@@ -145,6 +148,20 @@
     }
 }
 
+/// Serves an arbiter of the control log until the task is aborted; logs a failure.
+async fn arbitrate(address: SocketAddr, token: Token) {
+    let module = match arbiter_module(ArbiterService::open(token.clone())) {
+        Ok(module) => module,
+        Err(e) => return log::error!("cannot arbitrate: {e}"),
+    };
+    match PeerServer::bind(address, token, [module]).await {
+        // The server stops when it is dropped.
+        Ok(_server) => std::future::pending().await,
+        // Callers are served all the same.
+        Err(failure) => log::error!("cannot arbitrate: {failure}"),
+    }
+}
+
 /// Returns the maximum connections of callers, which leaves as many descriptors for upstreams.
 fn max_connections(settings: &FleetSettings) -> usize {
     let Some(descriptors) = settings.descriptors else {
--- a/app/src/fleet/settings.rs
+++ b/app/src/fleet/settings.rs
@@ -133,6 +133,8 @@
     pub revoke_ms: u64,
     /// Time after a disturbance of the control replicas within which they bear the next one, ms.
     pub settle_ms: u64,
+    /// Time for which a replica is up until it bears the loss of another one, seconds.
+    pub catch_up_s: f64,
     /// Time from the stop signal to the exit of a process, seconds.
     pub grace_s: f64,
     /// Retries allowed per request.
@@ -154,6 +156,7 @@
         Self {
             revoke_ms: 5_000,
             settle_ms: 3_000,
+            catch_up_s: 4.0,
             grace_s: 8.0,
             repeat_ratio: 0.2,
             repeat_window_s: 10.0,
@@ -248,6 +251,11 @@
         Duration::from_millis(self.bounds.settle_ms)
     }
 
+    /// Returns the time for which a replica is up until it bears the loss of another one.
+    pub fn catch_up_time(&self) -> Duration {
+        Duration::from_secs_f64(self.bounds.catch_up_s)
+    }
+
     /// Returns the time from the stop signal to the exit of a process.
     pub fn grace_time(&self) -> Duration {
         Duration::from_secs_f64(self.bounds.grace_s)
--- a/app/src/lines/process.rs
+++ b/app/src/lines/process.rs
@@ -182,6 +182,10 @@
     pub voters: Vec<String>,
     /// Voters whose disks are proved lost.
     pub lost: Vec<String>,
+    /// Arbiters of this membership.
+    pub arbiters: Vec<String>,
+    /// Voters to which the arbiters granted that they act without the others.
+    pub granted: Vec<String>,
 }
 
 /// A learner has not caught up with the log yet.
--- a/app/tests/it/main.rs
+++ b/app/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod cut;
 mod deployment;
 mod disk;
+mod ended;
 mod endless;
 mod explain;
 mod fleet;
--- a/app/tests/it/replaced.rs
+++ b/app/tests/it/replaced.rs
@@ -7,9 +7,9 @@
 /// Time after which the replicas have to bear the next loss; the default of `bounds.settle_ms`.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// Host of the replacement.
-const REPLACEMENT: u8 = 9;
+pub(crate) const REPLACEMENT: u8 = 9;
 
-fn declare(version: &str) -> String {
+pub(crate) fn declare(version: &str) -> String {
     fixture(
         "keys/declare.http",
         &[("version", version), ("keys", "\"k1\"")],
@@ -156,7 +156,7 @@
 }
 
 /// Starts three replicas with a configuration and `successors` of them; returns a leader and the others.
-async fn start_successors(network: u8, successors: &[u8]) -> (Deployment, u8, [u8; 2]) {
+pub(crate) async fn start_successors(network: u8, successors: &[u8]) -> (Deployment, u8, [u8; 2]) {
     let mut deployment = Deployment::start(network, 1);
     wait_for_answer(deployment.control(1), &declare("7"), "HTTP/1.1 200").await;
     for host in successors {
@@ -179,7 +179,7 @@
 }
 
 /// Waits until a replica answers with the configuration of this version.
-async fn wait_for_version(deployment: &Deployment, host: u8, version: &str) {
+pub(crate) async fn wait_for_version(deployment: &Deployment, host: u8, version: &str) {
     let read = fixture("read.http", &[]);
     let limit = tokio::time::Instant::now() + RECOVERY_TIME;
     loop {
--- a/dev/soak/src/disks.rs
+++ b/dev/soak/src/disks.rs
@@ -32,7 +32,7 @@
 const REPLACED_RATIO: f64 = 0.75;
 /// Share of the replacements before a graceful stop that concern any number of the replicas.
 const MANY_RATIO: f64 = 0.5;
-/// Share of the losses that are for good, where the replaced replicas do not end without notice.
+/// Share of the losses that are for good, where not all processes are killed after an end without notice.
 const GONE_RATIO: f64 = 0.4;
 /// Share of the losses at which all other processes are killed.
 const ALL_RATIO: f64 = 0.4;
@@ -109,9 +109,9 @@
             let count = rng.random_range(1..=replicas);
             loss.replaced = index::sample(&mut rng, replicas, count).into_vec();
         }
-        // Replicas that end without notice cannot be told from those that are cut off.
+        // Where entries are killed as well, nobody knows which replicas may have acted without the others.
         let unnoticed = loss.replacement == Replacement::BeforeKill && !loss.replaced.is_empty();
-        loss.gone = !unnoticed && rng.random_bool(GONE_RATIO);
+        loss.gone = !(unnoticed && loss.all) && rng.random_bool(GONE_RATIO);
         loss
     }
 
