--- a/decision/consensus/src/node/arbitration.rs
+++ b/decision/consensus/src/node/arbitration.rs
@@ -80,7 +80,8 @@
     /// Appends the membership with the arbiters that are to be named, if those named differ.
     pub(super) fn renew_arbiters(&mut self) {
         let leads = matches!(&self.role, Role::Leader(state) if state.transfer.is_none());
-        if !leads || self.arbiters.is_empty() || !self.accepts_changes() {
+        let has_surplus = self.log.config().voters.len() > self.options.min_voters;
+        if !leads || !has_surplus || self.arbiters.is_empty() || !self.accepts_changes() {
             return;
         }
         let mut config = self.log.config().clone();
--- a/decision/consensus/src/node/quorum.rs
+++ b/decision/consensus/src/node/quorum.rs
@@ -16,9 +16,10 @@
 //! - **Each part that a majority of its arbiters granted.** Arbiters grant only parts that intersect.
 //! - **Voters with a proof**, if each part without them that could be granted has a voter that is proved lost.
 //!
-//! A part and voters with a proof may be disjoint. They never both act, since a part acts only once the others have
-//! been silent for [`Options::grant_silence`](crate::Options), and a proof counts only for a candidate whose last entry is younger than
-//! that: it was replicated to it when the others were not silent yet.
+//! A part and voters with a proof may be disjoint. They never both act: a part needs each of its voters, and acts
+//! only once the others have been silent for [`Options::grant_silence`](crate::Options). A proof counts
+//! only if the disk was lost sooner than that after the last entry of the candidate, so that the part had not
+//! acted before, and cannot act any more.
 //!
 //! A commit index is not stored, so a replica that restarts has to see in its log that a change of voters
 //! was committed: a leader appends a second no-op in its term then, or the next change of members.
